Lay out the package, its identifiers and its closed error table

Cause: an empty repository; several slices are to be built side by side, so the types they share come first.

--- /dev/null
+++ b/src/ids.rs
@@ -0,0 +1,227 @@
+//! Newtypes for identifiers, sizes and rates.
+//!
+//! Text identifiers accept 1 to 64 characters out of letters, digits, `-`,
+//! `_` and `.`, so that they can stand in URLs, store keys and log lines
+//! without quoting. Numbers keep their unit in the type name or its
+//! documentation.
+
+use std::fmt;
+use std::str::FromStr;
+
+use derive_more::{Display, Error};
+use serde::{Deserialize, Serialize};
+
+/// Longest text identifier, in bytes.
+const MAX_NAME_BYTES: usize = 64;
+
+/// Reason why a text or number is not a valid identifier.
+#[derive(Debug, Clone, Display, Error, PartialEq, Eq)]
+pub enum ParseIdError {
+    /// Empty, too long, or with a character outside the allowed set.
+    #[display("expected 1 to 64 letters, digits, '-', '_' or '.', got '{text}'")]
+    BadName {
+        /// Rejected text.
+        text: String,
+    },
+    /// Not a number in the allowed range.
+    #[display("expected {expected}, got '{text}'")]
+    BadNumber {
+        /// Allowed range in words.
+        expected: &'static str,
+        /// Rejected text.
+        text: String,
+    },
+}
+
+fn check_name(text: &str) -> Result<(), ParseIdError> {
+    let is_allowed = |c: char| c.is_ascii_alphanumeric() || matches!(c, '-' | '_' | '.');
+    let is_valid = !text.is_empty() && text.len() <= MAX_NAME_BYTES && text.chars().all(is_allowed);
+    if is_valid {
+        Ok(())
+    } else {
+        Err(ParseIdError::BadName {
+            text: text.to_string(),
+        })
+    }
+}
+
+macro_rules! text_id {
+    ($(#[$doc:meta])* $name:ident) => {
+        $(#[$doc])*
+        #[derive(Debug, Clone, Display, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+        #[serde(try_from = "String", into = "String")]
+        pub struct $name(String);
+
+        impl $name {
+            /// Text of the identifier.
+            pub fn as_str(&self) -> &str {
+                &self.0
+            }
+        }
+
+        impl TryFrom<String> for $name {
+            type Error = ParseIdError;
+
+            fn try_from(text: String) -> Result<Self, ParseIdError> {
+                check_name(&text)?;
+                Ok(Self(text))
+            }
+        }
+
+        impl FromStr for $name {
+            type Err = ParseIdError;
+
+            fn from_str(text: &str) -> Result<Self, ParseIdError> {
+                Self::try_from(text.to_string())
+            }
+        }
+
+        impl From<$name> for String {
+            fn from(id: $name) -> Self {
+                id.0
+            }
+        }
+    };
+}
+
+text_id!(
+    /// Identifier of a node, unique in the fleet; its upstream shares it.
+    NodeId
+);
+text_id!(
+    /// Name of a service.
+    ServiceName
+);
+text_id!(
+    /// Name of a region.
+    RegionName
+);
+text_id!(
+    /// Name of an availability zone, unique in the fleet.
+    ZoneName
+);
+text_id!(
+    /// Name of the team that owns a service.
+    TeamName
+);
+text_id!(
+    /// Identifier that a backend server announces itself under.
+    BackendId
+);
+
+macro_rules! number_id {
+    ($(#[$doc:meta])* $name:ident, $repr:ty, $min:expr, $expected:expr) => {
+        $(#[$doc])*
+        #[derive(
+            Debug, Clone, Copy, Display, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize,
+        )]
+        #[serde(try_from = "u64", into = "u64")]
+        pub struct $name($repr);
+
+        impl $name {
+            /// Plain number.
+            pub fn get(self) -> $repr {
+                self.0
+            }
+        }
+
+        impl TryFrom<u64> for $name {
+            type Error = ParseIdError;
+
+            fn try_from(number: u64) -> Result<Self, ParseIdError> {
+                let bad_number = || ParseIdError::BadNumber {
+                    expected: $expected,
+                    text: number.to_string(),
+                };
+                let checked = <$repr>::try_from(number).map_err(|_| bad_number())?;
+                if checked < $min {
+                    return Err(bad_number());
+                }
+                Ok(Self(checked))
+            }
+        }
+
+        impl FromStr for $name {
+            type Err = ParseIdError;
+
+            fn from_str(text: &str) -> Result<Self, ParseIdError> {
+                let number = text.parse::<u64>().map_err(|_| ParseIdError::BadNumber {
+                    expected: $expected,
+                    text: text.to_string(),
+                })?;
+                Self::try_from(number)
+            }
+        }
+
+        impl From<$name> for u64 {
+            fn from(id: $name) -> Self {
+                u64::from(id.0)
+            }
+        }
+    };
+}
+
+number_id!(
+    /// Number of a change ticket.
+    TicketNumber,
+    u64,
+    1,
+    "a whole number from 1"
+);
+number_id!(
+    /// Count of calls that a backend server can work on at once.
+    SlotCount,
+    u32,
+    1,
+    "a whole number from 1 to 4294967295"
+);
+number_id!(
+    /// Count of connections that a backend server accepts.
+    ConnectionCount,
+    u32,
+    1,
+    "a whole number from 1 to 4294967295"
+);
+number_id!(
+    /// Incarnation of a process: a later start of the same node has a higher one.
+    NodeIncarnation,
+    u64,
+    1,
+    "a whole number from 1"
+);
+
+/// Identifier of one call, unique in the fleet and over restarts.
+///
+/// It is made of the ingress node's incarnation, which is random in its low
+/// bits, and a sequence number, and is kept on every resend of the call.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub struct CallId {
+    /// Incarnation of the ingress node that took the call.
+    pub ingress: u64,
+    /// Sequence number at that ingress.
+    pub sequence: u64,
+}
+
+impl fmt::Display for CallId {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(formatter, "{:016x}-{:x}", self.ingress, self.sequence)
+    }
+}
+
+impl FromStr for CallId {
+    type Err = ParseIdError;
+
+    fn from_str(text: &str) -> Result<Self, ParseIdError> {
+        let bad_number = || ParseIdError::BadNumber {
+            expected: "a call id such as 00000000000000ff-1a",
+            text: text.to_string(),
+        };
+        let (ingress, sequence) = text.split_once('-').ok_or_else(bad_number)?;
+        let ingress = u64::from_str_radix(ingress, 16).map_err(|_| bad_number())?;
+        let sequence = u64::from_str_radix(sequence, 16).map_err(|_| bad_number())?;
+        Ok(Self { ingress, sequence })
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/src/standin.rs
@@ -0,0 +1,4 @@
+//! Small stand-ins for what the platform provides, for tests and the demo.
+
+pub mod backend;
+pub mod store;
