Decide admission and at most once at the gate

Cause: a gate must refuse before anything runs, follow the capacity that neighbours leave, and never run a call twice.

Ruled out: tombstones that live as long as the longest time limit (1 h); a mark by ingress bars late originals without holding each call.

--- /dev/null
+++ b/src/admission/limit.rs
@@ -0,0 +1,185 @@
+//! Limit on work in flight that follows the capacity left to the server.
+//!
+//! Latency is judged in windows of completed calls against a baseline, the
+//! lowest window mean, which rises slowly so that a lasting change becomes the
+//! new normal. A window above the baseline makes the limit fall, a window near
+//! it makes the limit rise by one, and only windows in which the limit was
+//! reached count.
+//!
+//! A lower limit helps where the running calls share what is left of a
+//! processor: each gets faster and the rate stays. It harms where each call is
+//! slow by itself. Both look alike beforehand, so each fall is a trial: if the
+//! rate of completed calls drops, the limit goes back and stays for a while.
+
+use std::time::Duration;
+
+use crate::ids::SlotCount;
+
+/// Completed calls that close a window.
+const WINDOW_CALLS: u32 = 32;
+/// Age that closes a window of at least [`WINDOW_MIN_CALLS`].
+const WINDOW_AGE: Duration = Duration::from_secs(1);
+/// Fewest completed calls in a window.
+const WINDOW_MIN_CALLS: u32 = 8;
+/// Ratio to the baseline above which a window counts as congested.
+const CONGESTED_RATIO: f64 = 1.5;
+/// Rise of the baseline towards a higher window mean, by window.
+const BASELINE_RISE: f64 = 0.02;
+/// Part of the limit that a fall takes away.
+const FALL_PART: f64 = 1.0 / 3.0;
+/// Ratio of rates below which a fall is taken back.
+const KEPT_RATE_RATIO: f64 = 0.85;
+/// Windows without another fall after one was taken back.
+const HOLD_WINDOWS: u32 = 16;
+
+#[derive(Debug, Default)]
+struct LatencyWindow {
+    opened_at: Duration,
+    calls: u32,
+    /// Calls that completed while the limit was reached.
+    calls_at_limit: u32,
+    sum: Duration,
+}
+
+/// What a closed window says.
+#[derive(Debug, Clone, Copy)]
+struct WindowReport {
+    mean: f64,
+    rate: f64,
+    is_at_limit: bool,
+}
+
+impl LatencyWindow {
+    fn is_full(&self, now: Duration) -> bool {
+        let is_old = now.saturating_sub(self.opened_at) >= WINDOW_AGE;
+        self.calls >= WINDOW_CALLS || (is_old && self.calls >= WINDOW_MIN_CALLS)
+    }
+
+    fn report(&self, now: Duration) -> WindowReport {
+        let elapsed = now.saturating_sub(self.opened_at).as_secs_f64();
+        WindowReport {
+            mean: self.sum.as_secs_f64() / f64::from(self.calls),
+            rate: f64::from(self.calls) / elapsed.max(f64::EPSILON),
+            is_at_limit: self.calls_at_limit * 4 >= self.calls * 3,
+        }
+    }
+}
+
+/// Fall of the limit that has still to prove itself.
+#[derive(Debug)]
+struct FallTrial {
+    previous_limit: u32,
+    previous: WindowReport,
+}
+
+/// Limit between 1 and the slots.
+#[derive(Debug)]
+pub(super) struct CapacityLimit {
+    is_adaptive: bool,
+    slots: u32,
+    limit: u32,
+    window: LatencyWindow,
+    baseline: Option<f64>,
+    trial: Option<FallTrial>,
+    hold: u32,
+}
+
+impl CapacityLimit {
+    pub(super) fn new(slots: SlotCount, is_adaptive: bool) -> Self {
+        Self {
+            is_adaptive,
+            slots: slots.get(),
+            limit: slots.get(),
+            window: LatencyWindow::default(),
+            baseline: None,
+            trial: None,
+            hold: 0,
+        }
+    }
+
+    pub(super) fn get(&self) -> u32 {
+        self.limit
+    }
+
+    pub(super) fn set_slots(&mut self, slots: SlotCount) {
+        let was_full = self.limit == self.slots;
+        self.slots = slots.get();
+        self.limit = if was_full {
+            self.slots
+        } else {
+            self.limit.min(self.slots)
+        };
+    }
+
+    /// Takes note of a completed call; `in_flight` counts it in.
+    pub(super) fn note_completed(&mut self, now: Duration, latency: Duration, in_flight: u32) {
+        if !self.is_adaptive {
+            return;
+        }
+        self.window.calls += 1;
+        self.window.sum += latency;
+        if in_flight >= self.limit {
+            self.window.calls_at_limit += 1;
+        }
+        if self.window.is_full(now) {
+            let report = self.window.report(now);
+            self.judge(report);
+            self.window = LatencyWindow {
+                opened_at: now,
+                ..LatencyWindow::default()
+            };
+        }
+    }
+
+    fn judge(&mut self, report: WindowReport) {
+        self.hold = self.hold.saturating_sub(1);
+        if self.take_back(report) {
+            return;
+        }
+        let baseline = self.update_baseline(report.mean);
+        if !report.is_at_limit {
+            return;
+        }
+        if report.mean <= baseline * CONGESTED_RATIO {
+            self.limit = self.limit.saturating_add(1).min(self.slots);
+        } else if self.hold == 0 {
+            self.fall(report);
+        }
+    }
+
+    /// Ends a trial; returns whether the limit went back.
+    fn take_back(&mut self, report: WindowReport) -> bool {
+        let Some(trial) = self.trial.take() else {
+            return false;
+        };
+        let has_lost = report.rate < trial.previous.rate * KEPT_RATE_RATIO;
+        if !has_lost || !report.is_at_limit {
+            return false;
+        }
+        self.limit = trial.previous_limit.min(self.slots);
+        self.baseline = Some(trial.previous.mean);
+        self.hold = HOLD_WINDOWS;
+        true
+    }
+
+    fn update_baseline(&mut self, mean: f64) -> f64 {
+        let baseline = match self.baseline {
+            Some(baseline) if mean > baseline => baseline + (mean - baseline) * BASELINE_RISE,
+            _ => mean,
+        };
+        self.baseline = Some(baseline);
+        baseline
+    }
+
+    fn fall(&mut self, report: WindowReport) {
+        if self.limit <= 1 {
+            return;
+        }
+        self.trial = Some(FallTrial {
+            previous_limit: self.limit,
+            previous: report,
+        });
+        let kept = f64::from(self.limit) * (1.0 - FALL_PART);
+        self.limit = (kept.floor() as u32).clamp(1, self.limit - 1);
+    }
+}
--- /dev/null
+++ b/src/ledger/marks.rs
@@ -0,0 +1,57 @@
+//! What is left of forgotten calls: the highest sequence number by ingress.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use crate::ids::CallId;
+
+/// Marks of one ingress.
+#[derive(Debug, Default)]
+struct IngressMarks {
+    /// Highest forgotten call that may have run.
+    run: Option<u64>,
+    /// Highest forgotten call that never ran.
+    barred: Option<u64>,
+    /// Last time at which the ingress sent something.
+    heard_at: Duration,
+}
+
+/// Marks by incarnation of the ingress.
+#[derive(Debug, Default)]
+pub(super) struct SequenceMarks {
+    marks: BTreeMap<u64, IngressMarks>,
+}
+
+impl SequenceMarks {
+    pub(super) fn touch(&mut self, now: Duration, ingress: u64) {
+        self.marks.entry(ingress).or_default().heard_at = now;
+    }
+
+    /// Whether an unknown call may have run and been forgotten.
+    pub(super) fn may_have_run(&self, call: CallId) -> bool {
+        let marks = self.marks.get(&call.ingress);
+        marks.and_then(|marks| marks.run) >= Some(call.sequence)
+    }
+
+    /// Whether an unknown call may have been barred and forgotten.
+    pub(super) fn is_barred(&self, call: CallId) -> bool {
+        let marks = self.marks.get(&call.ingress);
+        marks.and_then(|marks| marks.barred) >= Some(call.sequence)
+    }
+
+    pub(super) fn raise_run(&mut self, call: CallId) {
+        let marks = self.marks.entry(call.ingress).or_default();
+        marks.run = marks.run.max(Some(call.sequence));
+    }
+
+    pub(super) fn raise_barred(&mut self, call: CallId) {
+        let marks = self.marks.entry(call.ingress).or_default();
+        marks.barred = marks.barred.max(Some(call.sequence));
+    }
+
+    /// Drops the marks of every ingress not heard of for `age` or longer.
+    pub(super) fn drop_older(&mut self, now: Duration, age: Duration) {
+        self.marks
+            .retain(|_, marks| now.saturating_sub(marks.heard_at) < age);
+    }
+}
