--- a/src/ledger.rs
+++ b/src/ledger.rs
@@ -208,11 +208,10 @@
     pub fn cancel(&mut self, now: Duration, call: CallId) -> CancelOutcome {
         self.marks.touch(now, call.ingress);
         let Some(record) = self.records.get(&call) else {
-            if self.marks.may_have_run(call) {
-                return CancelOutcome::MayHaveRun;
-            }
-            self.bar(now, call);
-            return CancelOutcome::NotRun;
+            return match self.bar(now, call) {
+                true => CancelOutcome::NotRun,
+                false => CancelOutcome::MayHaveRun,
+            };
         };
         match record.state {
             RecordState::Barred => CancelOutcome::NotRun,
@@ -229,11 +228,10 @@
     pub fn resume(&mut self, now: Duration, call: CallId) -> ResumeOutcome {
         self.marks.touch(now, call.ingress);
         let Some(record) = self.records.get(&call) else {
-            if self.marks.may_have_run(call) {
-                return ResumeOutcome::Forgotten;
-            }
-            self.bar(now, call);
-            return ResumeOutcome::NeverSeen;
+            return match self.bar(now, call) {
+                true => ResumeOutcome::NeverSeen,
+                false => ResumeOutcome::Forgotten,
+            };
         };
         match record.state {
             RecordState::Barred => ResumeOutcome::NotRun,
@@ -273,9 +271,14 @@
         }
     }
 
-    fn bar(&mut self, now: Duration, call: CallId) {
+    /// Bars an unknown call, unless it may be one that ran and was forgotten.
+    fn bar(&mut self, now: Duration, call: CallId) -> bool {
+        if self.marks.may_have_run(call) {
+            return false;
+        }
         self.records.insert(call, CallRecord::waiting(false));
         self.end(now, call, RecordState::Barred);
+        true
     }
 
     fn end(&mut self, now: Duration, call: CallId, state: RecordState) {
