Read settings from flags and CURRANTLIFT_ variables through one table

Cause: every binary needs the same rules for its command line: a flag goes before the variable, and an error is one line that names the setting, the value and what is allowed. Written per binary they would drift apart.

Change: a table of flags per binary (`CommandSpec`), from which the reader (lexopt) and `--help` work, and a `TryFrom` from raw settings to checked ones; `NodeOptions` is the first user. An empty variable counts as not given, since service managers set variables to nothing.

--- /dev/null
+++ b/src/options/node.rs
@@ -0,0 +1,178 @@
+//! Settings of `currantlift-node`.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use log::LevelFilter;
+
+use super::error::SettingError;
+use super::reader::RawOptions;
+use super::spec::{CommandSpec, FlagArity, FlagSpec};
+use super::values::{BaseUrl, DrainSeconds, ReachableAddress, SecretToken, ThreadCount};
+use crate::ids::{NodeId, RegionName, ZoneName};
+
+const NAME_RULE: &str = "1 to 64 letters, digits, '-', '_' or '.'";
+const ADDRESS_RULE: &str = "IP:PORT";
+const REACHABLE_RULE: &str = "IP:PORT of one host, with a port from 1";
+
+const NODE_FLAGS: &[FlagSpec] = &[
+    FlagSpec::single(
+        "node-id",
+        "ID",
+        NAME_RULE,
+        "name of this node, unique in the fleet",
+    ),
+    FlagSpec::single("region", "NAME", NAME_RULE, "region of this node"),
+    FlagSpec::single("zone", "NAME", NAME_RULE, "availability zone of this node"),
+    FlagSpec::single(
+        "listen",
+        "IP:PORT",
+        ADDRESS_RULE,
+        "address for callers' HTTP requests",
+    ),
+    FlagSpec::single(
+        "peer-listen",
+        "IP:PORT",
+        ADDRESS_RULE,
+        "TCP and UDP address for other nodes",
+    ),
+    FlagSpec::single(
+        "admin-listen",
+        "IP:PORT",
+        ADDRESS_RULE,
+        "address of the administration API",
+    ),
+    FlagSpec::single(
+        "peer-advertise",
+        "IP:PORT",
+        REACHABLE_RULE,
+        "address given to other nodes, if not the one bound by --peer-listen",
+    ),
+    FlagSpec::single(
+        "store",
+        "URL",
+        "http://HOST:PORT",
+        "platform's key-value service; without it change tickets are refused",
+    ),
+    FlagSpec::single(
+        "peer",
+        "IP:PORT",
+        REACHABLE_RULE,
+        "peer address of another node to join through",
+    )
+    .with_arity(FlagArity::Repeated),
+    FlagSpec::single("threads", "N", "1 to 64", "count of traffic threads").with_default("2"),
+    FlagSpec::single(
+        "admin-token",
+        "TOKEN",
+        "at least 8 printable ASCII characters without space",
+        "bearer token that changing calls of the administration API need",
+    ),
+    FlagSpec::single(
+        "log-level",
+        "LEVEL",
+        "off, error, warn, info, debug or trace",
+        "lowest level of log lines",
+    )
+    .with_default("info"),
+    FlagSpec::single(
+        "statsd",
+        "IP:PORT",
+        REACHABLE_RULE,
+        "address that metrics are sent to over UDP",
+    ),
+    FlagSpec::single(
+        "drain-seconds",
+        "N",
+        "1 to 600",
+        "upper bound of a planned stop, in seconds",
+    )
+    .with_default("30"),
+];
+
+/// Command line of `currantlift-node`.
+pub const NODE_COMMAND: CommandSpec = CommandSpec {
+    name: "currantlift-node",
+    summary: "Runs the node beside one backend server: takes callers' requests, passes each to\n\
+              the node beside a chosen upstream, and is the way to its own backend server.",
+    arguments: "",
+    notes: "A port may be 0; the bound addresses are printed as one JSON line.\n\
+            Exit codes: 0 after a planned stop, 1 after a fault, 2 for a bad or missing setting.",
+    flags: NODE_FLAGS,
+};
+
+/// Checked settings of a node.
+#[derive(Debug, Clone)]
+pub struct NodeOptions {
+    /// Name of the node.
+    pub node_id: NodeId,
+    /// Region of the node.
+    pub region: RegionName,
+    /// Availability zone of the node.
+    pub zone: ZoneName,
+    /// Address for callers; port 0 for any.
+    pub listen: SocketAddr,
+    /// Address for other nodes; port 0 for any.
+    pub peer_listen: SocketAddr,
+    /// Address of the administration API; port 0 for any.
+    pub admin_listen: SocketAddr,
+    /// Address given to other nodes, if not the bound one.
+    pub peer_advertise: Option<SocketAddr>,
+    /// Platform's key-value service.
+    pub store: Option<BaseUrl>,
+    /// Nodes to join through.
+    pub peers: Vec<SocketAddr>,
+    /// Count of traffic threads.
+    pub threads: ThreadCount,
+    /// Bearer token for changing calls of the administration API.
+    pub admin_token: Option<SecretToken>,
+    /// Lowest level of log lines.
+    pub log_level: LevelFilter,
+    /// Receiver of metrics.
+    pub statsd: Option<SocketAddr>,
+    /// Upper bound of a planned stop.
+    pub drain_limit: Duration,
+}
+
+impl NodeOptions {
+    /// Address to give to other nodes when the peer listener bound `bound`.
+    pub fn advertised_address(&self, bound: SocketAddr) -> SocketAddr {
+        self.peer_advertise.unwrap_or(bound)
+    }
+}
+
+impl TryFrom<RawOptions> for NodeOptions {
+    type Error = SettingError;
+
+    fn try_from(raw: RawOptions) -> Result<Self, SettingError> {
+        let drain_seconds: DrainSeconds = raw.required("drain-seconds")?;
+        let peers = raw.list("peer")?;
+        let options = Self {
+            node_id: raw.required("node-id")?,
+            region: raw.required("region")?,
+            zone: raw.required("zone")?,
+            listen: raw.required("listen")?,
+            peer_listen: raw.required("peer-listen")?,
+            admin_listen: raw.required("admin-listen")?,
+            peer_advertise: raw.optional("peer-advertise")?.map(ReachableAddress::get),
+            store: raw.optional("store")?,
+            peers: peers.into_iter().map(ReachableAddress::get).collect(),
+            threads: raw.required("threads")?,
+            admin_token: raw.optional("admin-token")?,
+            log_level: raw.required("log-level")?,
+            statsd: raw.optional("statsd")?.map(ReachableAddress::get),
+            drain_limit: Duration::from_secs(drain_seconds.get()),
+        };
+        check_listener(&raw, &options)?;
+        Ok(options)
+    }
+}
+
+fn check_listener(raw: &RawOptions, options: &NodeOptions) -> Result<(), SettingError> {
+    let is_ambiguous = options.peer_listen.ip().is_unspecified();
+    if is_ambiguous && options.peer_advertise.is_none() {
+        let allowed = "the IP of one host, or --peer-advertise beside it";
+        return Err(raw.rejection("peer-listen", allowed));
+    }
+    Ok(())
+}
--- /dev/null
+++ b/src/options/reader.rs
@@ -0,0 +1,287 @@
+//! Reader for flags and environment variables, shared by all binaries.
+//!
+//! Parsing is done by `lexopt`; this module adds what the binaries have in
+//! common: one table of flags per binary, the variables, and errors that name
+//! the flag or variable, the value and what is allowed.
+
+use std::collections::BTreeMap;
+use std::env;
+use std::ffi::{OsStr, OsString};
+use std::process::ExitCode;
+use std::str::FromStr;
+
+use super::error::SettingError;
+use super::spec::{CommandSpec, FlagArity, FlagSpec};
+
+/// Exit code for a bad or missing setting.
+pub const EXIT_USAGE: u8 = 2;
+/// Separator of several values in one variable.
+const LIST_SEPARATOR: char = ',';
+
+/// One value together with where it came from.
+#[derive(Debug, Clone, PartialEq, Eq)]
+struct RawSetting {
+    source: String,
+    value: String,
+}
+
+/// Settings as text, each with the flag or variable it came from.
+#[derive(Debug)]
+pub struct RawOptions {
+    command: &'static CommandSpec,
+    settings: BTreeMap<&'static str, Vec<RawSetting>>,
+    arguments: Vec<String>,
+}
+
+/// What the command line asks for.
+#[derive(Debug)]
+pub enum ParsedCommand {
+    /// Print the help text.
+    Help,
+    /// Print the version.
+    Version,
+    /// Run with these settings.
+    Run(RawOptions),
+}
+
+/// Parses a command line, the first argument being the program's name.
+///
+/// # Errors
+///
+/// Fails on an unknown flag, a flag without value, a flag given twice, and
+/// text that is not UTF-8.
+pub fn parse_command(
+    command: &'static CommandSpec,
+    arguments: impl IntoIterator<Item = OsString>,
+    variable: impl Fn(&str) -> Option<OsString>,
+) -> Result<ParsedCommand, SettingError> {
+    let mut options = RawOptions {
+        command,
+        settings: BTreeMap::new(),
+        arguments: Vec::new(),
+    };
+    let mut parser = lexopt::Parser::from_iter(arguments);
+    loop {
+        let argument = match parser.next() {
+            Ok(Some(argument)) => argument,
+            Ok(None) => break,
+            Err(error) => return Err(unknown_argument(command, error.to_string())),
+        };
+        match argument {
+            lexopt::Arg::Long("help") | lexopt::Arg::Short('h') => return Ok(ParsedCommand::Help),
+            lexopt::Arg::Long("version") | lexopt::Arg::Short('V') => {
+                return Ok(ParsedCommand::Version);
+            }
+            lexopt::Arg::Long(name) => {
+                let flag = command
+                    .flag(name)
+                    .ok_or_else(|| unknown_argument(command, format!("--{name}")))?;
+                options.add_flag(flag, &mut parser)?;
+            }
+            lexopt::Arg::Short(letter) => {
+                return Err(unknown_argument(command, format!("-{letter}")));
+            }
+            lexopt::Arg::Value(value) => {
+                let text = checked_text(command.name, &value)?;
+                options.add_argument(text)?;
+            }
+        }
+    }
+    options.add_variables(variable)?;
+    Ok(ParsedCommand::Run(options))
+}
+
+/// Reads the settings of this process.
+///
+/// # Errors
+///
+/// Gives the exit code to end with: 0 after `--help` or `--version`, else
+/// [`EXIT_USAGE`] after one line on standard error.
+pub fn options_from_process<T>(command: &'static CommandSpec) -> Result<T, ExitCode>
+where
+    T: TryFrom<RawOptions, Error = SettingError>,
+{
+    let parsed = parse_command(command, env::args_os(), |name| env::var_os(name));
+    let checked = match parsed {
+        Ok(ParsedCommand::Help) => {
+            print!("{}", command.help_text());
+            return Err(ExitCode::SUCCESS);
+        }
+        Ok(ParsedCommand::Version) => {
+            println!("{}", command.version_text());
+            return Err(ExitCode::SUCCESS);
+        }
+        Ok(ParsedCommand::Run(options)) => T::try_from(options),
+        Err(error) => Err(error),
+    };
+    checked.map_err(|error| {
+        eprintln!("{}: {error}", command.name);
+        ExitCode::from(EXIT_USAGE)
+    })
+}
+
+fn unknown_argument(command: &CommandSpec, argument: String) -> SettingError {
+    let names: Vec<String> = command
+        .flags
+        .iter()
+        .map(|flag| format!("--{}", flag.name))
+        .collect();
+    SettingError::Unknown {
+        argument,
+        allowed: format!("{}, --help or --version", names.join(", ")),
+    }
+}
+
+fn checked_text(setting: &str, value: &OsStr) -> Result<String, SettingError> {
+    let bad_value = || SettingError::BadValue {
+        setting: setting.to_string(),
+        value: value.to_string_lossy().into_owned(),
+        allowed: "UTF-8 text".to_string(),
+    };
+    value
+        .to_str()
+        .map(ToString::to_string)
+        .ok_or_else(bad_value)
+}
+
+impl RawOptions {
+    fn add_flag(
+        &mut self,
+        flag: &'static FlagSpec,
+        parser: &mut lexopt::Parser,
+    ) -> Result<(), SettingError> {
+        let source = format!("--{}", flag.name);
+        let value = if flag.arity == FlagArity::Switch {
+            "true".to_string()
+        } else {
+            let value = parser.value().map_err(|_| SettingError::NoValue {
+                flag: flag.name,
+                allowed: flag.allowed,
+            })?;
+            checked_text(&source, &value)?
+        };
+        let settings = self.settings.entry(flag.name).or_default();
+        if flag.arity != FlagArity::Repeated && !settings.is_empty() {
+            return Err(SettingError::Repeated {
+                flag: flag.name,
+                value,
+            });
+        }
+        settings.push(RawSetting { source, value });
+        Ok(())
+    }
+
+    fn add_argument(&mut self, argument: String) -> Result<(), SettingError> {
+        if self.command.arguments.is_empty() {
+            return Err(unknown_argument(self.command, argument));
+        }
+        self.arguments.push(argument);
+        Ok(())
+    }
+
+    fn add_variables(
+        &mut self,
+        variable: impl Fn(&str) -> Option<OsString>,
+    ) -> Result<(), SettingError> {
+        for flag in self.command.flags {
+            if self.settings.contains_key(flag.name) {
+                continue;
+            }
+            let source = flag.variable();
+            let Some(value) = variable(&source).filter(|value| !value.is_empty()) else {
+                continue;
+            };
+            let text = checked_text(&source, &value)?;
+            let values: Vec<&str> = if flag.arity == FlagArity::Repeated {
+                text.split(LIST_SEPARATOR).map(str::trim).collect()
+            } else {
+                vec![text.as_str()]
+            };
+            let settings = values.into_iter().map(|value| RawSetting {
+                source: source.clone(),
+                value: value.to_string(),
+            });
+            self.settings.insert(flag.name, settings.collect());
+        }
+        Ok(())
+    }
+
+    fn flag(&self, name: &str) -> &'static FlagSpec {
+        let flag = self.command.flag(name);
+        flag.unwrap_or_else(|| panic!("flag {name} is in the table of {}", self.command.name))
+    }
+
+    /// Positional arguments.
+    pub fn arguments(&self) -> &[String] {
+        &self.arguments
+    }
+
+    /// Every value of a repeated flag.
+    ///
+    /// # Errors
+    ///
+    /// Fails if a value is not allowed.
+    pub fn list<T: FromStr>(&self, name: &str) -> Result<Vec<T>, SettingError> {
+        let flag = self.flag(name);
+        let settings = self.settings.get(name).map_or(&[][..], Vec::as_slice);
+        let parse = |setting: &RawSetting| {
+            let bad_value = |_| SettingError::BadValue {
+                setting: setting.source.clone(),
+                value: setting.value.clone(),
+                allowed: flag.allowed.to_string(),
+            };
+            setting.value.parse().map_err(bad_value)
+        };
+        settings.iter().map(parse).collect()
+    }
+
+    /// Value of a flag, or its default, if there is one.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the value is not allowed.
+    pub fn optional<T: FromStr>(&self, name: &str) -> Result<Option<T>, SettingError> {
+        if let Some(value) = self.list(name)?.pop() {
+            return Ok(Some(value));
+        }
+        let default = self.flag(name).default;
+        Ok(default.and_then(|text| text.parse().ok()))
+    }
+
+    /// Value of a flag, or its default.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the value is missing or not allowed.
+    pub fn required<T: FromStr>(&self, name: &str) -> Result<T, SettingError> {
+        let value = self.optional(name)?;
+        value.ok_or_else(|| self.flag(name).missing_error())
+    }
+
+    /// Whether a switch is on.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the variable is neither `true` nor `false`.
+    pub fn switch(&self, name: &str) -> Result<bool, SettingError> {
+        Ok(self.optional(name)?.unwrap_or(false))
+    }
+
+    /// Error for a value that is not allowed beside the other settings.
+    pub fn rejection(&self, name: &str, allowed: &str) -> SettingError {
+        let setting = self
+            .settings
+            .get(name)
+            .and_then(|settings| settings.last())
+            .cloned()
+            .unwrap_or_else(|| RawSetting {
+                source: format!("--{name}"),
+                value: String::new(),
+            });
+        SettingError::BadValue {
+            setting: setting.source,
+            value: setting.value,
+            allowed: allowed.to_string(),
+        }
+    }
+}
--- /dev/null
+++ b/src/options/tests.rs
@@ -0,0 +1,123 @@
+use std::collections::BTreeMap;
+use std::ffi::OsString;
+
+use assert_matches::assert_matches;
+
+use super::{NODE_COMMAND, NodeOptions, ParsedCommand, SecretToken, SettingError, parse_command};
+
+const GOOD: &[&str] = &[
+    "--node-id=a1",
+    "--region=oyo-west",
+    "--zone=iseyin-c",
+    "--listen=127.0.0.1:0",
+    "--peer-listen=127.0.0.1:0",
+    "--admin-listen=127.0.0.1:0",
+];
+
+fn parse(extra: &[&str], variables: &[(&str, &str)]) -> Result<NodeOptions, SettingError> {
+    let names = ["currantlift-node"].iter().chain(GOOD).chain(extra);
+    let arguments: Vec<OsString> = names.map(OsString::from).collect();
+    let variables: BTreeMap<&str, OsString> = variables
+        .iter()
+        .map(|(name, value)| (*name, OsString::from(value)))
+        .collect();
+    let parsed = parse_command(&NODE_COMMAND, arguments, |name| {
+        variables.get(name).cloned()
+    })?;
+    match parsed {
+        ParsedCommand::Run(raw) => NodeOptions::try_from(raw),
+        other => panic!("expected settings, got {other:?}"),
+    }
+}
+
+#[test]
+fn flag_goes_before_variable_and_defaults_fill_in() {
+    let variables = [
+        ("CURRANTLIFT_THREADS", "7"),
+        ("CURRANTLIFT_DRAIN_SECONDS", "9"),
+    ];
+    let options = parse(&["--threads", "3"], &variables).unwrap();
+    assert_eq!(options.threads.get(), 3);
+    assert_eq!(options.drain_limit.as_secs(), 9);
+    assert_eq!(options.log_level, log::LevelFilter::Info);
+    assert_eq!(options.store, None);
+}
+
+#[test]
+fn peers_repeat_as_flags_and_are_separated_by_commas_in_the_variable() {
+    let from_flags = parse(&["--peer", "10.0.0.1:1", "--peer", "10.0.0.2:2"], &[]).unwrap();
+    let variables = [("CURRANTLIFT_PEER", "10.0.0.1:1, 10.0.0.2:2")];
+    let from_variable = parse(&[], &variables).unwrap();
+    assert_eq!(from_flags.peers.len(), 2);
+    assert_eq!(from_flags.peers, from_variable.peers);
+}
+
+#[test]
+fn an_error_names_the_setting_the_value_and_what_is_allowed() {
+    let cases = [
+        (
+            "--threads=0",
+            "--threads: '0' is not allowed, expected 1 to 64",
+        ),
+        ("--threads=65", "--threads: '65' is not allowed"),
+        ("--store=ftp://x:1", "--store: 'ftp://x:1' is not allowed"),
+        ("--store=http://x:1/p", "--store: 'http://x:1/p' is not"),
+        ("--peer=10.0.0.1:0", "--peer: '10.0.0.1:0' is not allowed"),
+        (
+            "--peer-advertise=0.0.0.0:5",
+            "--peer-advertise: '0.0.0.0:5'",
+        ),
+        ("--admin-token=a b", "--admin-token: 'a b' is not allowed"),
+        ("--log-level=x\ny", "--log-level: 'x\\ny' is not allowed"),
+        ("--node-id=b", "--node-id: given twice with 'b'"),
+        ("--bogus", "--bogus: unknown argument, expected --node-id,"),
+        ("-x", "-x: unknown argument"),
+        ("stray", "stray: unknown argument"),
+        ("--peer", "--peer: has no value, expected IP:PORT"),
+    ];
+    for (argument, expected) in cases {
+        let text = parse(&[argument], &[]).unwrap_err().to_string();
+        assert!(text.starts_with(expected), "{argument}: {text}");
+        assert_eq!(text.lines().count(), 1);
+    }
+}
+
+#[test]
+fn a_bad_variable_is_named_and_an_empty_one_counts_as_not_given() {
+    let error = parse(&[], &[("CURRANTLIFT_THREADS", "many")]).unwrap_err();
+    assert_matches!(error, SettingError::BadValue { setting, .. } if setting == "CURRANTLIFT_THREADS");
+    let options = parse(&[], &[("CURRANTLIFT_THREADS", "")]).unwrap();
+    assert_eq!(options.threads.get(), 2);
+}
+
+#[test]
+fn a_missing_setting_is_named_with_its_variable() {
+    let arguments = ["currantlift-node"].map(OsString::from);
+    let parsed = parse_command(&NODE_COMMAND, arguments, |_| None).unwrap();
+    let ParsedCommand::Run(raw) = parsed else {
+        panic!("expected settings");
+    };
+    let text = NodeOptions::try_from(raw).unwrap_err().to_string();
+    assert!(
+        text.starts_with("--node-id (CURRANTLIFT_NODE_ID): missing"),
+        "{text}"
+    );
+}
+
+#[test]
+fn every_default_is_allowed_and_help_lists_every_flag() {
+    let help = NODE_COMMAND.help_text();
+    for flag in NODE_COMMAND.flags {
+        assert!(help.contains(&format!("--{}", flag.name)));
+    }
+    parse(&[], &[]).unwrap();
+}
+
+#[test]
+fn a_token_matches_only_itself_and_is_not_shown() {
+    let token: SecretToken = "s3cret-token".parse().unwrap();
+    assert!(token.matches("s3cret-token"));
+    assert!(!token.matches("s3cret-tokem"));
+    assert!(!token.matches(""));
+    assert!(!format!("{token:?}").contains("s3cret"));
+}
--- /dev/null
+++ b/src/options/values.rs
@@ -0,0 +1,145 @@
+//! Checked values that several binaries take as settings.
+
+use std::fmt;
+use std::net::SocketAddr;
+use std::str::FromStr;
+
+use derive_more::{Display, Error};
+use ntex::http::Uri;
+use sha2::{Digest, Sha256};
+
+/// A text is not a valid value; the flag's table says what is allowed.
+#[derive(Debug, Clone, Display, Error, PartialEq, Eq)]
+#[display("not an allowed value")]
+pub struct ParseValueError;
+
+/// Whole number from `MIN` to `MAX`.
+#[derive(Debug, Clone, Copy, Display, PartialEq, Eq, PartialOrd, Ord)]
+pub struct BoundedNumber<const MIN: u64, const MAX: u64>(u64);
+
+/// Count of traffic threads.
+pub type ThreadCount = BoundedNumber<1, 64>;
+/// Upper bound of a planned stop, in seconds.
+pub type DrainSeconds = BoundedNumber<1, 600>;
+
+impl<const MIN: u64, const MAX: u64> BoundedNumber<MIN, MAX> {
+    /// Plain number.
+    pub fn get(self) -> u64 {
+        self.0
+    }
+}
+
+impl<const MIN: u64, const MAX: u64> TryFrom<u64> for BoundedNumber<MIN, MAX> {
+    type Error = ParseValueError;
+
+    fn try_from(number: u64) -> Result<Self, ParseValueError> {
+        if (MIN..=MAX).contains(&number) {
+            Ok(Self(number))
+        } else {
+            Err(ParseValueError)
+        }
+    }
+}
+
+impl<const MIN: u64, const MAX: u64> FromStr for BoundedNumber<MIN, MAX> {
+    type Err = ParseValueError;
+
+    fn from_str(text: &str) -> Result<Self, ParseValueError> {
+        let number: u64 = text.parse().map_err(|_| ParseValueError)?;
+        Self::try_from(number)
+    }
+}
+
+/// Base URL of an HTTP service: `http://HOST:PORT` without path.
+#[derive(Debug, Clone, Display, PartialEq, Eq, PartialOrd, Ord)]
+pub struct BaseUrl(String);
+
+impl BaseUrl {
+    /// Text of the URL, without a slash at the end.
+    pub fn as_str(&self) -> &str {
+        &self.0
+    }
+
+    /// URL of a path below this one.
+    pub fn join(&self, path: &str) -> String {
+        format!("{}{path}", self.0)
+    }
+}
+
+impl FromStr for BaseUrl {
+    type Err = ParseValueError;
+
+    fn from_str(text: &str) -> Result<Self, ParseValueError> {
+        let uri: Uri = text.parse().map_err(|_| ParseValueError)?;
+        let is_http = uri.scheme_str() == Some("http");
+        let has_host = uri.host().is_some_and(|host| !host.is_empty());
+        let has_port = uri.port_u16().is_some_and(|port| port > 0);
+        let is_bare = uri.path() == "/" && uri.query().is_none();
+        if is_http && has_host && has_port && is_bare {
+            Ok(Self(text.trim_end_matches('/').to_string()))
+        } else {
+            Err(ParseValueError)
+        }
+    }
+}
+
+/// Address of one host that datagrams or connections can be sent to.
+#[derive(Debug, Clone, Copy, Display, PartialEq, Eq, PartialOrd, Ord)]
+pub struct ReachableAddress(SocketAddr);
+
+impl ReachableAddress {
+    /// Plain address.
+    pub fn get(self) -> SocketAddr {
+        self.0
+    }
+}
+
+impl FromStr for ReachableAddress {
+    type Err = ParseValueError;
+
+    fn from_str(text: &str) -> Result<Self, ParseValueError> {
+        let address: SocketAddr = text.parse().map_err(|_| ParseValueError)?;
+        if address.port() == 0 || address.ip().is_unspecified() {
+            return Err(ParseValueError);
+        }
+        Ok(Self(address))
+    }
+}
+
+/// Secret that a caller proves to know; never shown in logs.
+#[derive(Clone, PartialEq, Eq)]
+pub struct SecretToken(String);
+
+impl SecretToken {
+    /// Text of the secret.
+    pub fn expose(&self) -> &str {
+        &self.0
+    }
+
+    /// Whether `offered` is the secret.
+    ///
+    /// Digests are compared in place of the texts, so that the time taken
+    /// says nothing about how much of the secret was right.
+    pub fn matches(&self, offered: &str) -> bool {
+        Sha256::digest(self.0.as_bytes()) == Sha256::digest(offered.as_bytes())
+    }
+}
+
+impl fmt::Debug for SecretToken {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter.write_str("SecretToken(..)")
+    }
+}
+
+impl FromStr for SecretToken {
+    type Err = ParseValueError;
+
+    fn from_str(text: &str) -> Result<Self, ParseValueError> {
+        let is_allowed = |c: char| c.is_ascii_graphic();
+        if text.len() >= 8 && text.chars().all(is_allowed) {
+            Ok(Self(text.to_string()))
+        } else {
+            Err(ParseValueError)
+        }
+    }
+}
