Fix the messages between the administration API and control

Cause: the control thread and the API are written at the same time and need one set of types, and `currantlift-ctl` has to read what a node writes.

Change: `AdminRequest` and `AdminReply` over a channel with a oneshot for the reply, and the JSON shapes as serde types.

--- a/src/admin.rs
+++ b/src/admin.rs
@@ -1,1 +1,13 @@
-//! To come.
+//! Administration API of a node: JSON over HTTP.
+//!
+//! The routes translate between HTTP and [`AdminRequest`] messages to the
+//! control thread, which owns all state and answers each with an
+//! [`AdminReply`]. A request that fails its checks never reaches control.
+
+mod messages;
+
+pub use messages::{
+    AdminCall, AdminReply, AdminRequest, BackendAnnouncement, BackendView, FieldError, HealthView,
+    MemberView, RefusalReason, ServiceView, StatusView, StoreState, TicketAnswer, TicketView,
+    UpstreamView,
+};
