--- a/src/gate.rs
+++ b/src/gate.rs
@@ -1,1 +1,601 @@
-//! To come.
+//! Gate: the only way to this node's own backend server.
+//!
+//! All calls for the backend server, from other nodes and from this one, come
+//! through the gate, which runs on one thread. It knows the slots exactly,
+//! refuses before anything runs, remembers which calls it has let in, and
+//! drains without a race.
+
+pub mod answer;
+pub mod call;
+
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::net::TcpStream as StdTcpStream;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use bytes::{Bytes, BytesMut};
+use futures_util::{SinkExt, StreamExt};
+use prost::Message;
+use tokio::net::TcpStream;
+use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel};
+use tokio::sync::{Notify, oneshot};
+
+use crate::admission::{Admission, AdmissionOptions, AdmissionQueue, CallOffer, WorkResult};
+use crate::backend::{BackendClient, BackendTarget};
+use crate::error::ErrorKind;
+use crate::exchange::{PeerFramed, frame_stream};
+use crate::gate::call::{CallInput, GateCall};
+use crate::ids::{CallId, NodeIncarnation, ServiceName};
+use crate::ledger::{
+    CallLedger, CancelOutcome, KeptAnswer, LedgerLimits, OpenOutcome, ResumeOutcome, RunPermit,
+};
+use crate::link::endpoint::{LinkReceiver, LinkSender, lane_pair, read_frame, write_frames};
+use crate::link::messages::{
+    AnswerHead, BodyChunk, CallAbort, CallName, CallOpen, CallRefusal, CallResume, CancelReply, LinkHello, LinkMessage,
+    LinkPing, LinkWelcome, LoadStamp, ResumeReply, ResumeState,
+};
+
+/// Interval at which lapsed entries of the ledger are removed.
+const SWEEP_INTERVAL: Duration = Duration::from_secs(1);
+
+/// Order from control or from an ingress of this node to the gate.
+pub enum GateCommand {
+    /// The backend server announced itself or changed.
+    SetBackend(BackendTarget),
+    /// The backend server is gone.
+    ClearBackend,
+    /// Take no new work.
+    Drain,
+    /// Take work again.
+    Reopen,
+    /// A peer opened a call link; `buffered` is what was read beyond its hello.
+    AcceptLink {
+        /// Connection.
+        stream: StdTcpStream,
+        /// Bytes already read.
+        buffered: BytesMut,
+    },
+    /// An ingress of this node opened its in-process link.
+    AcceptLocal {
+        /// Towards the ingress.
+        sender: LinkSender,
+        /// From the ingress.
+        receiver: LinkReceiver,
+        /// Its hello.
+        hello: LinkHello,
+    },
+}
+
+/// Counters of the gate, for the status page and for a planned stop.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct GateStatus {
+    /// Calls at the backend server.
+    pub in_flight: u32,
+    /// Calls that wait for a slot.
+    pub queued: u32,
+    /// Present limit on calls at the backend server.
+    pub limit: u32,
+}
+
+struct LinkOwner {
+    generation: u64,
+    closed: Rc<Notify>,
+}
+
+/// State of the gate, shared by its tasks on one thread.
+pub struct Gate {
+    incarnation: NodeIncarnation,
+    started: Instant,
+    admission: RefCell<Option<AdmissionQueue>>,
+    ledger: RefCell<CallLedger>,
+    client: RefCell<Option<Rc<BackendClient>>>,
+    calls: RefCell<BTreeMap<CallId, UnboundedSender<CallInput>>>,
+    turns: RefCell<BTreeMap<CallId, oneshot::Sender<()>>>,
+    links: RefCell<BTreeMap<(u64, u32), LinkOwner>>,
+    senders: RefCell<BTreeMap<u64, LinkSender>>,
+    next_link: Cell<u64>,
+    is_draining: Cell<bool>,
+    status: tokio::sync::watch::Sender<GateStatus>,
+}
+
+/// Runs the gate until its command channel closes.
+pub async fn run_gate(
+    incarnation: NodeIncarnation,
+    mut commands: UnboundedReceiver<GateCommand>,
+    status: tokio::sync::watch::Sender<GateStatus>,
+) {
+    let gate = Rc::new(Gate {
+        incarnation,
+        started: Instant::now(),
+        admission: RefCell::new(None),
+        ledger: RefCell::new(CallLedger::new(LedgerLimits::default())),
+        client: RefCell::new(None),
+        calls: RefCell::new(BTreeMap::new()),
+        turns: RefCell::new(BTreeMap::new()),
+        links: RefCell::new(BTreeMap::new()),
+        senders: RefCell::new(BTreeMap::new()),
+        next_link: Cell::new(0),
+        is_draining: Cell::new(false),
+        status,
+    });
+    let mut sweep = tokio::time::interval(SWEEP_INTERVAL);
+    loop {
+        tokio::select! {
+            command = commands.recv() => match command {
+                Some(command) => gate.obey(command).await,
+                None => return,
+            },
+            _ = sweep.tick() => gate.sweep(),
+        }
+    }
+}
+
+impl Gate {
+    async fn obey(self: &Rc<Self>, command: GateCommand) {
+        match command {
+            GateCommand::SetBackend(target) => self.set_backend(target).await,
+            GateCommand::ClearBackend => *self.client.borrow_mut() = None,
+            GateCommand::Drain => self.drain(),
+            GateCommand::Reopen => self.is_draining.set(false),
+            GateCommand::AcceptLink { stream, buffered } => {
+                let gate = Rc::clone(self);
+                ntex::rt::spawn(async move {
+                    if let Err(error) = serve_remote(gate, stream, buffered).await {
+                        log::debug!(target: "gate", "link ended: {error}");
+                    }
+                });
+            }
+            GateCommand::AcceptLocal {
+                sender,
+                receiver,
+                hello,
+            } => {
+                ntex::rt::spawn(serve_local(Rc::clone(self), sender, receiver, hello));
+            }
+        }
+    }
+
+    async fn set_backend(&self, target: BackendTarget) {
+        let current = self.client.borrow().clone();
+        if current.is_some_and(|client| *client.target() == target) {
+            return;
+        }
+        let slots = target.slots;
+        match BackendClient::connect(target).await {
+            Ok(client) => *self.client.borrow_mut() = Some(Rc::new(client)),
+            Err(error) => {
+                log::error!(target: "gate", "{error}");
+                return;
+            }
+        }
+        let mut started = Vec::new();
+        let mut admission = self.admission.borrow_mut();
+        match admission.as_mut() {
+            Some(admission) => started = admission.set_slots(self.now(), slots),
+            None => *admission = Some(AdmissionQueue::new(slots, AdmissionOptions::default())),
+        }
+        drop(admission);
+        self.start_turns(started);
+        self.publish_status();
+    }
+
+    fn drain(&self) {
+        self.is_draining.set(true);
+        for sender in self.senders.borrow().values() {
+            sender.send(LinkMessage::Leaving(LinkPing { load: None }));
+        }
+    }
+
+    fn now(&self) -> Duration {
+        self.started.elapsed()
+    }
+
+    fn sweep(&self) {
+        self.ledger.borrow_mut().sweep(self.now());
+    }
+
+    /// Load as it rides on answers.
+    pub fn load(&self) -> LoadStamp {
+        let admission = self.admission.borrow();
+        let load = admission.as_ref().map(AdmissionQueue::load);
+        load.map_or_else(LoadStamp::default, |load| LoadStamp {
+            in_flight: load.in_flight,
+            queued: load.queued,
+            limit: load.limit,
+        })
+    }
+
+    fn publish_status(&self) {
+        let load = self.load();
+        self.status.send_replace(GateStatus {
+            in_flight: load.in_flight,
+            queued: load.queued,
+            limit: load.limit,
+        });
+    }
+
+    /// Client of the backend server, if one is announced.
+    pub fn backend_client(&self) -> Option<Rc<BackendClient>> {
+        self.client.borrow().clone()
+    }
+
+    /// Decides on a call: start now, wait for the returned turn, or refuse.
+    ///
+    /// # Errors
+    ///
+    /// The error kind of the refusal, and when to come back.
+    pub fn offer(
+        &self,
+        id: CallId,
+        open: &CallOpen,
+        time_left: Duration,
+    ) -> Result<Option<oneshot::Receiver<()>>, (ErrorKind, Duration)> {
+        let decision = self.decide(id, open, time_left);
+        self.publish_status();
+        log_admission(id, open, &decision, self.load());
+        match decision {
+            Admission::Start => Ok(None),
+            Admission::Queued { .. } => {
+                let (sender, turn) = oneshot::channel();
+                self.turns.borrow_mut().insert(id, sender);
+                Ok(Some(turn))
+            }
+            Admission::Refused { kind, retry_after } => Err((kind, retry_after)),
+        }
+    }
+
+    fn decide(&self, id: CallId, open: &CallOpen, time_left: Duration) -> Admission {
+        let refuse = |kind| Admission::Refused {
+            kind,
+            retry_after: Duration::from_secs(1),
+        };
+        if self.is_draining.get() {
+            return refuse(ErrorKind::Draining);
+        }
+        let Some(client) = self.backend_client() else {
+            return refuse(ErrorKind::NoUpstream);
+        };
+        let service = open.service.parse::<ServiceName>();
+        if service.as_ref() != Ok(&client.target().service) {
+            return refuse(ErrorKind::UnknownService);
+        }
+        let offer = CallOffer {
+            call: id,
+            shares: Vec::new(),
+            time_left,
+        };
+        let mut admission = self.admission.borrow_mut();
+        match admission.as_mut() {
+            Some(admission) => admission.offer(self.now(), offer),
+            None => refuse(ErrorKind::NoUpstream),
+        }
+    }
+
+    /// Notes the end of a call's work and starts those that waited for it.
+    pub fn finish(&self, id: CallId, result: WorkResult) {
+        let now = self.now();
+        let (mut expired, mut started) = (Vec::new(), Vec::new());
+        if let Some(admission) = self.admission.borrow_mut().as_mut() {
+            expired = admission.expire(now);
+            started = admission.finish(now, id, result);
+        }
+        for call in expired {
+            // Dropping the turn tells the waiting call that its time is up.
+            self.turns.borrow_mut().remove(&call);
+        }
+        self.start_turns(started);
+        self.publish_status();
+    }
+
+    fn start_turns(&self, started: Vec<CallId>) {
+        for id in started {
+            let turn = self.turns.borrow_mut().remove(&id);
+            let is_gone = turn.is_none_or(|turn| turn.send(()).is_err());
+            if is_gone {
+                self.finish(id, WorkResult::Cancelled);
+            }
+        }
+    }
+
+    /// Takes a waiting call out of the queue; false if its turn has come.
+    pub fn withdraw(&self, id: CallId) -> bool {
+        self.turns.borrow_mut().remove(&id);
+        let mut admission = self.admission.borrow_mut();
+        let is_withdrawn = admission
+            .as_mut()
+            .is_some_and(|admission| admission.withdraw(self.now(), id));
+        drop(admission);
+        self.publish_status();
+        is_withdrawn
+    }
+
+    /// Permit to hand the call to the backend server; `None` if it must not run.
+    pub fn permit(&self, id: CallId) -> Option<RunPermit> {
+        self.ledger.borrow_mut().start(id)
+    }
+
+    /// Ends a run with a whole answer, kept until the ingress has it.
+    pub fn end_answered(&self, permit: RunPermit, answer: KeptAnswer) {
+        self.ledger
+            .borrow_mut()
+            .keep_answer(self.now(), permit, answer);
+    }
+
+    /// Ends a run that has no whole answer to keep.
+    pub fn end_unanswered(&self, permit: RunPermit) {
+        self.ledger.borrow_mut().end_unanswered(self.now(), permit);
+    }
+
+    /// Notes that the call was refused and must never start.
+    pub fn note_refused(&self, id: CallId) {
+        self.ledger.borrow_mut().refuse(self.now(), id);
+    }
+
+    /// Notes that the call was cancelled; one that had not started never will.
+    pub fn note_cancelled(&self, id: CallId) {
+        self.ledger.borrow_mut().cancel(self.now(), id);
+    }
+
+    /// Ends the routing of messages to a call.
+    pub fn forget(&self, id: CallId) {
+        self.calls.borrow_mut().remove(&id);
+    }
+
+    fn open_call(self: &Rc<Self>, id: CallId, open: CallOpen, link: &LinkSender) {
+        let outcome = self
+            .ledger
+            .borrow_mut()
+            .open(self.now(), id, open.is_idempotent);
+        if outcome != OpenOutcome::Fresh {
+            log::info!(target: "gate", "call {id}: original not let in: {outcome:?}");
+            answer_barred(open.sequence, outcome, link);
+            return;
+        }
+        let (sender, inputs) = unbounded_channel();
+        self.calls.borrow_mut().insert(id, sender.clone());
+        let gate = Rc::clone(self);
+        let link = link.clone();
+        ntex::rt::spawn(GateCall::run(gate, id, open, link, (sender, inputs)));
+    }
+
+    fn pass_on(&self, id: CallId, input: CallInput) -> Result<(), CallInput> {
+        match self.calls.borrow().get(&id) {
+            Some(call) => call.send(input).map_err(|error| error.0),
+            None => Err(input),
+        }
+    }
+
+    fn cancel_call(&self, id: CallId, link: &LinkSender) {
+        if self.pass_on(id, CallInput::Cancel).is_ok() {
+            return;
+        }
+        let outcome = self.ledger.borrow_mut().cancel(self.now(), id);
+        link.send(LinkMessage::CancelReply(CancelReply {
+            sequence: id.sequence,
+            is_not_run: matches!(outcome, CancelOutcome::NotRun),
+        }));
+    }
+
+    fn resume_call(&self, id: CallId, resume: CallResume, link: &LinkSender) {
+        let input = CallInput::Resume(resume, link.clone());
+        if self.pass_on(id, input).is_ok() {
+            return;
+        }
+        let outcome = self.ledger.borrow_mut().resume(self.now(), id);
+        let state = match outcome {
+            ResumeOutcome::NeverSeen | ResumeOutcome::NotRun => ResumeState::NeverSeen,
+            ResumeOutcome::Kept(_) => ResumeState::Known,
+            ResumeOutcome::Waiting
+            | ResumeOutcome::Running
+            | ResumeOutcome::NotKept
+            | ResumeOutcome::Forgotten => ResumeState::Forgotten,
+        };
+        link.send(LinkMessage::ResumeReply(ResumeReply {
+            sequence: id.sequence,
+            state: state.into(),
+            request_received: 0,
+        }));
+        if let ResumeOutcome::Kept(answer) = outcome {
+            resend_kept(&answer, resume, link);
+        }
+    }
+
+    fn handle_message(self: &Rc<Self>, ingress: u64, message: LinkMessage, link: &LinkSender) {
+        let id = |sequence| CallId { ingress, sequence };
+        // A message for a call that has ended needs no answer.
+        let _ = match message {
+            LinkMessage::Open(open) => {
+                self.open_call(id(open.sequence), open, link);
+                return;
+            }
+            LinkMessage::Cancel(CallName { sequence }) => {
+                self.cancel_call(id(sequence), link);
+                return;
+            }
+            LinkMessage::Resume(resume) => {
+                self.resume_call(id(resume.sequence), resume, link);
+                return;
+            }
+            LinkMessage::Ping(_) => {
+                let load = Some(self.load());
+                link.send(LinkMessage::Pong(LinkPing { load }));
+                return;
+            }
+            LinkMessage::RequestChunk(chunk) => self.pass_chunk(ingress, chunk),
+            LinkMessage::Credit(credit) => {
+                self.pass_on(id(credit.sequence), CallInput::Credit(credit.consumed))
+            }
+            LinkMessage::Acknowledge(name) => {
+                self.ledger.borrow_mut().acknowledge(id(name.sequence));
+                self.pass_on(id(name.sequence), CallInput::Acknowledge)
+            }
+            // Messages that only a gate sends.
+            LinkMessage::Refusal(CallRefusal { .. })
+            | LinkMessage::Answer(_)
+            | LinkMessage::AnswerChunk(_)
+            | LinkMessage::Abort(_)
+            | LinkMessage::CancelReply(_)
+            | LinkMessage::ResumeReply(_)
+            | LinkMessage::Pong(_)
+            | LinkMessage::Leaving(_) => return,
+        };
+    }
+
+    fn pass_chunk(&self, ingress: u64, chunk: BodyChunk) -> Result<(), CallInput> {
+        let sequence = chunk.sequence;
+        self.pass_on(CallId { ingress, sequence }, CallInput::Chunk(chunk))
+    }
+
+    /// Registers a link. A newer one of the same ingress thread closes the
+    /// older, so that nothing sent on the older can arrive after a resume.
+    fn own_link(&self, hello: &LinkHello, closed: &Rc<Notify>) -> bool {
+        let key = (hello.incarnation, hello.worker);
+        let mut links = self.links.borrow_mut();
+        if let Some(owner) = links.get(&key) {
+            if owner.generation >= hello.generation {
+                return false;
+            }
+            owner.closed.notify_one();
+        }
+        let owner = LinkOwner {
+            generation: hello.generation,
+            closed: Rc::clone(closed),
+        };
+        links.insert(key, owner);
+        true
+    }
+
+    fn disown_link(&self, hello: &LinkHello) {
+        let key = (hello.incarnation, hello.worker);
+        let mut links = self.links.borrow_mut();
+        let is_current = links
+            .get(&key)
+            .is_some_and(|owner| owner.generation == hello.generation);
+        if is_current {
+            links.remove(&key);
+        }
+    }
+
+    fn register_sender(&self, sender: &LinkSender) -> u64 {
+        let number = self.next_link.get();
+        self.next_link.set(number + 1);
+        self.senders.borrow_mut().insert(number, sender.clone());
+        if self.is_draining.get() {
+            sender.send(LinkMessage::Leaving(LinkPing { load: None }));
+        }
+        number
+    }
+}
+
+/// Answers an original that the ledger has not let in. Its ingress has usually
+/// moved on; if it has not, it must hear what is known.
+fn answer_barred(sequence: u64, outcome: OpenOutcome, link: &LinkSender) {
+    let message = match outcome {
+        OpenOutcome::Barred => LinkMessage::Refusal(CallRefusal {
+            sequence,
+            kind: ErrorKind::Cancelled.code().to_string(),
+            retry_after_ms: 0,
+            load: None,
+        }),
+        OpenOutcome::Forgotten => LinkMessage::Abort(CallAbort {
+            sequence,
+            kind: ErrorKind::LinkLost.code().to_string(),
+            load: None,
+        }),
+        // The first original answers.
+        OpenOutcome::Fresh | OpenOutcome::Duplicate(_) => return,
+    };
+    link.send(message);
+}
+
+/// Sends a kept answer again. A kept answer went out as one frame, so the
+/// ingress has all of it or nothing.
+fn resend_kept(answer: &KeptAnswer, resume: CallResume, link: &LinkSender) {
+    if resume.has_head {
+        return;
+    }
+    let Ok(head) = AnswerHead::decode(answer.head.clone()) else {
+        return;
+    };
+    link.send(LinkMessage::Answer(AnswerHead {
+        body: answer.body.clone(),
+        ..head
+    }));
+}
+
+fn log_admission(id: CallId, open: &CallOpen, decision: &Admission, load: LoadStamp) {
+    log::info!(
+        target: "admission",
+        "call {id} service {} {decision:?} in_flight {} queued {} limit {}",
+        open.service,
+        load.in_flight,
+        load.queued,
+        load.limit,
+    );
+}
+
+async fn serve_local(
+    gate: Rc<Gate>,
+    sender: LinkSender,
+    mut receiver: LinkReceiver,
+    hello: LinkHello,
+) {
+    let number = gate.register_sender(&sender);
+    while let Some(message) = receiver.recv().await {
+        gate.handle_message(hello.incarnation, message, &sender);
+    }
+    gate.senders.borrow_mut().remove(&number);
+}
+
+async fn serve_remote(
+    gate: Rc<Gate>,
+    stream: StdTcpStream,
+    buffered: BytesMut,
+) -> std::io::Result<()> {
+    let stream = TcpStream::from_std(stream)?;
+    let mut framed = frame_stream(stream);
+    *framed.read_buffer_mut() = buffered;
+    let frame = framed
+        .next()
+        .await
+        .ok_or(std::io::ErrorKind::UnexpectedEof)??;
+    let hello = LinkHello::decode(frame).map_err(std::io::Error::other)?;
+    let closed = Rc::new(Notify::new());
+    if !gate.own_link(&hello, &closed) {
+        return Ok(());
+    }
+    let welcome = LinkWelcome {
+        incarnation: gate.incarnation.get(),
+    };
+    framed
+        .send(Bytes::from(welcome.encode_to_vec()))
+        .await?;
+    let result = serve_frames(&gate, &hello, framed, &closed).await;
+    gate.disown_link(&hello);
+    result
+}
+
+async fn serve_frames(
+    gate: &Rc<Gate>,
+    hello: &LinkHello,
+    framed: PeerFramed,
+    closed: &Notify,
+) -> std::io::Result<()> {
+    let (sink, mut stream) = framed.split();
+    let (sender, outgoing) = lane_pair();
+    let number = gate.register_sender(&sender);
+    let reading = async {
+        while let Some(message) = read_frame(&mut stream).await? {
+            gate.handle_message(hello.incarnation, message, &sender);
+        }
+        Ok(())
+    };
+    let result = tokio::select! {
+        result = reading => result,
+        result = write_frames(sink, outgoing) => result,
+        () = closed.notified() => Ok(()),
+    };
+    gate.senders.borrow_mut().remove(&number);
+    result
+}
--- /dev/null
+++ b/src/gate/answer.rs
@@ -0,0 +1,195 @@
+//! The answer of one call on its way back to the ingress.
+//!
+//! What the ingress has not yet consumed is kept, so that the answer can be
+//! sent again over a new link from the exact byte where the old one stopped.
+
+use bytes::Bytes;
+use prost::Message;
+
+use crate::error::ErrorKind;
+use crate::ledger::KeptAnswer;
+use crate::link::endpoint::LinkSender;
+use crate::link::messages::{
+    AnswerHead, BodyChunk, CallAbort, CallRefusal, CallResume, LinkMessage, LoadStamp, ResumeReply,
+    ResumeState, WindowCredit,
+};
+use crate::link::window::{SendWindow, WINDOW_BYTES};
+
+/// How the call ended, kept for a resume.
+#[derive(Debug, Clone)]
+enum AnswerEnd {
+    /// The whole body was sent.
+    Whole,
+    /// The call failed part way.
+    Aborted(CallAbort),
+    /// The call was refused.
+    Refused(CallRefusal),
+}
+
+/// Sending side of one call's answer.
+#[derive(Debug)]
+pub struct AnswerOutput {
+    sequence: u64,
+    link: LinkSender,
+    head: Option<AnswerHead>,
+    window: SendWindow,
+    whole_body: Option<Bytes>,
+    end: Option<AnswerEnd>,
+}
+
+impl AnswerOutput {
+    /// Answer that goes out on `link`.
+    pub fn new(sequence: u64, link: LinkSender) -> Self {
+        Self {
+            sequence,
+            link,
+            head: None,
+            window: SendWindow::new(WINDOW_BYTES),
+            whole_body: None,
+            end: None,
+        }
+    }
+
+    /// Bytes of body that may be sent now.
+    pub fn room(&self) -> usize {
+        self.window.room()
+    }
+
+    /// Sends the head with the first bytes of the body.
+    pub fn start(&mut self, head: AnswerHead) {
+        self.window.push(head.body.clone(), head.is_last);
+        if head.is_last {
+            self.end = Some(AnswerEnd::Whole);
+            self.whole_body = Some(head.body.clone());
+        }
+        self.link.send(LinkMessage::Answer(head.clone()));
+        self.head = Some(AnswerHead {
+            body: Bytes::new(),
+            load: None,
+            ..head
+        });
+    }
+
+    /// Sends more of the body.
+    pub fn push(&mut self, data: Bytes, is_last: bool, load: Option<LoadStamp>) {
+        let chunk = BodyChunk {
+            sequence: self.sequence,
+            offset: self.window.sent(),
+            data: data.clone(),
+            is_last,
+            load,
+        };
+        self.window.push(data, is_last);
+        if is_last {
+            self.end = Some(AnswerEnd::Whole);
+        }
+        self.link.send(LinkMessage::AnswerChunk(chunk));
+    }
+
+    /// Whole answer for the ledger, if it went out in one frame.
+    pub fn kept_answer(&self) -> Option<KeptAnswer> {
+        let head = self.head.as_ref()?;
+        let body = self.whole_body.clone()?;
+        Some(KeptAnswer {
+            head: Bytes::from(head.encode_to_vec()),
+            body,
+        })
+    }
+
+    /// Tells that the call failed after it may have run.
+    pub fn abort(&mut self, kind: ErrorKind, load: Option<LoadStamp>) {
+        let abort = CallAbort {
+            sequence: self.sequence,
+            kind: kind.code().to_string(),
+            load,
+        };
+        self.link.send(LinkMessage::Abort(abort.clone()));
+        self.end = Some(AnswerEnd::Aborted(abort));
+    }
+
+    /// Tells that the call was not run and never will be.
+    pub fn refuse(&mut self, kind: ErrorKind, retry_after_ms: u64, load: Option<LoadStamp>) {
+        let refusal = CallRefusal {
+            sequence: self.sequence,
+            kind: kind.code().to_string(),
+            retry_after_ms,
+            load,
+        };
+        self.link.send(LinkMessage::Refusal(refusal.clone()));
+        self.end = Some(AnswerEnd::Refused(refusal));
+    }
+
+    /// Tells the ingress how much of the request's body was consumed.
+    pub fn credit_request(&self, consumed: u64) {
+        self.link.send(LinkMessage::Credit(WindowCredit {
+            sequence: self.sequence,
+            consumed,
+            is_for_answer: false,
+        }));
+    }
+
+    /// Notes how much of the answer's body the ingress has consumed.
+    pub fn credit(&mut self, consumed: u64) {
+        self.window.credit(consumed);
+    }
+
+    /// Sends any message about the call.
+    pub fn send(&self, message: LinkMessage) {
+        self.link.send(message);
+    }
+
+    /// Moves the answer to a new link and sends what the ingress lacks.
+    pub fn resume(&mut self, link: LinkSender, resume: CallResume, request_received: u64) {
+        self.link = link;
+        let resent = self.window.resend_from(resume.answer_received);
+        let state = if resent.is_some() {
+            ResumeState::Known
+        } else {
+            ResumeState::Forgotten
+        };
+        self.link.send(LinkMessage::ResumeReply(ResumeReply {
+            sequence: self.sequence,
+            state: state.into(),
+            request_received,
+        }));
+        let Some(chunks) = resent else {
+            return;
+        };
+        if !resume.has_head && let Some(head) = &self.head {
+            self.link.send(LinkMessage::Answer(AnswerHead {
+                is_last: false,
+                ..head.clone()
+            }));
+        }
+        self.resend_chunks(chunks);
+        self.resend_end();
+    }
+
+    fn resend_chunks(&self, chunks: Vec<(u64, Bytes)>) {
+        for (offset, data) in chunks {
+            self.link.send(LinkMessage::AnswerChunk(BodyChunk {
+                sequence: self.sequence,
+                offset,
+                data,
+                is_last: false,
+                load: None,
+            }));
+        }
+    }
+
+    fn resend_end(&self) {
+        let message = match &self.end {
+            None => return,
+            Some(AnswerEnd::Whole) => LinkMessage::AnswerChunk(BodyChunk {
+                sequence: self.sequence,
+                offset: self.window.sent(),
+                data: Bytes::new(),
+                is_last: true,
+                load: None,
+            }),
+            Some(AnswerEnd::Aborted(abort)) => LinkMessage::Abort(abort.clone()),
+            Some(AnswerEnd::Refused(refusal)) => LinkMessage::Refusal(refusal.clone()),
+        };
+        self.link.send(message);
+    }
+}
--- /dev/null
+++ b/src/ingress/attempt.rs
@@ -0,0 +1,458 @@
+//! One attempt of a call at one upstream.
+//!
+//! An attempt owns its place on a link. When the link is lost it finds a new
+//! one to the same gate and asks for the rest by call id. Dropping an attempt
+//! that has not ended cancels it at the gate.
+
+use std::io;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use tokio::sync::mpsc::{Sender, UnboundedReceiver, channel};
+use tokio::time::Instant;
+
+use crate::error::ErrorKind;
+use crate::ids::{CallId, NodeIncarnation};
+use crate::ingress::answer::{AnswerCut, AnswerReceiver};
+use crate::ingress::body::RequestBody;
+use crate::ingress::{IngressWorker, lock};
+use crate::link::messages::{
+    AnswerHead, BodyChunk, CallName, CallOpen, CallResume, LinkMessage, ResumeReply, ResumeState,
+    WindowCredit,
+};
+use crate::link::pool::{CallEvent, CallLink, GateTarget};
+use crate::link::window::{FIRST_WINDOW_BYTES, ReceiveWindow, SendWindow};
+use crate::retry::AttemptFailure;
+use crate::routing::{AttemptNumber, AttemptResult};
+use crate::ids::ServiceName;
+
+/// Chunks of an answer that wait for the caller's connection.
+const ANSWER_QUEUE_CHUNKS: usize = 8;
+/// Pause between two tries to reach a gate whose link was lost.
+const RECONNECT_PAUSE: Duration = Duration::from_millis(50);
+/// Longest time before the deadline at which a call is cancelled, so that the
+/// gate can still say whether it ran.
+const MAX_CANCEL_MARGIN: Duration = Duration::from_millis(20);
+/// Share of the time limit that the cancel margin takes at most.
+const CANCEL_MARGIN_SHARE: u32 = 10;
+
+/// Failure of an attempt.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct AttemptEnd {
+    /// What failed and what is known about the run.
+    pub failure: AttemptFailure,
+    /// When the gate said to come back.
+    pub retry_after: Option<Duration>,
+}
+
+impl AttemptEnd {
+    fn not_run(kind: ErrorKind) -> Self {
+        Self {
+            failure: AttemptFailure::NotRun(kind),
+            retry_after: None,
+        }
+    }
+
+    fn unknown(kind: ErrorKind) -> Self {
+        Self {
+            failure: AttemptFailure::Unknown(kind),
+            retry_after: None,
+        }
+    }
+}
+
+/// Where an attempt goes and until when.
+pub struct AttemptPlan {
+    /// Service.
+    pub service: ServiceName,
+    /// Gate.
+    pub target: GateTarget,
+    /// Number that routing gave the attempt.
+    pub number: AttemptNumber,
+    /// Identifier of this attempt.
+    pub id: CallId,
+    /// Whether a second run does no harm.
+    pub is_idempotent: bool,
+    /// Time limit of the whole call.
+    pub timeout: Duration,
+    /// End of that limit.
+    pub deadline: Instant,
+}
+
+/// One attempt under way.
+pub struct CallAttempt {
+    worker: Rc<IngressWorker>,
+    plan: AttemptPlan,
+    link: Rc<CallLink>,
+    gate: NodeIncarnation,
+    events: UnboundedReceiver<CallEvent>,
+    outgoing: SendWindow,
+    incoming: ReceiveWindow,
+    has_head: bool,
+    cancel_at: Instant,
+    is_cancelled: bool,
+    is_settled: bool,
+}
+
+/// Step that the wait for an answer has come to.
+enum Progress {
+    Continue,
+    Head(AnswerHead),
+}
+
+impl CallAttempt {
+    /// Opens the call at the gate.
+    ///
+    /// # Errors
+    ///
+    /// Fails if there is no link; the call was not run then.
+    pub async fn open(
+        worker: Rc<IngressWorker>,
+        plan: AttemptPlan,
+        open: CallOpen,
+    ) -> Result<Self, AttemptEnd> {
+        let link = match worker.pool.link(&plan.target).await {
+            Ok(link) => link,
+            Err(error) => {
+                log::warn!(target: "link", "no link to {}: {error}", plan.target.node);
+                let kind = ErrorKind::LinkLost;
+                settle(&worker, &plan, AttemptResult::Failed(kind));
+                return Err(AttemptEnd::not_run(kind));
+            }
+        };
+        let events = link.attach(open.sequence);
+        let mut outgoing = SendWindow::new(FIRST_WINDOW_BYTES);
+        outgoing.push(open.body.clone(), open.is_last);
+        link.send(LinkMessage::Open(open));
+        let margin = (plan.timeout / CANCEL_MARGIN_SHARE).min(MAX_CANCEL_MARGIN);
+        Ok(Self {
+            cancel_at: plan.deadline - margin,
+            gate: link.incarnation(),
+            worker,
+            plan,
+            link,
+            events,
+            outgoing,
+            incoming: ReceiveWindow::default(),
+            has_head: false,
+            is_cancelled: false,
+            is_settled: false,
+        })
+    }
+
+    fn sequence(&self) -> u64 {
+        self.plan.id.sequence
+    }
+
+    fn settle(&mut self, result: AttemptResult) {
+        if !self.is_settled {
+            self.is_settled = true;
+            settle(&self.worker, &self.plan, result);
+            self.link.detach(self.sequence());
+        }
+    }
+
+    /// Waits for the head of the answer while sending the body.
+    ///
+    /// # Errors
+    ///
+    /// What failed and whether the call may have run.
+    pub async fn wait_head(&mut self, body: &mut RequestBody) -> Result<AnswerHead, AttemptEnd> {
+        let result = self.exchange(body).await;
+        match &result {
+            Ok(head) => {
+                self.has_head = true;
+                if head.is_last {
+                    self.acknowledge();
+                }
+            }
+            Err(end) => {
+                let result = match end.failure {
+                    AttemptFailure::NotRun(kind) => AttemptResult::Refused(kind),
+                    AttemptFailure::Unknown(kind) => AttemptResult::Failed(kind),
+                };
+                self.settle(result);
+            }
+        }
+        result
+    }
+
+    async fn exchange(&mut self, body: &mut RequestBody) -> Result<AnswerHead, AttemptEnd> {
+        loop {
+            let room = self.outgoing.room();
+            let has_body = !self.outgoing.is_ended() && room > 0 && !self.is_cancelled;
+            let alarm = if self.is_cancelled {
+                self.plan.deadline
+            } else {
+                self.cancel_at
+            };
+            let progress = tokio::select! {
+                biased;
+                event = self.events.recv() => self.take_event(event).await?,
+                chunk = body.next(room), if has_body => {
+                    self.send_chunk(chunk)?;
+                    Progress::Continue
+                }
+                () = tokio::time::sleep_until(alarm) => {
+                    self.pass_alarm()?;
+                    Progress::Continue
+                }
+            };
+            if let Progress::Head(head) = progress {
+                return Ok(head);
+            }
+        }
+    }
+
+    fn send_chunk(&mut self, chunk: Result<Option<Bytes>, ErrorKind>) -> Result<(), AttemptEnd> {
+        let (data, is_last) = match chunk {
+            Ok(Some(data)) => (data, false),
+            Ok(None) => (Bytes::new(), true),
+            Err(kind) => {
+                // The upload broke off; what the backend server made of the
+                // part that it got can't be known.
+                self.cancel();
+                return Err(AttemptEnd::unknown(kind));
+            }
+        };
+        self.link.send(LinkMessage::RequestChunk(BodyChunk {
+            sequence: self.sequence(),
+            offset: self.outgoing.sent(),
+            data: data.clone(),
+            is_last,
+            load: None,
+        }));
+        self.outgoing.push(data, is_last);
+        Ok(())
+    }
+
+    /// Cancels shortly before the deadline, and gives up at it.
+    fn pass_alarm(&mut self) -> Result<(), AttemptEnd> {
+        if self.is_cancelled {
+            return Err(AttemptEnd::unknown(ErrorKind::TimedOut));
+        }
+        self.cancel();
+        Ok(())
+    }
+
+    fn cancel(&mut self) {
+        self.is_cancelled = true;
+        self.link.send(LinkMessage::Cancel(CallName {
+            sequence: self.sequence(),
+        }));
+    }
+
+    async fn take_event(&mut self, event: Option<CallEvent>) -> Result<Progress, AttemptEnd> {
+        let message = match event {
+            Some(CallEvent::Message(message)) => message,
+            Some(CallEvent::LinkLost) | None => {
+                self.resume().await?;
+                return Ok(Progress::Continue);
+            }
+        };
+        match message {
+            LinkMessage::Answer(head) => {
+                let accepted = self.incoming.accept(0, head.body.clone(), head.is_last);
+                let body = accepted.unwrap_or_default();
+                Ok(Progress::Head(AnswerHead { body, ..head }))
+            }
+            LinkMessage::Refusal(refusal) => Err(AttemptEnd {
+                failure: AttemptFailure::NotRun(kind_of(&refusal.kind)),
+                retry_after: Some(Duration::from_millis(refusal.retry_after_ms)),
+            }),
+            LinkMessage::Abort(abort) => Err(AttemptEnd::unknown(kind_of(&abort.kind))),
+            LinkMessage::CancelReply(reply) if reply.is_not_run => {
+                Err(AttemptEnd::not_run(ErrorKind::TimedOut))
+            }
+            LinkMessage::CancelReply(_) => Err(AttemptEnd::unknown(ErrorKind::TimedOut)),
+            LinkMessage::Credit(credit) => {
+                self.outgoing.credit(credit.consumed);
+                Ok(Progress::Continue)
+            }
+            LinkMessage::ResumeReply(reply) => {
+                self.take_resume_reply(reply)?;
+                Ok(Progress::Continue)
+            }
+            _ => Ok(Progress::Continue),
+        }
+    }
+
+    fn take_resume_reply(&mut self, reply: ResumeReply) -> Result<(), AttemptEnd> {
+        match reply.state() {
+            ResumeState::NeverSeen => return Err(AttemptEnd::not_run(ErrorKind::LinkLost)),
+            ResumeState::Forgotten => return Err(AttemptEnd::unknown(ErrorKind::LinkLost)),
+            ResumeState::Known => {}
+        }
+        let Some(chunks) = self.outgoing.resend_from(reply.request_received) else {
+            return Err(AttemptEnd::unknown(ErrorKind::LinkLost));
+        };
+        for (offset, data) in chunks {
+            self.resend_chunk(offset, data, false);
+        }
+        if self.outgoing.is_ended() {
+            self.resend_chunk(self.outgoing.sent(), Bytes::new(), true);
+        }
+        if self.is_cancelled {
+            self.cancel();
+        }
+        Ok(())
+    }
+
+    fn resend_chunk(&self, offset: u64, data: Bytes, is_last: bool) {
+        self.link.send(LinkMessage::RequestChunk(BodyChunk {
+            sequence: self.sequence(),
+            offset,
+            data,
+            is_last,
+            load: None,
+        }));
+    }
+
+    /// Moves the call to a new link.
+    ///
+    /// An idempotent call gives up at the first failure, since another
+    /// upstream can answer it; a non-idempotent one goes on trying until its
+    /// deadline, unless the gate's process is gone.
+    async fn resume(&mut self) -> Result<(), AttemptEnd> {
+        self.link.detach(self.sequence());
+        let link = loop {
+            match self.worker.pool.link(&self.plan.target).await {
+                Ok(link) => break link,
+                Err(error) => self.check_reconnect(&error)?,
+            }
+            tokio::time::sleep(RECONNECT_PAUSE).await;
+        };
+        if link.incarnation() != self.gate {
+            return Err(AttemptEnd::unknown(ErrorKind::GateRestarted));
+        }
+        log::info!(target: "link", "call {}: resumed on a new link", self.plan.id);
+        self.events = link.attach(self.sequence());
+        self.link = link;
+        self.link.send(LinkMessage::Resume(CallResume {
+            sequence: self.sequence(),
+            has_head: self.has_head,
+            answer_received: self.incoming.received(),
+        }));
+        Ok(())
+    }
+
+    fn check_reconnect(&self, error: &io::Error) -> Result<(), AttemptEnd> {
+        let is_gone = error.kind() == io::ErrorKind::ConnectionRefused;
+        if is_gone || self.plan.is_idempotent {
+            return Err(AttemptEnd::unknown(ErrorKind::LinkLost));
+        }
+        if Instant::now() + RECONNECT_PAUSE >= self.plan.deadline {
+            return Err(AttemptEnd::unknown(ErrorKind::TimedOut));
+        }
+        Ok(())
+    }
+
+    fn acknowledge(&mut self) {
+        self.link.send(LinkMessage::Acknowledge(CallName {
+            sequence: self.sequence(),
+        }));
+        self.settle(AttemptResult::Answered);
+    }
+
+    /// Passes the rest of the answer on, from a task of its own.
+    pub fn relay_rest(mut self) -> AnswerReceiver {
+        let (sender, receiver) = channel(ANSWER_QUEUE_CHUNKS);
+        ntex::rt::spawn(async move {
+            if let Err(kind) = self.relay(&sender).await {
+                self.cancel();
+                self.settle(AttemptResult::Failed(kind));
+                // A caller that has left needs no telling.
+                let _ = sender.send(Err(AnswerCut { kind })).await;
+            }
+        });
+        receiver
+    }
+
+    async fn relay(
+        &mut self,
+        sender: &Sender<Result<Bytes, AnswerCut>>,
+    ) -> Result<(), ErrorKind> {
+        self.credit_answer();
+        while !self.incoming.is_ended() {
+            let event = tokio::select! {
+                event = self.events.recv() => event,
+                () = sender.closed() => return Err(ErrorKind::Cancelled),
+                () = tokio::time::sleep_until(self.plan.deadline) => {
+                    return Err(ErrorKind::TimedOut);
+                }
+            };
+            if let Some(data) = self.take_answer_event(event).await? {
+                sender
+                    .send(Ok(data))
+                    .await
+                    .map_err(|_| ErrorKind::Cancelled)?;
+                self.credit_answer();
+            }
+        }
+        self.acknowledge();
+        Ok(())
+    }
+
+    async fn take_answer_event(
+        &mut self,
+        event: Option<CallEvent>,
+    ) -> Result<Option<Bytes>, ErrorKind> {
+        let message = match event {
+            Some(CallEvent::Message(message)) => message,
+            Some(CallEvent::LinkLost) | None => {
+                self.resume().await.map_err(|end| end.failure.kind())?;
+                return Ok(None);
+            }
+        };
+        match message {
+            LinkMessage::AnswerChunk(chunk) => {
+                let fresh = self
+                    .incoming
+                    .accept(chunk.offset, chunk.data, chunk.is_last)
+                    .ok_or(ErrorKind::LinkLost)?;
+                Ok(Some(fresh).filter(|data| !data.is_empty()))
+            }
+            LinkMessage::Abort(abort) => Err(kind_of(&abort.kind)),
+            LinkMessage::ResumeReply(reply) => {
+                self.take_resume_reply(reply)
+                    .map_err(|end| end.failure.kind())?;
+                Ok(None)
+            }
+            _ => Ok(None),
+        }
+    }
+
+    fn credit_answer(&self) {
+        self.link.send(LinkMessage::Credit(WindowCredit {
+            sequence: self.sequence(),
+            consumed: self.incoming.received(),
+            is_for_answer: true,
+        }));
+    }
+}
+
+impl Drop for CallAttempt {
+    fn drop(&mut self) {
+        if !self.is_settled {
+            // The caller has left.
+            self.cancel();
+            self.settle(AttemptResult::Cancelled);
+        }
+    }
+}
+
+fn settle(worker: &IngressWorker, plan: &AttemptPlan, result: AttemptResult) {
+    let now = worker.shared.now();
+    lock(&worker.shared.router).on_finished(
+        now,
+        &plan.service,
+        &plan.target.node,
+        plan.number,
+        result,
+    );
+}
+
+fn kind_of(code: &str) -> ErrorKind {
+    ErrorKind::from_code(code).unwrap_or(ErrorKind::Internal)
+}
--- /dev/null
+++ b/src/ingress/call.rs
@@ -0,0 +1,261 @@
+//! One caller's request, over as many attempts as it takes.
+
+use std::collections::BTreeSet;
+use std::rc::Rc;
+use std::time::Duration;
+
+use ntex::web::types::Payload;
+use tokio::time::Instant;
+
+use crate::admission::{ShareKey, WorkShare};
+use crate::error::{ErrorKind, RunOutcome};
+use crate::ids::{CallId, NodeId};
+use crate::ingress::answer::{CallAnswer, CallFailure};
+use crate::ingress::attempt::{AttemptEnd, AttemptPlan, CallAttempt};
+use crate::ingress::body::RequestBody;
+use crate::ingress::request::RequestFacts;
+use crate::ingress::{IngressWorker, lock};
+use crate::link::messages::CallOpen;
+use crate::link::pool::GateTarget;
+use crate::retry::{AttemptFailure, CallFacts, RetryDecision};
+use crate::routing::RouteChoice;
+
+/// Requests in flight at one ingress that count as 100 percent of its shares.
+const INGRESS_CAPACITY: u32 = 1_000;
+
+/// Drives one call.
+pub struct CallDriver {
+    worker: Rc<IngressWorker>,
+    facts: RequestFacts,
+    payload: Option<Payload>,
+    id: CallId,
+    deadline: Instant,
+    tried: BTreeSet<NodeId>,
+    attempts: u32,
+    may_have_run: bool,
+}
+
+impl CallDriver {
+    /// Call that begins now.
+    pub fn new(worker: Rc<IngressWorker>, facts: RequestFacts, payload: Payload) -> Self {
+        let id = CallId {
+            ingress: worker.shared.incarnation.get(),
+            sequence: worker.shared.next_sequence(),
+        };
+        Self {
+            deadline: Instant::now() + facts.timeout,
+            worker,
+            facts,
+            payload: Some(payload),
+            id,
+            tried: BTreeSet::new(),
+            attempts: 0,
+            may_have_run: false,
+        }
+    }
+
+    /// Runs the call to its one answer.
+    ///
+    /// # Errors
+    ///
+    /// The failure that the caller is told.
+    pub async fn run(mut self) -> Result<CallAnswer, CallFailure> {
+        let _share = self.enter_share()?;
+        let mut body = self.read_first().await?;
+        let service = &self.facts.service;
+        lock(&self.worker.shared.retries).on_first_attempt(service);
+        loop {
+            self.attempts += 1;
+            let end = match self.try_once(&mut body).await {
+                Ok(answer) => return Ok(answer),
+                Err(end) => end,
+            };
+            self.may_have_run |= matches!(end.failure, AttemptFailure::Unknown(_));
+            self.decide(end)?;
+        }
+    }
+
+    fn enter_share(&self) -> Result<ShareGuard, CallFailure> {
+        let shares = self.work_shares();
+        let mut table = lock(&self.worker.shared.shares);
+        if !table.has_room(&shares, INGRESS_CAPACITY) {
+            return Err(self.failure(ErrorKind::ShareExceeded));
+        }
+        table.take(&shares);
+        drop(table);
+        Ok(ShareGuard {
+            worker: Rc::clone(&self.worker),
+            shares,
+        })
+    }
+
+    fn work_shares(&self) -> Vec<WorkShare> {
+        let Some(percent) = self.facts.rule.share_percent else {
+            return Vec::new();
+        };
+        vec![WorkShare {
+            key: ShareKey::Service(self.facts.service.clone()),
+            percent,
+        }]
+    }
+
+    fn failure(&self, kind: ErrorKind) -> CallFailure {
+        CallFailure {
+            call: Some(self.id),
+            ..CallFailure::from(kind)
+        }
+    }
+
+    async fn read_first(&mut self) -> Result<RequestBody, CallFailure> {
+        let payload = self
+            .payload
+            .take()
+            .ok_or_else(|| self.failure(ErrorKind::Internal))?;
+        let stated = self.facts.body_length;
+        let limit = self.facts.rule.body_limit;
+        let reading = RequestBody::read_first(payload, stated, limit);
+        let first = tokio::time::timeout_at(self.deadline, reading).await;
+        first
+            .unwrap_or(Err(ErrorKind::TimedOut))
+            .map_err(|kind| self.failure(kind))
+    }
+
+    async fn try_once(&mut self, body: &mut RequestBody) -> Result<CallAnswer, AttemptEnd> {
+        let choice = self.choose()?;
+        self.tried.insert(choice.node.clone());
+        let id = CallId {
+            sequence: self.id.sequence + u64::from(self.attempts),
+            ..self.id
+        };
+        let open = self.open_message(id, body);
+        let plan = AttemptPlan {
+            service: self.facts.service.clone(),
+            target: GateTarget {
+                node: choice.node,
+                address: choice.peer_address,
+            },
+            number: choice.attempt,
+            id,
+            is_idempotent: self.facts.is_idempotent,
+            timeout: self.facts.timeout,
+            deadline: self.deadline,
+        };
+        let mut attempt = CallAttempt::open(Rc::clone(&self.worker), plan, open).await?;
+        let head = attempt.wait_head(body).await?;
+        let rest = (!head.is_last).then(|| attempt.relay_rest());
+        Ok(CallAnswer {
+            call: self.id,
+            head,
+            rest,
+        })
+    }
+
+    fn choose(&self) -> Result<RouteChoice, AttemptEnd> {
+        let now = self.worker.shared.now();
+        let mut rng = self.worker.rng.borrow_mut();
+        let mut router = lock(&self.worker.shared.router);
+        let choice = router.choose(now, &mut *rng, &self.facts.service, &self.tried);
+        drop(router);
+        self.log_choice(&choice);
+        choice.map_err(|kind| AttemptEnd {
+            failure: AttemptFailure::NotRun(kind),
+            retry_after: None,
+        })
+    }
+
+    fn log_choice(&self, choice: &Result<RouteChoice, ErrorKind>) {
+        let (id, service, attempt) = (self.id, &self.facts.service, self.attempts);
+        match choice {
+            Ok(choice) => log::info!(
+                target: "routing",
+                "call {id} service {service} attempt {attempt} chose {} because {} out of {:?}",
+                choice.node,
+                choice.reason,
+                choice.candidates,
+            ),
+            Err(kind) => log::info!(
+                target: "routing",
+                "call {id} service {service} attempt {attempt} found none: {kind}",
+            ),
+        }
+    }
+
+    fn open_message(&self, id: CallId, body: &RequestBody) -> CallOpen {
+        let (first, is_last) = body.first();
+        let time_left = self.time_left().as_micros();
+        CallOpen {
+            sequence: id.sequence,
+            service: self.facts.service.to_string(),
+            method: self.facts.method.clone(),
+            path: self.facts.path.clone(),
+            headers: self.facts.fields.clone(),
+            time_left_us: u64::try_from(time_left).unwrap_or(u64::MAX),
+            attempts_left: (self.facts.attempts_limit - self.attempts).max(1),
+            is_idempotent: self.facts.is_idempotent,
+            body_length: self.facts.body_length,
+            body: first,
+            is_last,
+        }
+    }
+
+    fn time_left(&self) -> Duration {
+        self.deadline.saturating_duration_since(Instant::now())
+    }
+
+    /// Returns to try again, or fails with what the caller is told.
+    fn decide(&mut self, end: AttemptEnd) -> Result<(), CallFailure> {
+        let facts = CallFacts {
+            is_idempotent: self.facts.is_idempotent,
+            may_have_run: self.may_have_run,
+            attempt: self.attempts,
+            attempts_limit: self.facts.attempts_limit,
+            time_left: self.time_left(),
+        };
+        let mut retries = lock(&self.worker.shared.retries);
+        let decision = retries.decide(&self.facts.service, &facts, end.failure);
+        drop(retries);
+        log::info!(
+            target: "retry",
+            "call {} service {} attempt {} failed {:?}: {decision:?}",
+            self.id,
+            self.facts.service,
+            self.attempts,
+            end.failure,
+        );
+        match decision {
+            RetryDecision::Retry => Ok(()),
+            RetryDecision::GiveUp {
+                kind,
+                outcome,
+                retry_after,
+                ..
+            } => Err(CallFailure {
+                call: Some(self.id),
+                kind,
+                outcome: self.honest_outcome(outcome),
+                retry_after: end.retry_after.unwrap_or(retry_after),
+            }),
+        }
+    }
+
+    /// No earlier attempt may be forgotten when the caller is told `not-run`.
+    fn honest_outcome(&self, outcome: RunOutcome) -> RunOutcome {
+        if self.may_have_run {
+            RunOutcome::Unknown
+        } else {
+            outcome
+        }
+    }
+}
+
+/// Gives a request's shares back when it has ended.
+struct ShareGuard {
+    worker: Rc<IngressWorker>,
+    shares: Vec<WorkShare>,
+}
+
+impl Drop for ShareGuard {
+    fn drop(&mut self) {
+        lock(&self.worker.shared.shares).give_back(&self.shares);
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod ctl;
 pub mod error;
 pub mod exchange;
+pub mod fields;
 pub mod gate;
 pub mod ids;
 pub mod ingress;
--- /dev/null
+++ b/src/link/pool.rs
@@ -0,0 +1,452 @@
+//! Ingress side of the links: one per gate and traffic thread.
+//!
+//! A watchdog pings a link that has calls outstanding and has been silent. A
+//! link that stays silent is dropped, its calls are told and resume on a new
+//! one, and new calls never wait for the old one.
+
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::io;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use futures_util::stream::SplitStream;
+use futures_util::{SinkExt, StreamExt};
+use prost::Message;
+use tokio::net::TcpStream;
+use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel};
+use tokio::sync::{Mutex, Notify};
+
+use crate::exchange::{PeerFramed, PeerHello, frame_stream};
+use crate::ids::{NodeId, NodeIncarnation};
+use crate::link::endpoint::{LinkReceiver, LinkSender, lane_pair, read_frame, write_frames};
+use crate::link::messages::{LinkHello, LinkMessage, LinkPing, LinkWelcome, LoadStamp};
+
+/// Time limit for opening a link, its welcome included.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(100);
+/// Interval of the watchdog while calls are outstanding.
+const WATCHDOG_INTERVAL: Duration = Duration::from_millis(20);
+/// Silence after which a link with outstanding calls is pinged.
+const PING_AFTER: Duration = Duration::from_millis(40);
+/// Silence after a ping until the link is given up.
+const LOST_AFTER: Duration = Duration::from_millis(60);
+
+/// What happens to a call on its link.
+#[derive(Debug)]
+pub enum CallEvent {
+    /// A message for the call.
+    Message(LinkMessage),
+    /// The link is lost; the call may be resumed on another.
+    LinkLost,
+}
+
+/// Something a link tells about its upstream rather than about one call.
+#[derive(Debug, Clone, Copy)]
+pub enum UpstreamNotice {
+    /// Fresh load.
+    Load(LoadStamp),
+    /// The upstream takes no new work.
+    Leaving,
+    /// The link fell silent or broke.
+    LinkLost,
+}
+
+/// Address and expected incarnation of a gate.
+#[derive(Debug, Clone)]
+pub struct GateTarget {
+    /// Node of the gate.
+    pub node: NodeId,
+    /// Address of its peer listener.
+    pub address: SocketAddr,
+}
+
+/// Open link to one gate.
+#[derive(Debug)]
+pub struct CallLink {
+    gate: NodeId,
+    incarnation: NodeIncarnation,
+    sender: LinkSender,
+    calls: RefCell<BTreeMap<u64, UnboundedSender<CallEvent>>>,
+    last_heard: Cell<Instant>,
+    pinged_at: Cell<Option<Instant>>,
+    is_lost: Cell<bool>,
+    closed: Notify,
+    has_work: Rc<Notify>,
+}
+
+impl CallLink {
+    fn new(
+        gate: NodeId,
+        incarnation: NodeIncarnation,
+        sender: LinkSender,
+        has_work: Rc<Notify>,
+    ) -> Self {
+        Self {
+            gate,
+            incarnation,
+            sender,
+            calls: RefCell::new(BTreeMap::new()),
+            last_heard: Cell::new(Instant::now()),
+            pinged_at: Cell::new(None),
+            is_lost: Cell::new(false),
+            closed: Notify::new(),
+            has_work,
+        }
+    }
+
+    /// Incarnation of the gate's node.
+    pub fn incarnation(&self) -> NodeIncarnation {
+        self.incarnation
+    }
+
+    /// Queues a message.
+    pub fn send(&self, message: LinkMessage) {
+        self.sender.send(message);
+    }
+
+    /// Routes a call's messages from this link to the returned channel.
+    pub fn attach(&self, sequence: u64) -> UnboundedReceiver<CallEvent> {
+        let (sender, receiver) = unbounded_channel();
+        if self.is_lost.get() {
+            // The receiver is fresh, so this can't fail.
+            let _ = sender.send(CallEvent::LinkLost);
+        }
+        self.calls.borrow_mut().insert(sequence, sender);
+        self.has_work.notify_one();
+        receiver
+    }
+
+    /// Ends the routing of a call's messages.
+    pub fn detach(&self, sequence: u64) {
+        self.calls.borrow_mut().remove(&sequence);
+    }
+
+    fn has_calls(&self) -> bool {
+        !self.calls.borrow().is_empty()
+    }
+
+    fn deliver(&self, sequence: u64, message: LinkMessage) {
+        if let Some(call) = self.calls.borrow().get(&sequence) {
+            // A call that ended meanwhile needs the message no more.
+            let _ = call.send(CallEvent::Message(message));
+        }
+    }
+
+    fn lose(&self) {
+        if self.is_lost.replace(true) {
+            return;
+        }
+        for call in self.calls.borrow().values() {
+            let _ = call.send(CallEvent::LinkLost);
+        }
+        self.closed.notify_one();
+    }
+
+    /// Checks for silence; returns whether the link has just been given up.
+    fn check_silence(&self, now: Instant) -> bool {
+        if !self.has_calls() || self.is_lost.get() {
+            self.pinged_at.set(None);
+            return false;
+        }
+        match self.pinged_at.get() {
+            Some(pinged_at) if pinged_at <= self.last_heard.get() => self.pinged_at.set(None),
+            Some(pinged_at) => return now.duration_since(pinged_at) >= LOST_AFTER,
+            None if now.duration_since(self.last_heard.get()) >= PING_AFTER => {
+                self.pinged_at.set(Some(now));
+                self.send(LinkMessage::Ping(LinkPing { load: None }));
+            }
+            None => {}
+        }
+        false
+    }
+}
+
+/// Identity that a traffic thread presents when it opens links.
+#[derive(Debug, Clone)]
+pub struct LinkIdentity {
+    /// This node.
+    pub node: NodeId,
+    /// Its incarnation.
+    pub incarnation: NodeIncarnation,
+    /// Traffic thread.
+    pub worker: u32,
+}
+
+/// Opens the in-process link to this node's own gate.
+pub type LocalConnector = Rc<dyn Fn(LinkSender, LinkReceiver, LinkHello)>;
+
+#[derive(Debug, Default)]
+struct LinkSlot {
+    current: RefCell<Option<Rc<CallLink>>>,
+    connecting: Mutex<()>,
+}
+
+/// Links of one traffic thread.
+pub struct LinkPool {
+    identity: LinkIdentity,
+    local: LocalConnector,
+    slots: RefCell<BTreeMap<NodeId, Rc<LinkSlot>>>,
+    generation: Cell<u64>,
+    notices: UnboundedSender<(NodeId, UpstreamNotice)>,
+    has_work: Rc<Notify>,
+}
+
+impl LinkPool {
+    /// New pool; the returned channel carries what links tell of upstreams.
+    pub fn new(
+        identity: LinkIdentity,
+        local: LocalConnector,
+    ) -> (Rc<Self>, UnboundedReceiver<(NodeId, UpstreamNotice)>) {
+        let (notices, receiver) = unbounded_channel();
+        let pool = Rc::new(Self {
+            identity,
+            local,
+            slots: RefCell::new(BTreeMap::new()),
+            generation: Cell::new(0),
+            notices,
+            has_work: Rc::new(Notify::new()),
+        });
+        ntex::rt::spawn(watch_links(Rc::downgrade(&pool)));
+        (pool, receiver)
+    }
+
+    /// Open link to a gate, opened now if there is none.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the gate can't be reached within 100 ms.
+    pub async fn link(self: &Rc<Self>, target: &GateTarget) -> io::Result<Rc<CallLink>> {
+        let slot = Rc::clone(
+            self.slots
+                .borrow_mut()
+                .entry(target.node.clone())
+                .or_default(),
+        );
+        if let Some(link) = open_link_of(&slot) {
+            return Ok(link);
+        }
+        let _connecting = slot.connecting.lock().await;
+        if let Some(link) = open_link_of(&slot) {
+            return Ok(link);
+        }
+        let link = self.open(target).await?;
+        *slot.current.borrow_mut() = Some(Rc::clone(&link));
+        Ok(link)
+    }
+
+    /// Closes links to gates that `is_wanted` rejects, once they are idle.
+    pub fn retain(&self, is_wanted: impl Fn(&NodeId) -> bool) {
+        self.slots.borrow_mut().retain(|node, slot| {
+            let link = slot.current.borrow().clone();
+            let is_busy = link.as_ref().is_some_and(|link| link.has_calls());
+            let is_kept = is_busy || is_wanted(node);
+            if !is_kept && let Some(link) = link {
+                link.lose();
+            }
+            is_kept
+        });
+    }
+
+    /// Count of open links.
+    pub fn open_count(&self) -> usize {
+        let slots = self.slots.borrow();
+        slots
+            .values()
+            .filter(|slot| open_link_of(slot).is_some())
+            .count()
+    }
+
+    async fn open(self: &Rc<Self>, target: &GateTarget) -> io::Result<Rc<CallLink>> {
+        self.generation.set(self.generation.get() + 1);
+        let hello = LinkHello {
+            node: self.identity.node.to_string(),
+            incarnation: self.identity.incarnation.get(),
+            worker: self.identity.worker,
+            generation: self.generation.get(),
+        };
+        if target.node == self.identity.node {
+            return Ok(self.open_local(hello));
+        }
+        tokio::time::timeout(CONNECT_TIMEOUT, self.open_remote(target, hello))
+            .await
+            .map_err(|_| io::Error::from(io::ErrorKind::TimedOut))?
+    }
+
+    fn open_local(self: &Rc<Self>, hello: LinkHello) -> Rc<CallLink> {
+        let (to_gate, gate_receiver) = lane_pair();
+        let (to_ingress, receiver) = lane_pair();
+        (self.local)(to_ingress, gate_receiver, hello);
+        let gate = self.identity.node.clone();
+        let link = Rc::new(CallLink::new(
+            gate,
+            self.identity.incarnation,
+            to_gate,
+            Rc::clone(&self.has_work),
+        ));
+        ntex::rt::spawn(run_local(
+            Rc::clone(&link),
+            receiver,
+            self.notices.clone(),
+        ));
+        link
+    }
+
+    async fn open_remote(
+        self: &Rc<Self>,
+        target: &GateTarget,
+        hello: LinkHello,
+    ) -> io::Result<Rc<CallLink>> {
+        let stream = TcpStream::connect(target.address).await?;
+        stream.set_nodelay(true)?;
+        let mut framed = frame_stream(stream);
+        let peer_hello = PeerHello {
+            node: hello.node.clone(),
+            incarnation: hello.incarnation,
+            is_call_link: true,
+        };
+        framed
+            .feed(Bytes::from(peer_hello.encode_to_vec()))
+            .await?;
+        framed.send(Bytes::from(hello.encode_to_vec())).await?;
+        let frame = framed
+            .next()
+            .await
+            .ok_or(io::ErrorKind::UnexpectedEof)??;
+        let welcome = LinkWelcome::decode(frame).map_err(io::Error::other)?;
+        let incarnation = NodeIncarnation::try_from(welcome.incarnation)
+            .map_err(|_| io::Error::from(io::ErrorKind::InvalidData))?;
+        Ok(self.start_remote(target.node.clone(), incarnation, framed))
+    }
+
+    fn start_remote(
+        &self,
+        gate: NodeId,
+        incarnation: NodeIncarnation,
+        framed: PeerFramed,
+    ) -> Rc<CallLink> {
+        let (sink, stream) = framed.split();
+        let (sender, outgoing) = lane_pair();
+        let link = Rc::new(CallLink::new(
+            gate,
+            incarnation,
+            sender,
+            Rc::clone(&self.has_work),
+        ));
+        ntex::rt::spawn(run_remote(
+            Rc::clone(&link),
+            stream,
+            self.notices.clone(),
+        ));
+        let writer = Rc::clone(&link);
+        ntex::rt::spawn(async move {
+            tokio::select! {
+                _ = write_frames(sink, outgoing) => writer.lose(),
+                () = writer.closed.notified() => writer.closed.notify_one(),
+            }
+        });
+        link
+    }
+}
+
+fn open_link_of(slot: &LinkSlot) -> Option<Rc<CallLink>> {
+    let current = slot.current.borrow();
+    current.as_ref().filter(|link| !link.is_lost.get()).cloned()
+}
+
+async fn run_local(
+    link: Rc<CallLink>,
+    mut receiver: LinkReceiver,
+    notices: UnboundedSender<(NodeId, UpstreamNotice)>,
+) {
+    while let Some(message) = receiver.recv().await {
+        handle_message(&link, message, &notices);
+    }
+    link.lose();
+}
+
+async fn run_remote(
+    link: Rc<CallLink>,
+    mut stream: SplitStream<PeerFramed>,
+    notices: UnboundedSender<(NodeId, UpstreamNotice)>,
+) {
+    loop {
+        let frame = tokio::select! {
+            frame = read_frame(&mut stream) => frame,
+            () = link.closed.notified() => {
+                link.closed.notify_one();
+                break;
+            }
+        };
+        let Ok(Some(message)) = frame else {
+            break;
+        };
+        handle_message(&link, message, &notices);
+    }
+    link.lose();
+    // The pool may be gone already.
+    let _ = notices.send((link.gate.clone(), UpstreamNotice::LinkLost));
+}
+
+fn handle_message(
+    link: &CallLink,
+    message: LinkMessage,
+    notices: &UnboundedSender<(NodeId, UpstreamNotice)>,
+) {
+    link.last_heard.set(Instant::now());
+    let (sequence, load) = match &message {
+        LinkMessage::Refusal(refusal) => (Some(refusal.sequence), refusal.load),
+        LinkMessage::Answer(head) => (Some(head.sequence), head.load),
+        LinkMessage::AnswerChunk(chunk) => (Some(chunk.sequence), chunk.load),
+        LinkMessage::Abort(abort) => (Some(abort.sequence), abort.load),
+        LinkMessage::CancelReply(reply) => (Some(reply.sequence), None),
+        LinkMessage::ResumeReply(reply) => (Some(reply.sequence), None),
+        LinkMessage::Credit(credit) => (Some(credit.sequence), None),
+        LinkMessage::Pong(pong) => (None, pong.load),
+        LinkMessage::Leaving(_) => {
+            let _ = notices.send((link.gate.clone(), UpstreamNotice::Leaving));
+            (None, None)
+        }
+        // Messages that only an ingress sends.
+        LinkMessage::Open(_)
+        | LinkMessage::RequestChunk(_)
+        | LinkMessage::Cancel(_)
+        | LinkMessage::Resume(_)
+        | LinkMessage::Acknowledge(_)
+        | LinkMessage::Ping(_) => (None, None),
+    };
+    if let Some(load) = load {
+        let _ = notices.send((link.gate.clone(), UpstreamNotice::Load(load)));
+    }
+    if let Some(sequence) = sequence {
+        link.deliver(sequence, message);
+    }
+}
+
+async fn watch_links(pool: std::rc::Weak<LinkPool>) {
+    loop {
+        let Some(pool) = pool.upgrade() else {
+            return;
+        };
+        let now = Instant::now();
+        let links: Vec<Rc<CallLink>> = {
+            let slots = pool.slots.borrow();
+            slots.values().filter_map(|slot| open_link_of(slot)).collect()
+        };
+        let mut is_busy = false;
+        for link in links {
+            is_busy |= link.has_calls();
+            if link.check_silence(now) {
+                log::warn!(target: "link", "link to {} fell silent, dropped", link.gate);
+                link.lose();
+            }
+        }
+        if !is_busy {
+            // An idle thread must not wake up every 20 ms.
+            pool.has_work.notified().await;
+        }
+        drop(pool);
+        tokio::time::sleep(WATCHDOG_INTERVAL).await;
+    }
+}
--- /dev/null
+++ b/src/link/window.rs
@@ -0,0 +1,138 @@
+//! Flow control and resend buffer for one direction of one call.
+
+use std::collections::VecDeque;
+
+use bytes::Bytes;
+
+/// Bytes of one body that may be under way, unconsumed by the receiver.
+pub const WINDOW_BYTES: u64 = 256 * 1024;
+/// Bytes of a request's body that may be sent before the gate starts the call.
+///
+/// All of it stays in the resend buffer until then, so a refused call can
+/// always be sent again elsewhere.
+pub const FIRST_WINDOW_BYTES: u64 = 64 * 1024;
+/// Largest chunk put into one frame, in bytes.
+pub const CHUNK_BYTES: usize = 32 * 1024;
+
+/// Sending side: what was sent and not yet consumed by the receiver.
+#[derive(Debug)]
+pub struct SendWindow {
+    unconsumed: VecDeque<Bytes>,
+    consumed: u64,
+    sent: u64,
+    limit: u64,
+    is_ended: bool,
+}
+
+impl SendWindow {
+    /// New window that first allows `limit` bytes under way.
+    pub fn new(limit: u64) -> Self {
+        Self {
+            unconsumed: VecDeque::new(),
+            consumed: 0,
+            sent: 0,
+            limit,
+            is_ended: false,
+        }
+    }
+
+    /// Bytes that may be sent now.
+    pub fn room(&self) -> usize {
+        let under_way = self.sent - self.consumed;
+        usize::try_from(self.limit.saturating_sub(under_way)).unwrap_or(usize::MAX)
+    }
+
+    /// Bytes sent so far.
+    pub fn sent(&self) -> u64 {
+        self.sent
+    }
+
+    /// Whether the body's end has been sent.
+    pub fn is_ended(&self) -> bool {
+        self.is_ended
+    }
+
+    /// Notes a chunk as sent.
+    pub fn push(&mut self, data: Bytes, is_last: bool) {
+        self.sent += data.len() as u64;
+        self.is_ended |= is_last;
+        if !data.is_empty() {
+            self.unconsumed.push_back(data);
+        }
+    }
+
+    /// Notes the receiver's credit; from then on the full window is allowed.
+    pub fn credit(&mut self, consumed: u64) {
+        self.limit = WINDOW_BYTES;
+        let mut fresh = consumed.min(self.sent).saturating_sub(self.consumed);
+        self.consumed += fresh;
+        while fresh > 0 {
+            let Some(mut front) = self.unconsumed.pop_front() else {
+                return;
+            };
+            let length = front.len() as u64;
+            if length > fresh {
+                let rest = front.split_off(usize::try_from(fresh).unwrap_or(usize::MAX));
+                self.unconsumed.push_front(rest);
+                return;
+            }
+            fresh -= length;
+        }
+    }
+
+    /// Chunks to send again to a receiver that has `received` bytes, each with
+    /// its offset; `None` if what is missing is no longer kept.
+    pub fn resend_from(&self, received: u64) -> Option<Vec<(u64, Bytes)>> {
+        if received < self.consumed {
+            return None;
+        }
+        let mut offset = self.consumed;
+        let mut chunks = Vec::new();
+        for chunk in &self.unconsumed {
+            let end = offset + chunk.len() as u64;
+            if end > received {
+                let skip = received.saturating_sub(offset);
+                let tail = chunk.slice(usize::try_from(skip).unwrap_or(usize::MAX)..);
+                chunks.push((offset + skip, tail));
+            }
+            offset = end;
+        }
+        Some(chunks)
+    }
+}
+
+/// Receiving side: drops what a resend repeats.
+#[derive(Debug, Default)]
+pub struct ReceiveWindow {
+    received: u64,
+    is_ended: bool,
+}
+
+impl ReceiveWindow {
+    /// Bytes received so far.
+    pub fn received(&self) -> u64 {
+        self.received
+    }
+
+    /// Whether the body's end has arrived.
+    pub fn is_ended(&self) -> bool {
+        self.is_ended
+    }
+
+    /// Takes a chunk in and returns its new part; `None` if a part before it
+    /// is missing.
+    pub fn accept(&mut self, offset: u64, mut data: Bytes, is_last: bool) -> Option<Bytes> {
+        if offset > self.received {
+            return None;
+        }
+        let end = offset + data.len() as u64;
+        if end < self.received {
+            return Some(Bytes::new());
+        }
+        let repeated = usize::try_from(self.received - offset).unwrap_or(usize::MAX);
+        let fresh = data.split_off(repeated);
+        self.received = end;
+        self.is_ended |= is_last;
+        Some(fresh)
+    }
+}
