--- a/src/retry.rs
+++ b/src/retry.rs
@@ -1,1 +1,236 @@
-//! To come.
+//! Whether a failed attempt of a call is followed by another.
+//!
+//! Three limits hold at once: the attempts and the time left of the call, what
+//! is known about its run, and a budget per service that only first attempts
+//! fill. Under overload the budget runs dry and refusals go straight to the
+//! caller, so that retries never multiply the load. A non-idempotent call is
+//! sent again only while every earlier attempt is known not to have run.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use crate::error::{ErrorKind, RunOutcome};
+use crate::ids::ServiceName;
+
+/// Retries earned by one first attempt.
+const RETRY_RATIO: f64 = 0.1;
+/// Retries that a service without recent calls may make at once.
+const RETRY_RESERVE: f64 = 10.0;
+/// Least time left with which another attempt is worth its cost.
+const MIN_TIME_LEFT: Duration = Duration::from_millis(2);
+/// Time after which a caller told of lost capacity should come back.
+const CAPACITY_RETRY_AFTER: Duration = Duration::from_secs(1);
+/// Time after which a caller told of a lost upstream should come back.
+const UPSTREAM_RETRY_AFTER: Duration = Duration::from_secs(2);
+
+/// Token bucket of one service's retries.
+///
+/// Over any number `n` of first attempts it grants at most `10 + n / 10`
+/// retries.
+#[derive(Debug, Clone)]
+pub struct RetryBudget {
+    tokens: f64,
+}
+
+impl Default for RetryBudget {
+    fn default() -> Self {
+        Self {
+            tokens: RETRY_RESERVE,
+        }
+    }
+}
+
+impl RetryBudget {
+    /// Earns a share of a retry for a first attempt.
+    pub fn on_first_attempt(&mut self) {
+        self.tokens = (self.tokens + RETRY_RATIO).min(RETRY_RESERVE);
+    }
+
+    /// Spends one retry if there is one.
+    pub fn try_spend(&mut self) -> bool {
+        if self.tokens < 1.0 {
+            return false;
+        }
+        self.tokens -= 1.0;
+        true
+    }
+
+    /// Retries that can be made now.
+    pub fn tokens(&self) -> f64 {
+        self.tokens
+    }
+}
+
+/// What the decision needs to know about a call.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct CallFacts {
+    /// Whether a second run does no harm.
+    pub is_idempotent: bool,
+    /// Whether an earlier attempt may have run.
+    pub may_have_run: bool,
+    /// Attempts made, the failed one included; travels with the call.
+    pub attempt: u32,
+    /// Most attempts of the call.
+    pub attempts_limit: u32,
+    /// Time left of the call's limit.
+    pub time_left: Duration,
+}
+
+/// How an attempt failed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum AttemptFailure {
+    /// It was not run and never will be.
+    NotRun(ErrorKind),
+    /// It may or may not have run.
+    Unknown(ErrorKind),
+}
+
+impl AttemptFailure {
+    /// Kind of the failure.
+    pub fn kind(self) -> ErrorKind {
+        match self {
+            Self::NotRun(kind) | Self::Unknown(kind) => kind,
+        }
+    }
+}
+
+/// What follows a failed attempt.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum RetryDecision {
+    /// Another attempt, at an upstream not tried yet.
+    Retry,
+    /// The caller is told.
+    GiveUp {
+        /// Kind of the answer.
+        kind: ErrorKind,
+        /// What is known about the run, over all attempts.
+        outcome: RunOutcome,
+        /// When to come back.
+        retry_after: Duration,
+        /// Why there is no further attempt.
+        reason: GiveUpReason,
+    },
+}
+
+/// Why a call gets no further attempt.
+#[derive(Debug, Clone, Copy, derive_more::Display, PartialEq, Eq)]
+pub enum GiveUpReason {
+    /// Another upstream would answer the same.
+    #[display("not-retryable")]
+    NotRetryable,
+    /// A non-idempotent call may have run.
+    #[display("may-have-run")]
+    MayHaveRun,
+    /// Its attempts are used up.
+    #[display("attempts-used-up")]
+    AttemptsUsedUp,
+    /// Its time is used up.
+    #[display("time-used-up")]
+    TimeUsedUp,
+    /// The service's retry budget is spent.
+    #[display("budget-spent")]
+    BudgetSpent,
+}
+
+/// Retry decisions and budgets of one node.
+#[derive(Debug, Default)]
+pub struct RetryPolicy {
+    budgets: BTreeMap<ServiceName, RetryBudget>,
+}
+
+impl RetryPolicy {
+    /// Policy with a full reserve for each service.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Counts the first attempt of a call.
+    pub fn on_first_attempt(&mut self, service: &ServiceName) {
+        self.budget(service).on_first_attempt();
+    }
+
+    /// Decides what follows a failed attempt; a retry is taken out of the budget.
+    pub fn decide(
+        &mut self,
+        service: &ServiceName,
+        facts: &CallFacts,
+        failure: AttemptFailure,
+    ) -> RetryDecision {
+        let is_unknown = matches!(failure, AttemptFailure::Unknown(_)) || facts.may_have_run;
+        let Some(reason) = self.give_up_reason(service, facts, failure.kind(), is_unknown) else {
+            return RetryDecision::Retry;
+        };
+        let outcome = if is_unknown {
+            RunOutcome::Unknown
+        } else {
+            RunOutcome::NotRun
+        };
+        RetryDecision::GiveUp {
+            kind: failure.kind(),
+            outcome,
+            retry_after: retry_after(failure.kind()),
+            reason,
+        }
+    }
+
+    /// Retries that a service can make now, for status and metrics.
+    pub fn tokens(&self, service: &ServiceName) -> f64 {
+        self.budgets
+            .get(service)
+            .map_or(RETRY_RESERVE, RetryBudget::tokens)
+    }
+
+    fn give_up_reason(
+        &mut self,
+        service: &ServiceName,
+        facts: &CallFacts,
+        kind: ErrorKind,
+        is_unknown: bool,
+    ) -> Option<GiveUpReason> {
+        if !is_retryable(kind) {
+            return Some(GiveUpReason::NotRetryable);
+        }
+        if is_unknown && !facts.is_idempotent {
+            return Some(GiveUpReason::MayHaveRun);
+        }
+        if facts.attempt >= facts.attempts_limit {
+            return Some(GiveUpReason::AttemptsUsedUp);
+        }
+        if facts.time_left < MIN_TIME_LEFT {
+            return Some(GiveUpReason::TimeUsedUp);
+        }
+        let has_token = self.budget(service).try_spend();
+        (!has_token).then_some(GiveUpReason::BudgetSpent)
+    }
+
+    fn budget(&mut self, service: &ServiceName) -> &mut RetryBudget {
+        self.budgets.entry(service.clone()).or_default()
+    }
+}
+
+/// Whether another upstream may do better.
+fn is_retryable(kind: ErrorKind) -> bool {
+    matches!(
+        kind,
+        ErrorKind::Overloaded
+            | ErrorKind::WaitTooLong
+            | ErrorKind::Draining
+            | ErrorKind::BackendUnreachable
+            | ErrorKind::BackendFailed
+            | ErrorKind::LinkLost
+            | ErrorKind::GateRestarted
+    )
+}
+
+fn retry_after(kind: ErrorKind) -> Duration {
+    match kind {
+        ErrorKind::NoUpstream
+        | ErrorKind::BackendUnreachable
+        | ErrorKind::LinkLost
+        | ErrorKind::GateRestarted => UPSTREAM_RETRY_AFTER,
+        _ => CAPACITY_RETRY_AFTER,
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- a/src/routing.rs
+++ b/src/routing.rs
@@ -1,1 +1,223 @@
-//! To come.
+//! Choice of the upstream for each attempt of a call.
+//!
+//! A [`RouterState`] is pure: events and the present time go in, a choice
+//! comes out. It joins four things it knows about an upstream. Its own
+//! outstanding attempts are exact and never stale. The load that rides on
+//! each answer and refusal ([`LoadReport`]) also shows other ingresses' work,
+//! but is stale on arrival, so trust in it decays within milliseconds and
+//! falls back on the mean of the service. The ages of outstanding attempts
+//! show a slow-down before any answer does. The history of failures keeps an
+//! upstream that fails fast from looking idle.
+//!
+//! Each service has a deterministic subset of its upstreams, so that links per
+//! node stay bounded; the choice compares a few random members of the subset,
+//! own availability zone first.
+
+mod probe;
+mod router;
+mod select;
+mod subset;
+mod upstream;
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use derive_more::Display;
+
+use crate::error::ErrorKind;
+use crate::ids::{NodeId, NodeIncarnation, RegionName, ServiceName, ZoneName};
+
+pub use probe::{ProbeBucket, ProbeCounts};
+pub use router::RouterState;
+
+/// Load of an upstream as its gate knows it; rides on every answer and refusal.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct LoadReport {
+    /// Calls at work in the backend server.
+    pub in_flight: u32,
+    /// Calls that wait at the gate.
+    pub queued: u32,
+    /// Calls that the gate lets the backend server work on at once.
+    pub limit: u32,
+}
+
+/// Place of the node that routes.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct HomePlace {
+    /// The node itself.
+    pub node: NodeId,
+    /// Its region.
+    pub region: RegionName,
+    /// Its availability zone.
+    pub zone: ZoneName,
+}
+
+/// Distance from the routing node to an upstream.
+#[derive(Debug, Clone, Copy, Display, PartialEq, Eq, PartialOrd, Ord)]
+pub enum PlaceTier {
+    /// Same availability zone.
+    #[display("own-zone")]
+    OwnZone,
+    /// Another availability zone of the same region.
+    #[display("own-region")]
+    OwnRegion,
+    /// Another region.
+    #[display("other-region")]
+    OtherRegion,
+}
+
+/// Settings of the routing policy.
+#[derive(Debug, Clone, PartialEq)]
+pub struct RoutingOptions {
+    /// Most members of a service's subset in the own availability zone.
+    pub own_zone_links: usize,
+    /// Most members in other availability zones of the region.
+    pub own_region_links: usize,
+    /// Most members in other regions.
+    pub other_region_links: usize,
+    /// Random candidates compared in a tier.
+    pub draws: usize,
+    /// Age at which trust in a report's in-flight count has halved.
+    pub report_half_life: Duration,
+    /// Age at which an answer's weight in the latency estimate has halved.
+    pub latency_half_life: Duration,
+    /// Age at which a failure's weight has halved.
+    pub failure_half_life: Duration,
+    /// Time in which a joined upstream grows to its full share.
+    pub ramp_time: Duration,
+    /// Age at which a report is too old to judge by, so that a probe is due.
+    pub probe_age: Duration,
+    /// Pressure (work per place) above which other availability zones are considered.
+    pub spill_pressure: f64,
+    /// Factor by which an upstream in another availability zone must look better.
+    pub zone_preference: f64,
+}
+
+impl Default for RoutingOptions {
+    fn default() -> Self {
+        Self {
+            own_zone_links: 6,
+            own_region_links: 6,
+            other_region_links: 3,
+            draws: 2,
+            report_half_life: Duration::from_millis(20),
+            latency_half_life: Duration::from_millis(500),
+            failure_half_life: Duration::from_secs(1),
+            ramp_time: Duration::from_secs(10),
+            probe_age: Duration::from_secs(2),
+            spill_pressure: 0.5,
+            zone_preference: 1.2,
+        }
+    }
+}
+
+/// Number of an attempt, unique within one router.
+#[derive(Debug, Clone, Copy, Display, PartialEq, Eq, PartialOrd, Ord)]
+pub struct AttemptNumber(u64);
+
+/// One candidate that a choice looked at.
+#[derive(Debug, Clone, PartialEq)]
+pub struct CandidateScore {
+    /// Node of the upstream.
+    pub node: NodeId,
+    /// Score; the lowest wins.
+    pub score: f64,
+    /// Age of the last load report.
+    pub report_age: Option<Duration>,
+    /// Own attempts outstanding there, before this one.
+    pub outstanding: u32,
+}
+
+/// Why an upstream was chosen.
+#[derive(Debug, Clone, Copy, Display, PartialEq, Eq, PartialOrd, Ord)]
+pub enum RouteReason {
+    /// It serves beside this node and has room.
+    #[display("own-node")]
+    OwnNode,
+    /// Best score within the own availability zone.
+    #[display("own-zone")]
+    OwnZone,
+    /// Own availability zone under pressure or without candidates.
+    #[display("spill-to-region")]
+    SpillToRegion,
+    /// No candidate left in the own region.
+    #[display("spill-to-other-region")]
+    SpillToOtherRegion,
+    /// Every candidate recently refused or failed; the least bad one was taken.
+    #[display("last-resort")]
+    LastResort,
+}
+
+/// A chosen upstream and what the choice went by, for the decision's log line.
+#[derive(Debug, Clone, PartialEq)]
+pub struct RouteChoice {
+    /// Number to hand back to [`RouterState::on_finished`].
+    pub attempt: AttemptNumber,
+    /// Node of the chosen upstream.
+    pub node: NodeId,
+    /// Incarnation of that node.
+    pub incarnation: NodeIncarnation,
+    /// Address of the node's link listener.
+    pub peer_address: SocketAddr,
+    /// Candidates that were compared.
+    pub candidates: Vec<CandidateScore>,
+    /// Why this one was chosen.
+    pub reason: RouteReason,
+}
+
+/// End of one attempt as the ingress saw it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum AttemptResult {
+    /// The backend server answered.
+    Answered,
+    /// The gate refused; the call was not run.
+    Refused(ErrorKind),
+    /// The attempt failed.
+    Failed(ErrorKind),
+    /// The caller went away or its time ran out.
+    Cancelled,
+}
+
+/// A load probe to send now.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ProbeOrder {
+    /// Node of the upstream.
+    pub node: NodeId,
+    /// Address of the node's link listener.
+    pub peer_address: SocketAddr,
+}
+
+/// State of one upstream for the status page and logs.
+#[derive(Debug, Clone, PartialEq)]
+pub struct UpstreamSnapshot {
+    /// Node of the upstream.
+    pub node: NodeId,
+    /// Services whose subset it is in.
+    pub services: Vec<ServiceName>,
+    /// Distance from this node.
+    pub tier: PlaceTier,
+    /// Own attempts outstanding there.
+    pub outstanding: u32,
+    /// Last load report and its age.
+    pub report: Option<(LoadReport, Duration)>,
+    /// Score by which it competes now; the lowest wins.
+    pub score: f64,
+    /// Weight of recent failures, 0 when there were none.
+    pub failures: f64,
+    /// Whether it is passed over for a recent refusal or failure.
+    pub is_held: bool,
+}
+
+/// State of the router for the status page and logs.
+#[derive(Debug, Clone, PartialEq)]
+pub struct RouterSnapshot {
+    /// Version of the routing table in use.
+    pub table_version: u64,
+    /// Load probes sent and held back since the start.
+    pub probes: ProbeCounts,
+    /// Upstreams in the subsets of services that this node calls.
+    pub upstreams: Vec<UpstreamSnapshot>,
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/src/routing/router.rs
@@ -0,0 +1,323 @@
+//! State of the router and its decisions.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+use std::time::Duration;
+
+use rand::Rng;
+
+use super::subset::{TierMembers, pick_members, tier_of};
+use super::upstream::{ServiceMeans, UpstreamLoad};
+use super::{
+    AttemptNumber, AttemptResult, CandidateScore, HomePlace, LoadReport, PlaceTier, ProbeCounts,
+    ProbeOrder, RouteChoice, RouteReason, RouterSnapshot, RoutingOptions, UpstreamSnapshot,
+};
+use crate::error::ErrorKind;
+use crate::ids::{NodeId, ServiceName};
+use crate::table::{RoutingTable, ServiceEntry, UpstreamState};
+
+/// Latency assumed before a service's first answer, in microseconds.
+const FIRST_LATENCY_US: f64 = 10_000.0;
+/// Weight of one answer or report in the means of its service.
+const MEAN_WEIGHT: f64 = 0.02;
+
+/// Routing state of one node, shared by its traffic threads.
+#[derive(Debug)]
+pub struct RouterState {
+    home: HomePlace,
+    pub(super) options: RoutingOptions,
+    table: Arc<RoutingTable>,
+    ingress_count: usize,
+    pub(super) views: BTreeMap<ServiceName, ServiceView>,
+    pub(super) loads: BTreeMap<NodeId, UpstreamLoad>,
+    next_attempt: u64,
+    probes: ProbeCounts,
+}
+
+/// What the router keeps about a service that this node calls.
+#[derive(Debug)]
+pub(super) struct ServiceView {
+    pub(super) tiers: Vec<TierMembers>,
+    pub(super) means: ServiceMeans,
+}
+
+impl RouterState {
+    /// Router with an empty table.
+    pub fn new(home: HomePlace, options: RoutingOptions) -> Self {
+        Self {
+            home,
+            options,
+            table: Arc::default(),
+            ingress_count: 1,
+            views: BTreeMap::new(),
+            loads: BTreeMap::new(),
+            next_attempt: 0,
+            probes: ProbeCounts::default(),
+        }
+    }
+
+    /// Takes a newly published table into use.
+    pub fn apply_table(&mut self, now: Duration, table: &Arc<RoutingTable>) {
+        let old = std::mem::replace(&mut self.table, Arc::clone(table));
+        self.ingress_count = count_nodes(table).max(1);
+        let mut views = std::mem::take(&mut self.views);
+        views.retain(|service, view| {
+            let Some(entry) = table.services.get(service) else {
+                return false;
+            };
+            view.tiers = pick_members(&self.home, &self.options, service, entry);
+            self.update_loads(now, entry, &view.tiers, old.services.get(service));
+            true
+        });
+        self.views = views;
+        self.drop_unused_loads();
+    }
+
+    /// Chooses the upstream of one attempt and counts it as outstanding there.
+    ///
+    /// # Errors
+    ///
+    /// `UnknownService` without such a service in the table, `NoUpstream` if
+    /// no upstream outside `tried` takes work.
+    pub fn choose(
+        &mut self,
+        now: Duration,
+        rng: &mut impl Rng,
+        service: &ServiceName,
+        tried: &BTreeSet<NodeId>,
+    ) -> Result<RouteChoice, ErrorKind> {
+        let table = Arc::clone(&self.table);
+        let entry = table
+            .services
+            .get(service)
+            .ok_or(ErrorKind::UnknownService)?;
+        self.open_view(now, service, entry);
+        let (candidates, reason) = self.compare(now, rng, service, tried)?;
+        let best = candidates
+            .iter()
+            .min_by(|a, b| a.score.total_cmp(&b.score))
+            .ok_or(ErrorKind::NoUpstream)?;
+        let upstream = entry
+            .upstreams
+            .get(&best.node)
+            .ok_or(ErrorKind::NoUpstream)?;
+        let node = upstream.node.clone();
+        let reason = self.refine_reason(reason, &node);
+        let attempt = self.start(now, &node);
+        self.note_old_reports(&candidates);
+        Ok(RouteChoice {
+            attempt,
+            node,
+            incarnation: upstream.incarnation,
+            peer_address: upstream.peer_address,
+            candidates,
+            reason,
+        })
+    }
+
+    /// Takes in the load that rode on an answer, a refusal or a probe's reply.
+    pub fn on_report(&mut self, now: Duration, node: &NodeId, report: LoadReport) {
+        let Some(load) = self.loads.get_mut(node) else {
+            return;
+        };
+        load.on_report(now, report);
+        let others = load.others_per_slot();
+        for view in self.views.values_mut() {
+            if view.tiers.iter().any(|tier| tier.nodes.contains(node)) {
+                view.means.others += MEAN_WEIGHT * (others - view.means.others);
+            }
+        }
+    }
+
+    /// Ends an attempt; a second call for the same attempt has no effect.
+    pub fn on_finished(
+        &mut self,
+        now: Duration,
+        service: &ServiceName,
+        node: &NodeId,
+        attempt: AttemptNumber,
+        result: AttemptResult,
+    ) {
+        let Some(load) = self.loads.get_mut(node) else {
+            return;
+        };
+        let answered = load.finish(now, attempt, result, &self.options);
+        let view = self.views.get_mut(service);
+        if let (Some(latency), Some(view)) = (answered, view) {
+            let sample_us = latency.as_secs_f64() * 1e6;
+            view.means.latency_us += MEAN_WEIGHT * (sample_us - view.means.latency_us);
+        }
+    }
+
+    /// Load probes to send now.
+    ///
+    /// A probe is due where a choice met a report too old to judge by and no
+    /// call has brought a newer one since. Each upstream's probes come out of
+    /// its bucket, which this ingress shares evenly with the others.
+    pub fn probe_due(&mut self, now: Duration) -> Vec<ProbeOrder> {
+        let mut orders = Vec::new();
+        for (service, view) in &self.views {
+            let Some(entry) = self.table.services.get(service) else {
+                continue;
+            };
+            let rate = entry.rule.probes_per_second / self.ingress_count as f64;
+            for node in view.tiers.iter().flat_map(|tier| &tier.nodes) {
+                let load = self.loads.get_mut(node).filter(|load| load.wants_probe);
+                let (Some(load), Some(upstream)) = (load, entry.upstreams.get(node)) else {
+                    continue;
+                };
+                load.wants_probe = false;
+                if !load.probe_bucket.try_take(now, rate) {
+                    self.probes.refused += 1;
+                    continue;
+                }
+                self.probes.spent += 1;
+                orders.push(ProbeOrder {
+                    node: node.clone(),
+                    peer_address: upstream.peer_address,
+                });
+            }
+        }
+        orders
+    }
+
+    /// Load probes sent and held back since the start.
+    pub fn probe_counts(&self) -> ProbeCounts {
+        self.probes
+    }
+
+    /// State for the status page and logs.
+    pub fn snapshot(&self, now: Duration) -> RouterSnapshot {
+        let upstreams = self
+            .loads
+            .iter()
+            .map(|(node, load)| self.snapshot_upstream(now, node, load))
+            .collect();
+        RouterSnapshot {
+            table_version: self.table.version,
+            probes: self.probes,
+            upstreams,
+        }
+    }
+
+    fn snapshot_upstream(
+        &self,
+        now: Duration,
+        node: &NodeId,
+        load: &UpstreamLoad,
+    ) -> UpstreamSnapshot {
+        let views: Vec<_> = self
+            .views
+            .iter()
+            .filter(|(_, view)| view.tiers.iter().any(|tier| tier.nodes.contains(node)))
+            .collect();
+        let means = views.first().map_or(FIRST_MEANS, |(_, view)| view.means);
+        UpstreamSnapshot {
+            node: node.clone(),
+            services: views.iter().map(|(name, _)| (*name).clone()).collect(),
+            tier: load.tier,
+            outstanding: load.outstanding_count(),
+            report: load.report_with_age(now),
+            score: load.score(now, means, &self.options),
+            failures: load.failure_weight(now, &self.options),
+            is_held: load.is_held(now),
+        }
+    }
+
+    fn open_view(&mut self, now: Duration, service: &ServiceName, entry: &ServiceEntry) {
+        if self.views.contains_key(service) {
+            return;
+        }
+        let tiers = pick_members(&self.home, &self.options, service, entry);
+        self.update_loads(now, entry, &tiers, Some(entry));
+        let view = ServiceView {
+            tiers,
+            means: FIRST_MEANS,
+        };
+        self.views.insert(service.clone(), view);
+    }
+
+    /// Opens a record for each new member; one that `old` did not have as
+    /// ready starts its ramp.
+    fn update_loads(
+        &mut self,
+        now: Duration,
+        entry: &ServiceEntry,
+        tiers: &[TierMembers],
+        old: Option<&ServiceEntry>,
+    ) {
+        for node in tiers.iter().flat_map(|tier| &tier.nodes) {
+            let Some(upstream) = entry.upstreams.get(node) else {
+                continue;
+            };
+            let incarnation = upstream.incarnation;
+            let tier = tier_of(&self.home, upstream);
+            let slots = upstream.slots.get();
+            let was_ready = old
+                .and_then(|old| old.upstreams.get(node))
+                .is_some_and(|old| old.state == UpstreamState::Ready);
+            let joined_at = (!was_ready).then_some(now);
+            let load = self
+                .loads
+                .entry(node.clone())
+                .or_insert_with(|| UpstreamLoad::new(now, incarnation, tier, slots, joined_at));
+            load.slots = slots;
+            if load.incarnation != incarnation {
+                load.restart(now, incarnation);
+            }
+        }
+    }
+
+    fn drop_unused_loads(&mut self) {
+        let views = &self.views;
+        self.loads.retain(|node, load| {
+            let mut tiers = views.values().flat_map(|view| &view.tiers);
+            load.outstanding_count() > 0 || tiers.any(|tier| tier.nodes.contains(node))
+        });
+    }
+
+    fn start(&mut self, now: Duration, node: &NodeId) -> AttemptNumber {
+        self.next_attempt += 1;
+        let attempt = AttemptNumber(self.next_attempt);
+        if let Some(load) = self.loads.get_mut(node) {
+            load.start(now, attempt);
+        }
+        attempt
+    }
+
+    fn note_old_reports(&mut self, candidates: &[CandidateScore]) {
+        let probe_age = self.options.probe_age;
+        for candidate in candidates {
+            let is_old = candidate.report_age.is_none_or(|age| age >= probe_age);
+            let load = self.loads.get_mut(&candidate.node);
+            if let Some(load) = load.filter(|load| is_old && load.outstanding_count() == 0) {
+                load.wants_probe = true;
+            }
+        }
+    }
+
+    fn refine_reason(&self, reason: RouteReason, node: &NodeId) -> RouteReason {
+        let is_held_or_far = reason != RouteReason::OwnZone && reason != RouteReason::SpillToRegion;
+        if is_held_or_far {
+            return reason;
+        }
+        let tier = self.loads.get(node).map(|load| load.tier);
+        match tier {
+            _ if *node == self.home.node => RouteReason::OwnNode,
+            Some(PlaceTier::OwnZone) => RouteReason::OwnZone,
+            _ => reason,
+        }
+    }
+}
+
+/// Means of a service before its first answer.
+const FIRST_MEANS: ServiceMeans = ServiceMeans {
+    latency_us: FIRST_LATENCY_US,
+    others: 0.0,
+};
+
+fn count_nodes(table: &RoutingTable) -> usize {
+    let services = table.services.values();
+    let nodes: BTreeSet<_> = services.flat_map(|entry| entry.upstreams.keys()).collect();
+    nodes.len()
+}
--- /dev/null
+++ b/src/routing/subset.rs
@@ -0,0 +1,91 @@
+//! Deterministic subset of a service's upstreams.
+//!
+//! Rendezvous hashing ranks the upstreams of each tier by a hash of routing
+//! node, service and upstream. Every node ranks differently, so the fleet's
+//! links spread evenly, and an upstream that comes or goes moves only the
+//! links that concern it.
+
+use xxhash_rust::xxh3::Xxh3;
+
+use super::{HomePlace, PlaceTier, RoutingOptions};
+use crate::ids::{NodeId, ServiceName};
+use crate::table::{ServiceEntry, UpstreamEntry, UpstreamState};
+
+/// Members of a service's subset in one tier, best hash first.
+#[derive(Debug, Clone)]
+pub(super) struct TierMembers {
+    pub(super) tier: PlaceTier,
+    pub(super) nodes: Vec<NodeId>,
+}
+
+/// Distance from `home` to an upstream.
+pub(super) fn tier_of(home: &HomePlace, entry: &UpstreamEntry) -> PlaceTier {
+    if entry.region != home.region {
+        PlaceTier::OtherRegion
+    } else if entry.zone != home.zone {
+        PlaceTier::OwnRegion
+    } else {
+        PlaceTier::OwnZone
+    }
+}
+
+fn rank(home: &HomePlace, service: &ServiceName, node: &NodeId) -> u64 {
+    let mut hasher = Xxh3::new();
+    for part in [home.node.as_str(), service.as_str(), node.as_str()] {
+        hasher.update(part.as_bytes());
+        hasher.update(&[0]);
+    }
+    hasher.digest()
+}
+
+/// Picks the members of each tier, nearest tier first.
+///
+/// Suspected upstreams stand in only where a tier has no others: when regions
+/// lose each other, suspicion alone must not empty a subset.
+pub(super) fn pick_members(
+    home: &HomePlace,
+    options: &RoutingOptions,
+    service: &ServiceName,
+    entry: &ServiceEntry,
+) -> Vec<TierMembers> {
+    let limits = [
+        (PlaceTier::OwnZone, options.own_zone_links),
+        (PlaceTier::OwnRegion, options.own_region_links),
+        (PlaceTier::OtherRegion, options.other_region_links),
+    ];
+    limits
+        .into_iter()
+        .map(|(tier, limit)| TierMembers {
+            tier,
+            nodes: pick_tier(home, tier, limit, service, entry),
+        })
+        .collect()
+}
+
+fn pick_tier(
+    home: &HomePlace,
+    tier: PlaceTier,
+    limit: usize,
+    service: &ServiceName,
+    entry: &ServiceEntry,
+) -> Vec<NodeId> {
+    let mut ranked: Vec<_> = entry
+        .upstreams
+        .values()
+        .filter(|upstream| upstream.state == UpstreamState::Ready)
+        .filter(|upstream| tier_of(home, upstream) == tier)
+        .map(|upstream| {
+            let is_other = upstream.node != home.node;
+            let rank = rank(home, service, &upstream.node);
+            (upstream.is_suspect, is_other, rank, &upstream.node)
+        })
+        .collect();
+    ranked.sort();
+    let has_unsuspected = ranked.first().is_some_and(|first| !first.0);
+    ranked
+        .into_iter()
+        .filter(|(is_suspect, ..)| !(has_unsuspected && *is_suspect))
+        .take(limit)
+        .map(|(.., node)| node.clone())
+        .collect()
+}
