--- a/src/backend.rs
+++ b/src/backend.rs
@@ -92,7 +92,7 @@
             .keep_alive(IDLE_LIMIT)
             .lifetime(AGE_LIMIT);
         let client = Client::builder()
-            .connector(connector)
+            .connector::<()>(connector)
             .disable_timeout()
             .disable_redirects()
             .no_default_headers()
@@ -136,7 +136,7 @@
         request
             .send_body(request_body(open, body))
             .await
-            .map_err(classify_error)
+            .map_err(|error| classify_error(&error))
     }
 }
 
@@ -168,9 +168,9 @@
     }
 }
 
-fn classify_error(error: ClientError) -> BackendError {
+fn classify_error(error: &ClientError) -> BackendError {
     let reason = error.to_string();
-    if is_connect_error(&error) {
+    if is_connect_error(error) {
         BackendError::Unreachable { reason }
     } else {
         BackendError::Failed { reason }
--- /dev/null
+++ b/src/control/peers.rs
@@ -0,0 +1,80 @@
+//! Accepts connections of other nodes.
+
+use std::io;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use futures_util::{SinkExt, StreamExt};
+use prost::Message;
+use tokio::net::{TcpListener, TcpStream};
+
+use crate::control::state::ControlState;
+use crate::exchange::{
+    ControlReply, ControlRequest, ControlTopic, PeerFramed, PeerHello, frame_stream,
+};
+use crate::gate::GateCommand;
+
+/// Time limit for a peer's first frames.
+const HELLO_TIMEOUT: Duration = Duration::from_secs(2);
+/// Pause after the listener failed, for instance for want of descriptors.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(100);
+
+/// Accepts peer connections until the process ends.
+pub async fn accept_peers(control: Rc<ControlState>, listener: TcpListener) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                let control = Rc::clone(&control);
+                ntex::rt::spawn(async move {
+                    let serving = serve_peer(&control, stream);
+                    let served = tokio::time::timeout(HELLO_TIMEOUT, serving).await;
+                    if let Ok(Err(error)) = served {
+                        log::debug!(target: "control", "peer connection failed: {error}");
+                    }
+                });
+            }
+            Err(error) => {
+                log::warn!(target: "control", "peer listener failed: {error}");
+                tokio::time::sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
+
+async fn serve_peer(control: &ControlState, stream: TcpStream) -> io::Result<()> {
+    stream.set_nodelay(true)?;
+    let mut framed = frame_stream(stream);
+    let hello = PeerHello::decode(next_frame(&mut framed).await?).map_err(io::Error::other)?;
+    if hello.is_call_link {
+        return pass_link(control, framed);
+    }
+    let frame = next_frame(&mut framed).await?;
+    let request = ControlRequest::decode(frame).map_err(io::Error::other)?;
+    let payload = match request.topic() {
+        ControlTopic::Membership => control.membership.handle_sync(&request.payload),
+        ControlTopic::Tickets => control.config.handle_fetch(request.payload),
+    };
+    let reply = ControlReply { payload };
+    framed.send(Bytes::from(reply.encode_to_vec())).await
+}
+
+async fn next_frame(framed: &mut PeerFramed) -> io::Result<bytes::BytesMut> {
+    framed
+        .next()
+        .await
+        .ok_or(io::ErrorKind::UnexpectedEof)?
+}
+
+/// Hands a call link to the gate's thread, with what was read beyond the hello.
+fn pass_link(control: &ControlState, framed: PeerFramed) -> io::Result<()> {
+    let parts = framed.into_parts();
+    let command = GateCommand::AcceptLink {
+        stream: parts.io.into_std()?,
+        buffered: parts.read_buf,
+    };
+    control
+        .gate
+        .send(command)
+        .map_err(|_| io::ErrorKind::BrokenPipe.into())
+}
--- /dev/null
+++ b/src/control/placement.rs
@@ -0,0 +1,91 @@
+//! Builds the routing table out of members and rules in force.
+
+use std::collections::BTreeMap;
+
+use crate::ids::{NodeId, ServiceName};
+use crate::membership::{MemberRecord, MemberState};
+use crate::table::{RoutingTable, ServiceEntry, UpstreamEntry, UpstreamState};
+use crate::tickets::TicketState;
+
+/// Table for the given members and configuration.
+pub fn build_table(
+    version: u64,
+    members: &BTreeMap<NodeId, MemberRecord>,
+    tickets: &TicketState,
+) -> RoutingTable {
+    let mut services: BTreeMap<ServiceName, ServiceEntry> = tickets
+        .rules_in_force()
+        .iter()
+        .map(|(name, (ticket, rule))| {
+            let entry = ServiceEntry {
+                ticket: *ticket,
+                rule: rule.clone(),
+                upstreams: BTreeMap::new(),
+            };
+            (name.clone(), entry)
+        })
+        .collect();
+    for member in members.values().filter(|member| member.is_live()) {
+        let Some(backend) = &member.backend else {
+            continue;
+        };
+        if let Some(service) = services.get_mut(&backend.service) {
+            let upstream = upstream_entry(member, backend.state, backend.slots);
+            service.upstreams.insert(member.node.clone(), upstream);
+        }
+    }
+    RoutingTable { version, services }
+}
+
+fn upstream_entry(
+    member: &MemberRecord,
+    announced: UpstreamState,
+    slots: crate::ids::SlotCount,
+) -> UpstreamEntry {
+    let state = match member.state() {
+        MemberState::Leaving => UpstreamState::Draining,
+        MemberState::Dead => UpstreamState::Gone,
+        MemberState::Alive | MemberState::Suspect => announced,
+    };
+    UpstreamEntry {
+        node: member.node.clone(),
+        incarnation: member.incarnation,
+        region: member.region.clone(),
+        zone: member.zone.clone(),
+        peer_address: member.peer_address,
+        slots,
+        state,
+        is_suspect: member.state() == MemberState::Suspect,
+    }
+}
+
+/// Logs each upstream that a new table adds, drops or changes.
+pub fn log_changes(old: &RoutingTable, new: &RoutingTable) {
+    for (service, entry) in &new.services {
+        let before = old.services.get(service).map(|entry| &entry.upstreams);
+        for (node, upstream) in &entry.upstreams {
+            if before.and_then(|before| before.get(node)) != Some(upstream) {
+                log::info!(
+                    target: "placement",
+                    service:%, upstream:% = node,
+                    state:? = upstream.state,
+                    suspect:? = upstream.is_suspect,
+                    table = new.version;
+                    "upstream placed"
+                );
+            }
+        }
+    }
+    for (service, entry) in &old.services {
+        let after = new.services.get(service).map(|entry| &entry.upstreams);
+        for node in entry.upstreams.keys() {
+            if after.is_none_or(|after| !after.contains_key(node)) {
+                log::info!(
+                    target: "placement",
+                    service:%, upstream:% = node, table = new.version;
+                    "upstream dropped"
+                );
+            }
+        }
+    }
+}
--- a/src/gate.rs
+++ b/src/gate.rs
@@ -32,8 +32,8 @@
 };
 use crate::link::endpoint::{LinkReceiver, LinkSender, lane_pair, read_frame, write_frames};
 use crate::link::messages::{
-    AnswerHead, BodyChunk, CallAbort, CallName, CallOpen, CallRefusal, CallResume, CancelReply, LinkHello, LinkMessage,
-    LinkPing, LinkWelcome, LoadStamp, ResumeReply, ResumeState,
+    AnswerHead, BodyChunk, CallAbort, CallName, CallOpen, CallRefusal, CallResume, CancelReply,
+    LinkHello, LinkMessage, LinkPing, LinkWelcome, LoadStamp, ResumeReply, ResumeState,
 };
 
 /// Interval at which lapsed entries of the ledger are removed.
@@ -348,7 +348,7 @@
             .borrow_mut()
             .open(self.now(), id, open.is_idempotent);
         if outcome != OpenOutcome::Fresh {
-            log::info!(target: "gate", "call {id}: original not let in: {outcome:?}");
+            log::info!(target: "admission", call:% = id, outcome:?; "original not let in");
             answer_barred(open.sequence, outcome, link);
             return;
         }
@@ -527,11 +527,13 @@
 fn log_admission(id: CallId, open: &CallOpen, decision: &Admission, load: LoadStamp) {
     log::info!(
         target: "admission",
-        "call {id} service {} {decision:?} in_flight {} queued {} limit {}",
-        open.service,
-        load.in_flight,
-        load.queued,
-        load.limit,
+        call:% = id,
+        service = open.service.as_str(),
+        decision:?,
+        in_flight = load.in_flight,
+        queued = load.queued,
+        limit = load.limit;
+        "call offered"
     );
 }
 
@@ -568,9 +570,7 @@
     let welcome = LinkWelcome {
         incarnation: gate.incarnation.get(),
     };
-    framed
-        .send(Bytes::from(welcome.encode_to_vec()))
-        .await?;
+    framed.send(Bytes::from(welcome.encode_to_vec())).await?;
     let result = serve_frames(&gate, &hello, framed, &closed).await;
     gate.disown_link(&hello);
     result
--- a/src/gate/answer.rs
+++ b/src/gate/answer.rs
@@ -155,7 +155,9 @@
         let Some(chunks) = resent else {
             return;
         };
-        if !resume.has_head && let Some(head) = &self.head {
+        if !resume.has_head
+            && let Some(head) = &self.head
+        {
             self.link.send(LinkMessage::Answer(AnswerHead {
                 is_last: false,
                 ..head.clone()
--- a/src/gate/call.rs
+++ b/src/gate/call.rs
@@ -290,14 +290,16 @@
         tokio::pin!(head);
         let response = match self.step(async { WorkStep::Head(head.await) }).await? {
             WorkStep::Head(Ok(response)) => response,
-            WorkStep::Head(Err(error)) => return Err(WorkEnd::Failed(self.backend_failure(&error))),
+            WorkStep::Head(Err(error)) => {
+                return Err(WorkEnd::Failed(self.backend_failure(&error)));
+            }
             WorkStep::Body(_) => return Err(WorkEnd::Failed(ErrorKind::Internal)),
         };
         self.relay_answer(&response).await
     }
 
     fn backend_failure(&self, error: &BackendError) -> ErrorKind {
-        log::warn!(target: "gate", "call {}: {error}", self.id);
+        log::warn!(target: "gate", call:% = self.id; "{error}");
         match error {
             BackendError::Unreachable { .. } => ErrorKind::BackendUnreachable,
             BackendError::Failed { .. } => ErrorKind::BackendFailed,
@@ -305,10 +307,7 @@
     }
 
     /// Waits for one step of the work while serving the link and the deadline.
-    async fn step(
-        &mut self,
-        work: impl Future<Output = WorkStep>,
-    ) -> Result<WorkStep, WorkEnd> {
+    async fn step(&mut self, work: impl Future<Output = WorkStep>) -> Result<WorkStep, WorkEnd> {
         tokio::pin!(work);
         loop {
             tokio::select! {
@@ -384,10 +383,7 @@
         }
     }
 
-    async fn next_chunk(
-        &mut self,
-        payload: &mut Payload,
-    ) -> Result<Option<Bytes>, WorkEnd> {
+    async fn next_chunk(&mut self, payload: &mut Payload) -> Result<Option<Bytes>, WorkEnd> {
         let next = async {
             let chunk = payload.recv().await;
             WorkStep::Body(chunk.map(|chunk| {
--- a/src/ingress.rs
+++ b/src/ingress.rs
@@ -22,11 +22,11 @@
 use tokio::sync::mpsc::UnboundedReceiver;
 use tokio::sync::watch;
 
+use crate::admission::ShareTable;
 use crate::ids::{NodeId, NodeIncarnation};
 use crate::ingress::answer::{failure_response, success_response};
 use crate::ingress::call::CallDriver;
 use crate::ingress::request::RequestFacts;
-use crate::admission::ShareTable;
 use crate::link::pool::{LinkPool, UpstreamNotice};
 use crate::retry::RetryPolicy;
 use crate::routing::{LoadReport, RouterState};
--- a/src/ingress/answer.rs
+++ b/src/ingress/answer.rs
@@ -147,16 +147,19 @@
     first: bytes::Bytes,
     rest: AnswerReceiver,
     guard: InFlightGuard,
-) -> std::pin::Pin<Box<dyn stream::Stream<Item = Result<ntex::util::Bytes, Rc<dyn Error>>>>> {
+) -> impl stream::Stream<Item = Result<ntex::util::Bytes, Rc<dyn Error>>> + Unpin {
     let start = (Some(first), rest, guard);
-    Box::pin(stream::unfold(start, |(first, mut rest, guard)| async move {
-        let chunk = match first {
-            Some(first) if !first.is_empty() => Ok(first),
-            _ => rest.recv().await?,
-        };
-        let chunk = chunk
-            .map(|data| ntex::util::Bytes::copy_from_slice(&data))
-            .map_err(|cut| Rc::new(cut) as Rc<dyn Error>);
-        Some((chunk, (None, rest, guard)))
-    }))
+    Box::pin(stream::unfold(
+        start,
+        |(first, mut rest, guard)| async move {
+            let chunk = match first {
+                Some(first) if !first.is_empty() => Ok(first),
+                _ => rest.recv().await?,
+            };
+            let chunk = chunk
+                .map(|data| ntex::util::Bytes::copy_from_slice(&data))
+                .map_err(|cut| Rc::new(cut) as Rc<dyn Error>);
+            Some((chunk, (None, rest, guard)))
+        },
+    ))
 }
--- a/src/ingress/attempt.rs
+++ b/src/ingress/attempt.rs
@@ -13,6 +13,7 @@
 use tokio::time::Instant;
 
 use crate::error::ErrorKind;
+use crate::ids::ServiceName;
 use crate::ids::{CallId, NodeIncarnation};
 use crate::ingress::answer::{AnswerCut, AnswerReceiver};
 use crate::ingress::body::RequestBody;
@@ -25,7 +26,6 @@
 use crate::link::window::{FIRST_WINDOW_BYTES, ReceiveWindow, SendWindow};
 use crate::retry::AttemptFailure;
 use crate::routing::{AttemptNumber, AttemptResult};
-use crate::ids::ServiceName;
 
 /// Chunks of an answer that wait for the caller's connection.
 const ANSWER_QUEUE_CHUNKS: usize = 8;
@@ -115,7 +115,7 @@
         let link = match worker.pool.link(&plan.target).await {
             Ok(link) => link,
             Err(error) => {
-                log::warn!(target: "link", "no link to {}: {error}", plan.target.node);
+                log::warn!(target: "link", call:% = plan.id, gate:% = plan.target.node; "no link: {error}");
                 let kind = ErrorKind::LinkLost;
                 settle(&worker, &plan, AttemptResult::Failed(kind));
                 return Err(AttemptEnd::not_run(kind));
@@ -326,7 +326,7 @@
         if link.incarnation() != self.gate {
             return Err(AttemptEnd::unknown(ErrorKind::GateRestarted));
         }
-        log::info!(target: "link", "call {}: resumed on a new link", self.plan.id);
+        log::info!(target: "link", call:% = self.plan.id; "resumed on a new link");
         self.events = link.attach(self.sequence());
         self.link = link;
         self.link.send(LinkMessage::Resume(CallResume {
@@ -369,10 +369,7 @@
         receiver
     }
 
-    async fn relay(
-        &mut self,
-        sender: &Sender<Result<Bytes, AnswerCut>>,
-    ) -> Result<(), ErrorKind> {
+    async fn relay(&mut self, sender: &Sender<Result<Bytes, AnswerCut>>) -> Result<(), ErrorKind> {
         self.credit_answer();
         while !self.incoming.is_ended() {
             let event = tokio::select! {
--- a/src/ingress/body.rs
+++ b/src/ingress/body.rs
@@ -6,6 +6,9 @@
 use crate::error::ErrorKind;
 use crate::link::window::{CHUNK_BYTES, FIRST_WINDOW_BYTES};
 
+/// Bytes of a body that are kept for another attempt.
+const FIRST_BYTES: usize = FIRST_WINDOW_BYTES as usize;
+
 /// Request body as it comes in.
 ///
 /// What was read before the first attempt is kept, so that a refused call can
@@ -13,10 +16,10 @@
 /// more of the body come only once it has started the call.
 pub struct RequestBody {
     payload: Payload,
-    first: Bytes,
-    is_first_all: bool,
+    first: BytesMut,
     rest: Bytes,
     is_ended: bool,
+    is_overrun: bool,
     received: u64,
     limit: u64,
 }
@@ -35,36 +38,38 @@
     ) -> Result<Self, ErrorKind> {
         let mut body = Self {
             payload,
-            first: Bytes::new(),
-            is_first_all: false,
+            first: BytesMut::new(),
             rest: Bytes::new(),
             is_ended: false,
+            is_overrun: false,
             received: 0,
             limit,
         };
         let wanted = stated.unwrap_or(FIRST_WINDOW_BYTES).min(FIRST_WINDOW_BYTES);
-        let mut first = BytesMut::new();
         let is_short = stated.is_some_and(|length| length <= FIRST_WINDOW_BYTES);
-        while !body.is_ended && (is_short || (first.len() as u64) < wanted) {
+        while !body.is_ended && (is_short || (body.first.len() as u64) < wanted) {
             if let Some(data) = body.read().await? {
-                first.extend_from_slice(&data);
+                body.first.extend_from_slice(&data);
             }
-            if !is_short && stated.is_none() && !first.is_empty() {
+            if stated.is_none() && !body.first.is_empty() {
                 // A body of unstated length may pause; what is here goes out.
                 break;
             }
         }
-        let mut first = first.freeze();
-        let cut = first.len().min(CHUNK_BYTES * 2);
-        body.rest = first.split_off(cut);
-        body.first = first;
-        body.is_first_all = body.is_ended && body.rest.is_empty();
+        let cut = body.first.len().min(FIRST_BYTES);
+        body.rest = body.first.split_off(cut).freeze();
         Ok(body)
     }
 
     /// Bytes for the start of an attempt, and whether the body ends with them.
     pub fn first(&self) -> (Bytes, bool) {
-        (self.first.clone(), self.is_first_all)
+        let is_all = self.is_ended && self.rest.is_empty() && !self.is_overrun;
+        (Bytes::copy_from_slice(&self.first), is_all)
+    }
+
+    /// Whether another attempt can still send the body from its start.
+    pub fn is_replayable(&self) -> bool {
+        !self.is_overrun
     }
 
     /// More of the body, at most `room` bytes; `None` at its end.
@@ -82,7 +87,18 @@
             }
         }
         let length = self.rest.len().min(room).min(CHUNK_BYTES);
-        Ok(Some(self.rest.split_to(length)))
+        let data = self.rest.split_to(length);
+        self.keep(&data);
+        Ok(Some(data))
+    }
+
+    fn keep(&mut self, data: &Bytes) {
+        let has_room = self.first.len() + data.len() <= FIRST_BYTES;
+        if has_room && !self.is_overrun {
+            self.first.extend_from_slice(data);
+        } else {
+            self.is_overrun = true;
+        }
     }
 
     async fn read(&mut self) -> Result<Option<Bytes>, ErrorKind> {
--- a/src/ingress/call.rs
+++ b/src/ingress/call.rs
@@ -71,7 +71,7 @@
                 Err(end) => end,
             };
             self.may_have_run |= matches!(end.failure, AttemptFailure::Unknown(_));
-            self.decide(end)?;
+            self.decide(end, body.is_replayable())?;
         }
     }
 
@@ -164,18 +164,20 @@
     }
 
     fn log_choice(&self, choice: &Result<RouteChoice, ErrorKind>) {
-        let (id, service, attempt) = (self.id, &self.facts.service, self.attempts);
+        let (call, service, attempt) = (self.id, &self.facts.service, self.attempts);
         match choice {
             Ok(choice) => log::info!(
                 target: "routing",
-                "call {id} service {service} attempt {attempt} chose {} because {} out of {:?}",
-                choice.node,
-                choice.reason,
-                choice.candidates,
+                call:%, service:%, attempt,
+                chosen:% = choice.node,
+                reason:% = choice.reason,
+                candidates:? = choice.candidates;
+                "upstream chosen"
             ),
             Err(kind) => log::info!(
                 target: "routing",
-                "call {id} service {service} attempt {attempt} found none: {kind}",
+                call:%, service:%, attempt, reason:% = kind;
+                "no upstream chosen"
             ),
         }
     }
@@ -203,12 +205,17 @@
     }
 
     /// Returns to try again, or fails with what the caller is told.
-    fn decide(&mut self, end: AttemptEnd) -> Result<(), CallFailure> {
+    fn decide(&mut self, end: AttemptEnd, is_replayable: bool) -> Result<(), CallFailure> {
+        let attempts_limit = if is_replayable {
+            self.facts.attempts_limit
+        } else {
+            self.attempts
+        };
         let facts = CallFacts {
             is_idempotent: self.facts.is_idempotent,
             may_have_run: self.may_have_run,
             attempt: self.attempts,
-            attempts_limit: self.facts.attempts_limit,
+            attempts_limit,
             time_left: self.time_left(),
         };
         let mut retries = lock(&self.worker.shared.retries);
@@ -216,11 +223,12 @@
         drop(retries);
         log::info!(
             target: "retry",
-            "call {} service {} attempt {} failed {:?}: {decision:?}",
-            self.id,
-            self.facts.service,
-            self.attempts,
-            end.failure,
+            call:% = self.id,
+            service:% = self.facts.service,
+            attempt = self.attempts,
+            failure:? = end.failure,
+            decision:?;
+            "attempt failed"
         );
         match decision {
             RetryDecision::Retry => Ok(()),
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod link;
 pub mod logs;
 pub mod membership;
+pub mod metrics;
 pub mod node;
 pub mod options;
 pub mod replay;
--- a/src/link/pool.rs
+++ b/src/link/pool.rs
@@ -285,11 +285,7 @@
             to_gate,
             Rc::clone(&self.has_work),
         ));
-        ntex::rt::spawn(run_local(
-            Rc::clone(&link),
-            receiver,
-            self.notices.clone(),
-        ));
+        ntex::rt::spawn(run_local(Rc::clone(&link), receiver, self.notices.clone()));
         link
     }
 
@@ -306,14 +302,9 @@
             incarnation: hello.incarnation,
             is_call_link: true,
         };
-        framed
-            .feed(Bytes::from(peer_hello.encode_to_vec()))
-            .await?;
+        framed.feed(Bytes::from(peer_hello.encode_to_vec())).await?;
         framed.send(Bytes::from(hello.encode_to_vec())).await?;
-        let frame = framed
-            .next()
-            .await
-            .ok_or(io::ErrorKind::UnexpectedEof)??;
+        let frame = framed.next().await.ok_or(io::ErrorKind::UnexpectedEof)??;
         let welcome = LinkWelcome::decode(frame).map_err(io::Error::other)?;
         let incarnation = NodeIncarnation::try_from(welcome.incarnation)
             .map_err(|_| io::Error::from(io::ErrorKind::InvalidData))?;
@@ -334,11 +325,7 @@
             sender,
             Rc::clone(&self.has_work),
         ));
-        ntex::rt::spawn(run_remote(
-            Rc::clone(&link),
-            stream,
-            self.notices.clone(),
-        ));
+        ntex::rt::spawn(run_remote(Rc::clone(&link), stream, self.notices.clone()));
         let writer = Rc::clone(&link);
         ntex::rt::spawn(async move {
             tokio::select! {
@@ -432,7 +419,10 @@
         let now = Instant::now();
         let links: Vec<Rc<CallLink>> = {
             let slots = pool.slots.borrow();
-            slots.values().filter_map(|slot| open_link_of(slot)).collect()
+            slots
+                .values()
+                .filter_map(|slot| open_link_of(slot))
+                .collect()
         };
         let mut is_busy = false;
         for link in links {
--- /dev/null
+++ b/src/link/tests.rs
@@ -0,0 +1,2 @@
+use super::window::*;
+use bytes::Bytes;
--- a/src/routing/router.rs
+++ b/src/routing/router.rs
@@ -129,6 +129,13 @@
         }
     }
 
+    /// Takes in a gate's word that it takes no new work.
+    pub fn on_leaving(&mut self, now: Duration, node: &NodeId) {
+        if let Some(load) = self.loads.get_mut(node) {
+            load.on_leaving(now);
+        }
+    }
+
     /// Ends an attempt; a second call for the same attempt has no effect.
     pub fn on_finished(
         &mut self,
--- a/src/routing/upstream.rs
+++ b/src/routing/upstream.rs
@@ -177,12 +177,15 @@
         self.latency = Some((now, mean_us + weight * (sample_us - mean_us)));
     }
 
+    /// Takes note that the gate said it takes no new work.
+    pub(super) fn on_leaving(&mut self, now: Duration) {
+        self.is_draining = true;
+        self.held_until = now + DRAIN_HOLD;
+    }
+
     fn on_setback(&mut self, now: Duration, kind: ErrorKind, options: &RoutingOptions) {
         match kind {
-            ErrorKind::Draining => {
-                self.is_draining = true;
-                self.held_until = now + DRAIN_HOLD;
-            }
+            ErrorKind::Draining => self.on_leaving(now),
             ErrorKind::Overloaded | ErrorKind::WaitTooLong | ErrorKind::ShareExceeded => {
                 self.held_until = self.held_until.max(now + REFUSAL_HOLD);
             }
--- a/src/store.rs
+++ b/src/store.rs
@@ -6,6 +6,7 @@
 //! after its caller stopped waiting. Callers settle an unknown effect by
 //! reading and by a further compare-and-swap, never by guessing.
 
+pub mod absent;
 pub mod consul;
 pub mod memory;
 pub mod seeds;
