Add the stand-in for a backend server

Cause: the path, the demo and the failure tests need a backend server that announces itself, counts runs by request id and fails on demand.

Change: `standin-backend`, an echo server with service time, slots with a queue, nested calls through its node's ingress, faults by PUT /standin/faults, and a drain on SIGTERM. A run is counted when the body is whole and a slot is taken; a request dropped by its caller is counted as cancelled. With it comes `AdminClient`, which `currantlift-ctl` will use as well.

Found on the way: when a streamed response body yields an error, ntex 3.12 writes an error response of its own behind the bytes sent so far. With a stated length the caller then reads the length it was promised, filled up with the start of that response ("heHTT" for "hello"), and takes it for whole. The stand-in therefore closes the connection (`HttpRequest::io`, `IoRef::close`) and leaves the body pending. The ingress must do the same for answers that are cut short.

Checked by hand with curl: echo, HEAD, chunked, 20 MB echo, cancelled caller, cut with length, cut in chunks (exit 18 of curl), drain with a call at work.

--- a/src/admin.rs
+++ b/src/admin.rs
@@ -4,8 +4,10 @@
 //! control thread, which owns all state and answers each with an
 //! [`AdminReply`]. A request that fails its checks never reaches control.
 
+mod client;
 mod messages;
 
+pub use client::{AdminAnswer, AdminClient, AdminClientError, http_client};
 pub use messages::{
     AdminCall, AdminReply, AdminRequest, BackendAnnouncement, BackendView, FieldError, HealthView,
     MemberView, RefusalReason, ServiceView, StatusView, StoreState, TicketAnswer, TicketView,
--- /dev/null
+++ b/src/bin/standin-backend.rs
@@ -0,0 +1,7 @@
+//! Stand-in for a backend server; see `currantlift::standin::backend`.
+
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    currantlift::standin::backend::main()
+}
--- /dev/null
+++ b/src/standin/backend/announce.rs
@@ -0,0 +1,115 @@
+//! Announcements of the stand-in to its node.
+
+use std::io;
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use ntex::http::Method;
+use tokio::signal::unix::{SignalKind, signal};
+
+use super::options::StandinOptions;
+use super::state::StandinState;
+use crate::admin::{AdminClient, BackendAnnouncement};
+use crate::table::UpstreamState;
+
+/// Time between two announcements.
+const HEARTBEAT_INTERVAL: Duration = Duration::from_secs(1);
+/// Time without any request after which a drain is complete.
+///
+/// The node may have handed over a request just before it heard of the drain.
+const DRAIN_SETTLE_TIME: Duration = Duration::from_millis(500);
+/// Upper bound of a drain.
+const DRAIN_LIMIT: Duration = Duration::from_secs(30);
+/// Time between two looks at the requests at work during a drain.
+const DRAIN_POLL_INTERVAL: Duration = Duration::from_millis(20);
+
+/// Keeps the stand-in announced at its node.
+#[derive(Debug)]
+pub struct Announcer {
+    client: Option<AdminClient>,
+    path: String,
+    announcement: BackendAnnouncement,
+}
+
+impl Announcer {
+    /// Announcer for a stand-in that serves at `address`.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the HTTP client can't be built.
+    pub async fn connect(options: &StandinOptions, address: SocketAddr) -> io::Result<Self> {
+        let client = match options.admin.clone() {
+            Some(admin) => {
+                let client = AdminClient::connect(admin, options.token.clone()).await;
+                Some(client.map_err(io::Error::other)?)
+            }
+            None => None,
+        };
+        Ok(Self {
+            client,
+            path: format!("/v1/backends/{}", options.id),
+            announcement: BackendAnnouncement {
+                service: options.service.clone(),
+                address,
+                slots: options.slots,
+                connections: options.connections,
+                state: UpstreamState::Ready,
+            },
+        })
+    }
+
+    /// Announces until SIGTERM or SIGINT, then drains and withdraws.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the signals can't be listened to.
+    pub async fn run_until_stopped(&mut self, state: &StandinState) -> io::Result<()> {
+        let mut terminate = signal(SignalKind::terminate())?;
+        let mut interrupt = signal(SignalKind::interrupt())?;
+        let mut heartbeat = tokio::time::interval(HEARTBEAT_INTERVAL);
+        loop {
+            tokio::select! {
+                _ = heartbeat.tick() => self.announce().await,
+                _ = terminate.recv() => break,
+                _ = interrupt.recv() => break,
+            }
+        }
+        self.announcement.state = UpstreamState::Draining;
+        self.announce().await;
+        wait_until_idle(state).await;
+        self.send(Method::DELETE, None).await;
+        Ok(())
+    }
+
+    async fn announce(&self) {
+        match serde_json::to_string(&self.announcement) {
+            Ok(body) => self.send(Method::PUT, Some(body)).await,
+            Err(error) => eprintln!("standin-backend: {error}"),
+        }
+    }
+
+    async fn send(&self, method: Method, body: Option<String>) {
+        let Some(client) = &self.client else { return };
+        match client.request(method, &self.path, body).await {
+            Ok(answer) if answer.status == 200 => {}
+            Ok(answer) => eprintln!(
+                "standin-backend: announcement answered {}: {}",
+                answer.status, answer.body
+            ),
+            Err(error) => eprintln!("standin-backend: {error}"),
+        }
+    }
+}
+
+async fn wait_until_idle(state: &StandinState) {
+    let begin = Instant::now();
+    let mut idle_since = begin;
+    while begin.elapsed() < DRAIN_LIMIT {
+        if state.counts().active > 0 {
+            idle_since = Instant::now();
+        } else if idle_since.elapsed() >= DRAIN_SETTLE_TIME {
+            return;
+        }
+        tokio::time::sleep(DRAIN_POLL_INTERVAL).await;
+    }
+}
