Serve the administration API

Cause: operators and backend servers speak JSON over HTTP; control speaks in messages and owns all state.

Change: routes that check a request field by field, pass it to control over a bounded channel and turn the reply into an answer. Bad input gets 400 with the field and the reason and never reaches control; calls other than GET need the bearer token when one is set; bodies end at 1 MB, the largest value that the platform's store takes. A full channel is answered 503 (nothing was changed).

A submission to which control gives no reply within 8 s, or whose reply is dropped, is answered `unknown, ask again with the same number` (504) and not as refused: control may have handed it to the store already.

Ruled out: a permission for `?check=true` without token, since the check tells what is in force.

--- a/src/admin.rs
+++ b/src/admin.rs
@@ -4,8 +4,11 @@
 //! control thread, which owns all state and answers each with an
 //! [`AdminReply`]. A request that fails its checks never reaches control.
 
+mod announcement;
 mod client;
 mod messages;
+mod replies;
+mod routes;
 
 pub use client::{AdminAnswer, AdminClient, AdminClientError, http_client};
 pub use messages::{
@@ -13,3 +16,7 @@
     MemberView, RefusalReason, ServiceView, StatusView, StoreState, TicketAnswer, TicketView,
     UpstreamView,
 };
+pub use routes::{AdminAccess, configure, start_admin_server};
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/src/admin/announcement.rs
@@ -0,0 +1,71 @@
+//! Check of a backend server's announcement, field by field.
+
+use serde::de::DeserializeOwned;
+use serde_json::{Map, Value};
+
+use super::messages::{BackendAnnouncement, FieldError};
+use crate::table::UpstreamState;
+
+/// Announcement as it was sent: any JSON object.
+#[derive(Debug)]
+pub struct RawAnnouncement(Map<String, Value>);
+
+impl RawAnnouncement {
+    /// Reads the JSON object in `text`.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the text is not a JSON object.
+    pub fn parse(text: &str) -> Result<Self, FieldError> {
+        let map = serde_json::from_str(text);
+        map.map(Self)
+            .map_err(|error| field_error("body", format!("expected a JSON object: {error}")))
+    }
+
+    fn take<T: DeserializeOwned>(&mut self, field: &str, allowed: &str) -> Result<T, FieldError> {
+        let value = self
+            .0
+            .remove(field)
+            .ok_or_else(|| field_error(field, format!("missing, expected {allowed}")))?;
+        let rejected = format!("{value} is not allowed, expected {allowed}");
+        serde_json::from_value(value).map_err(|_| field_error(field, rejected))
+    }
+}
+
+fn field_error(field: &str, reason: String) -> FieldError {
+    FieldError {
+        field: field.to_string(),
+        reason,
+    }
+}
+
+impl TryFrom<RawAnnouncement> for BackendAnnouncement {
+    type Error = FieldError;
+
+    fn try_from(mut raw: RawAnnouncement) -> Result<Self, FieldError> {
+        let announcement = Self {
+            service: raw.take("service", "1 to 64 letters, digits, '-', '_' or '.'")?,
+            address: raw.take("address", "IP:PORT")?,
+            slots: raw.take("slots", "a whole number from 1 to 4294967295")?,
+            connections: raw.take("connections", "a whole number from 1 to 4294967295")?,
+            state: raw.take("state", "joining, ready or draining")?,
+        };
+        if announcement.address.port() == 0 || announcement.address.ip().is_unspecified() {
+            let reason = format!(
+                "\"{}\" is not allowed, expected IP:PORT of one host, with a port from 1",
+                announcement.address
+            );
+            return Err(field_error("address", reason));
+        }
+        if announcement.state == UpstreamState::Gone {
+            let reason = "\"gone\" is not allowed, expected joining, ready or draining; \
+                          withdraw with DELETE";
+            return Err(field_error("state", reason.to_string()));
+        }
+        if let Some(field) = raw.0.keys().next() {
+            let reason = "unknown, expected service, address, slots, connections and state";
+            return Err(field_error(field, reason.to_string()));
+        }
+        Ok(announcement)
+    }
+}
--- a/src/admin/messages.rs
+++ b/src/admin/messages.rs
@@ -21,7 +21,7 @@
 pub struct AdminCall {
     /// What is asked.
     pub request: AdminRequest,
-    /// Where the reply goes; dropping it answers the caller with 503.
+    /// Where the reply goes; dropping it answers the caller with 504.
     pub reply: oneshot::Sender<AdminReply>,
 }
 
@@ -74,7 +74,8 @@
 pub enum AdminReply {
     /// Done; nothing to say. Status 200.
     Done,
-    /// Answer to a submission or a check. Status 200, 409 or 503.
+    /// Answer to a submission or a check. Status 200; 409 if refused, 503 if
+    /// refused for want of the store, 504 if unknown.
     Ticket(TicketAnswer),
     /// Content of a ticket. Status 200.
     TicketContent(TicketView),
--- /dev/null
+++ b/src/admin/routes.rs
@@ -0,0 +1,216 @@
+//! Routes of the administration API.
+
+use std::io;
+use std::net::TcpListener;
+use std::str::FromStr;
+use std::time::Duration;
+
+use ntex::http::header::AUTHORIZATION;
+use ntex::server::Server;
+use ntex::util::BytesMut;
+use ntex::web::types::{Payload, State};
+use ntex::web::{self, App, HttpRequest, HttpResponse, HttpServer, ServiceConfig};
+use tokio::sync::{mpsc, oneshot};
+
+use super::announcement::RawAnnouncement;
+use super::messages::{
+    AdminCall, AdminReply, AdminRequest, BackendAnnouncement, FieldError, TicketAnswer,
+};
+use super::replies::{ApiError, reply_response};
+use crate::ids::{BackendId, TicketNumber};
+use crate::options::SecretToken;
+
+/// Largest request body, in bytes; the platform's store takes no larger value.
+const BODY_LIMIT: usize = 1024 * 1024;
+/// Longest wait for control's reply, in which it may wait for the store.
+const REPLY_TIMEOUT: Duration = Duration::from_secs(8);
+/// Start of a bearer token's header value.
+const BEARER_PREFIX: &str = "Bearer ";
+/// Advice after a submission whose result is not known.
+const ASK_AGAIN: &str = "ask again with the same number and content";
+
+/// What the routes need: the way to control, and the token.
+#[derive(Debug, Clone)]
+pub struct AdminAccess {
+    /// Control thread.
+    pub control: mpsc::Sender<AdminCall>,
+    /// Bearer token that calls other than GET need.
+    pub token: Option<SecretToken>,
+}
+
+/// Starts a server for the administration API on one thread of its own.
+///
+/// It has to be called within an ntex system, and leaves signals alone.
+///
+/// # Errors
+///
+/// Fails if the listener can't be used.
+pub fn start_admin_server(listener: TcpListener, access: AdminAccess) -> io::Result<Server> {
+    let server = HttpServer::new(async move || {
+        let access = access.clone();
+        App::new().state(access).configure(configure)
+    });
+    Ok(server.workers(1).disable_signals().listen(listener)?.run())
+}
+
+/// Adds the routes; the app's state has to hold an [`AdminAccess`].
+pub fn configure(config: &mut ServiceConfig) {
+    config
+        .service(
+            web::resource("/v1/backends/{id}")
+                .route(web::put().to(put_backend))
+                .route(web::delete().to(delete_backend)),
+        )
+        .service(
+            web::resource("/v1/tickets/{number}")
+                .route(web::put().to(put_ticket))
+                .route(web::get().to(get_ticket)),
+        )
+        .service(web::resource("/v1/services").route(web::get().to(get_services)))
+        .service(web::resource("/v1/members").route(web::get().to(get_members)))
+        .service(web::resource("/v1/status").route(web::get().to(get_status)))
+        .service(web::resource("/v1/health").route(web::get().to(get_health)))
+        .service(web::resource("/{path}*").to(unknown_path));
+}
+
+async fn put_backend(
+    request: HttpRequest,
+    payload: Payload,
+    access: State<AdminAccess>,
+) -> Result<HttpResponse, ApiError> {
+    check_token(&request, &access)?;
+    let backend = path_value::<BackendId>(&request, "id")?;
+    let body = read_body(payload).await?;
+    let announcement = BackendAnnouncement::try_from(RawAnnouncement::parse(&body)?)?;
+    let message = AdminRequest::AnnounceBackend {
+        backend,
+        announcement,
+    };
+    ask(&access, message).await
+}
+
+async fn delete_backend(
+    request: HttpRequest,
+    access: State<AdminAccess>,
+) -> Result<HttpResponse, ApiError> {
+    check_token(&request, &access)?;
+    let backend = path_value::<BackendId>(&request, "id")?;
+    ask(&access, AdminRequest::WithdrawBackend { backend }).await
+}
+
+async fn put_ticket(
+    request: HttpRequest,
+    payload: Payload,
+    access: State<AdminAccess>,
+) -> Result<HttpResponse, ApiError> {
+    check_token(&request, &access)?;
+    let number = path_value::<TicketNumber>(&request, "number")?;
+    let is_check = check_flag(request.query_string())?;
+    let body = read_body(payload).await?;
+    if is_check {
+        return ask(&access, AdminRequest::CheckTicket { number, body }).await;
+    }
+    ask(&access, AdminRequest::SubmitTicket { number, body }).await
+}
+
+async fn get_ticket(
+    request: HttpRequest,
+    access: State<AdminAccess>,
+) -> Result<HttpResponse, ApiError> {
+    let number = path_value::<TicketNumber>(&request, "number")?;
+    ask(&access, AdminRequest::ShowTicket { number }).await
+}
+
+async fn get_services(access: State<AdminAccess>) -> Result<HttpResponse, ApiError> {
+    ask(&access, AdminRequest::ListServices).await
+}
+
+async fn get_members(access: State<AdminAccess>) -> Result<HttpResponse, ApiError> {
+    ask(&access, AdminRequest::ListMembers).await
+}
+
+async fn get_status(access: State<AdminAccess>) -> Result<HttpResponse, ApiError> {
+    ask(&access, AdminRequest::ShowStatus).await
+}
+
+async fn get_health(access: State<AdminAccess>) -> Result<HttpResponse, ApiError> {
+    ask(&access, AdminRequest::CheckHealth).await
+}
+
+async fn unknown_path() -> Result<HttpResponse, ApiError> {
+    Err(ApiError::UnknownPath)
+}
+
+fn check_token(request: &HttpRequest, access: &AdminAccess) -> Result<(), ApiError> {
+    let Some(token) = &access.token else {
+        return Ok(());
+    };
+    let header = request.headers().get(AUTHORIZATION);
+    let offered = header
+        .and_then(|value| value.to_str().ok())
+        .and_then(|text| text.strip_prefix(BEARER_PREFIX));
+    if offered.is_some_and(|offered| token.matches(offered)) {
+        Ok(())
+    } else {
+        Err(ApiError::BadToken)
+    }
+}
+
+fn path_value<T: FromStr>(request: &HttpRequest, field: &'static str) -> Result<T, FieldError>
+where
+    T::Err: ToString,
+{
+    let text = request.match_info().get(field).unwrap_or_default();
+    text.parse().map_err(|error: T::Err| FieldError {
+        field: field.to_string(),
+        reason: error.to_string(),
+    })
+}
+
+fn check_flag(query: &str) -> Result<bool, FieldError> {
+    match query {
+        "" | "check=false" => Ok(false),
+        "check=true" => Ok(true),
+        other => Err(FieldError {
+            field: "check".to_string(),
+            reason: format!("'{other}' is not allowed, expected check=true or check=false"),
+        }),
+    }
+}
+
+async fn read_body(mut payload: Payload) -> Result<String, ApiError> {
+    let mut body = BytesMut::new();
+    while let Some(chunk) = payload.recv().await {
+        let chunk = chunk.map_err(|error| ApiError::bad_body(&error))?;
+        if body.len() + chunk.len() > BODY_LIMIT {
+            return Err(ApiError::BodyTooLarge);
+        }
+        body.extend_from_slice(&chunk);
+    }
+    String::from_utf8(body.to_vec()).map_err(|error| ApiError::bad_body(&error))
+}
+
+async fn ask(access: &AdminAccess, request: AdminRequest) -> Result<HttpResponse, ApiError> {
+    let submitted = match &request {
+        AdminRequest::SubmitTicket { number, .. } => Some(*number),
+        _ => None,
+    };
+    let (sender, receiver) = oneshot::channel();
+    let call = AdminCall {
+        request,
+        reply: sender,
+    };
+    let sent = access.control.try_send(call);
+    sent.map_err(|_| ApiError::ControlBusy)?;
+    let reply = tokio::time::timeout(REPLY_TIMEOUT, receiver).await;
+    let reply = match (reply, submitted) {
+        (Ok(Ok(reply)), _) => reply,
+        // Control may have passed the ticket on before it went silent.
+        (_, Some(number)) => AdminReply::Ticket(TicketAnswer::Unknown {
+            number,
+            advice: ASK_AGAIN.to_string(),
+        }),
+        (_, None) => return Err(ApiError::NoReply),
+    };
+    Ok(reply_response(reply))
+}
