Add change tickets, the store adapter and the stand-in store

Cause: nodes need one agreed configuration without a coordination service of their own.

Ruled out: the whole configuration in one value, because every change would then move all of it through the store and to every zone; a body in each node's own store entry, because nodes keep nothing.

Change: a ticket's immutable body is created first, then one small head is replaced by compare-and-swap. A lost answer is settled by reading the head and by a further swap. One node per availability zone waits on the head under a lease; the others fetch deltas from peers. The store is one narrow trait with an adapter for Consul's HTTP protocol and a fake in memory; the stand-in store enforces and counts the platform's rates and fails on demand.

--- /dev/null
+++ b/src/standin/store/service.rs
@@ -0,0 +1,203 @@
+//! HTTP routes of the stand-in store.
+
+use std::io;
+use std::net::TcpListener;
+use std::time::Duration;
+
+use base64::Engine;
+use base64::engine::general_purpose::STANDARD;
+use ntex::util::Bytes;
+use ntex::web::types::{Json, Path, PayloadConfig, Query, State};
+use ntex::web::{self, App, HttpResponse, HttpServer};
+use serde::Deserialize;
+use serde_json::json;
+
+use super::StandinOptions;
+use super::faults::StoreFaults;
+use super::rates::CallKind;
+use super::state::{CallRefusal, StandinState, owned_bytes};
+use crate::store::{KeyRevision, MAX_VALUE_BYTES};
+
+/// Wait of a watch that names none.
+const DEFAULT_WAIT: Duration = Duration::from_secs(300);
+/// Time to live of a lease that names none.
+const DEFAULT_TTL: Duration = Duration::from_secs(10);
+/// Room in a request body beside the value, so that one too large is told so.
+const BODY_SLACK: usize = 64 * 1024;
+
+#[derive(Deserialize)]
+struct KeyQuery {
+    cas: Option<u64>,
+    acquire: Option<String>,
+    index: Option<u64>,
+    wait: Option<String>,
+}
+
+#[derive(Deserialize)]
+struct SessionBody {
+    #[serde(rename = "TTL")]
+    ttl: Option<String>,
+}
+
+/// Serves the store on a listener until the process is told to stop.
+///
+/// # Errors
+///
+/// Fails if the listener can't be used.
+pub async fn serve(listener: TcpListener, options: &StandinOptions) -> io::Result<()> {
+    let state = StandinState::new(options);
+    let app = async move || {
+        App::new()
+            .state(state.clone())
+            .state(PayloadConfig::new(MAX_VALUE_BYTES + BODY_SLACK))
+            .route("/v1/kv/{key}*", web::get().to(get_key))
+            .route("/v1/kv/{key}*", web::put().to(put_key))
+            .route("/v1/kv/{key}*", web::delete().to(delete_key))
+            .route("/v1/session/create", web::put().to(create_session))
+            .route("/v1/session/renew/{id}", web::put().to(renew_session))
+            .route("/v1/session/destroy/{id}", web::put().to(destroy_session))
+            .route("/standin/counts", web::get().to(show_counts))
+            .route("/standin/faults", web::put().to(set_faults))
+    };
+    HttpServer::new(app)
+        .workers(1)
+        .listen(listener)?
+        .run()
+        .await
+}
+
+fn refuse(refusal: CallRefusal) -> HttpResponse {
+    match refusal {
+        CallRefusal::Away => HttpResponse::ServiceUnavailable().body("store is away"),
+        CallRefusal::OverRate => HttpResponse::TooManyRequests().body("rate passed"),
+    }
+}
+
+fn flag_answer(flag: Option<bool>) -> HttpResponse {
+    match flag {
+        Some(flag) => HttpResponse::Ok().body(flag.to_string()),
+        None => HttpResponse::InternalServerError().body("answer lost"),
+    }
+}
+
+fn parse_time(text: &str) -> Option<Duration> {
+    humantime::parse_duration(text).ok()
+}
+
+async fn get_key(
+    state: State<StandinState>,
+    key: Path<String>,
+    query: Query<KeyQuery>,
+) -> HttpResponse {
+    let index = query.index.unwrap_or(0);
+    let kind = if index > 0 {
+        CallKind::Watch
+    } else {
+        CallKind::Read
+    };
+    if let Err(refusal) = state.admit(kind).await {
+        return refuse(refusal);
+    }
+    if index > 0 {
+        let wait = query.wait.as_deref().and_then(parse_time);
+        let wait = wait.unwrap_or(DEFAULT_WAIT);
+        if !state.wait_for_change(&key, index, wait).await {
+            return refuse(CallRefusal::Away);
+        }
+    }
+    let present = state.key_index(&key).max(1);
+    let Some(value) = state.with_table(|table, _| table.get(&key)) else {
+        return HttpResponse::NotFound()
+            .header("x-consul-index", present.to_string())
+            .finish();
+    };
+    state.count_read(value.bytes.len());
+    let entry = json!([{
+        "Key": key.as_str(),
+        "Value": STANDARD.encode(&value.bytes),
+        "ModifyIndex": value.revision.0,
+    }]);
+    HttpResponse::Ok()
+        .header("x-consul-index", present.to_string())
+        .json(&entry)
+}
+
+async fn put_key(
+    state: State<StandinState>,
+    key: Path<String>,
+    query: Query<KeyQuery>,
+    body: Bytes,
+) -> HttpResponse {
+    let kind = if query.acquire.is_some() {
+        CallKind::Lease
+    } else {
+        CallKind::Write
+    };
+    if let Err(refusal) = state.admit(kind).await {
+        return refuse(refusal);
+    }
+    if body.len() > MAX_VALUE_BYTES {
+        return HttpResponse::PayloadTooLarge().body("value larger than 1 MiB");
+    }
+    let value = owned_bytes(&body);
+    let key = key.into_inner();
+    if let Some(lease) = &query.acquire {
+        return match state.with_table(|table, _| table.acquire(&key, value, lease)) {
+            Some(flag) => flag_answer(Some(flag)),
+            None => HttpResponse::BadRequest().body("no such session"),
+        };
+    }
+    let expected = query.cas.map(KeyRevision);
+    let size = value.len();
+    flag_answer(state.write(size, move |table| table.put(&key, value, expected)))
+}
+
+async fn delete_key(state: State<StandinState>, key: Path<String>) -> HttpResponse {
+    if let Err(refusal) = state.admit(CallKind::Write).await {
+        return refuse(refusal);
+    }
+    let key = key.into_inner();
+    let removal = move |table: &mut crate::store::memory::MemoryTable| {
+        table.remove(&key);
+        true
+    };
+    flag_answer(state.write(0, removal))
+}
+
+async fn create_session(state: State<StandinState>, body: Json<SessionBody>) -> HttpResponse {
+    if let Err(refusal) = state.admit(CallKind::Lease).await {
+        return refuse(refusal);
+    }
+    let ttl = body.ttl.as_deref().and_then(parse_time);
+    let ttl = ttl.unwrap_or(DEFAULT_TTL);
+    let id = state.with_table(|table, now| table.grant(ttl, now));
+    HttpResponse::Ok().json(&json!({ "ID": id }))
+}
+
+async fn renew_session(state: State<StandinState>, id: Path<String>) -> HttpResponse {
+    if let Err(refusal) = state.admit(CallKind::Lease).await {
+        return refuse(refusal);
+    }
+    if state.with_table(|table, now| table.renew(&id, now)) {
+        HttpResponse::Ok().json(&json!([{ "ID": id.as_str() }]))
+    } else {
+        HttpResponse::NotFound().finish()
+    }
+}
+
+async fn destroy_session(state: State<StandinState>, id: Path<String>) -> HttpResponse {
+    if let Err(refusal) = state.admit(CallKind::Lease).await {
+        return refuse(refusal);
+    }
+    state.with_table(|table, _| table.end(&id));
+    HttpResponse::Ok().body("true")
+}
+
+async fn show_counts(state: State<StandinState>) -> HttpResponse {
+    HttpResponse::Ok().json(&state.counts())
+}
+
+async fn set_faults(state: State<StandinState>, faults: Json<StoreFaults>) -> HttpResponse {
+    state.set_faults(faults.into_inner());
+    HttpResponse::Ok().finish()
+}
--- /dev/null
+++ b/src/store/absent.rs
@@ -0,0 +1,70 @@
+//! Takes the store's place in a node that runs without one.
+
+use std::future::pending;
+use std::time::Duration;
+
+use bytes::Bytes;
+
+use super::{
+    ConfigStore, KeyRevision, LeaseId, StoreError, StoredValue, SwapOutcome, WatchAnswer,
+    WatchPosition,
+};
+
+/// Store that refuses every call; its watches never end.
+#[derive(Debug)]
+pub struct AbsentStore;
+
+fn no_store() -> StoreError {
+    StoreError::NotDone {
+        reason: "no store is set".to_string(),
+    }
+}
+
+impl ConfigStore for AbsentStore {
+    async fn get(&self, _key: &str) -> Result<Option<StoredValue>, StoreError> {
+        Err(no_store())
+    }
+
+    async fn compare_and_swap(
+        &self,
+        _key: &str,
+        _expected: KeyRevision,
+        _value: Bytes,
+    ) -> Result<SwapOutcome, StoreError> {
+        Err(no_store())
+    }
+
+    async fn remove(&self, _key: &str) -> Result<(), StoreError> {
+        Err(no_store())
+    }
+
+    async fn watch(
+        &self,
+        _key: &str,
+        _position: WatchPosition,
+        _limit: Duration,
+    ) -> Result<WatchAnswer, StoreError> {
+        pending().await
+    }
+
+    async fn grant_lease(&self, _ttl: Duration) -> Result<LeaseId, StoreError> {
+        Err(no_store())
+    }
+
+    async fn renew_lease(&self, _lease: &LeaseId) -> Result<bool, StoreError> {
+        Err(no_store())
+    }
+
+    async fn end_lease(&self, _lease: &LeaseId) -> Result<(), StoreError> {
+        Err(no_store())
+    }
+
+    async fn acquire(
+        &self,
+        _key: &str,
+        _value: Bytes,
+        _lease: &LeaseId,
+    ) -> Result<bool, StoreError> {
+        Err(no_store())
+    }
+}
--- /dev/null
+++ b/src/store/memory.rs
@@ -0,0 +1,326 @@
+//! Keys, revisions and leases in memory, for tests and the stand-in store.
+//!
+//! [`MemoryTable`] holds the data and knows no clock: the present time is
+//! passed in. [`MemoryStore`] is a [`ConfigStore`] on top of it whose calls
+//! fail as a script says.
+
+use std::cell::RefCell;
+use std::collections::{BTreeMap, VecDeque};
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+
+use super::{
+    ConfigStore, KeyRevision, LeaseId, StoreError, StoredValue, SwapOutcome, WatchAnswer,
+    WatchPosition,
+};
+
+#[derive(Debug, Clone)]
+struct MemoryEntry {
+    value: StoredValue,
+    lease: Option<String>,
+}
+
+#[derive(Debug, Clone)]
+struct MemoryLease {
+    ttl: Duration,
+    lapses_at: Duration,
+}
+
+/// Keys and leases.
+#[derive(Debug, Default)]
+pub struct MemoryTable {
+    index: u64,
+    entries: BTreeMap<String, MemoryEntry>,
+    leases: BTreeMap<String, MemoryLease>,
+    leases_granted: u64,
+    /// Index of the last removal of any key; reported for absent keys.
+    removal_index: u64,
+}
+
+impl MemoryTable {
+    /// Count of changes so far.
+    pub fn index(&self) -> u64 {
+        self.index
+    }
+
+    /// Present value of a key.
+    pub fn get(&self, key: &str) -> Option<StoredValue> {
+        self.entries.get(key).map(|entry| entry.value.clone())
+    }
+
+    /// Keys that exist.
+    pub fn keys(&self) -> impl Iterator<Item = &String> {
+        self.entries.keys()
+    }
+
+    /// Writes a key, if it has the expected revision where one is given.
+    pub fn put(&mut self, key: &str, value: Bytes, expected: Option<KeyRevision>) -> bool {
+        let present = self.entries.get(key);
+        let revision = present.map_or(KeyRevision::ABSENT, |entry| entry.value.revision);
+        if expected.is_some_and(|expected| expected != revision) {
+            return false;
+        }
+        let lease = present.and_then(|entry| entry.lease.clone());
+        self.write(key, value, lease);
+        true
+    }
+
+    fn write(&mut self, key: &str, bytes: Bytes, lease: Option<String>) {
+        self.index += 1;
+        let revision = KeyRevision(self.index);
+        let value = StoredValue { revision, bytes };
+        let entry = MemoryEntry { value, lease };
+        self.entries.insert(key.to_string(), entry);
+    }
+
+    /// Removes a key.
+    pub fn remove(&mut self, key: &str) {
+        if self.entries.remove(key).is_some() {
+            self.index += 1;
+            self.removal_index = self.index;
+        }
+    }
+
+    /// Index that a watch of an absent key continues from.
+    pub fn removal_index(&self) -> u64 {
+        self.removal_index
+    }
+
+    /// Takes out a lease.
+    pub fn grant(&mut self, ttl: Duration, now: Duration) -> String {
+        self.leases_granted += 1;
+        let lease = format!("lease-{}", self.leases_granted);
+        let lapses_at = now + ttl;
+        self.leases
+            .insert(lease.clone(), MemoryLease { ttl, lapses_at });
+        lease
+    }
+
+    /// Renews a lease; false if there is none.
+    pub fn renew(&mut self, lease: &str, now: Duration) -> bool {
+        let Some(present) = self.leases.get_mut(lease) else {
+            return false;
+        };
+        present.lapses_at = now + present.ttl;
+        true
+    }
+
+    /// Ends a lease and removes its keys.
+    pub fn end(&mut self, lease: &str) {
+        self.leases.remove(lease);
+        let is_held = |entry: &MemoryEntry| entry.lease.as_deref() == Some(lease);
+        let held = self.entries.iter().filter(|(_, entry)| is_held(entry));
+        let held: Vec<String> = held.map(|(key, _)| key.clone()).collect();
+        held.iter().for_each(|key| self.remove(key));
+    }
+
+    /// Ends every lease that has lapsed.
+    pub fn expire(&mut self, now: Duration) {
+        self.end_leases(|lease| lease.lapses_at <= now);
+    }
+
+    /// Ends every lease.
+    pub fn expire_all(&mut self) {
+        self.end_leases(|_| true);
+    }
+
+    fn end_leases(&mut self, is_over: impl Fn(&MemoryLease) -> bool) {
+        let over = self.leases.iter().filter(|(_, lease)| is_over(lease));
+        let over: Vec<String> = over.map(|(id, _)| id.clone()).collect();
+        over.iter().for_each(|id| self.end(id));
+    }
+
+    /// Writes a key under a lease; `None` if the lease doesn't exist.
+    pub fn acquire(&mut self, key: &str, value: Bytes, lease: &str) -> Option<bool> {
+        self.leases.get(lease)?;
+        let holder = self.entries.get(key).and_then(|entry| entry.lease.clone());
+        if holder.is_some_and(|holder| holder != lease) {
+            return Some(false);
+        }
+        self.write(key, value, Some(lease.to_string()));
+        Some(true)
+    }
+}
+
+/// Fate of one call to a [`MemoryStore`].
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum CallFate {
+    /// Takes effect and is answered.
+    Answered,
+    /// Has no effect, and the caller knows it.
+    Failed,
+    /// Has no effect, and the caller doesn't know it.
+    Dropped,
+    /// Takes effect, and the caller doesn't know it.
+    AnswerLost,
+    /// Takes effect later, after its caller got an error.
+    Delayed,
+}
+
+#[derive(Debug)]
+struct DelayedWrite {
+    key: String,
+    value: Bytes,
+    expected: KeyRevision,
+}
+
+#[derive(Debug, Default)]
+struct MemoryInner {
+    table: MemoryTable,
+    fates: VecDeque<CallFate>,
+    delayed: Vec<DelayedWrite>,
+}
+
+/// Store whose calls fail as a script says.
+#[derive(Debug, Clone, Default)]
+pub struct MemoryStore(Rc<RefCell<MemoryInner>>);
+
+impl MemoryStore {
+    /// Makes a store; calls beyond the script are answered.
+    pub fn new(fates: impl IntoIterator<Item = CallFate>) -> Self {
+        let inner = MemoryInner {
+            fates: fates.into_iter().collect(),
+            ..MemoryInner::default()
+        };
+        Self(Rc::new(RefCell::new(inner)))
+    }
+
+    /// Lets the oldest delayed write land now.
+    pub fn land_delayed(&self) {
+        let mut inner = self.0.borrow_mut();
+        if inner.delayed.is_empty() {
+            return;
+        }
+        let write = inner.delayed.remove(0);
+        inner
+            .table
+            .put(&write.key, write.value, Some(write.expected));
+    }
+
+    /// Present value of a key, past all faults.
+    pub fn peek(&self, key: &str) -> Option<Bytes> {
+        let inner = self.0.borrow();
+        inner.table.get(key).map(|value| value.bytes)
+    }
+
+    /// Count of keys, past all faults.
+    pub fn key_count(&self) -> usize {
+        self.0.borrow().table.keys().count()
+    }
+
+    async fn next_fate(&self) -> CallFate {
+        tokio::task::yield_now().await;
+        let mut inner = self.0.borrow_mut();
+        inner.fates.pop_front().unwrap_or(CallFate::Answered)
+    }
+
+    /// Runs a call that only reads or concerns leases.
+    async fn run<T>(&self, call: impl FnOnce(&mut MemoryTable) -> T) -> Result<T, StoreError> {
+        let fate = self.next_fate().await;
+        self.run_as(fate, call).await
+    }
+
+    async fn run_as<T>(
+        &self,
+        fate: CallFate,
+        call: impl FnOnce(&mut MemoryTable) -> T,
+    ) -> Result<T, StoreError> {
+        match fate {
+            CallFate::Answered => {}
+            CallFate::Failed => return Err(failed()),
+            CallFate::Dropped | CallFate::Delayed => return Err(lost()),
+            CallFate::AnswerLost => {
+                call(&mut self.0.borrow_mut().table);
+                return Err(lost());
+            }
+        }
+        let answer = call(&mut self.0.borrow_mut().table);
+        tokio::task::yield_now().await;
+        Ok(answer)
+    }
+}
+
+fn failed() -> StoreError {
+    StoreError::NotDone {
+        reason: "scripted failure".to_string(),
+    }
+}
+
+fn lost() -> StoreError {
+    StoreError::Unknown {
+        reason: "scripted loss".to_string(),
+    }
+}
+
+fn swap_outcome(is_written: bool) -> SwapOutcome {
+    if is_written {
+        SwapOutcome::Swapped
+    } else {
+        SwapOutcome::Mismatch
+    }
+}
+
+impl ConfigStore for MemoryStore {
+    async fn get(&self, key: &str) -> Result<Option<StoredValue>, StoreError> {
+        self.run(|table| table.get(key)).await
+    }
+
+    async fn compare_and_swap(
+        &self,
+        key: &str,
+        expected: KeyRevision,
+        value: Bytes,
+    ) -> Result<SwapOutcome, StoreError> {
+        let fate = self.next_fate().await;
+        if fate == CallFate::Delayed {
+            self.0.borrow_mut().delayed.push(DelayedWrite {
+                key: key.to_string(),
+                value,
+                expected,
+            });
+            return Err(lost());
+        }
+        self.run_as(fate, |table| {
+            swap_outcome(table.put(key, value, Some(expected)))
+        })
+        .await
+    }
+
+    async fn remove(&self, key: &str) -> Result<(), StoreError> {
+        self.run(|table| table.remove(key)).await
+    }
+
+    async fn watch(
+        &self,
+        key: &str,
+        _position: WatchPosition,
+        _limit: Duration,
+    ) -> Result<WatchAnswer, StoreError> {
+        self.run(|table| WatchAnswer {
+            value: table.get(key),
+            position: WatchPosition(table.index()),
+        })
+        .await
+    }
+
+    async fn grant_lease(&self, ttl: Duration) -> Result<LeaseId, StoreError> {
+        self.run(|table| LeaseId(table.grant(ttl, Duration::ZERO)))
+            .await
+    }
+
+    async fn renew_lease(&self, lease: &LeaseId) -> Result<bool, StoreError> {
+        self.run(|table| table.renew(&lease.0, Duration::ZERO))
+            .await
+    }
+
+    async fn end_lease(&self, lease: &LeaseId) -> Result<(), StoreError> {
+        self.run(|table| table.end(&lease.0)).await
+    }
+
+    async fn acquire(&self, key: &str, value: Bytes, lease: &LeaseId) -> Result<bool, StoreError> {
+        self.run(|table| table.acquire(key, value, &lease.0).unwrap_or(false))
+            .await
+    }
+}
--- /dev/null
+++ b/src/store/seeds.rs
@@ -0,0 +1,89 @@
+//! A few addresses in the store, under leases, by which a node finds the fleet.
+//!
+//! The node that holds its availability zone's watch lease leaves its address
+//! in the lease key of the zone and in one of a few slots for the fleet. A
+//! joining node reads a handful of keys and never lists anything; membership
+//! spreads from there.
+
+use std::net::SocketAddr;
+
+use bytes::Bytes;
+use rand::Rng;
+use rand::seq::SliceRandom;
+
+use super::{ConfigStore, LeaseId, StoreError};
+use crate::ids::ZoneName;
+
+/// Slots for the whole fleet.
+const FLEET_SLOTS: u32 = 8;
+/// Slots of the fleet that a joining node reads.
+const SLOTS_READ: usize = 4;
+
+/// Key of the lease under which one node of a zone watches the head.
+pub fn zone_key(zone: &ZoneName) -> String {
+    format!("currantlift/zones/{zone}")
+}
+
+fn fleet_key(slot: u32) -> String {
+    format!("currantlift/seeds/{slot}")
+}
+
+fn shuffled_slots(rng: &mut impl Rng) -> Vec<u32> {
+    let mut slots: Vec<u32> = (0..FLEET_SLOTS).collect();
+    slots.shuffle(rng);
+    slots
+}
+
+/// Leaves an address in one free slot of the fleet.
+///
+/// # Errors
+///
+/// Returns the first error of the store.
+pub async fn register_seed(
+    store: &impl ConfigStore,
+    address: SocketAddr,
+    lease: &LeaseId,
+    rng: &mut impl Rng,
+) -> Result<bool, StoreError> {
+    for slot in shuffled_slots(rng).into_iter().take(SLOTS_READ) {
+        let value = Bytes::from(address.to_string());
+        if store.acquire(&fleet_key(slot), value, lease).await? {
+            return Ok(true);
+        }
+    }
+    Ok(false)
+}
+
+/// Reads addresses of nodes to join through, those of the own zone first.
+///
+/// # Errors
+///
+/// Fails only if the store answered none of the reads.
+pub async fn read_seeds(
+    store: &impl ConfigStore,
+    zone: &ZoneName,
+    rng: &mut impl Rng,
+) -> Result<Vec<SocketAddr>, StoreError> {
+    let slots = shuffled_slots(rng).into_iter().take(SLOTS_READ);
+    let keys = std::iter::once(zone_key(zone)).chain(slots.map(fleet_key));
+    let mut seeds = Vec::new();
+    let mut failure = None;
+    let mut is_answered = false;
+    for key in keys {
+        match store.get(&key).await {
+            Ok(stored) => {
+                is_answered = true;
+                seeds.extend(stored.and_then(|stored| parse_address(&stored.bytes)));
+            }
+            Err(error) => failure = Some(error),
+        }
+    }
+    match failure {
+        Some(error) if !is_answered => Err(error),
+        _ => Ok(seeds),
+    }
+}
+
+fn parse_address(bytes: &[u8]) -> Option<SocketAddr> {
+    std::str::from_utf8(bytes).ok()?.parse().ok()
+}
--- a/src/tickets.rs
+++ b/src/tickets.rs
@@ -1,1 +1,28 @@
-//! To come.
+//! Change tickets: numbered changes of configuration, and what is in force.
+//!
+//! A ticket carries the whole new state of every service that it touches. Per
+//! service the highest accepted ticket number is in force. Acceptance happens
+//! in one place, the compare-and-swap of the head in the platform's store;
+//! everything that follows only moves forward, so that order and repetition
+//! of delivery don't matter.
+//!
+//! * [`body`]: from raw JSON to a checked ticket.
+//! * [`head`]: the small value in the store that says what is accepted.
+//! * [`state`]: what a node knows to be in force, and deltas between nodes.
+//! * [`submit`]: the writes that get a ticket accepted, and settling of doubt.
+//! * [`driver`]: the tasks on the control thread.
+
+pub mod body;
+pub mod driver;
+pub mod head;
+pub mod state;
+pub mod submit;
+
+mod peers;
+mod watcher;
+
+pub use body::{ChangeTicket, TicketDigest, TicketError};
+pub use driver::{ConfigHandle, ConfigSettings, TicketView};
+pub use head::{TicketHead, TicketVerdict};
+pub use state::{TicketDelta, TicketState};
+pub use submit::{RefusalReason, SubmitAnswer};
--- /dev/null
+++ b/src/tickets/body.rs
@@ -0,0 +1,227 @@
+//! From the raw JSON of a ticket to its checked form.
+//!
+//! The checked form has one canonical encoding, in which every default is
+//! written out. Its digest decides whether two tickets have the same content,
+//! so that white space and the order of fields don't matter.
+
+use std::collections::BTreeMap;
+
+use derive_more::{Display, Error};
+use serde::{Deserialize, Serialize};
+use serde_json::Value;
+use sha2::{Digest, Sha256};
+
+use crate::ids::{ServiceName, TicketNumber};
+use crate::table::{RequestRule, ServiceRule};
+
+/// Longest time limit of a call, in milliseconds.
+const MAX_TIMEOUT_MS: u64 = 3_600_000;
+/// Most attempts of one call.
+const MAX_ATTEMPTS: u32 = 10;
+/// Most request rules of one service.
+const MAX_REQUEST_RULES: usize = 64;
+/// Longest path prefix, in bytes.
+const MAX_PATH_BYTES: usize = 256;
+/// Longest method, in bytes.
+const MAX_METHOD_BYTES: usize = 32;
+/// Highest agreed probe budget, per upstream and second.
+const MAX_PROBES_PER_SECOND: f64 = 1_000.0;
+/// Largest request body that a service may allow, in bytes.
+const MAX_BODY_LIMIT: u64 = 1 << 40;
+/// Largest canonical ticket, in bytes; well under what a stored value may hold.
+pub const MAX_TICKET_BYTES: usize = 256 * 1024;
+/// Bytes kept of a content digest.
+const DIGEST_BYTES: usize = 16;
+
+/// Field of a ticket that was rejected, and why.
+#[derive(Debug, Clone, Display, Error, PartialEq, Eq)]
+#[display("{field}: {reason}")]
+pub struct TicketError {
+    /// Path of the field, such as `services.tillpost.attempts`.
+    pub field: String,
+    /// What is allowed and what was given.
+    pub reason: String,
+}
+
+impl TicketError {
+    fn new(field: impl Into<String>, reason: impl Into<String>) -> Self {
+        Self {
+            field: field.into(),
+            reason: reason.into(),
+        }
+    }
+}
+
+/// Ticket as it arrives, before any check.
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct RawTicket {
+    /// Number, where the body repeats it.
+    pub number: Option<u64>,
+    /// New state by service; null removes the service.
+    pub services: BTreeMap<String, Value>,
+}
+
+/// Digest of a ticket's content.
+#[derive(Debug, Clone, Display, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct TicketDigest(String);
+
+impl TicketDigest {
+    /// Digest of canonical bytes.
+    pub fn of(bytes: &[u8]) -> Self {
+        let hash = Sha256::digest(bytes);
+        let hex = hash.iter().take(DIGEST_BYTES);
+        Self(hex.map(|byte| format!("{byte:02x}")).collect())
+    }
+}
+
+/// Checked change ticket.
+#[derive(Debug, Clone, PartialEq, Serialize)]
+pub struct ChangeTicket {
+    /// Number of the ticket.
+    pub number: TicketNumber,
+    /// Whole new state of every service that it touches; `None` removes one.
+    pub services: BTreeMap<ServiceName, Option<ServiceRule>>,
+}
+
+impl ChangeTicket {
+    /// Checks the JSON body of the ticket with the given number.
+    ///
+    /// # Errors
+    ///
+    /// Names the first field that is not allowed.
+    pub fn parse(number: TicketNumber, json: &[u8]) -> Result<Self, TicketError> {
+        let mut raw: RawTicket =
+            serde_json::from_slice(json).map_err(|e| TicketError::new("body", e.to_string()))?;
+        if raw.number.is_some_and(|given| given != number.get()) {
+            let reason = format!("expected {number} as in the path, or none");
+            return Err(TicketError::new("number", reason));
+        }
+        raw.number = Some(number.get());
+        Self::try_from(raw)
+    }
+
+    /// Reads back a canonical encoding.
+    ///
+    /// # Errors
+    ///
+    /// Names the first field that is not allowed.
+    pub fn decode(bytes: &[u8]) -> Result<Self, TicketError> {
+        let raw: RawTicket =
+            serde_json::from_slice(bytes).map_err(|e| TicketError::new("body", e.to_string()))?;
+        Self::try_from(raw)
+    }
+
+    /// Canonical encoding, the same for equal content.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the ticket is larger than 256 KiB.
+    pub fn encode(&self) -> Result<Vec<u8>, TicketError> {
+        let bytes =
+            serde_json::to_vec(self).map_err(|e| TicketError::new("body", e.to_string()))?;
+        if bytes.len() > MAX_TICKET_BYTES {
+            let reason = format!("expected at most {MAX_TICKET_BYTES} bytes");
+            return Err(TicketError::new("body", reason));
+        }
+        Ok(bytes)
+    }
+}
+
+impl TryFrom<RawTicket> for ChangeTicket {
+    type Error = TicketError;
+
+    fn try_from(raw: RawTicket) -> Result<Self, TicketError> {
+        let number = raw
+            .number
+            .ok_or_else(|| TicketError::new("number", "expected a whole number from 1"))?;
+        let number = TicketNumber::try_from(number)
+            .map_err(|error| TicketError::new("number", error.to_string()))?;
+        if raw.services.is_empty() {
+            return Err(TicketError::new(
+                "services",
+                "expected at least one service",
+            ));
+        }
+        let services = raw.services.into_iter().map(check_service);
+        let services = services.collect::<Result<_, TicketError>>()?;
+        let ticket = Self { number, services };
+        ticket.encode()?;
+        Ok(ticket)
+    }
+}
+
+fn check_service(
+    (name, value): (String, Value),
+) -> Result<(ServiceName, Option<ServiceRule>), TicketError> {
+    let field = format!("services.{name}");
+    let name = ServiceName::try_from(name).map_err(|e| TicketError::new(&field, e.to_string()))?;
+    if value.is_null() {
+        return Ok((name, None));
+    }
+    let rule: ServiceRule =
+        serde_json::from_value(value).map_err(|e| TicketError::new(&field, e.to_string()))?;
+    check_rule(&field, &rule)?;
+    Ok((name, Some(rule)))
+}
+
+fn check_rule(field: &str, rule: &ServiceRule) -> Result<(), TicketError> {
+    check_timeout(&format!("{field}.timeout_ms"), rule.timeout_ms)?;
+    if !(1..=MAX_ATTEMPTS).contains(&rule.attempts) {
+        let reason = format!("expected 1 to {MAX_ATTEMPTS}, got {}", rule.attempts);
+        return Err(TicketError::new(format!("{field}.attempts"), reason));
+    }
+    if let Some(share) = rule.share_percent.filter(|s| !(1..=100).contains(s)) {
+        let reason = format!("expected 1 to 100, got {share}");
+        return Err(TicketError::new(format!("{field}.share_percent"), reason));
+    }
+    let probes = rule.probes_per_second;
+    if !(0.0..=MAX_PROBES_PER_SECOND).contains(&probes) {
+        let reason = format!("expected 0 to {MAX_PROBES_PER_SECOND}, got {probes}");
+        return Err(TicketError::new(
+            format!("{field}.probes_per_second"),
+            reason,
+        ));
+    }
+    if rule.body_limit > MAX_BODY_LIMIT {
+        let reason = format!("expected 0 to {MAX_BODY_LIMIT}, got {}", rule.body_limit);
+        return Err(TicketError::new(format!("{field}.body_limit"), reason));
+    }
+    if rule.requests.len() > MAX_REQUEST_RULES {
+        let reason = format!("expected at most {MAX_REQUEST_RULES} rules");
+        return Err(TicketError::new(format!("{field}.requests"), reason));
+    }
+    let mut requests = rule.requests.iter().enumerate();
+    requests.try_for_each(|(i, request)| check_request(&format!("{field}.requests.{i}"), request))
+}
+
+fn check_timeout(field: &str, timeout_ms: u64) -> Result<(), TicketError> {
+    if (1..=MAX_TIMEOUT_MS).contains(&timeout_ms) {
+        return Ok(());
+    }
+    let reason = format!("expected 1 to {MAX_TIMEOUT_MS}, got {timeout_ms}");
+    Err(TicketError::new(field, reason))
+}
+
+fn check_request(field: &str, request: &RequestRule) -> Result<(), TicketError> {
+    let method = &request.method;
+    let is_token = !method.is_empty()
+        && method.len() <= MAX_METHOD_BYTES
+        && method
+            .bytes()
+            .all(|byte| byte.is_ascii_alphabetic() || byte == b'-');
+    if method != "*" && !is_token {
+        let reason = format!("expected an HTTP method or '*', got '{method}'");
+        return Err(TicketError::new(format!("{field}.method"), reason));
+    }
+    let path = &request.path;
+    let is_visible = path.bytes().all(|byte| byte.is_ascii_graphic());
+    if !path.starts_with('/') || path.len() > MAX_PATH_BYTES || !is_visible {
+        let reason = format!("expected '/' and at most {MAX_PATH_BYTES} characters, got '{path}'");
+        return Err(TicketError::new(format!("{field}.path"), reason));
+    }
+    match request.timeout_ms {
+        Some(timeout_ms) => check_timeout(&format!("{field}.timeout_ms"), timeout_ms),
+        None => Ok(()),
+    }
+}
--- /dev/null
+++ b/src/tickets/state.rs
@@ -0,0 +1,226 @@
+//! What a node knows to be in force, and the deltas that carry it on.
+//!
+//! A delta takes a state of at least its base version to its own version in
+//! one step, so a ticket comes into force whole at every node. An older delta
+//! changes nothing, and a service never goes back to a lower ticket number.
+
+use std::collections::BTreeMap;
+
+use bytes::Bytes;
+use prost::Message;
+
+use super::body::{ChangeTicket, TicketDigest};
+use super::head::TicketHead;
+use crate::ids::{ServiceName, TicketNumber};
+use crate::table::ServiceRule;
+
+/// Rules in force by service, with the ticket that each came with.
+pub type RulesInForce = BTreeMap<ServiceName, (TicketNumber, ServiceRule)>;
+
+/// Request of one node for what changed after the version that it has.
+#[derive(Clone, PartialEq, Message)]
+pub struct FetchRequest {
+    /// Head version of the asking node.
+    #[prost(uint64, tag = "1")]
+    pub version: u64,
+}
+
+/// Change of one service on the wire.
+#[derive(Clone, PartialEq, Message)]
+pub struct DeltaEntry {
+    /// Service.
+    #[prost(string, tag = "1")]
+    pub service: String,
+    /// Ticket in force.
+    #[prost(uint64, tag = "2")]
+    pub number: u64,
+    /// Head version that put it in force.
+    #[prost(uint64, tag = "3")]
+    pub version: u64,
+    /// Rule as JSON; empty if the service is removed.
+    #[prost(bytes = "bytes", tag = "4")]
+    pub rule: Bytes,
+}
+
+/// Everything that changed between two head versions.
+#[derive(Clone, PartialEq, Message)]
+pub struct TicketDelta {
+    /// Least version of the state that it applies to.
+    #[prost(uint64, tag = "1")]
+    pub base: u64,
+    /// Version that it leads to.
+    #[prost(uint64, tag = "2")]
+    pub version: u64,
+    /// Services that changed.
+    #[prost(message, repeated, tag = "3")]
+    pub entries: Vec<DeltaEntry>,
+}
+
+#[derive(Debug, Clone, PartialEq)]
+struct StateEntry {
+    number: TicketNumber,
+    version: u64,
+    /// Rule as JSON, kept for peers that ask; empty if the service is removed.
+    json: Bytes,
+}
+
+/// Configuration in force at one node.
+#[derive(Debug, Clone, Default, PartialEq)]
+pub struct TicketState {
+    version: u64,
+    entries: BTreeMap<ServiceName, StateEntry>,
+    rules: RulesInForce,
+}
+
+impl TicketState {
+    /// Version of the head that is applied.
+    pub fn head_version(&self) -> u64 {
+        self.version
+    }
+
+    /// Rules in force.
+    pub fn rules_in_force(&self) -> &RulesInForce {
+        &self.rules
+    }
+
+    /// Ticket in force for a service, also where it removed the service.
+    pub fn number_in_force(&self, service: &ServiceName) -> Option<TicketNumber> {
+        self.entries.get(service).map(|entry| entry.number)
+    }
+
+    /// Services for which the ticket is in force; true where it keeps the service.
+    pub fn services_of(&self, number: TicketNumber) -> BTreeMap<ServiceName, bool> {
+        let entries = self.entries.iter();
+        let entries = entries.filter(|(_, entry)| entry.number == number);
+        entries
+            .map(|(service, _)| (service.clone(), self.rules.contains_key(service)))
+            .collect()
+    }
+
+    /// Bodies that are needed before the head can be applied.
+    pub fn missing_bodies(&self, head: &TicketHead) -> Vec<TicketNumber> {
+        let mut missing = head.numbers_in_force();
+        missing.retain(|number| {
+            let mut entries = head.services.iter();
+            entries.any(|(service, entry)| {
+                entry.number == *number && self.number_in_force(service) < Some(*number)
+            })
+        });
+        missing.into_iter().collect()
+    }
+
+    /// Applies a head, given the bodies that were missing.
+    ///
+    /// Returns false and changes nothing if the head is not newer or if a
+    /// body is missing or is not the accepted one.
+    pub fn apply_head(
+        &mut self,
+        head: &TicketHead,
+        bodies: &BTreeMap<TicketNumber, ChangeTicket>,
+    ) -> bool {
+        let mut entries = Vec::new();
+        for (service, entry) in &head.services {
+            if self.number_in_force(service) >= Some(entry.number) {
+                continue;
+            }
+            let Some(rule) = encode_rule(service, entry.is_removed(), bodies.get(&entry.number))
+            else {
+                return false;
+            };
+            entries.push(DeltaEntry {
+                service: service.to_string(),
+                number: entry.number.get(),
+                version: entry.version,
+                rule,
+            });
+        }
+        self.apply(&TicketDelta {
+            base: self.version,
+            version: head.version,
+            entries,
+        })
+    }
+
+    /// Applies a delta; returns false and changes nothing if it is of no use.
+    pub fn apply(&mut self, delta: &TicketDelta) -> bool {
+        if delta.version <= self.version || delta.base > self.version {
+            return false;
+        }
+        let Some(changes) = delta
+            .entries
+            .iter()
+            .map(decode_entry)
+            .collect::<Option<Vec<_>>>()
+        else {
+            return false;
+        };
+        for (service, entry, rule) in changes {
+            self.apply_entry(service, entry, rule);
+        }
+        self.version = delta.version;
+        true
+    }
+
+    fn apply_entry(&mut self, service: ServiceName, entry: StateEntry, rule: Option<ServiceRule>) {
+        if self.number_in_force(&service) >= Some(entry.number) {
+            return;
+        }
+        match rule {
+            Some(rule) => {
+                self.rules.insert(service.clone(), (entry.number, rule));
+            }
+            None => {
+                self.rules.remove(&service);
+            }
+        }
+        self.entries.insert(service, entry);
+    }
+
+    /// Delta for a node that has the given version.
+    pub fn delta_since(&self, base: u64) -> TicketDelta {
+        let entries = self.entries.iter();
+        let entries = entries.filter(|(_, entry)| entry.version > base);
+        let entries = entries.map(|(service, entry)| DeltaEntry {
+            service: service.to_string(),
+            number: entry.number.get(),
+            version: entry.version,
+            rule: entry.json.clone(),
+        });
+        TicketDelta {
+            base,
+            version: self.version,
+            entries: entries.collect(),
+        }
+    }
+}
+
+fn encode_rule(
+    service: &ServiceName,
+    is_removed: bool,
+    body: Option<&ChangeTicket>,
+) -> Option<Bytes> {
+    if is_removed {
+        return Some(Bytes::new());
+    }
+    let rule = body?.services.get(service)?.as_ref()?;
+    serde_json::to_vec(rule).ok().map(Bytes::from)
+}
+
+fn decode_entry(raw: &DeltaEntry) -> Option<(ServiceName, StateEntry, Option<ServiceRule>)> {
+    let service = raw.service.parse().ok()?;
+    let entry = StateEntry {
+        number: TicketNumber::try_from(raw.number).ok()?,
+        version: raw.version,
+        json: raw.rule.clone(),
+    };
+    if raw.rule.is_empty() {
+        return Some((service, entry, None));
+    }
+    let rule = serde_json::from_slice(&raw.rule).ok()?;
+    Some((service, entry, Some(rule)))
+}
+
+/// Whether a stored body is the one that was accepted.
+pub fn is_accepted_body(head: &TicketHead, number: TicketNumber, bytes: &[u8]) -> bool {
+    head.accepted_digest(number) == Some(&TicketDigest::of(bytes))
+}
--- /dev/null
+++ b/src/tickets/watcher.rs
@@ -0,0 +1,170 @@
+//! One node per availability zone waits on the head, chosen by a lease.
+//!
+//! The lease only saves calls to the store. A holder that was paused and
+//! wakes believing in its lease reads the head once more, which does no harm,
+//! and learns at its next renewal that the lease has lapsed. Only the few
+//! lowest nodes of a zone compete, so the store's load doesn't grow with the
+//! fleet; they wait on the lease's key. Random pauses that double keep an
+//! outage from ending in a stampede.
+
+use std::collections::BTreeMap;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use rand::Rng;
+use tokio::sync::watch;
+
+use super::driver::DriverShared;
+use super::head::TicketHead;
+use super::submit::HEAD_KEY;
+use crate::store::seeds::{register_seed, zone_key};
+use crate::store::{ConfigStore, LeaseId, StoreError, WatchAnswer, WatchPosition};
+
+/// Nodes of a zone that compete for its lease.
+const WATCH_CANDIDATES: u32 = 3;
+/// Time after which a lease that isn't renewed lapses.
+const LEASE_TTL: Duration = Duration::from_secs(10);
+/// Time between renewals.
+const RENEW_INTERVAL: Duration = Duration::from_secs(4);
+/// Longest wait of one watch.
+const WATCH_LIMIT: Duration = Duration::from_secs(55);
+/// Longest first pause after a failure; doubles with each further one.
+const FIRST_PAUSE: Duration = Duration::from_millis(200);
+/// Longest pause after a failure.
+const MAX_PAUSE: Duration = Duration::from_secs(5);
+
+/// Pause after failures in a row.
+struct FailurePause(Duration);
+
+impl FailurePause {
+    fn new() -> Self {
+        Self(FIRST_PAUSE)
+    }
+
+    async fn wait(&mut self) {
+        let pause = rand::rng().random_range(self.0 / 2..self.0);
+        self.0 = (self.0 * 2).min(MAX_PAUSE);
+        tokio::time::sleep(pause).await;
+    }
+}
+
+/// Competes for the zone's lease and watches the head while holding it.
+///
+/// Ends when no handle is left.
+pub async fn watch_head<S: ConfigStore>(
+    shared: Rc<DriverShared>,
+    store: Rc<S>,
+    rank: watch::Receiver<u32>,
+) {
+    tokio::select! {
+        () = shared.closed() => {}
+        () = compete(&shared, &*store, rank) => {}
+    }
+}
+
+async fn compete<S: ConfigStore>(shared: &DriverShared, store: &S, mut rank: watch::Receiver<u32>) {
+    let mut pause = FailurePause::new();
+    // Nodes that start together don't ask together.
+    pause.wait().await;
+    while rank.wait_for(|rank| *rank < WATCH_CANDIDATES).await.is_ok() {
+        match hold_once(shared, store, &mut rank).await {
+            Ok(()) => pause = FailurePause::new(),
+            Err(error) => {
+                log::warn!("tickets: store watch failed: {error}");
+                pause.wait().await;
+            }
+        }
+    }
+}
+
+/// Waits for the lease to be free, takes it, and watches until it is lost.
+async fn hold_once<S: ConfigStore>(
+    shared: &DriverShared,
+    store: &S,
+    rank: &mut watch::Receiver<u32>,
+) -> Result<(), StoreError> {
+    let key = zone_key(&shared.settings.zone);
+    let mut position = WatchPosition::default();
+    loop {
+        let answer = store.watch(&key, position, WATCH_LIMIT).await?;
+        if answer.value.is_none() {
+            break;
+        }
+        if *rank.borrow() >= WATCH_CANDIDATES {
+            return Ok(());
+        }
+        position = answer.position;
+    }
+    let lease = store.grant_lease(LEASE_TTL).await?;
+    let address = Bytes::from(shared.settings.peer_address.to_string());
+    if !store.acquire(&key, address, &lease).await? {
+        return store.end_lease(&lease).await;
+    }
+    log::info!(
+        "tickets: watching the head for zone {}",
+        shared.settings.zone
+    );
+    let seed = shared.settings.peer_address;
+    register_seed(store, seed, &lease, &mut rand::rng()).await?;
+    tokio::select! {
+        () = renew_while_held(store, &lease) => Ok(()),
+        () = follow_head(shared, store) => Ok(()),
+    }
+}
+
+/// Renews the lease until the store says that it has lapsed.
+async fn renew_while_held<S: ConfigStore>(store: &S, lease: &LeaseId) {
+    loop {
+        tokio::time::sleep(RENEW_INTERVAL).await;
+        match store.renew_lease(lease).await {
+            Ok(true) => {}
+            Ok(false) => {
+                log::info!("tickets: watch lease has lapsed");
+                return;
+            }
+            Err(error) => log::warn!("tickets: lease renewal failed: {error}"),
+        }
+    }
+}
+
+/// Applies every head that the store shows; never ends by itself.
+async fn follow_head<S: ConfigStore>(shared: &DriverShared, store: &S) {
+    let mut position = WatchPosition::default();
+    let mut pause = FailurePause::new();
+    loop {
+        match store.watch(HEAD_KEY, position, WATCH_LIMIT).await {
+            Ok(answer) => {
+                position = answer.position;
+                if apply_answer(shared, store, &answer).await {
+                    pause = FailurePause::new();
+                } else {
+                    position = WatchPosition::default();
+                    pause.wait().await;
+                }
+            }
+            Err(error) => {
+                log::warn!("tickets: head watch failed: {error}");
+                pause.wait().await;
+            }
+        }
+    }
+}
+
+/// Applies a watched head; false if it has to be read again.
+async fn apply_answer<S: ConfigStore>(
+    shared: &DriverShared,
+    store: &S,
+    answer: &WatchAnswer,
+) -> bool {
+    let Some(stored) = &answer.value else {
+        return true;
+    };
+    match TicketHead::decode(&stored.bytes) {
+        Ok(head) => shared.apply_head(store, &head, &mut BTreeMap::new()).await,
+        Err(error) => {
+            log::error!("tickets: {error}");
+            false
+        }
+    }
+}
