--- a/src/store/absent.rs
+++ b/src/store/absent.rs
@@ -1,5 +1,6 @@
-//! Store of a node that was given none: every call fails without effect.
+//! Takes the store's place in a node that runs without one.
 
+use std::future::pending;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -9,19 +10,19 @@
     WatchPosition,
 };
 
-/// Stands where no store is set.
-#[derive(Debug, Clone, Copy)]
+/// Store that refuses every call; its watches never end.
+#[derive(Debug)]
 pub struct AbsentStore;
 
-fn absent<T>() -> Result<T, StoreError> {
-    Err(StoreError::NotDone {
+fn no_store() -> StoreError {
+    StoreError::NotDone {
         reason: "no store is set".to_string(),
-    })
+    }
 }
 
 impl ConfigStore for AbsentStore {
     async fn get(&self, _key: &str) -> Result<Option<StoredValue>, StoreError> {
-        absent()
+        Err(no_store())
     }
 
     async fn compare_and_swap(
@@ -30,33 +31,32 @@
         _expected: KeyRevision,
         _value: Bytes,
     ) -> Result<SwapOutcome, StoreError> {
-        absent()
+        Err(no_store())
     }
 
     async fn remove(&self, _key: &str) -> Result<(), StoreError> {
-        absent()
+        Err(no_store())
     }
 
     async fn watch(
         &self,
         _key: &str,
         _position: WatchPosition,
-        limit: Duration,
+        _limit: Duration,
     ) -> Result<WatchAnswer, StoreError> {
-        tokio::time::sleep(limit).await;
-        absent()
+        pending().await
     }
 
     async fn grant_lease(&self, _ttl: Duration) -> Result<LeaseId, StoreError> {
-        absent()
+        Err(no_store())
     }
 
     async fn renew_lease(&self, _lease: &LeaseId) -> Result<bool, StoreError> {
-        absent()
+        Err(no_store())
     }
 
     async fn end_lease(&self, _lease: &LeaseId) -> Result<(), StoreError> {
-        absent()
+        Err(no_store())
     }
 
     async fn acquire(
@@ -65,6 +65,6 @@
         _value: Bytes,
         _lease: &LeaseId,
     ) -> Result<bool, StoreError> {
-        absent()
+        Err(no_store())
     }
 }
--- a/src/store/consul.rs
+++ b/src/store/consul.rs
@@ -95,7 +95,10 @@
         let request = self.request(method, path);
         let body = ntex::util::Bytes::copy_from_slice(&body);
         let exchange = async {
-            let response = request.send_body(body).await.map_err(|e| client_error(&e))?;
+            let response = request
+                .send_body(body)
+                .await
+                .map_err(|e| client_error(&e))?;
             read_answer(&response).await
         };
         tokio::time::timeout(limit, exchange)
--- a/src/tickets.rs
+++ b/src/tickets.rs
@@ -26,4 +26,3 @@
 pub use head::{TicketHead, TicketVerdict};
 pub use state::{TicketDelta, TicketState};
 pub use submit::{RefusalReason, SubmitAnswer};
-
--- a/src/tickets/body.rs
+++ b/src/tickets/body.rs
@@ -138,7 +138,10 @@
         let number = TicketNumber::try_from(number)
             .map_err(|error| TicketError::new("number", error.to_string()))?;
         if raw.services.is_empty() {
-            return Err(TicketError::new("services", "expected at least one service"));
+            return Err(TicketError::new(
+                "services",
+                "expected at least one service",
+            ));
         }
         let services = raw.services.into_iter().map(check_service);
         let services = services.collect::<Result<_, TicketError>>()?;
@@ -175,7 +178,10 @@
     let probes = rule.probes_per_second;
     if !(0.0..=MAX_PROBES_PER_SECOND).contains(&probes) {
         let reason = format!("expected 0 to {MAX_PROBES_PER_SECOND}, got {probes}");
-        return Err(TicketError::new(format!("{field}.probes_per_second"), reason));
+        return Err(TicketError::new(
+            format!("{field}.probes_per_second"),
+            reason,
+        ));
     }
     if rule.body_limit > MAX_BODY_LIMIT {
         let reason = format!("expected 0 to {MAX_BODY_LIMIT}, got {}", rule.body_limit);
@@ -201,7 +207,9 @@
     let method = &request.method;
     let is_token = !method.is_empty()
         && method.len() <= MAX_METHOD_BYTES
-        && method.bytes().all(|byte| byte.is_ascii_alphabetic() || byte == b'-');
+        && method
+            .bytes()
+            .all(|byte| byte.is_ascii_alphabetic() || byte == b'-');
     if method != "*" && !is_token {
         let reason = format!("expected an HTTP method or '*', got '{method}'");
         return Err(TicketError::new(format!("{field}.method"), reason));
--- a/src/tickets/driver.rs
+++ b/src/tickets/driver.rs
@@ -19,9 +19,7 @@
 use super::head::TicketHead;
 use super::peers::{FetchSources, answer_fetch, fetch_newer};
 use super::state::{TicketDelta, TicketState, is_accepted_body};
-use super::submit::{
-    HEAD_KEY, RefusalReason, SubmitAnswer, SubmitPacer, body_key, submit_ticket,
-};
+use super::submit::{HEAD_KEY, RefusalReason, SubmitAnswer, SubmitPacer, body_key, submit_ticket};
 use super::watcher::watch_head;
 use crate::exchange::PeerHello;
 use crate::ids::{NodeId, ServiceName, TicketNumber, ZoneName};
--- a/src/tickets/head.rs
+++ b/src/tickets/head.rs
@@ -99,9 +99,11 @@
         let mut in_force = self.services.values();
         let in_force = in_force.find(|entry| entry.number == number);
         let mut recent = self.recent.iter().rev();
-        in_force
-            .map(|entry| &entry.digest)
-            .or_else(|| recent.find(|ticket| ticket.0 == number).map(|ticket| &ticket.1))
+        in_force.map(|entry| &entry.digest).or_else(|| {
+            recent
+                .find(|ticket| ticket.0 == number)
+                .map(|ticket| &ticket.1)
+        })
     }
 
     /// Judges a ticket whose content has the given digest.
--- a/src/tickets/state.rs
+++ b/src/tickets/state.rs
@@ -146,7 +146,11 @@
         if delta.version <= self.version || delta.base > self.version {
             return false;
         }
-        let Some(changes) = delta.entries.iter().map(decode_entry).collect::<Option<Vec<_>>>()
+        let Some(changes) = delta
+            .entries
+            .iter()
+            .map(decode_entry)
+            .collect::<Option<Vec<_>>>()
         else {
             return false;
         };
--- a/src/tickets/submit.rs
+++ b/src/tickets/submit.rs
@@ -218,11 +218,9 @@
         let verdict = head.check(self.ticket, &self.digest);
         let version = head.version;
         let end = match verdict {
-            TicketVerdict::Repeated if was_doubtful => {
-                AttemptEnd::Done(SubmitAnswer::Accepted {
-                    head_version: version,
-                })
-            }
+            TicketVerdict::Repeated if was_doubtful => AttemptEnd::Done(SubmitAnswer::Accepted {
+                head_version: version,
+            }),
             TicketVerdict::Repeated => AttemptEnd::Done(SubmitAnswer::Repeated),
             TicketVerdict::Conflict => AttemptEnd::Done(refused(RefusalReason::Conflict)),
             TicketVerdict::Stale { service, in_force } => {
--- a/src/tickets/watcher.rs
+++ b/src/tickets/watcher.rs
@@ -63,11 +63,7 @@
     }
 }
 
-async fn compete<S: ConfigStore>(
-    shared: &DriverShared,
-    store: &S,
-    mut rank: watch::Receiver<u32>,
-) {
+async fn compete<S: ConfigStore>(shared: &DriverShared, store: &S, mut rank: watch::Receiver<u32>) {
     let mut pause = FailurePause::new();
     // Nodes that start together don't ask together.
     pause.wait().await;
@@ -105,7 +101,10 @@
     if !store.acquire(&key, address, &lease).await? {
         return store.end_lease(&lease).await;
     }
-    log::info!("tickets: watching the head for zone {}", shared.settings.zone);
+    log::info!(
+        "tickets: watching the head for zone {}",
+        shared.settings.zone
+    );
     let seed = shared.settings.peer_address;
     register_seed(store, seed, &lease, &mut rand::rng()).await?;
     tokio::select! {
