--- a/src/control/admin.rs
+++ b/src/control/admin.rs
@@ -91,7 +91,7 @@
             number,
             is_repeated: false,
         },
-        SubmitAnswer::Repeated { .. } => TicketAnswer::Accepted {
+        SubmitAnswer::Repeated => TicketAnswer::Accepted {
             number,
             is_repeated: true,
         },
@@ -114,9 +114,7 @@
         TicketRefusal::Stale { .. } => RefusalReason::OutOfDate,
         TicketRefusal::Conflict => RefusalReason::Conflict,
         TicketRefusal::StoreAway { .. } => RefusalReason::StoreAway,
-        TicketRefusal::Full
-        | TicketRefusal::Contended
-        | TicketRefusal::HeadUnreadable { .. } => {
+        TicketRefusal::Full | TicketRefusal::Contended | TicketRefusal::HeadUnreadable { .. } => {
             return AdminReply::Unavailable(reason.to_string());
         }
     };
@@ -270,9 +268,15 @@
         ("membership.bytes_sent", membership.bytes_sent),
         ("membership.bytes_received", membership.bytes_received),
         ("membership.sync_bytes_sent", membership.sync_bytes_sent),
-        ("membership.sync_bytes_received", membership.sync_bytes_received),
+        (
+            "membership.sync_bytes_received",
+            membership.sync_bytes_received,
+        ),
         ("membership.datagrams_sent", membership.datagrams_sent),
-        ("membership.datagrams_received", membership.datagrams_received),
+        (
+            "membership.datagrams_received",
+            membership.datagrams_received,
+        ),
         ("membership.suspicions", membership.suspicions),
         ("membership.deaths", membership.deaths),
     ]
--- a/src/control/peers.rs
+++ b/src/control/peers.rs
@@ -60,10 +60,7 @@
 }
 
 async fn next_frame(framed: &mut PeerFramed) -> io::Result<bytes::BytesMut> {
-    framed
-        .next()
-        .await
-        .ok_or(io::ErrorKind::UnexpectedEof)?
+    framed.next().await.ok_or(io::ErrorKind::UnexpectedEof)?
 }
 
 /// Hands a call link to the gate's thread, with what was read beyond the hello.
--- a/src/control/state.rs
+++ b/src/control/state.rs
@@ -14,7 +14,8 @@
 use crate::gate::{GateCommand, GateStatus};
 use crate::ids::{BackendId, NodeId, NodeIncarnation, RegionName, ZoneName};
 use crate::ingress::{IngressShared, lock};
-use crate::membership::{BackendRecord, MembershipEvent, MembershipHandle};
+use crate::membership::driver::MembershipHandle;
+use crate::membership::{BackendRecord, MembershipEvent};
 use crate::table::{RoutingTable, UpstreamState};
 use crate::tickets::ConfigHandle;
 
--- a/src/exchange.rs
+++ b/src/exchange.rs
@@ -8,11 +8,11 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use futures_util::{SinkExt, StreamExt};
 use prost::Message;
 use tokio::net::TcpStream;
-use tokio_util::codec::{Framed, LengthDelimitedCodec};
+use tokio_util::codec::{Framed, FramedParts, LengthDelimitedCodec};
 
 /// Largest control message, in bytes.
 const MAX_EXCHANGE_BYTES: usize = 4 * 1024 * 1024;
@@ -67,10 +67,21 @@
 
 /// Wraps a peer connection in its framing.
 pub fn frame_stream(stream: TcpStream) -> PeerFramed {
-    let codec = LengthDelimitedCodec::builder()
+    Framed::new(stream, frame_codec())
+}
+
+/// Wraps a peer connection of which `buffered` has been read already.
+pub fn frame_buffered(stream: TcpStream, buffered: BytesMut) -> PeerFramed {
+    let mut parts = FramedParts::new::<Bytes>(stream, frame_codec());
+    // A framing made of parts decodes what is buffered before it reads more.
+    parts.read_buf = buffered;
+    Framed::from_parts(parts)
+}
+
+fn frame_codec() -> LengthDelimitedCodec {
+    LengthDelimitedCodec::builder()
         .max_frame_length(MAX_EXCHANGE_BYTES)
-        .new_codec();
-    Framed::new(stream, codec)
+        .new_codec()
 }
 
 /// Sends one request to a peer's control thread and waits for the reply.
--- a/src/gate.rs
+++ b/src/gate.rs
@@ -24,7 +24,7 @@
 use crate::admission::{Admission, AdmissionOptions, AdmissionQueue, CallOffer, WorkResult};
 use crate::backend::{BackendClient, BackendTarget};
 use crate::error::ErrorKind;
-use crate::exchange::{PeerFramed, frame_stream};
+use crate::exchange::{PeerFramed, frame_buffered};
 use crate::gate::call::{CallInput, GateCall};
 use crate::ids::{CallId, NodeIncarnation, ServiceName};
 use crate::ledger::{
@@ -556,8 +556,7 @@
     buffered: BytesMut,
 ) -> std::io::Result<()> {
     let stream = TcpStream::from_std(stream)?;
-    let mut framed = frame_stream(stream);
-    *framed.read_buffer_mut() = buffered;
+    let mut framed = frame_buffered(stream, buffered);
     let frame = framed
         .next()
         .await
--- a/src/link/tests.rs
+++ b/src/link/tests.rs
@@ -1,2 +1,97 @@
-use super::window::*;
+use assert_matches::assert_matches;
 use bytes::Bytes;
+use proptest::prelude::*;
+
+use super::endpoint::lane_pair;
+use super::messages::{BodyChunk, CallName, LinkMessage};
+use super::window::{FIRST_WINDOW_BYTES, ReceiveWindow, SendWindow, WINDOW_BYTES};
+
+fn chunk(sequence: u64) -> LinkMessage {
+    LinkMessage::AnswerChunk(BodyChunk {
+        sequence,
+        ..BodyChunk::default()
+    })
+}
+
+#[ntex::test]
+async fn order_overtakes_bulk_chunks_of_another_call() {
+    let (sender, mut receiver) = lane_pair();
+    sender.send(chunk(1));
+    sender.send(chunk(1));
+    sender.send(LinkMessage::Cancel(CallName { sequence: 2 }));
+    assert_matches!(receiver.recv().await, Some(LinkMessage::Cancel(_)));
+    assert_matches!(receiver.recv().await, Some(LinkMessage::AnswerChunk(_)));
+    drop(sender);
+    assert_matches!(receiver.recv().await, Some(LinkMessage::AnswerChunk(_)));
+    assert_matches!(receiver.recv().await, None);
+}
+
+#[test]
+fn window_opens_fully_with_the_first_credit() {
+    let mut window = SendWindow::new(FIRST_WINDOW_BYTES);
+    window.push(Bytes::from(vec![0; 64 * 1024]), false);
+    assert_eq!(window.room(), 0);
+    window.credit(0);
+    assert_eq!(window.room() as u64, WINDOW_BYTES - 64 * 1024);
+    window.credit(1_000);
+    assert_eq!(window.room() as u64, WINDOW_BYTES - 64 * 1024 + 1_000);
+}
+
+#[test]
+fn gap_in_a_body_is_never_closed_silently() {
+    let mut window = ReceiveWindow::default();
+    assert_eq!(
+        window.accept(0, Bytes::from("ab"), false),
+        Some("ab".into())
+    );
+    assert_eq!(window.accept(3, Bytes::from("d"), false), None);
+    assert_eq!(window.accept(1, Bytes::from("bc"), true), Some("c".into()));
+    assert!(window.is_ended());
+}
+
+#[test]
+fn consumed_bytes_can_not_be_sent_again() {
+    let mut window = SendWindow::new(WINDOW_BYTES);
+    window.push(Bytes::from("abcd"), true);
+    window.credit(2);
+    assert_eq!(window.resend_from(1), None);
+    assert_eq!(window.resend_from(3), Some(vec![(3, Bytes::from("d"))]));
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { rng_seed: proptest::test_runner::RngSeed::Fixed(7), ..ProptestConfig::default() })]
+
+    /// Links are lost at arbitrary chunks; the receiver ends with the body.
+    #[test]
+    fn body_survives_any_pattern_of_lost_links(
+        sizes in prop::collection::vec(1_usize..50, 1..40),
+        lost in prop::collection::vec(any::<bool>(), 40),
+        credits in prop::collection::vec(any::<bool>(), 40),
+    ) {
+        let mut sender = SendWindow::new(WINDOW_BYTES);
+        let mut receiver = ReceiveWindow::default();
+        let (mut sent, mut received) = (Vec::new(), Vec::new());
+        for (index, size) in sizes.iter().enumerate() {
+            let data = Bytes::from(vec![index as u8; *size]);
+            let offset = sender.sent();
+            sent.extend_from_slice(&data);
+            sender.push(data.clone(), false);
+            if !lost[index] {
+                match receiver.accept(offset, data, false) {
+                    Some(fresh) => received.extend_from_slice(&fresh),
+                    // A gap: the link was lost, the sender starts again.
+                    None => for (offset, data) in sender.resend_from(receiver.received()).unwrap() {
+                        received.extend_from_slice(&receiver.accept(offset, data, false).unwrap());
+                    },
+                }
+            }
+            if credits[index] {
+                sender.credit(receiver.received());
+            }
+        }
+        for (offset, data) in sender.resend_from(receiver.received()).unwrap() {
+            received.extend_from_slice(&receiver.accept(offset, data, false).unwrap());
+        }
+        prop_assert_eq!(sent, received);
+    }
+}
--- a/src/logs.rs
+++ b/src/logs.rs
@@ -8,7 +8,7 @@
 use std::time::SystemTime;
 
 use fern::Dispatch;
-use log::kv::{Key, Source, Value, VisitSource};
+use log::kv::{Key, Value, VisitSource};
 use log::{LevelFilter, Record};
 use serde_json::{Map, Value as JsonValue};
 
--- a/src/node.rs
+++ b/src/node.rs
@@ -26,7 +26,7 @@
 use tokio::sync::mpsc::{UnboundedSender, channel, unbounded_channel};
 use tokio::sync::watch;
 
-use crate::admin::{AdminCall, AdminOptions, start_admin};
+use crate::admin::{AdminAccess, AdminCall, start_admin_server};
 use crate::control::admin::{counters, serve_admin};
 use crate::control::peers::accept_peers;
 use crate::control::state::{
@@ -186,10 +186,11 @@
 
     let (admin_sender, admin_calls) = channel::<AdminCall>(ADMIN_QUEUE);
     ntex::rt::spawn(serve_admin(Rc::clone(&control), admin_calls));
-    let admin_options = AdminOptions {
+    let access = AdminAccess {
+        control: admin_sender,
         token: options.admin_token.clone(),
     };
-    let admin = start_admin(sockets.admin, admin_options, admin_sender)?;
+    let admin = start_admin_server(sockets.admin, access)?;
     let callers = start_ingress(&options, &identity, sockets.callers, &shared, &gate_sender)?;
 
     print_addresses(&addresses)?;
@@ -295,7 +296,7 @@
         .set_max_headers(MAX_HEADERS)
         .set_max_buf_size(MAX_HEAD_BYTES);
     let server = web::HttpServer::new(factory)
-        .workers(options.threads.get())
+        .workers(usize::try_from(options.threads.get()).unwrap_or(1))
         .config(SharedCfg::new("callers").add(limits))
         .disable_signals()
         .shutdown_timeout(LISTENER_STOP)
