Add the operators' command line

Cause: operators drive the system by change tickets, often from scripts, and have to tell "refused" from "not known".

Change: `currantlift-ctl` with submit, check, show, services, members, status, health and explain. Exit code 3 is for a result that is not known, be it said by the node or because the node's answer was lost after the request was sent; the reaction is to submit again with the same number. Code 4 means that no connection came about, so nothing was changed. `explain` gathers the log lines that name a call or one of its attempts from any number of files.

--- a/src/ctl.rs
+++ b/src/ctl.rs
@@ -1,1 +1,186 @@
-//! To come.
+//! Operators' command line: change tickets, what is in force, and why one call
+//! went the way it did.
+//!
+//! Every command but `explain` asks one node's administration API and prints
+//! its JSON on standard output. The exit code tells a script what happened;
+//! an unknown result has a code of its own, since the right reaction is to ask
+//! again with the same number.
+
+mod explain;
+mod options;
+
+use std::io::Read;
+use std::path::Path;
+use std::process::ExitCode;
+use std::{fs, io};
+
+use ntex::http::Method;
+
+use crate::admin::{AdminAnswer, AdminClient, AdminClientError, TicketAnswer};
+use crate::options::{EXIT_USAGE, options_from_process};
+use options::{CTL_COMMAND, CtlCommand, CtlOptions};
+
+pub use explain::explain_call;
+
+/// Exit code for a refusal: nothing was changed.
+const EXIT_REFUSED: u8 = 1;
+/// Exit code for a result that is not known.
+const EXIT_UNKNOWN: u8 = 3;
+/// Exit code for a node that can't be reached.
+const EXIT_UNREACHABLE: u8 = 4;
+/// File name that stands for standard input.
+const STDIN_NAME: &str = "-";
+
+/// How a command ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum CtlResult {
+    Done,
+    Refused,
+    BadUsage,
+    Unknown,
+    Unreachable,
+}
+
+impl From<CtlResult> for ExitCode {
+    fn from(result: CtlResult) -> Self {
+        match result {
+            CtlResult::Done => Self::SUCCESS,
+            CtlResult::Refused => Self::from(EXIT_REFUSED),
+            CtlResult::BadUsage => Self::from(EXIT_USAGE),
+            CtlResult::Unknown => Self::from(EXIT_UNKNOWN),
+            CtlResult::Unreachable => Self::from(EXIT_UNREACHABLE),
+        }
+    }
+}
+
+/// Runs the command line with the settings of this process.
+pub fn main() -> ExitCode {
+    let options = match options_from_process::<CtlOptions>(&CTL_COMMAND) {
+        Ok(options) => options,
+        Err(code) => return code,
+    };
+    let system = ntex::rt::System::new(CTL_COMMAND.name, ntex::rt::DefaultRuntime);
+    system.block_on(run(options)).into()
+}
+
+async fn run(options: CtlOptions) -> CtlResult {
+    let (query, is_submission) = match source_of(&options.command) {
+        Ok(CommandSource::Node(query)) => {
+            let is_submission = matches!(options.command, CtlCommand::Submit { .. });
+            (query, is_submission)
+        }
+        Ok(CommandSource::Logs(text)) => {
+            print!("{text}");
+            return CtlResult::Done;
+        }
+        Err(error) => {
+            eprintln!("{}: {error}", CTL_COMMAND.name);
+            return CtlResult::BadUsage;
+        }
+    };
+    let Some(admin) = options.admin else {
+        eprintln!("{}: --admin: missing", CTL_COMMAND.name);
+        return CtlResult::BadUsage;
+    };
+    let answer = match AdminClient::connect(admin, options.token).await {
+        Ok(client) => client.request(query.method, &query.path, query.body).await,
+        Err(error) => Err(error),
+    };
+    match answer {
+        Ok(answer) => show_answer(&answer),
+        Err(error) => {
+            eprintln!("{}: {error}", CTL_COMMAND.name);
+            match error {
+                AdminClientError::NoAnswer { .. } if is_submission => CtlResult::Unknown,
+                _ => CtlResult::Unreachable,
+            }
+        }
+    }
+}
+
+struct AdminQuery {
+    method: Method,
+    path: String,
+    body: Option<String>,
+}
+
+impl AdminQuery {
+    fn get(path: String) -> Self {
+        Self {
+            method: Method::GET,
+            path,
+            body: None,
+        }
+    }
+
+    fn put(path: String, body: String) -> Self {
+        Self {
+            method: Method::PUT,
+            path,
+            body: Some(body),
+        }
+    }
+}
+
+/// What a command needs: an answer of a node, or text made from logs.
+enum CommandSource {
+    Node(AdminQuery),
+    Logs(String),
+}
+
+fn source_of(command: &CtlCommand) -> io::Result<CommandSource> {
+    let get = |path: &str| CommandSource::Node(AdminQuery::get(path.to_string()));
+    Ok(match command {
+        CtlCommand::Submit { file, number } => {
+            let path = format!("/v1/tickets/{number}");
+            CommandSource::Node(AdminQuery::put(path, read_ticket(file)?))
+        }
+        CtlCommand::Check { file, number } => {
+            let path = format!("/v1/tickets/{number}?check=true");
+            CommandSource::Node(AdminQuery::put(path, read_ticket(file)?))
+        }
+        CtlCommand::Show { number } => get(&format!("/v1/tickets/{number}")),
+        CtlCommand::Services => get("/v1/services"),
+        CtlCommand::Members => get("/v1/members"),
+        CtlCommand::Status => get("/v1/status"),
+        CtlCommand::Health => get("/v1/health"),
+        CtlCommand::Explain { call, logs } => {
+            let mut text = String::new();
+            for file in logs {
+                text.push_str(&read_text(file)?);
+                text.push('\n');
+            }
+            CommandSource::Logs(explain_call(*call, &text))
+        }
+    })
+}
+
+fn read_ticket(file: &str) -> io::Result<String> {
+    if file != STDIN_NAME {
+        return read_text(file);
+    }
+    let mut text = String::new();
+    io::stdin().read_to_string(&mut text)?;
+    Ok(text)
+}
+
+fn read_text(file: &str) -> io::Result<String> {
+    fs::read_to_string(Path::new(file))
+        .map_err(|error| io::Error::new(error.kind(), format!("{file}: {error}")))
+}
+
+fn show_answer(answer: &AdminAnswer) -> CtlResult {
+    match serde_json::from_str::<serde_json::Value>(&answer.body) {
+        Ok(json) => println!("{json:#}"),
+        Err(_) => println!("{}", answer.body),
+    }
+    let ticket: Option<TicketAnswer> = serde_json::from_str(&answer.body).ok();
+    match (ticket, answer.status) {
+        (Some(TicketAnswer::Unknown { .. }), _) | (_, 504) => CtlResult::Unknown,
+        (_, 200) => CtlResult::Done,
+        _ => CtlResult::Refused,
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/src/ctl/tests.rs
@@ -0,0 +1,58 @@
+use super::{CtlResult, explain_call, show_answer};
+use crate::admin::AdminAnswer;
+
+const LOGS: &str = r#"
+{"at":"2026-12-03T10:00:00.002Z","node":"b","target":"admission","message":"started","call":"00000000000000ff-21","slots":6}
+{"at":"2026-12-03T10:00:00.001Z","node":"a","target":"routing","message":"upstream chosen","call":"00000000000000ff-20","chosen":"b"}
+{"at":"2026-12-03T10:00:00.003Z","node":"a","target":"routing","message":"upstream chosen","call":"00000000000000ff-30","chosen":"c"}
+{"at":"2026-12-03T10:00:00.004Z","node":"a","target":"routing","message":"upstream chosen","call":"00000000000000fe-20","chosen":"c"}
+not a JSON line
+"#;
+
+#[test]
+fn a_call_is_explained_with_its_attempts_in_order_of_time() {
+    let text = explain_call("00000000000000ff-20".parse().unwrap(), LOGS);
+    let lines: Vec<&str> = text.lines().collect();
+    assert_eq!(
+        lines,
+        [
+            "2026-12-03T10:00:00.001Z  a  routing  upstream chosen",
+            "    chosen: b",
+            "2026-12-03T10:00:00.002Z  b  admission  started",
+            "    slots: 6",
+        ]
+    );
+    let text = explain_call("00000000000000aa-20".parse().unwrap(), LOGS);
+    assert!(text.starts_with("no log line names call"));
+}
+
+#[test]
+fn the_exit_code_tells_unknown_from_refused() {
+    let cases = [
+        (
+            200,
+            r#"{"result":"accepted","number":1,"is_repeated":false}"#,
+            CtlResult::Done,
+        ),
+        (
+            409,
+            r#"{"result":"refused","number":1,"reason":"out-of-date","services":[]}"#,
+            CtlResult::Refused,
+        ),
+        (400, r#"{"field":"x","reason":"y"}"#, CtlResult::Refused),
+        (
+            504,
+            r#"{"result":"unknown","number":1,"advice":"x"}"#,
+            CtlResult::Unknown,
+        ),
+        (
+            503,
+            r#"{"result":"unknown","number":1,"advice":"x"}"#,
+            CtlResult::Unknown,
+        ),
+    ];
+    for (status, body, expected) in cases {
+        let body = body.to_string();
+        assert_eq!(show_answer(&AdminAnswer { status, body }), expected);
+    }
+}
--- a/src/options/reader.rs
+++ b/src/options/reader.rs
@@ -235,6 +235,19 @@
         settings.iter().map(parse).collect()
     }
 
+    /// Every value of a repeated flag, of which there has to be one.
+    ///
+    /// # Errors
+    ///
+    /// Fails if there is none, or one is not allowed.
+    pub fn required_list<T: FromStr>(&self, name: &str) -> Result<Vec<T>, SettingError> {
+        let values = self.list(name)?;
+        if values.is_empty() {
+            return Err(self.flag(name).missing_error());
+        }
+        Ok(values)
+    }
+
     /// Value of a flag, or its default, if there is one.
     ///
     /// # Errors
