Take back a lower limit that costs throughput

Cause: the first limit fell on any latency above a decaying minimum. The minimum of window means sinks with every lucky window, and where each call is slow by itself a lower limit only costs throughput.

Change: baseline that follows low window means soon and high ones slowly, hysteresis between calm (1.25) and congested (1.5), and each fall is a trial that is taken back when the rate of completed calls drops.

A refusal's decision: median under 50 us with 64 slots and a full queue.

--- a/src/admission.rs
+++ b/src/admission.rs
@@ -10,6 +10,7 @@
 //! is longer, the mean age of the calls at work: after a sudden stall no call
 //! completes, and only the ages tell.
 
+mod latency;
 mod limit;
 mod share;
 
@@ -18,6 +19,7 @@
 
 use crate::error::ErrorKind;
 use crate::ids::{CallId, SlotCount};
+use latency::LatencyEstimate;
 use limit::CapacityLimit;
 
 pub use share::{ShareKey, ShareTable, WorkShare};
@@ -26,10 +28,6 @@
 const QUEUE_PER_RUNNING: u32 = 2;
 /// Longest estimated wait that a call is queued for.
 const LONGEST_WAIT: Duration = Duration::from_secs(1);
-/// Weight of one latency in the mean.
-const LATENCY_WEIGHT: f64 = 1.0 / 16.0;
-/// Rise of the shortest known latency towards the mean, by completed call.
-const SHORTEST_RISE: f64 = 1.0 / 256.0;
 /// Shortest wait that a refusal names.
 const SHORTEST_RETRY: Duration = Duration::from_millis(1);
 /// Wait that a refusal names while the gate drains.
@@ -134,8 +132,7 @@
     shares: ShareTable,
     running: BTreeMap<CallId, RunningCall>,
     waiting: VecDeque<WaitingCall>,
-    mean_latency: Option<Duration>,
-    shortest_latency: Duration,
+    latency: LatencyEstimate,
     /// Sum of the start times of the calls at work.
     start_sum: Duration,
     is_draining: bool,
@@ -150,8 +147,7 @@
             shares: ShareTable::default(),
             running: BTreeMap::new(),
             waiting: VecDeque::new(),
-            mean_latency: None,
-            shortest_latency: Duration::ZERO,
+            latency: LatencyEstimate::default(),
             start_sum: Duration::ZERO,
             is_draining: false,
         }
@@ -179,7 +175,7 @@
         if self.queued() >= self.queue_room() {
             return refusal(ErrorKind::Overloaded, wait);
         }
-        let time_to_wait = offer.time_left.saturating_sub(self.shortest_latency);
+        let time_to_wait = offer.time_left.saturating_sub(self.latency.shortest());
         if wait > time_to_wait.min(self.options.longest_wait) {
             return refusal(ErrorKind::WaitTooLong, wait);
         }
@@ -204,7 +200,7 @@
         self.start_sum = self.start_sum.saturating_sub(ended.started_at);
         self.shares.give_back(&ended.shares);
         if let WorkResult::Completed { latency } = result {
-            self.note_latency(latency);
+            self.latency.note(latency);
             self.limit.note_completed(now, latency, in_flight);
         }
         self.start_waiting(now)
@@ -311,22 +307,8 @@
         started
     }
 
-    fn note_latency(&mut self, latency: Duration) {
-        let mean = match self.mean_latency {
-            Some(mean) => mean.mul_f64(1.0 - LATENCY_WEIGHT) + latency.mul_f64(LATENCY_WEIGHT),
-            None => latency,
-        };
-        let is_first = self.mean_latency.is_none();
-        self.mean_latency = Some(mean);
-        let rise = mean.saturating_sub(self.shortest_latency);
-        self.shortest_latency += rise.mul_f64(SHORTEST_RISE);
-        if is_first || latency < self.shortest_latency {
-            self.shortest_latency = latency;
-        }
-    }
-
     fn latency_estimate(&self, now: Duration) -> Duration {
-        let mean = self.mean_latency.unwrap_or_default();
+        let mean = self.latency.mean();
         let Some(mean_start) = self.start_sum.checked_div(self.in_flight()) else {
             return mean;
         };
--- /dev/null
+++ b/src/admission/latency.rs
@@ -0,0 +1,36 @@
+//! Mean and shortest latency of completed calls.
+
+use std::time::Duration;
+
+/// Weight of one latency in the mean.
+const LATENCY_WEIGHT: f64 = 1.0 / 16.0;
+/// Rise of the shortest known latency towards the mean, by completed call.
+const SHORTEST_RISE: f64 = 1.0 / 256.0;
+/// Running estimate; zero until the first call completes.
+#[derive(Debug, Default)]
+pub(super) struct LatencyEstimate {
+    mean: Option<Duration>,
+    shortest: Duration,
+}
+
+impl LatencyEstimate {
+    pub(super) fn mean(&self) -> Duration {
+        self.mean.unwrap_or_default()
+    }
+
+    pub(super) fn shortest(&self) -> Duration {
+        self.shortest
+    }
+
+    pub(super) fn note(&mut self, latency: Duration) {
+        let Some(mean) = self.mean else {
+            self.mean = Some(latency);
+            self.shortest = latency;
+            return;
+        };
+        let mean = mean.mul_f64(1.0 - LATENCY_WEIGHT) + latency.mul_f64(LATENCY_WEIGHT);
+        let rise = mean.saturating_sub(self.shortest).mul_f64(SHORTEST_RISE);
+        self.shortest = latency.min(self.shortest + rise);
+        self.mean = Some(mean);
+    }
+}
--- a/src/admission/limit.rs
+++ b/src/admission/limit.rs
@@ -1,10 +1,11 @@
 //! Limit on work in flight that follows the capacity left to the server.
 //!
-//! Latency is judged in windows of completed calls against a baseline, the
-//! lowest window mean, which rises slowly so that a lasting change becomes the
-//! new normal. A window above the baseline makes the limit fall, a window near
-//! it makes the limit rise by one, and only windows in which the limit was
-//! reached count.
+//! Latency is judged in windows of completed calls against a baseline, which
+//! follows low window means soon and high ones slowly, so that a lasting change
+//! becomes the new normal. The plain minimum would sink further with each
+//! window of lucky calls. A window well above the baseline makes the limit
+//! fall, a window near it makes the limit rise by one, and only windows in
+//! which the limit was reached count.
 //!
 //! A lower limit helps where the running calls share what is left of a
 //! processor: each gets faster and the rate stays. It harms where each call is
@@ -16,15 +17,19 @@
 use crate::ids::SlotCount;
 
 /// Completed calls that close a window.
-const WINDOW_CALLS: u32 = 32;
+const WINDOW_CALLS: u32 = 64;
 /// Age that closes a window of at least [`WINDOW_MIN_CALLS`].
 const WINDOW_AGE: Duration = Duration::from_secs(1);
 /// Fewest completed calls in a window.
-const WINDOW_MIN_CALLS: u32 = 8;
+const WINDOW_MIN_CALLS: u32 = 16;
 /// Ratio to the baseline above which a window counts as congested.
 const CONGESTED_RATIO: f64 = 1.5;
+/// Ratio to the baseline up to which a window counts as calm.
+const CALM_RATIO: f64 = 1.25;
 /// Rise of the baseline towards a higher window mean, by window.
-const BASELINE_RISE: f64 = 0.02;
+const BASELINE_RISE: f64 = 0.01;
+/// Fall of the baseline towards a lower window mean, by window.
+const BASELINE_FALL: f64 = 0.2;
 /// Part of the limit that a fall takes away.
 const FALL_PART: f64 = 1.0 / 3.0;
 /// Ratio of rates below which a fall is taken back.
@@ -140,9 +145,9 @@
         if !report.is_at_limit {
             return;
         }
-        if report.mean <= baseline * CONGESTED_RATIO {
+        if report.mean <= baseline * CALM_RATIO {
             self.limit = self.limit.saturating_add(1).min(self.slots);
-        } else if self.hold == 0 {
+        } else if self.hold == 0 && report.mean > baseline * CONGESTED_RATIO {
             self.fall(report);
         }
     }
@@ -163,10 +168,13 @@
     }
 
     fn update_baseline(&mut self, mean: f64) -> f64 {
-        let baseline = match self.baseline {
-            Some(baseline) if mean > baseline => baseline + (mean - baseline) * BASELINE_RISE,
-            _ => mean,
+        let baseline = self.baseline.unwrap_or(mean);
+        let weight = if mean > baseline {
+            BASELINE_RISE
+        } else {
+            BASELINE_FALL
         };
+        let baseline = baseline + (mean - baseline) * weight;
         self.baseline = Some(baseline);
         baseline
     }
--- a/src/admission/tests.rs
+++ b/src/admission/tests.rs
@@ -1,8 +1,13 @@
-use std::time::Duration;
+use std::collections::BTreeMap;
+use std::time::{Duration, Instant};
 
 use assert_matches::assert_matches;
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
 
-use super::{Admission, AdmissionOptions, AdmissionQueue, CallOffer, WorkResult};
+use super::{
+    Admission, AdmissionOptions, AdmissionQueue, CallOffer, ShareKey, WorkResult, WorkShare,
+};
 use crate::error::ErrorKind;
 use crate::ids::{CallId, SlotCount};
 
@@ -47,3 +52,156 @@
     let started = queue.finish(now, call(2), WorkResult::Failed);
     assert_eq!(started, [call(4)]);
 }
+
+#[test]
+fn queued_call_expires_while_an_answer_is_still_possible() {
+    let mut queue = queue_of(1);
+    let latency = Duration::from_millis(100);
+    let now = Duration::from_secs(1);
+    queue.offer(now, offer(1, latency));
+    queue.finish(now, call(1), WorkResult::Completed { latency });
+    queue.offer(now, offer(2, latency));
+    let time_left = Duration::from_millis(300);
+    assert_matches!(
+        queue.offer(now, offer(3, time_left)),
+        Admission::Queued { .. }
+    );
+    let expiry = now + time_left - latency;
+    assert_eq!(queue.next_expiry(), Some(expiry));
+    let late = queue.finish(expiry, call(2), WorkResult::Failed);
+    assert!(late.is_empty(), "a call past its time was started");
+    assert_eq!(queue.expire(expiry), [call(3)]);
+    assert_eq!(queue.load().queued, 0);
+}
+
+#[test]
+fn stalled_calls_make_the_wait_estimate_grow() {
+    let mut queue = queue_of(1);
+    let second = Duration::from_secs(1);
+    let latency = Duration::from_millis(1);
+    queue.offer(second, offer(1, second));
+    queue.finish(second, call(1), WorkResult::Completed { latency });
+    queue.offer(second, offer(2, second));
+    let stalled = second + Duration::from_millis(500);
+    let hurried = queue.offer(stalled, offer(3, Duration::from_millis(400)));
+    assert_matches!(
+        hurried,
+        Admission::Refused {
+            kind: ErrorKind::WaitTooLong,
+            ..
+        }
+    );
+}
+
+#[test]
+fn service_stays_within_its_share() {
+    let mut queue = queue_of(4);
+    let share = WorkShare {
+        key: ShareKey::Service("plans".parse().expect("name")),
+        percent: 25,
+    };
+    let mut refused = Vec::new();
+    for sequence in 0..6 {
+        let mut offer = offer(sequence, Duration::from_secs(1));
+        offer.shares.push(share.clone());
+        if let Admission::Refused { kind, .. } = queue.offer(Duration::ZERO, offer) {
+            refused.push(kind);
+        }
+    }
+    // A quarter of four slots and eight places in the queue.
+    assert_eq!(refused, [ErrorKind::ShareExceeded; 3]);
+    let other = queue.offer(Duration::ZERO, offer(9, Duration::from_secs(1)));
+    assert_eq!(other, Admission::Start);
+}
+
+/// Keeps a gate busy for 20 s with a server whose latency in milliseconds
+/// depends on the calls at work; returns the mean limit of the second half.
+fn mean_limit_under(
+    queue: &mut AdmissionQueue,
+    from: Duration,
+    mut latency_ms: impl FnMut(u32) -> f64,
+) -> f64 {
+    let until = from + Duration::from_secs(20);
+    let half = from + Duration::from_secs(10);
+    let mut ends: BTreeMap<(Duration, u64), Duration> = BTreeMap::new();
+    let mut sequence = u64::try_from(from.as_micros()).expect("time");
+    let (mut now, mut limit_time, mut late_from) = (from, 0.0, half);
+    while now < until {
+        let time_left = Duration::from_secs(600);
+        while queue.offer(now, offer(sequence, time_left)) == Admission::Start {
+            let calls = queue.load().in_flight;
+            let latency = Duration::from_secs_f64(latency_ms(calls) / 1e3);
+            ends.insert((now + latency, sequence), latency);
+            sequence += 1;
+        }
+        queue.withdraw(now, call(sequence));
+        sequence += 1;
+        let ((end, ended), latency) = ends.pop_first().expect("work");
+        now = end;
+        if now > late_from {
+            limit_time += f64::from(queue.load().limit) * (now - late_from).as_secs_f64();
+            late_from = now;
+        }
+        queue.finish(now, call(ended), WorkResult::Completed { latency });
+    }
+    for (_, ended) in ends.into_keys() {
+        queue.finish(now, call(ended), WorkResult::Failed);
+    }
+    limit_time / (late_from - half).as_secs_f64()
+}
+
+#[test]
+fn limit_follows_the_capacity_that_neighbours_leave() {
+    let mut queue = queue_of(6);
+    let calm = mean_limit_under(&mut queue, Duration::ZERO, |_| 10.0);
+    assert!(calm > 5.99, "mean limit {calm}");
+    let second = Duration::from_secs(30);
+    // Two cores are left for six slots.
+    let crowded = mean_limit_under(&mut queue, second, |calls| 5.0 * f64::from(calls.max(2)));
+    assert!((2.0..=4.0).contains(&crowded), "mean limit {crowded}");
+    let third = Duration::from_secs(60);
+    let again = mean_limit_under(&mut queue, third, |_| 10.0);
+    assert!(again > 5.99, "mean limit {again}");
+}
+
+#[test]
+fn limit_stays_where_a_lower_one_costs_throughput() {
+    let mut queue = queue_of(6);
+    mean_limit_under(&mut queue, Duration::ZERO, |_| 10.0);
+    // Every call is slow by itself.
+    let slow = mean_limit_under(&mut queue, Duration::from_secs(30), |_| 200.0);
+    assert!(slow >= 5.7, "mean limit {slow}");
+}
+
+#[test]
+fn limit_stays_when_latencies_vary_by_chance() {
+    let mut generator = StdRng::seed_from_u64(11);
+    let mut queue = queue_of(6);
+    let limit = mean_limit_under(&mut queue, Duration::ZERO, |_| {
+        // Exponential with a mean of 10 ms.
+        -10.0 * (1.0 - generator.random::<f64>()).ln()
+    });
+    assert!(limit >= 5.7, "mean limit {limit}");
+}
+
+#[test]
+fn refusal_is_decided_within_50_us() {
+    const ROUNDS: u64 = 1_001;
+    let mut queue = queue_of(64);
+    let second = Duration::from_secs(1);
+    for sequence in 0..256 {
+        queue.offer(second, offer(sequence, second));
+    }
+    let mut times: Vec<Duration> = (0..ROUNDS)
+        .map(|round| {
+            let offer = offer(1_000 + round, second);
+            let begun = Instant::now();
+            let decision = queue.offer(second, offer);
+            assert_matches!(decision, Admission::Refused { .. });
+            begun.elapsed()
+        })
+        .collect();
+    times.sort_unstable();
+    let median = times[times.len() / 2];
+    assert!(median < Duration::from_micros(50), "median {median:?}");
+}
--- /dev/null
+++ b/src/ledger/tests/steps.rs
@@ -0,0 +1,161 @@
+//! Steps of the adversary that drives the model.
+
+use proptest::prelude::*;
+
+use super::gate::WorkEnd;
+
+/// Gates in the model.
+pub(super) const GATE_COUNT: usize = 2;
+
+/// One step of the adversary; numbers pick among what is there.
+#[derive(Debug, Clone, Copy)]
+pub(super) enum Step {
+    NewCall {
+        idempotent: bool,
+    },
+    Send {
+        call: usize,
+        gate: usize,
+    },
+    GiveUp {
+        call: usize,
+    },
+    ToGate {
+        link: usize,
+    },
+    ToIngress {
+        link: usize,
+    },
+    RepeatToGate {
+        link: usize,
+    },
+    RepeatToIngress {
+        link: usize,
+    },
+    DropLink {
+        link: usize,
+    },
+    CutLink {
+        link: usize,
+    },
+    BeginWork {
+        gate: usize,
+        pick: usize,
+    },
+    BeginOrphan {
+        gate: usize,
+    },
+    EndWork {
+        gate: usize,
+        pick: usize,
+        end: WorkEnd,
+    },
+    Freeze {
+        gate: usize,
+    },
+    Thaw {
+        gate: usize,
+    },
+    RestartGate {
+        gate: usize,
+    },
+    RestartIngress,
+    Drain {
+        gate: usize,
+    },
+    TimeOut {
+        call: usize,
+    },
+    GraceOver {
+        call: usize,
+    },
+    GateGone {
+        call: usize,
+    },
+    Pass {
+        seconds: u64,
+    },
+}
+
+/// Weight of each kind of step and how numbers become one.
+type StepRow = (u32, fn(usize, usize) -> Step);
+
+/// Kinds of steps; those that carry a call on are the most frequent.
+const STEP_TABLE: [StepRow; 21] = [
+    (4, |pick, _| Step::NewCall {
+        idempotent: pick % 2 == 0,
+    }),
+    (8, |call, gate| Step::Send {
+        call,
+        gate: gate % GATE_COUNT,
+    }),
+    (1, |call, _| Step::GiveUp { call }),
+    (12, |link, _| Step::ToGate { link }),
+    (12, |link, _| Step::ToIngress { link }),
+    (1, |link, _| Step::RepeatToGate { link }),
+    (1, |link, _| Step::RepeatToIngress { link }),
+    (3, |link, _| Step::DropLink { link }),
+    (6, |pick, gate| Step::BeginWork {
+        gate: gate % GATE_COUNT,
+        pick,
+    }),
+    (1, |_, gate| Step::BeginOrphan {
+        gate: gate % GATE_COUNT,
+    }),
+    (4, |pick, gate| Step::EndWork {
+        gate: gate % GATE_COUNT,
+        pick,
+        end: WorkEnd::Whole,
+    }),
+    (1, |pick, gate| Step::EndWork {
+        gate: gate % GATE_COUNT,
+        pick,
+        end: WorkEnd::Failed,
+    }),
+    (1, |pick, gate| Step::EndWork {
+        gate: gate % GATE_COUNT,
+        pick,
+        end: WorkEnd::Unreachable,
+    }),
+    (1, |_, gate| Step::Freeze {
+        gate: gate % GATE_COUNT,
+    }),
+    (1, |_, gate| Step::Thaw {
+        gate: gate % GATE_COUNT,
+    }),
+    (1, |_, gate| Step::RestartGate {
+        gate: gate % GATE_COUNT,
+    }),
+    (1, |pick, gate| match pick {
+        0 => Step::RestartIngress,
+        1 => Step::Drain {
+            gate: gate % GATE_COUNT,
+        },
+        _ => Step::CutLink { link: gate },
+    }),
+    (3, |call, _| Step::GateGone { call }),
+    (2, |call, _| Step::TimeOut { call }),
+    (1, |call, _| Step::GraceOver { call }),
+    (2, |seconds, _| Step::Pass {
+        seconds: 1 + seconds as u64,
+    }),
+];
+
+/// Any step. Plain numbers keep the generator fast.
+pub(super) fn any_step() -> impl Strategy<Value = Step> {
+    let total: u32 = STEP_TABLE.iter().map(|(weight, _)| weight).sum();
+    (0..total, 0..8_usize, 0..8_usize).prop_map(|(place, first, second)| {
+        let make = row_at(place);
+        make(first, second)
+    })
+}
+
+fn row_at(mut place: u32) -> fn(usize, usize) -> Step {
+    for (weight, make) in STEP_TABLE {
+        if place < weight {
+            return make;
+        }
+        place -= weight;
+    }
+    unreachable!("a place below the total weight")
+}
