Share a failed link opening, count failed answers, stop without a cut

Cause: calls that waited for the opening of a link to a frozen gate tried one after the other, 100 ms each; an upstream that answered 500 at once counted as a good and idle one; a planned stop went on taking requests until its limit and would then have cut them. Ruled out: a shorter opening limit alone (the waits still add up). Change: calls that waited share the failure; a 5xx counts as a failure for routing, and an idempotent call asks another upstream within its budget, else passes the failed answer on; the listener closes one second after everyone was told, and callers' connections end with their last answer. Load probes that routing orders are sent over the links.

--- a/src/gate.rs
+++ b/src/gate.rs
@@ -591,9 +591,10 @@
         Ok(())
     };
     let result = tokio::select! {
-        result = reading => result,
-        result = write_frames(sink, outgoing) => result,
+        biased;
         () = closed.notified() => Ok(()),
+        result = write_frames(sink, outgoing) => result,
+        result = reading => result,
     };
     gate.senders.borrow_mut().remove(&number);
     result
--- a/src/ingress/attempt.rs
+++ b/src/ingress/attempt.rs
@@ -37,6 +37,9 @@
 /// Share of the time limit that the cancel margin takes at most.
 const CANCEL_MARGIN_SHARE: u32 = 10;
 
+/// First status with which a backend server says that it failed.
+pub const FIRST_SERVER_ERROR: u32 = 500;
+
 /// Failure of an attempt.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct AttemptEnd {
@@ -54,6 +57,11 @@
         }
     }
 
+    /// End of an attempt whose answer says that the backend server failed.
+    pub fn backend_failed() -> Self {
+        Self::unknown(ErrorKind::BackendFailed)
+    }
+
     fn unknown(kind: ErrorKind) -> Self {
         Self {
             failure: AttemptFailure::Unknown(kind),
@@ -90,6 +98,7 @@
     outgoing: SendWindow,
     incoming: ReceiveWindow,
     has_head: bool,
+    result: AttemptResult,
     cancel_at: Instant,
     is_cancelled: bool,
     is_settled: bool,
@@ -136,6 +145,7 @@
             outgoing,
             incoming: ReceiveWindow::default(),
             has_head: false,
+            result: AttemptResult::Answered,
             is_cancelled: false,
             is_settled: false,
         })
@@ -163,6 +173,10 @@
         match &result {
             Ok(head) => {
                 self.has_head = true;
+                if head.status >= FIRST_SERVER_ERROR {
+                    // An upstream that fails fast must not look idle.
+                    self.result = AttemptResult::Failed(ErrorKind::BackendFailed);
+                }
                 if head.is_last {
                     self.acknowledge();
                 }
@@ -352,7 +366,7 @@
         self.link.send(LinkMessage::Acknowledge(CallName {
             sequence: self.sequence(),
         }));
-        self.settle(AttemptResult::Answered);
+        self.settle(self.result);
     }
 
     /// Passes the rest of the answer on, from a task of its own.
--- a/src/ingress/call.rs
+++ b/src/ingress/call.rs
@@ -11,14 +11,14 @@
 use crate::error::{ErrorKind, RunOutcome};
 use crate::ids::{CallId, NodeId};
 use crate::ingress::answer::{CallAnswer, CallFailure};
-use crate::ingress::attempt::{AttemptEnd, AttemptPlan, CallAttempt};
+use crate::ingress::attempt::{AttemptEnd, AttemptPlan, CallAttempt, FIRST_SERVER_ERROR};
 use crate::ingress::body::RequestBody;
 use crate::ingress::request::RequestFacts;
 use crate::ingress::{IngressWorker, lock};
 use crate::link::messages::CallOpen;
 use crate::link::pool::GateTarget;
 use crate::retry::{AttemptFailure, CallFacts, RetryDecision};
-use crate::routing::RouteChoice;
+use crate::routing::{ProbeOrder, RouteChoice};
 
 /// Requests in flight at one ingress that count as 100 percent of its shares.
 const INGRESS_CAPACITY: u32 = 1_000;
@@ -66,15 +66,25 @@
         lock(&self.worker.shared.retries).on_first_attempt(service);
         loop {
             self.attempts += 1;
-            let end = match self.try_once(&mut body).await {
-                Ok(answer) => return Ok(answer),
-                Err(end) => end,
-            };
-            self.may_have_run |= matches!(end.failure, AttemptFailure::Unknown(_));
-            self.decide(end, body.is_replayable())?;
+            match self.try_once(&mut body).await {
+                Ok(answer) if !self.wants_other(&answer) => return Ok(answer),
+                Ok(answer) => {
+                    let end = AttemptEnd::backend_failed();
+                    if self.decide(end, &body).is_err() {
+                        // A failed answer is better than none.
+                        return Ok(answer);
+                    }
+                }
+                Err(end) => self.decide(end, &body)?,
+            }
         }
     }
 
+    /// Whether another upstream should be asked in place of a failed answer.
+    fn wants_other(&self, answer: &CallAnswer) -> bool {
+        self.facts.is_idempotent && answer.head.status >= FIRST_SERVER_ERROR
+    }
+
     fn enter_share(&self) -> Result<ShareGuard, CallFailure> {
         let shares = self.work_shares();
         let mut table = lock(&self.worker.shared.shares);
@@ -155,14 +165,31 @@
         let mut rng = self.worker.rng.borrow_mut();
         let mut router = lock(&self.worker.shared.router);
         let choice = router.choose(now, &mut *rng, &self.facts.service, &self.tried);
+        let probes = router.probe_due(now);
         drop(router);
         self.log_choice(&choice);
+        for order in probes {
+            self.send_probe(order);
+        }
         choice.map_err(|kind| AttemptEnd {
             failure: AttemptFailure::NotRun(kind),
             retry_after: None,
         })
     }
 
+    fn send_probe(&self, order: ProbeOrder) {
+        log::info!(target: "routing", upstream:% = order.node; "load probe sent");
+        let worker = Rc::clone(&self.worker);
+        let target = GateTarget {
+            node: order.node,
+            address: order.peer_address,
+        };
+        ntex::rt::spawn(async move {
+            // An upstream that can't be probed keeps its old report.
+            let _ = worker.pool.probe(&target).await;
+        });
+    }
+
     fn log_choice(&self, choice: &Result<RouteChoice, ErrorKind>) {
         let (call, service, attempt) = (self.id, &self.facts.service, self.attempts);
         match choice {
@@ -205,8 +232,9 @@
     }
 
     /// Returns to try again, or fails with what the caller is told.
-    fn decide(&mut self, end: AttemptEnd, is_replayable: bool) -> Result<(), CallFailure> {
-        let attempts_limit = if is_replayable {
+    fn decide(&mut self, end: AttemptEnd, body: &RequestBody) -> Result<(), CallFailure> {
+        self.may_have_run |= matches!(end.failure, AttemptFailure::Unknown(_));
+        let attempts_limit = if body.is_replayable() {
             self.facts.attempts_limit
         } else {
             self.attempts
--- a/src/link/pool.rs
+++ b/src/link/pool.rs
@@ -181,6 +181,15 @@
 struct LinkSlot {
     current: RefCell<Option<Rc<CallLink>>>,
     connecting: Mutex<()>,
+    last_failure: Cell<Option<(Instant, io::ErrorKind)>>,
+}
+
+impl LinkSlot {
+    /// Failure of an opening that another call began after `asked`.
+    fn failure_since(&self, asked: Instant) -> Option<io::Error> {
+        let (failed, kind) = self.last_failure.get()?;
+        (failed >= asked).then(|| kind.into())
+    }
 }
 
 /// Links of one traffic thread.
@@ -217,7 +226,7 @@
     /// # Errors
     ///
     /// Fails if the gate can't be reached within 100 ms.
-    pub async fn link(self: &Rc<Self>, target: &GateTarget) -> io::Result<Rc<CallLink>> {
+    pub async fn link(&self, target: &GateTarget) -> io::Result<Rc<CallLink>> {
         let slot = Rc::clone(
             self.slots
                 .borrow_mut()
@@ -227,13 +236,37 @@
         if let Some(link) = open_link_of(&slot) {
             return Ok(link);
         }
+        let asked = Instant::now();
         let _connecting = slot.connecting.lock().await;
         if let Some(link) = open_link_of(&slot) {
             return Ok(link);
         }
-        let link = self.open(target).await?;
-        *slot.current.borrow_mut() = Some(Rc::clone(&link));
-        Ok(link)
+        // Calls that waited for an opening share its failure; one after the
+        // other they would wait for a dead gate many times over.
+        if let Some(error) = slot.failure_since(asked) {
+            return Err(error);
+        }
+        match self.open(target).await {
+            Ok(link) => {
+                *slot.current.borrow_mut() = Some(Rc::clone(&link));
+                Ok(link)
+            }
+            Err(error) => {
+                slot.last_failure.set(Some((Instant::now(), error.kind())));
+                Err(error)
+            }
+        }
+    }
+
+    /// Asks a gate for its load; the answer comes as a notice.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the gate can't be reached within 100 ms.
+    pub async fn probe(&self, target: &GateTarget) -> io::Result<()> {
+        let link = self.link(target).await?;
+        link.send(LinkMessage::Ping(LinkPing { load: None }));
+        Ok(())
     }
 
     /// Closes links to gates that `is_wanted` rejects, once they are idle.
@@ -258,7 +291,7 @@
             .count()
     }
 
-    async fn open(self: &Rc<Self>, target: &GateTarget) -> io::Result<Rc<CallLink>> {
+    async fn open(&self, target: &GateTarget) -> io::Result<Rc<CallLink>> {
         self.generation.set(self.generation.get() + 1);
         let hello = LinkHello {
             node: self.identity.node.to_string(),
@@ -274,7 +307,7 @@
             .map_err(|_| io::Error::from(io::ErrorKind::TimedOut))?
     }
 
-    fn open_local(self: &Rc<Self>, hello: LinkHello) -> Rc<CallLink> {
+    fn open_local(&self, hello: LinkHello) -> Rc<CallLink> {
         let (to_gate, gate_receiver) = lane_pair();
         let (to_ingress, receiver) = lane_pair();
         (self.local)(to_ingress, gate_receiver, hello);
@@ -289,11 +322,7 @@
         link
     }
 
-    async fn open_remote(
-        self: &Rc<Self>,
-        target: &GateTarget,
-        hello: LinkHello,
-    ) -> io::Result<Rc<CallLink>> {
+    async fn open_remote(&self, target: &GateTarget, hello: LinkHello) -> io::Result<Rc<CallLink>> {
         let stream = TcpStream::connect(target.address).await?;
         stream.set_nodelay(true)?;
         let mut framed = frame_stream(stream);
--- a/src/node.rs
+++ b/src/node.rs
@@ -60,8 +60,6 @@
 const STOP_LINGER: Duration = Duration::from_secs(1);
 /// Interval at which a planned stop looks whether all calls have ended.
 const STOP_POLL: Duration = Duration::from_millis(50);
-/// Time limit for callers' idle connections at a planned stop, in seconds.
-const LISTENER_STOP: Seconds = Seconds(2);
 /// Most header fields of a request.
 const MAX_HEADERS: usize = 96;
 /// Most bytes of a request head.
@@ -295,11 +293,13 @@
     let limits = HttpServiceConfig::new()
         .set_max_headers(MAX_HEADERS)
         .set_max_buf_size(MAX_HEAD_BYTES);
+    let stop_seconds = u16::try_from(options.drain_limit.as_secs()).unwrap_or(u16::MAX);
+    let stop_limit = Seconds(stop_seconds);
     let server = web::HttpServer::new(factory)
         .workers(usize::try_from(options.threads.get()).unwrap_or(1))
         .config(SharedCfg::new("callers").add(limits))
         .disable_signals()
-        .shutdown_timeout(LISTENER_STOP)
+        .shutdown_timeout(stop_limit)
         .listen(listener)?
         .run();
     Ok(server)
@@ -349,19 +349,19 @@
     }
 }
 
+/// A planned stop: told to everyone first, then nothing new, then the end of
+/// what is under way.
 async fn stop_node(control: &ControlState, limit: Duration, callers: Server, admin: Server) {
     control.begin_stop();
-    let begun = Instant::now();
-    loop {
-        tokio::time::sleep(STOP_POLL).await;
-        let elapsed = begun.elapsed();
-        let is_done = control.is_idle() && elapsed >= STOP_LINGER;
-        if is_done || elapsed >= limit {
-            break;
+    tokio::time::sleep(STOP_LINGER).await;
+    let draining = async {
+        callers.stop(true).await;
+        while !control.is_idle() {
+            tokio::time::sleep(STOP_POLL).await;
         }
+    };
+    if tokio::time::timeout(limit, draining).await.is_err() {
+        log::error!(target: "node", counters:? = counters(control); "stop limit passed");
     }
-    let final_counters = counters(control);
-    log::info!(target: "node", counters:? = final_counters; "draining has ended");
-    callers.stop(true).await;
     admin.stop(false).await;
 }
