--- a/src/ingress.rs
+++ b/src/ingress.rs
@@ -11,6 +11,7 @@
 pub mod request;
 
 use std::cell::RefCell;
+use std::collections::BTreeSet;
 use std::rc::Rc;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -156,6 +157,22 @@
     response
 }
 
+/// Closes links to gates that no table has any more, until control ends.
+pub async fn close_unused_links(shared: Arc<IngressShared>, pool: Rc<LinkPool>) {
+    let mut table = shared.table.clone();
+    while table.changed().await.is_ok() {
+        let nodes = upstream_nodes(&table.borrow_and_update());
+        pool.retain(|node| nodes.contains(node));
+    }
+}
+
+fn upstream_nodes(table: &RoutingTable) -> BTreeSet<NodeId> {
+    let services = table.services.values();
+    services
+        .flat_map(|entry| entry.upstreams.keys().cloned())
+        .collect()
+}
+
 /// Feeds routing with what links tell about upstreams.
 pub async fn follow_notices(
     shared: Arc<IngressShared>,
--- a/src/node.rs
+++ b/src/node.rs
@@ -35,7 +35,7 @@
 use crate::exchange::PeerHello;
 use crate::gate::{GateCommand, GateStatus, run_gate};
 use crate::ids::NodeIncarnation;
-use crate::ingress::{IngressShared, IngressWorker, follow_notices, serve_request};
+use crate::ingress::{IngressShared, IngressWorker, close_unused_links, follow_notices, serve_request};
 use crate::link::pool::{LinkIdentity, LinkPool};
 use crate::logs::start_logs;
 use crate::membership::driver::spawn_membership;
@@ -321,6 +321,7 @@
     });
     let (pool, notices) = LinkPool::new(identity, local);
     ntex::rt::spawn(follow_notices(Arc::clone(shared), notices));
+    ntex::rt::spawn(close_unused_links(Arc::clone(shared), Rc::clone(&pool)));
     Rc::new(IngressWorker {
         shared: Arc::clone(shared),
         pool,
