Test the gate's promises on a link in memory

Cause: cancel, resume, drain and kept answers were only tried by hand. Change: six tests of the gate with a real HTTP backend server of one slot.

--- a/src/gate.rs
+++ b/src/gate.rs
@@ -599,3 +599,6 @@
     gate.senders.borrow_mut().remove(&number);
     result
 }
+
+#[cfg(test)]
+mod tests;
