--- a/src/decisions.rs
+++ b/src/decisions.rs
@@ -1,1 +1,148 @@
-//! To come.
+//! Replay of recorded traces against the decisions in virtual time.
+//!
+//! The same router, retry policy and gate admission that a node runs take the
+//! trace's requests; the backend servers and the network between them are
+//! small fakes. Everything is driven by one queue of events and one seeded
+//! generator, so a replay gives the same figures each time. Simpler routing
+//! policies run beside it on the same trace and seed.
+
+mod baseline;
+mod clock;
+mod command;
+mod figures;
+mod generate;
+mod replay;
+mod upstream;
+
+use std::collections::BTreeSet;
+use std::sync::Arc;
+use std::time::Duration;
+
+use derive_more::Display;
+use rand::rngs::StdRng;
+
+use crate::error::ErrorKind;
+use crate::ids::{NodeId, ServiceName};
+use crate::routing::{
+    AttemptNumber, AttemptResult, LoadReport, ProbeCounts, ProbeOrder, RouterState,
+};
+use crate::table::RoutingTable;
+
+pub use command::run_command;
+pub use figures::{ReplayFigures, check_outcome};
+pub use generate::{Deployment, Scenario, generate_trace};
+pub use replay::replay_trace;
+
+/// Reason why a text names none of a closed list of things.
+#[derive(Debug, Clone, Display, derive_more::Error, PartialEq, Eq)]
+#[display("unknown name '{text}'")]
+pub struct ParseNameError {
+    /// Rejected text.
+    text: String,
+}
+
+/// Finds the member of a closed list that displays as `text`.
+fn parse_name<T: Copy + ToString>(all: &[T], text: &str) -> Result<T, ParseNameError> {
+    let found = all.iter().find(|it| it.to_string() == text);
+    found.copied().ok_or_else(|| ParseNameError {
+        text: text.to_string(),
+    })
+}
+
+/// Routing policy that a replay runs.
+#[derive(Debug, Clone, Copy, Display, PartialEq, Eq, PartialOrd, Ord)]
+pub enum PolicyKind {
+    /// The policy of this project.
+    #[display("currantlift")]
+    Currantlift,
+    /// A uniformly random upstream.
+    #[display("random")]
+    Random,
+    /// Each ingress takes the upstreams in turn.
+    #[display("round-robin")]
+    RoundRobin,
+    /// The upstream with the fewest own attempts outstanding.
+    #[display("least-outstanding")]
+    LeastOutstanding,
+}
+
+impl PolicyKind {
+    /// Every policy, in the order of the tables.
+    pub const ALL: [Self; 4] = [
+        Self::Currantlift,
+        Self::Random,
+        Self::RoundRobin,
+        Self::LeastOutstanding,
+    ];
+}
+
+/// Decisions of one ingress, as a replay drives them.
+trait RoutePolicy {
+    fn apply_table(&mut self, now: Duration, table: &Arc<RoutingTable>);
+
+    fn choose(
+        &mut self,
+        now: Duration,
+        rng: &mut StdRng,
+        service: &ServiceName,
+        tried: &BTreeSet<NodeId>,
+    ) -> Result<(NodeId, AttemptNumber), ErrorKind>;
+
+    fn on_report(&mut self, now: Duration, node: &NodeId, report: LoadReport);
+
+    fn on_finished(
+        &mut self,
+        now: Duration,
+        service: &ServiceName,
+        node: &NodeId,
+        attempt: AttemptNumber,
+        result: AttemptResult,
+    );
+
+    fn probe_due(&mut self, now: Duration) -> Vec<ProbeOrder>;
+
+    fn probe_counts(&self) -> ProbeCounts;
+}
+
+impl RoutePolicy for RouterState {
+    fn apply_table(&mut self, now: Duration, table: &Arc<RoutingTable>) {
+        self.apply_table(now, table);
+    }
+
+    fn choose(
+        &mut self,
+        now: Duration,
+        rng: &mut StdRng,
+        service: &ServiceName,
+        tried: &BTreeSet<NodeId>,
+    ) -> Result<(NodeId, AttemptNumber), ErrorKind> {
+        let choice = self.choose(now, rng, service, tried)?;
+        Ok((choice.node, choice.attempt))
+    }
+
+    fn on_report(&mut self, now: Duration, node: &NodeId, report: LoadReport) {
+        self.on_report(now, node, report);
+    }
+
+    fn on_finished(
+        &mut self,
+        now: Duration,
+        service: &ServiceName,
+        node: &NodeId,
+        attempt: AttemptNumber,
+        result: AttemptResult,
+    ) {
+        self.on_finished(now, service, node, attempt, result);
+    }
+
+    fn probe_due(&mut self, now: Duration) -> Vec<ProbeOrder> {
+        self.probe_due(now)
+    }
+
+    fn probe_counts(&self) -> ProbeCounts {
+        self.probe_counts()
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/src/decisions/baseline.rs
@@ -0,0 +1,112 @@
+//! Simpler routing policies to compare with.
+//!
+//! They see the same table as the router, so that upstreams which announced
+//! that they drain, or were found lost, get nothing new from them either.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+use std::time::Duration;
+
+use rand::Rng;
+use rand::rngs::StdRng;
+use rand::seq::IndexedRandom;
+
+use super::{PolicyKind, RoutePolicy};
+use crate::error::ErrorKind;
+use crate::ids::{NodeId, ServiceName};
+use crate::routing::{AttemptNumber, AttemptResult, LoadReport, ProbeCounts, ProbeOrder};
+use crate::table::{RoutingTable, UpstreamState};
+
+#[derive(Debug)]
+pub(super) struct BaselinePolicy {
+    kind: PolicyKind,
+    table: Arc<RoutingTable>,
+    turns: BTreeMap<ServiceName, usize>,
+    outstanding: BTreeMap<NodeId, u32>,
+    attempts: u64,
+}
+
+impl BaselinePolicy {
+    pub(super) fn new(kind: PolicyKind) -> Self {
+        Self {
+            kind,
+            table: Arc::default(),
+            turns: BTreeMap::new(),
+            outstanding: BTreeMap::new(),
+            attempts: 0,
+        }
+    }
+
+    fn pick(&mut self, rng: &mut StdRng, service: &ServiceName, open: &[NodeId]) -> Option<NodeId> {
+        match self.kind {
+            PolicyKind::RoundRobin => {
+                let first = rng.random_range(0..open.len().max(1));
+                let turn = self.turns.entry(service.clone()).or_insert(first);
+                *turn = turn.wrapping_add(1);
+                open.get(*turn % open.len().max(1)).cloned()
+            }
+            PolicyKind::LeastOutstanding => {
+                let count = |node: &NodeId| self.outstanding.get(node).copied().unwrap_or(0);
+                let least = open.iter().map(count).min()?;
+                let ties: Vec<_> = open.iter().filter(|node| count(node) == least).collect();
+                ties.choose(rng).map(|node| (*node).clone())
+            }
+            _ => open.choose(rng).cloned(),
+        }
+    }
+}
+
+impl RoutePolicy for BaselinePolicy {
+    fn apply_table(&mut self, _now: Duration, table: &Arc<RoutingTable>) {
+        self.table = Arc::clone(table);
+    }
+
+    fn choose(
+        &mut self,
+        _now: Duration,
+        rng: &mut StdRng,
+        service: &ServiceName,
+        tried: &BTreeSet<NodeId>,
+    ) -> Result<(NodeId, AttemptNumber), ErrorKind> {
+        let table = Arc::clone(&self.table);
+        let entry = table
+            .services
+            .get(service)
+            .ok_or(ErrorKind::UnknownService)?;
+        let ready = entry.upstreams.values().filter(|upstream| {
+            upstream.state == UpstreamState::Ready
+                && !upstream.is_suspect
+                && !tried.contains(&upstream.node)
+        });
+        let open: Vec<_> = ready.map(|upstream| upstream.node.clone()).collect();
+        let node = self
+            .pick(rng, service, &open)
+            .ok_or(ErrorKind::NoUpstream)?;
+        *self.outstanding.entry(node.clone()).or_default() += 1;
+        self.attempts += 1;
+        Ok((node, AttemptNumber::from(self.attempts)))
+    }
+
+    fn on_report(&mut self, _now: Duration, _node: &NodeId, _report: LoadReport) {}
+
+    fn on_finished(
+        &mut self,
+        _now: Duration,
+        _service: &ServiceName,
+        node: &NodeId,
+        _attempt: AttemptNumber,
+        _result: AttemptResult,
+    ) {
+        if let Some(count) = self.outstanding.get_mut(node) {
+            *count = count.saturating_sub(1);
+        }
+    }
+
+    fn probe_due(&mut self, _now: Duration) -> Vec<ProbeOrder> {
+        Vec::new()
+    }
+
+    fn probe_counts(&self) -> ProbeCounts {
+        ProbeCounts::default()
+    }
+}
--- /dev/null
+++ b/src/decisions/clock.rs
@@ -0,0 +1,30 @@
+//! Queue of events in virtual time.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+/// Events in order of time, then of scheduling.
+#[derive(Debug)]
+pub(super) struct EventQueue<E> {
+    events: BTreeMap<(Duration, u64), E>,
+    scheduled: u64,
+}
+
+impl<E> EventQueue<E> {
+    pub(super) fn new() -> Self {
+        Self {
+            events: BTreeMap::new(),
+            scheduled: 0,
+        }
+    }
+
+    pub(super) fn schedule(&mut self, at: Duration, event: E) {
+        self.scheduled += 1;
+        self.events.insert((at, self.scheduled), event);
+    }
+
+    pub(super) fn next(&mut self) -> Option<(Duration, E)> {
+        let ((at, _), event) = self.events.pop_first()?;
+        Some((at, event))
+    }
+}
--- /dev/null
+++ b/src/decisions/command.rs
@@ -0,0 +1,192 @@
+//! Command `currantlift-decisions`.
+
+use std::fs::File;
+use std::io::{self, BufReader, BufWriter};
+use std::process::ExitCode;
+
+use super::figures::{ReplayFigures, check_outcome};
+use super::{Deployment, PolicyKind, Scenario, generate_trace, replay_trace};
+use crate::options::{
+    BoundedNumber, CommandSpec, FlagArity, FlagSpec, RawOptions, SettingError, options_from_process,
+};
+use crate::routing::RoutingOptions;
+use crate::trace::RecordedTrace;
+
+/// Exit code when a stated outcome is missed.
+const EXIT_MISSED: u8 = 1;
+/// Heading of the tables.
+const HEADING: &str = "| policy | p50 ms | p99 ms | p99.9 ms | answered % | goodput % | refused \
+                       | unknown | attempts % | probes/1,000 |\n\
+                       |---|---:|---:|---:|---:|---:|---:|---:|---:|---:|";
+
+const FLAGS: &[FlagSpec] = &[
+    FlagSpec::single(
+        "deployment",
+        "NAME",
+        "hearthwood, chantier or deep",
+        "deployment whose sizes a generated trace has; without it each",
+    )
+    .with_arity(FlagArity::Repeated),
+    FlagSpec::single(
+        "scenario",
+        "NAME",
+        "calm, noisy-neighbour, slow-down, drain-and-fail-fast, zone-gone, flash-90, flash-130 \
+         or deep-130",
+        "what happens in a generated trace; without it each",
+    )
+    .with_arity(FlagArity::Repeated),
+    FlagSpec::single("seconds", "N", "1 to 3600", "length of a generated trace").with_default("4"),
+    FlagSpec::single("seed", "N", "1 to 1000000", "first seed").with_default("1"),
+    FlagSpec::single("seeds", "N", "1 to 1000", "seeds to sum up").with_default("3"),
+    FlagSpec::single(
+        "write",
+        "true|false",
+        "true or false",
+        "write the trace to standard output in place of replaying it",
+    )
+    .with_arity(FlagArity::Switch),
+];
+
+const COMMAND: CommandSpec = CommandSpec {
+    name: "currantlift-decisions",
+    summary: "Replays traces against the decisions in virtual time, beside simpler policies.",
+    arguments: "[TRACE-FILE ...]",
+    notes: "Without files, traces are generated.\n\
+            Exit codes: 0 all stated outcomes reached, 1 some missed, 2 bad settings.",
+    flags: FLAGS,
+};
+
+/// Checked settings of the command.
+#[derive(Debug)]
+struct DecisionsOptions {
+    files: Vec<String>,
+    deployments: Vec<Deployment>,
+    scenarios: Vec<Scenario>,
+    seconds: f64,
+    seeds: std::ops::Range<u64>,
+    is_write: bool,
+}
+
+impl TryFrom<RawOptions> for DecisionsOptions {
+    type Error = SettingError;
+
+    fn try_from(raw: RawOptions) -> Result<Self, SettingError> {
+        let mut deployments = raw.list("deployment")?;
+        if deployments.is_empty() {
+            deployments = Deployment::ALL.to_vec();
+        }
+        let mut scenarios = raw.list("scenario")?;
+        if scenarios.is_empty() {
+            scenarios = Scenario::ALL.to_vec();
+        }
+        let seconds: BoundedNumber<1, 3600> = raw.required("seconds")?;
+        let seed: BoundedNumber<1, 1_000_000> = raw.required("seed")?;
+        let seeds: BoundedNumber<1, 1000> = raw.required("seeds")?;
+        Ok(Self {
+            files: raw.arguments().to_vec(),
+            deployments,
+            scenarios,
+            seconds: seconds.get() as f64,
+            seeds: seed.get()..seed.get() + seeds.get(),
+            is_write: raw.switch("write")?,
+        })
+    }
+}
+
+/// Runs the command.
+pub fn run_command() -> ExitCode {
+    let options = match options_from_process::<DecisionsOptions>(&COMMAND) {
+        Ok(options) => options,
+        Err(code) => return code,
+    };
+    match options.run() {
+        Ok(0) => ExitCode::SUCCESS,
+        Ok(_) => ExitCode::from(EXIT_MISSED),
+        Err(error) => {
+            eprintln!("{}: {error}", COMMAND.name);
+            ExitCode::from(crate::options::EXIT_USAGE)
+        }
+    }
+}
+
+impl DecisionsOptions {
+    /// Returns how many stated outcomes were missed.
+    fn run(&self) -> io::Result<usize> {
+        let mut missed = 0;
+        for path in &self.files {
+            let trace = read_trace(path)?;
+            missed += self.measure(path, |_| Ok(trace.clone()))?;
+        }
+        if !self.files.is_empty() {
+            return Ok(missed);
+        }
+        for deployment in &self.deployments {
+            for scenario in self.scenarios.iter().filter(|it| it.fits(*deployment)) {
+                let name = format!("{deployment}, {scenario}");
+                missed += self.measure(&name, |seed| {
+                    generate_trace(*deployment, *scenario, self.seconds, seed)
+                        .map_err(io::Error::other)
+                })?;
+            }
+        }
+        Ok(missed)
+    }
+
+    fn measure(
+        &self,
+        name: &str,
+        trace_of: impl Fn(u64) -> io::Result<RecordedTrace>,
+    ) -> io::Result<usize> {
+        if self.is_write {
+            let trace = trace_of(self.seeds.start)?;
+            trace.write(&mut BufWriter::new(io::stdout().lock()))?;
+            return Ok(0);
+        }
+        let mut outcome = None;
+        let mut sums: Vec<Option<ReplayFigures>> = vec![None; PolicyKind::ALL.len()];
+        for seed in self.seeds.clone() {
+            let trace = trace_of(seed)?;
+            outcome = Some(trace.outcome);
+            for (kind, sum) in PolicyKind::ALL.into_iter().zip(&mut sums) {
+                let figures = replay_trace(&trace, kind, &RoutingOptions::default(), seed);
+                match sum {
+                    Some(sum) => sum.add(&figures),
+                    None => *sum = Some(figures),
+                }
+            }
+        }
+        let sums: Vec<_> = sums.into_iter().flatten().collect();
+        println!("\n{name}\n\n{HEADING}");
+        for (kind, figures) in PolicyKind::ALL.iter().zip(&sums) {
+            println!("{}", table_row(*kind, figures));
+        }
+        let (Some(outcome), [own, _, round_robin, least_outstanding]) = (outcome, &sums[..]) else {
+            return Ok(0);
+        };
+        let misses = check_outcome(&outcome, own, round_robin, least_outstanding);
+        for miss in &misses {
+            println!("\nmissed: {miss}");
+        }
+        Ok(misses.len())
+    }
+}
+
+fn read_trace(path: &str) -> io::Result<RecordedTrace> {
+    let file = File::open(path).map_err(|e| io::Error::new(e.kind(), format!("{path}: {e}")))?;
+    RecordedTrace::read(BufReader::new(file)).map_err(|e| io::Error::other(format!("{path}: {e}")))
+}
+
+fn table_row(kind: PolicyKind, figures: &ReplayFigures) -> String {
+    format!(
+        "| {kind} | {:.1} | {:.1} | {:.1} | {:.2} | {:.1} | {} | {} | {:.1} | {:.2} |",
+        figures.latency_ms(0.5),
+        figures.latency_ms(0.99),
+        figures.latency_ms(0.999),
+        figures.answered_percent(),
+        figures.goodput_percent,
+        figures.refused,
+        figures.unknown,
+        figures.attempts_percent(),
+        figures.probes_per_1000(),
+    )
+}
--- /dev/null
+++ b/src/decisions/figures.rs
@@ -0,0 +1,182 @@
+//! Figures of one replay and their check against the stated outcomes.
+
+use std::time::Duration;
+
+use hdrhistogram::Histogram;
+
+use crate::trace::OutcomeLine;
+
+/// Longest latency that the histogram holds, in microseconds.
+const MAX_LATENCY_US: u64 = 3_600_000_000;
+/// Significant figures of the histogram.
+const LATENCY_DIGITS: u8 = 3;
+
+/// What a replay measured.
+#[derive(Debug, Clone)]
+pub struct ReplayFigures {
+    /// Requests sent, nested calls not counted.
+    pub requests: u64,
+    /// Requests answered by a backend server.
+    pub answered: u64,
+    /// Requests refused and not run.
+    pub refused: u64,
+    /// Requests whose run is unknown to the caller.
+    pub unknown: u64,
+    /// Requests answered without a run.
+    pub lost: u64,
+    /// Non-idempotent calls that ran more than once.
+    pub doubled: u64,
+    /// Calls that ran although `not-run` was told.
+    pub false_not_run: u64,
+    /// Calls that ended later than their time limit.
+    pub late: u64,
+    /// First attempts, nested calls counted.
+    pub first_attempts: u64,
+    /// All attempts.
+    pub attempts: u64,
+    /// Load probes sent.
+    pub probes: u64,
+    /// Useful work over the capacity of all slots, in percent.
+    pub goodput_percent: f64,
+    /// Latency of answered idempotent requests, in microseconds.
+    pub latency: Histogram<u64>,
+    /// Work of answered requests.
+    pub(super) useful_work: Duration,
+}
+
+impl ReplayFigures {
+    pub(super) fn new() -> Self {
+        let latency = Histogram::new_with_bounds(1, MAX_LATENCY_US, LATENCY_DIGITS);
+        Self {
+            requests: 0,
+            answered: 0,
+            refused: 0,
+            unknown: 0,
+            lost: 0,
+            doubled: 0,
+            false_not_run: 0,
+            late: 0,
+            first_attempts: 0,
+            attempts: 0,
+            probes: 0,
+            goodput_percent: 0.0,
+            latency: latency.expect("bounds of the histogram are constants"),
+            useful_work: Duration::ZERO,
+        }
+    }
+
+    /// Adds the figures of another replay, over which goodput is averaged by
+    /// requests.
+    pub fn add(&mut self, other: &Self) {
+        let weight = other.requests as f64 / (self.requests + other.requests).max(1) as f64;
+        self.goodput_percent += weight * (other.goodput_percent - self.goodput_percent);
+        self.requests += other.requests;
+        self.answered += other.answered;
+        self.refused += other.refused;
+        self.unknown += other.unknown;
+        self.lost += other.lost;
+        self.doubled += other.doubled;
+        self.false_not_run += other.false_not_run;
+        self.late += other.late;
+        self.first_attempts += other.first_attempts;
+        self.attempts += other.attempts;
+        self.probes += other.probes;
+        self.latency += &other.latency;
+    }
+
+    /// Latency at a quantile in milliseconds.
+    pub fn latency_ms(&self, quantile: f64) -> f64 {
+        self.latency.value_at_quantile(quantile) as f64 / 1e3
+    }
+
+    /// Share of requests answered, in percent.
+    pub fn answered_percent(&self) -> f64 {
+        percent(self.answered, self.requests)
+    }
+
+    /// Attempts over first attempts, in percent.
+    pub fn attempts_percent(&self) -> f64 {
+        percent(self.attempts, self.first_attempts)
+    }
+
+    /// Load probes per 1,000 calls.
+    pub fn probes_per_1000(&self) -> f64 {
+        percent(self.probes, self.first_attempts) * 10.0
+    }
+}
+
+fn percent(part: u64, whole: u64) -> f64 {
+    part as f64 * 100.0 / whole.max(1) as f64
+}
+
+/// Compares figures with a trace's stated outcomes; one text for each miss.
+///
+/// The two baselines are only needed where the outcome states a ratio.
+pub fn check_outcome(
+    outcome: &OutcomeLine,
+    figures: &ReplayFigures,
+    round_robin: &ReplayFigures,
+    least_outstanding: &ReplayFigures,
+) -> Vec<String> {
+    let p99 = figures.latency_ms(0.99);
+    let ratio = |other: &ReplayFigures| p99 * 100.0 / other.latency_ms(0.99);
+    let most = [
+        ("lost", figures.lost as f64, Some(outcome.lost as f64)),
+        (
+            "doubled",
+            figures.doubled as f64,
+            Some(outcome.doubled as f64),
+        ),
+        (
+            "false_not_run",
+            figures.false_not_run as f64,
+            Some(outcome.false_not_run as f64),
+        ),
+        ("late", figures.late as f64, Some(outcome.late as f64)),
+        ("max_p99_ms", p99, outcome.max_p99_ms),
+        (
+            "max_p99_percent_of_round_robin",
+            ratio(round_robin),
+            outcome.max_p99_percent_of_round_robin,
+        ),
+        (
+            "max_p99_percent_of_least_outstanding",
+            ratio(least_outstanding),
+            outcome.max_p99_percent_of_least_outstanding,
+        ),
+        (
+            "max_attempts_percent",
+            figures.attempts_percent(),
+            outcome.max_attempts_percent,
+        ),
+        (
+            "max_probes_per_1000",
+            figures.probes_per_1000(),
+            outcome.max_probes_per_1000,
+        ),
+    ];
+    let least = [
+        (
+            "min_answered_percent",
+            figures.answered_percent(),
+            outcome.min_answered_percent,
+        ),
+        (
+            "min_goodput_percent",
+            figures.goodput_percent,
+            outcome.min_goodput_percent,
+        ),
+    ];
+    let above = most
+        .iter()
+        .filter(|(_, value, bound)| bound.is_some_and(|it| *value > it));
+    let below = least
+        .iter()
+        .filter(|(_, value, bound)| bound.is_some_and(|it| *value < it));
+    above
+        .chain(below)
+        .map(|(name, value, bound)| {
+            format!("{name}: {value:.2}, stated {:.2}", bound.unwrap_or(0.0))
+        })
+        .collect()
+}
--- /dev/null
+++ b/src/decisions/generate.rs
@@ -0,0 +1,374 @@
+//! Generator of traces for the two deployments of today.
+//!
+//! Sizes, availability zones, slots, connections and delays are the users'.
+//! Arrivals are a Poisson process; service times have a fixed and an
+//! exponential half, and each service mixes short reads with longer writes.
+
+mod scenario;
+
+use std::str::FromStr;
+
+use derive_more::Display;
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+
+use super::{ParseNameError, parse_name};
+use crate::ids::{ConnectionCount, NodeId, ParseIdError, RegionName, SlotCount, ZoneName};
+use crate::table::ServiceRule;
+use crate::trace::{
+    DelayLine, EventKind, OutcomeLine, RecordedTrace, RequestLine, ServiceLine, TraceEvent,
+    UpstreamLine,
+};
+
+pub use scenario::Scenario;
+
+/// One-way delay between nodes of one availability zone, in microseconds.
+const WITHIN_ZONE_US: u64 = 50;
+/// One-way delay between regions, in microseconds.
+const BETWEEN_REGIONS_US: u64 = 10_000;
+/// Time limit of a request, in milliseconds.
+const TIMEOUT_MS: u64 = 500;
+/// Load probes per second and upstream.
+const PROBES_PER_SECOND: f64 = 1.0;
+
+/// Deployment whose sizes a trace has.
+#[derive(Debug, Clone, Copy, Display, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Deployment {
+    /// Three availability zones in oyo-west.
+    #[display("hearthwood")]
+    Hearthwood,
+    /// Four availability zones in qc-est.
+    #[display("chantier")]
+    Chantier,
+    /// Services that call each other 11 deep, in three availability zones.
+    #[display("deep")]
+    Deep,
+}
+
+/// Sizes of a deployment.
+#[derive(Debug)]
+struct DeploymentShape {
+    region: &'static str,
+    zones: &'static [&'static str],
+    services: &'static [ServiceShape],
+    connections: u64,
+    between_zones_us: u64,
+    client_us: u64,
+}
+
+/// Sizes and request mix of a service.
+#[derive(Debug)]
+struct ServiceShape {
+    name: &'static str,
+    upstreams: usize,
+    slots: u64,
+    read: RequestShape,
+    write: RequestShape,
+    /// Share of writes.
+    write_share: f64,
+}
+
+#[derive(Debug)]
+struct RequestShape {
+    method: &'static str,
+    path: &'static str,
+    body_bytes: u64,
+    mean_us: f64,
+}
+
+const fn request(
+    method: &'static str,
+    path: &'static str,
+    body_bytes: u64,
+    mean_us: f64,
+) -> RequestShape {
+    RequestShape {
+        method,
+        path,
+        body_bytes,
+        mean_us,
+    }
+}
+
+const HEARTHWOOD: DeploymentShape = DeploymentShape {
+    region: "oyo-west",
+    zones: &["ogbomoso-a", "oyo-town-b", "iseyin-c"],
+    services: &[
+        ServiceShape {
+            name: "slotbook",
+            upstreams: 4,
+            slots: 6,
+            read: request("GET", "/slots", 0, 8_000.0),
+            write: request("POST", "/bookings", 300, 12_000.0),
+            write_share: 0.1,
+        },
+        ServiceShape {
+            name: "tillpost",
+            upstreams: 3,
+            slots: 6,
+            read: request("GET", "/orders", 0, 8_000.0),
+            write: request("POST", "/orders", 500, 15_000.0),
+            write_share: 0.4,
+        },
+        ServiceShape {
+            name: "yardlog",
+            upstreams: 4,
+            slots: 6,
+            read: request("GET", "/stock", 0, 10_000.0),
+            write: request("PUT", "/photos", 200_000, 40_000.0),
+            write_share: 0.1,
+        },
+    ],
+    connections: 260,
+    between_zones_us: 500,
+    client_us: 1_000,
+};
+
+const CHANTIER: DeploymentShape = DeploymentShape {
+    region: "qc-est",
+    zones: &["qc-est-a", "qc-est-b", "qc-est-c", "qc-est-d"],
+    services: &[
+        ServiceShape {
+            name: "trajet",
+            upstreams: 4,
+            slots: 18,
+            read: request("GET", "/routes", 0, 25_000.0),
+            write: request("PUT", "/watches", 200, 25_000.0),
+            write_share: 0.05,
+        },
+        ServiceShape {
+            name: "chantier",
+            upstreams: 4,
+            slots: 18,
+            read: request("GET", "/closures", 0, 20_000.0),
+            write: request("POST", "/closures", 2_000, 40_000.0),
+            write_share: 0.3,
+        },
+        ServiceShape {
+            name: "plans",
+            upstreams: 4,
+            slots: 18,
+            read: request("GET", "/plans", 0, 50_000.0),
+            write: request("PUT", "/plans", 500_000, 100_000.0),
+            write_share: 0.1,
+        },
+    ],
+    connections: 240,
+    between_zones_us: 1_400,
+    client_us: 8_000,
+};
+
+/// Level of the deep deployment; one that waits for more levels below holds
+/// its slots for longer and has more of them.
+const fn level(name: &'static str, slots: u64) -> ServiceShape {
+    ServiceShape {
+        name,
+        upstreams: 3,
+        slots,
+        read: request("GET", "/", 0, 5_000.0),
+        write: request("POST", "/", 300, 5_000.0),
+        write_share: 0.2,
+    }
+}
+
+const DEEP: DeploymentShape = DeploymentShape {
+    region: "oyo-west",
+    zones: HEARTHWOOD.zones,
+    services: &[
+        level("level-01", 44),
+        level("level-02", 40),
+        level("level-03", 36),
+        level("level-04", 32),
+        level("level-05", 28),
+        level("level-06", 24),
+        level("level-07", 20),
+        level("level-08", 16),
+        level("level-09", 12),
+        level("level-10", 8),
+        level("level-11", 4),
+    ],
+    connections: 260,
+    between_zones_us: 500,
+    client_us: 1_000,
+};
+
+impl FromStr for Deployment {
+    type Err = ParseNameError;
+
+    fn from_str(text: &str) -> Result<Self, ParseNameError> {
+        parse_name(&Self::ALL, text)
+    }
+}
+
+impl Deployment {
+    /// Every deployment, in the order of the tables.
+    pub const ALL: [Self; 3] = [Self::Hearthwood, Self::Chantier, Self::Deep];
+
+    fn shape(self) -> &'static DeploymentShape {
+        match self {
+            Self::Hearthwood => &HEARTHWOOD,
+            Self::Chantier => &CHANTIER,
+            Self::Deep => &DEEP,
+        }
+    }
+}
+
+impl ServiceShape {
+    fn mean_us(&self) -> f64 {
+        self.read.mean_us * (1.0 - self.write_share) + self.write.mean_us * self.write_share
+    }
+}
+
+/// Trace under construction.
+struct TraceBuilder {
+    shape: &'static DeploymentShape,
+    rng: StdRng,
+    events: Vec<TraceEvent>,
+}
+
+/// Makes the trace of a scenario; the same arguments give the same trace.
+///
+/// # Errors
+///
+/// Fails if `seconds` leaves the range of trace times.
+pub fn generate_trace(
+    deployment: Deployment,
+    scenario: Scenario,
+    seconds: f64,
+    seed: u64,
+) -> Result<RecordedTrace, ParseIdError> {
+    let mut builder = TraceBuilder {
+        shape: deployment.shape(),
+        rng: StdRng::seed_from_u64(seed),
+        events: Vec::new(),
+    };
+    let outcome = scenario.outcome();
+    builder.add_places(outcome)?;
+    scenario.add_faults(&mut builder, seconds * 1e3)?;
+    builder.add_requests(scenario, seconds)?;
+    let mut events = builder.events;
+    events.sort_by(|a, b| a.at_ms.total_cmp(&b.at_ms));
+    number_requests(&mut events);
+    Ok(RecordedTrace { events, outcome })
+}
+
+fn number_requests(events: &mut [TraceEvent]) {
+    let mut id = 0;
+    for event in events {
+        if let EventKind::Request(line) = &mut event.kind {
+            id += 1;
+            line.id = id;
+        }
+    }
+}
+
+impl TraceBuilder {
+    fn add(&mut self, at_ms: f64, kind: EventKind) {
+        let at_ms = (at_ms * 1e3).round() / 1e3;
+        self.events.push(TraceEvent { at_ms, kind });
+    }
+
+    fn add_places(&mut self, outcome: OutcomeLine) -> Result<(), ParseIdError> {
+        let shape = self.shape;
+        self.add(0.0, EventKind::Outcome(outcome));
+        self.add(
+            0.0,
+            EventKind::Delay(DelayLine {
+                within_zone_us: WITHIN_ZONE_US,
+                between_zones_us: shape.between_zones_us,
+                between_regions_us: BETWEEN_REGIONS_US,
+                client_us: shape.client_us,
+            }),
+        );
+        for service in shape.services {
+            let rule = ServiceRule {
+                timeout_ms: TIMEOUT_MS,
+                probes_per_second: PROBES_PER_SECOND,
+                ..ServiceRule::default()
+            };
+            let line = ServiceLine {
+                service: service.name.parse()?,
+                rule,
+            };
+            self.add(0.0, EventKind::Service(line));
+        }
+        for (node, zone, service) in self.places()? {
+            let line = UpstreamLine {
+                node,
+                region: shape.region.parse::<RegionName>()?,
+                zone: zone.parse::<ZoneName>()?,
+                service: service.name.parse()?,
+                slots: SlotCount::try_from(service.slots)?,
+                connections: ConnectionCount::try_from(shape.connections)?,
+            };
+            self.add(0.0, EventKind::Upstream(line));
+        }
+        Ok(())
+    }
+
+    /// Nodes with their availability zone and service.
+    fn places(&self) -> Result<Vec<(NodeId, &'static str, &'static ServiceShape)>, ParseIdError> {
+        let mut places = Vec::new();
+        for service in self.shape.services {
+            for index in 0..service.upstreams {
+                let node = format!("{}-{}", service.name, index + 1).parse()?;
+                let zone = self.shape.zones[index % self.shape.zones.len()];
+                places.push((node, zone, service));
+            }
+        }
+        Ok(places)
+    }
+
+    fn add_requests(&mut self, scenario: Scenario, seconds: f64) -> Result<(), ParseIdError> {
+        let depth = scenario.depth();
+        let entries = if depth > 0 { 1 } else { usize::MAX };
+        for service in self.shape.services.iter().take(entries) {
+            let levels = f64::from(depth + 1);
+            let places = service.upstreams as f64 * service.slots as f64;
+            let capacity = places * 1e6 / (service.mean_us() * levels);
+            let mut at = 0.0;
+            loop {
+                at += self.exponential(1.0 / (capacity * scenario.load_at(at / seconds)));
+                if at >= seconds {
+                    break;
+                }
+                let line = self.request_line(service, scenario)?;
+                self.add(at * 1e3, EventKind::Request(line));
+            }
+        }
+        Ok(())
+    }
+
+    fn request_line(
+        &mut self,
+        service: &ServiceShape,
+        scenario: Scenario,
+    ) -> Result<RequestLine, ParseIdError> {
+        let is_write = self.rng.random_bool(service.write_share);
+        let request = if is_write {
+            &service.write
+        } else {
+            &service.read
+        };
+        let zone = self.rng.random_range(0..self.shape.zones.len());
+        let work_us = request.mean_us / 2.0 + self.exponential(request.mean_us / 2.0);
+        Ok(RequestLine {
+            id: 0,
+            service: service.name.parse()?,
+            region: self.shape.region.parse()?,
+            zone: self.shape.zones[zone].parse()?,
+            method: request.method.to_string(),
+            path: request.path.to_string(),
+            body_bytes: request.body_bytes,
+            work_us: work_us as u64,
+            timeout_ms: None,
+            depth: (scenario.depth() > 0).then_some(scenario.depth()),
+        })
+    }
+
+    /// Exponentially distributed number.
+    fn exponential(&mut self, mean: f64) -> f64 {
+        let uniform: f64 = self.rng.random();
+        -mean * (1.0 - uniform).ln()
+    }
+}
--- /dev/null
+++ b/src/decisions/generate/scenario.rs
@@ -0,0 +1,191 @@
+//! Scenarios: load, faults and stated outcomes.
+
+use std::str::FromStr;
+
+use derive_more::Display;
+use rand::Rng;
+
+use super::{Deployment, TraceBuilder};
+use crate::decisions::{ParseNameError, parse_name};
+use crate::ids::ParseIdError;
+use crate::trace::{EventKind, NodeLine, OutcomeLine, SpeedLine};
+
+/// Mean time between two bursts of a neighbour on one host, in milliseconds.
+const NEIGHBOUR_GAP_MS: f64 = 600.0;
+/// Range of a burst's length, in milliseconds.
+const NEIGHBOUR_BURST_MS: (f64, f64) = (50.0, 250.0);
+/// Multiple of the service time during a burst.
+const NEIGHBOUR_FACTOR: f64 = 4.0;
+/// Multiple of the service time after a sudden slow-down.
+const SLOW_FACTOR: f64 = 20.0;
+/// Nested calls below a request of the deep scenario, 11 levels in all.
+const DEEP_CALLS: u32 = 10;
+
+/// Attempts that the retry budget allows, in percent of first attempts: a tenth
+/// more, and at most a hundredth for what each ingress starts with.
+const RETRY_BUDGET_PERCENT: f64 = 111.0;
+
+/// What happens in a trace.
+#[derive(Debug, Clone, Copy, Display, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Scenario {
+    /// Steady load, no fault.
+    #[display("calm")]
+    Calm,
+    /// Bursts of other work on each host.
+    #[display("noisy-neighbour")]
+    NoisyNeighbour,
+    /// One upstream of each service becomes 20 times slower.
+    #[display("slow-down")]
+    SlowDown,
+    /// One upstream drains and another fails fast.
+    #[display("drain-and-fail-fast")]
+    DrainAndFailFast,
+    /// One availability zone is lost.
+    #[display("zone-gone")]
+    ZoneGone,
+    /// Load rises suddenly to 90% of capacity.
+    #[display("flash-90")]
+    Flash90,
+    /// Load rises suddenly to 130% of capacity.
+    #[display("flash-130")]
+    Flash130,
+    /// Calls 11 deep at 130% of capacity.
+    #[display("deep-130")]
+    Deep130,
+}
+
+impl FromStr for Scenario {
+    type Err = ParseNameError;
+
+    fn from_str(text: &str) -> Result<Self, ParseNameError> {
+        parse_name(&Self::ALL, text)
+    }
+}
+
+impl Scenario {
+    /// Every scenario, in the order of the tables.
+    pub const ALL: [Self; 8] = [
+        Self::Calm,
+        Self::NoisyNeighbour,
+        Self::SlowDown,
+        Self::DrainAndFailFast,
+        Self::ZoneGone,
+        Self::Flash90,
+        Self::Flash130,
+        Self::Deep130,
+    ];
+
+    /// Whether the scenario is meant for a deployment.
+    pub fn fits(self, deployment: Deployment) -> bool {
+        (self == Self::Deep130) == (deployment == Deployment::Deep)
+    }
+
+    /// Load over capacity at a point of the trace, from 0 at its start to 1.
+    pub(super) fn load_at(self, point: f64) -> f64 {
+        match self {
+            Self::Calm | Self::NoisyNeighbour | Self::SlowDown => 0.5,
+            Self::DrainAndFailFast | Self::ZoneGone => 0.35,
+            Self::Flash90 if point >= 0.25 => 0.9,
+            Self::Flash90 => 0.3,
+            Self::Flash130 | Self::Deep130 => 1.3,
+        }
+    }
+
+    /// Nested calls below each request.
+    pub(super) fn depth(self) -> u32 {
+        match self {
+            Self::Deep130 => DEEP_CALLS,
+            _ => 0,
+        }
+    }
+
+    /// Outcomes out of the users' targets.
+    pub(super) fn outcome(self) -> OutcomeLine {
+        let outcome = OutcomeLine {
+            max_p99_percent_of_least_outstanding: Some(100.0),
+            max_probes_per_1000: Some(0.0),
+            ..OutcomeLine::default()
+        };
+        match self {
+            Self::NoisyNeighbour | Self::SlowDown => OutcomeLine {
+                max_p99_percent_of_round_robin: Some(50.0),
+                ..outcome
+            },
+            Self::Flash130 => OutcomeLine {
+                min_goodput_percent: Some(95.0),
+                ..outcome
+            },
+            Self::Deep130 => OutcomeLine {
+                max_attempts_percent: Some(RETRY_BUDGET_PERCENT),
+                ..outcome
+            },
+            _ => outcome,
+        }
+    }
+
+    pub(super) fn add_faults(
+        self,
+        builder: &mut TraceBuilder,
+        length_ms: f64,
+    ) -> Result<(), ParseIdError> {
+        match self {
+            Self::NoisyNeighbour => add_bursts(builder, length_ms),
+            Self::SlowDown => add_slow_down(builder, length_ms),
+            Self::DrainAndFailFast => add_drain_and_fail_fast(builder, length_ms),
+            Self::ZoneGone => add_zone_loss(builder, length_ms),
+            _ => Ok(()),
+        }
+    }
+}
+
+fn add_bursts(builder: &mut TraceBuilder, length_ms: f64) -> Result<(), ParseIdError> {
+    for (node, ..) in builder.places()? {
+        let mut at = builder.exponential(NEIGHBOUR_GAP_MS);
+        while at < length_ms {
+            let (shortest, longest) = NEIGHBOUR_BURST_MS;
+            let end = at + builder.rng.random_range(shortest..longest);
+            for (at, factor) in [(at, NEIGHBOUR_FACTOR), (end.min(length_ms), 1.0)] {
+                let node = node.clone();
+                builder.add(at, EventKind::Speed(SpeedLine { node, factor }));
+            }
+            at = end + builder.exponential(NEIGHBOUR_GAP_MS);
+        }
+    }
+    Ok(())
+}
+
+fn add_slow_down(builder: &mut TraceBuilder, length_ms: f64) -> Result<(), ParseIdError> {
+    for service in builder.shape.services {
+        for (point, factor) in [(0.25, SLOW_FACTOR), (0.75, 1.0)] {
+            let node = format!("{}-2", service.name).parse()?;
+            let line = SpeedLine { node, factor };
+            builder.add(length_ms * point, EventKind::Speed(line));
+        }
+    }
+    Ok(())
+}
+
+fn add_drain_and_fail_fast(builder: &mut TraceBuilder, length_ms: f64) -> Result<(), ParseIdError> {
+    for service in builder.shape.services {
+        let drained: NodeLine = NodeLine {
+            node: format!("{}-1", service.name).parse()?,
+        };
+        let failing = NodeLine {
+            node: format!("{}-2", service.name).parse()?,
+        };
+        builder.add(length_ms * 0.25, EventKind::Drain(drained));
+        builder.add(length_ms * 0.4, EventKind::FailFast(failing.clone()));
+        builder.add(length_ms * 0.8, EventKind::Recover(failing));
+    }
+    Ok(())
+}
+
+fn add_zone_loss(builder: &mut TraceBuilder, length_ms: f64) -> Result<(), ParseIdError> {
+    let lost = builder.shape.zones.last().copied().unwrap_or_default();
+    for (node, zone, _) in builder.places()? {
+        if zone == lost {
+            builder.add(length_ms * 0.3, EventKind::Gone(NodeLine { node }));
+        }
+    }
+    Ok(())
+}
--- /dev/null
+++ b/src/decisions/replay.rs
@@ -0,0 +1,395 @@
+//! The replay itself: one event queue, calls, and the way between nodes.
+
+mod attempts;
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::ops::Bound;
+use std::sync::Arc;
+use std::time::Duration;
+
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+use rand::seq::IndexedRandom;
+
+use super::baseline::BaselinePolicy;
+use super::clock::EventQueue;
+use super::figures::ReplayFigures;
+use super::upstream::{BackendCondition, FakeUpstream};
+use super::{PolicyKind, RoutePolicy};
+use crate::ids::{NodeId, ServiceName, TicketNumber};
+use crate::retry::{AttemptFailure, RetryPolicy};
+use crate::routing::{
+    AttemptNumber, AttemptResult, HomePlace, LoadReport, RouterState, RoutingOptions,
+};
+use crate::table::{RoutingTable, ServiceEntry, ServiceRule, UpstreamState};
+use crate::trace::{DelayLine, EventKind, RecordedTrace, RequestLine, TraceEvent, UpstreamLine};
+
+/// Time in which every node hears of an announcement.
+const ANNOUNCE_DELAY: Duration = Duration::from_millis(500);
+/// Time in which every node hears that an upstream is lost.
+const LOSS_DELAY: Duration = Duration::from_secs(3);
+/// Time after which a silent link is given up.
+const SILENT_LINK_TIME: Duration = Duration::from_millis(100);
+/// Delays of a trace that states none.
+const NO_DELAY: DelayLine = DelayLine {
+    within_zone_us: 0,
+    between_zones_us: 0,
+    between_regions_us: 0,
+    client_us: 0,
+};
+
+type CallIndex = usize;
+
+#[derive(Debug)]
+enum ReplayEvent {
+    Trace(usize),
+    Table,
+    Offer(CallIndex, u32),
+    WorkDone(CallIndex, u32),
+    Reply(CallIndex, u32, AttemptResult, Option<LoadReport>),
+    ProbeReply(NodeId, NodeId),
+    Deadline(CallIndex),
+}
+
+#[derive(Debug)]
+struct ActiveCall<'a> {
+    request: &'a RequestLine,
+    service: &'a ServiceName,
+    is_idempotent: bool,
+    attempts_limit: u32,
+    depth: u32,
+    ingress: NodeId,
+    started_at: Duration,
+    deadline: Duration,
+    attempt: u32,
+    place: Option<(NodeId, AttemptNumber)>,
+    tried: BTreeSet<NodeId>,
+    may_have_run: bool,
+    runs: u32,
+    /// Whether this attempt started at its gate.
+    has_started: bool,
+    running_since: Option<Duration>,
+    is_ended: bool,
+    is_spoiled: bool,
+    parent: Option<CallIndex>,
+}
+
+/// A call about to start.
+struct NewCall<'a> {
+    request: &'a RequestLine,
+    service: &'a ServiceName,
+    ingress: NodeId,
+    depth: u32,
+    deadline: Duration,
+    parent: Option<CallIndex>,
+}
+
+struct Ingress {
+    policy: Box<dyn RoutePolicy>,
+    retries: RetryPolicy,
+}
+
+struct Replay<'a> {
+    trace: &'a RecordedTrace,
+    kind: PolicyKind,
+    options: RoutingOptions,
+    now: Duration,
+    rng: StdRng,
+    queue: EventQueue<ReplayEvent>,
+    rules: BTreeMap<&'a ServiceName, &'a ServiceRule>,
+    upstreams: BTreeMap<NodeId, FakeUpstream>,
+    ingresses: BTreeMap<NodeId, Ingress>,
+    delays: DelayLine,
+    version: u64,
+    calls: Vec<ActiveCall<'a>>,
+    figures: ReplayFigures,
+}
+
+/// Replays a trace with one policy; the same arguments give the same figures.
+pub fn replay_trace(
+    trace: &RecordedTrace,
+    kind: PolicyKind,
+    options: &RoutingOptions,
+    seed: u64,
+) -> ReplayFigures {
+    let mut replay = Replay {
+        trace,
+        kind,
+        options: options.clone(),
+        now: Duration::ZERO,
+        rng: StdRng::seed_from_u64(seed),
+        queue: EventQueue::new(),
+        rules: BTreeMap::new(),
+        upstreams: BTreeMap::new(),
+        ingresses: BTreeMap::new(),
+        delays: NO_DELAY,
+        version: 0,
+        calls: Vec::new(),
+        figures: ReplayFigures::new(),
+    };
+    for (index, event) in trace.events.iter().enumerate() {
+        replay.queue.schedule(event.at(), ReplayEvent::Trace(index));
+    }
+    while let Some((at, event)) = replay.queue.next() {
+        replay.now = at;
+        replay.handle(event);
+    }
+    replay.summarize()
+}
+
+impl<'a> Replay<'a> {
+    fn handle(&mut self, event: ReplayEvent) {
+        match event {
+            ReplayEvent::Trace(index) => self.on_trace(&self.trace.events[index].kind),
+            ReplayEvent::Table => self.publish_table(),
+            ReplayEvent::Offer(call, attempt) => self.on_offer(call, attempt),
+            ReplayEvent::WorkDone(call, attempt) => self.on_work_done(call, attempt),
+            ReplayEvent::Reply(call, attempt, result, report) => {
+                self.on_reply(call, attempt, result, report);
+            }
+            ReplayEvent::ProbeReply(ingress, node) => self.on_probe_reply(&ingress, &node),
+            ReplayEvent::Deadline(call) => self.on_deadline(call),
+        }
+    }
+
+    fn on_trace(&mut self, kind: &'a EventKind) {
+        match kind {
+            EventKind::Service(line) => {
+                self.rules.insert(&line.service, &line.rule);
+                self.publish_table();
+            }
+            EventKind::Upstream(line) => self.add_upstream(line),
+            EventKind::Request(line) => self.on_request(line),
+            EventKind::Delay(line) => self.delays = *line,
+            EventKind::Outcome(_) => {}
+            EventKind::Speed(line) => {
+                self.change(&line.node, None, |upstream| upstream.factor = line.factor);
+            }
+            EventKind::Drain(line) => {
+                self.change(&line.node, Some(ANNOUNCE_DELAY), |upstream| {
+                    upstream.admission.drain();
+                    upstream.announced = UpstreamState::Draining;
+                });
+            }
+            EventKind::FailFast(line) => self.change(&line.node, None, |upstream| {
+                upstream.condition = BackendCondition::FailingFast;
+            }),
+            EventKind::Freeze(line) | EventKind::Gone(line) => {
+                self.change(&line.node, Some(LOSS_DELAY), |upstream| {
+                    upstream.condition = BackendCondition::Silent;
+                    upstream.announced = UpstreamState::Gone;
+                });
+                self.lose_node(&line.node);
+            }
+            EventKind::Recover(line) => {
+                self.change(&line.node, Some(ANNOUNCE_DELAY), FakeUpstream::recover);
+            }
+        }
+    }
+
+    fn change(
+        &mut self,
+        node: &NodeId,
+        heard_after: Option<Duration>,
+        change: impl FnOnce(&mut FakeUpstream),
+    ) {
+        if let Some(upstream) = self.upstreams.get_mut(node) {
+            change(upstream);
+        }
+        if let Some(delay) = heard_after {
+            self.queue.schedule(self.now + delay, ReplayEvent::Table);
+        }
+    }
+
+    fn add_upstream(&mut self, line: &UpstreamLine) {
+        let home = HomePlace {
+            node: line.node.clone(),
+            region: line.region.clone(),
+            zone: line.zone.clone(),
+        };
+        let policy: Box<dyn RoutePolicy> = match self.kind {
+            PolicyKind::Currantlift => Box::new(RouterState::new(home, self.options.clone())),
+            kind => Box::new(BaselinePolicy::new(kind)),
+        };
+        let ingress = Ingress {
+            policy,
+            retries: RetryPolicy::new(),
+        };
+        self.ingresses.insert(line.node.clone(), ingress);
+        let upstream = FakeUpstream::new(line.clone());
+        self.upstreams.insert(line.node.clone(), upstream);
+        self.publish_table();
+    }
+
+    fn publish_table(&mut self) {
+        self.version += 1;
+        let Ok(ticket) = TicketNumber::try_from(self.version) else {
+            return;
+        };
+        let mut table = RoutingTable {
+            version: self.version,
+            services: BTreeMap::new(),
+        };
+        for (service, rule) in &self.rules {
+            let members = self.upstreams.values();
+            let rows = members
+                .filter(|it| it.line.service == **service && it.announced != UpstreamState::Gone)
+                .filter_map(FakeUpstream::table_entry);
+            let entry = ServiceEntry {
+                ticket,
+                rule: (*rule).clone(),
+                upstreams: rows.map(|row| (row.node.clone(), row)).collect(),
+            };
+            table.services.insert((*service).clone(), entry);
+        }
+        let table = Arc::new(table);
+        for ingress in self.ingresses.values_mut() {
+            ingress.policy.apply_table(self.now, &table);
+        }
+    }
+
+    fn delay(&self, a: &NodeId, b: &NodeId) -> Duration {
+        let (a, b) = (&self.upstreams[a].line, &self.upstreams[b].line);
+        let delay_us = if a.region != b.region {
+            self.delays.between_regions_us
+        } else if a.zone != b.zone {
+            self.delays.between_zones_us
+        } else if a.node != b.node {
+            self.delays.within_zone_us
+        } else {
+            0
+        };
+        Duration::from_micros(delay_us)
+    }
+
+    /// A caller reaches a live node of its availability zone, or any other.
+    fn on_request(&mut self, request: &'a RequestLine) {
+        let live = |it: &&FakeUpstream| it.condition != BackendCondition::Silent;
+        let all: Vec<_> = self.upstreams.values().filter(live).collect();
+        let near: Vec<_> = all
+            .iter()
+            .filter(|it| it.line.zone == request.zone)
+            .copied()
+            .collect();
+        let pool = if near.is_empty() { &all } else { &near };
+        let Some(ingress) = pool.choose(&mut self.rng).map(|it| it.line.node.clone()) else {
+            return;
+        };
+        let rule = &self.rules[&request.service];
+        let rule_limit = rule.timeout(&request.method, &request.path);
+        let limit = request.timeout_ms.map_or(rule_limit, Duration::from_millis);
+        self.figures.requests += 1;
+        let call = NewCall {
+            request,
+            service: &request.service,
+            ingress,
+            depth: request.depth.unwrap_or(0),
+            deadline: self.now + limit,
+            parent: None,
+        };
+        self.start_call(call);
+    }
+
+    fn start_call(&mut self, new: NewCall<'a>) {
+        let rule = &self.rules[new.service];
+        let call = self.calls.len();
+        if let Some(ingress) = self.ingresses.get_mut(&new.ingress) {
+            ingress.retries.on_first_attempt(new.service);
+        }
+        self.figures.first_attempts += 1;
+        self.queue
+            .schedule(new.deadline, ReplayEvent::Deadline(call));
+        self.calls.push(ActiveCall {
+            request: new.request,
+            service: new.service,
+            is_idempotent: rule.is_idempotent(&new.request.method, &new.request.path),
+            attempts_limit: rule.attempts,
+            depth: new.depth,
+            ingress: new.ingress,
+            started_at: self.now,
+            deadline: new.deadline,
+            attempt: 0,
+            place: None,
+            tried: BTreeSet::new(),
+            may_have_run: false,
+            runs: 0,
+            has_started: false,
+            running_since: None,
+            is_ended: false,
+            is_spoiled: false,
+            parent: new.parent,
+        });
+        self.route(call);
+    }
+
+    fn route(&mut self, index: CallIndex) {
+        let call = &mut self.calls[index];
+        call.attempt += 1;
+        call.has_started = false;
+        let attempt = call.attempt;
+        let Some(ingress) = self.ingresses.get_mut(&call.ingress) else {
+            return;
+        };
+        let service = call.service;
+        let choice = ingress
+            .policy
+            .choose(self.now, &mut self.rng, service, &call.tried);
+        match choice {
+            Ok((node, number)) => {
+                call.tried.insert(node.clone());
+                call.place = Some((node.clone(), number));
+                let ingress = call.ingress.clone();
+                self.figures.attempts += 1;
+                let at = self.now + self.delay(&ingress, &node);
+                self.queue.schedule(at, ReplayEvent::Offer(index, attempt));
+                self.send_probes(&ingress);
+            }
+            Err(kind) => self.after_failure(index, AttemptFailure::NotRun(kind)),
+        }
+    }
+
+    fn send_probes(&mut self, ingress: &NodeId) {
+        let Some(state) = self.ingresses.get_mut(ingress) else {
+            return;
+        };
+        for order in state.policy.probe_due(self.now) {
+            let at = self.now + self.delay(ingress, &order.node) * 2;
+            let event = ReplayEvent::ProbeReply(ingress.clone(), order.node);
+            self.queue.schedule(at, event);
+        }
+    }
+
+    fn on_probe_reply(&mut self, ingress: &NodeId, node: &NodeId) {
+        let upstream = &self.upstreams[node];
+        let is_silent = upstream.condition == BackendCondition::Silent;
+        let report = upstream.report();
+        if let Some(state) = self.ingresses.get_mut(ingress).filter(|_| !is_silent) {
+            state.policy.on_report(self.now, node, report);
+        }
+    }
+
+    /// Service that a nested call goes to: the next by name, the first after
+    /// the last.
+    fn next_service(&self, service: &ServiceName) -> &'a ServiceName {
+        let after = (Bound::Excluded(service), Bound::Unbounded);
+        let next = self.rules.range::<ServiceName, _>(after).next();
+        let next = next.or_else(|| self.rules.first_key_value());
+        next.map_or(&self.calls[0].request.service, |(name, _)| name)
+    }
+
+    fn summarize(mut self) -> ReplayFigures {
+        let states = self.ingresses.values();
+        let probes = states.map(|state| state.policy.probe_counts().spent);
+        self.figures.probes = probes.sum();
+        let slots: u32 = self.upstreams.values().map(|it| it.line.slots.get()).sum();
+        let last = self
+            .trace
+            .events
+            .last()
+            .map_or(Duration::ZERO, TraceEvent::at);
+        let capacity = last.as_secs_f64() * f64::from(slots);
+        let useful = self.figures.useful_work.as_secs_f64();
+        self.figures.goodput_percent = useful * 100.0 / capacity;
+        self.figures
+    }
+}
--- /dev/null
+++ b/src/decisions/upstream.rs
@@ -0,0 +1,75 @@
+//! Fake upstream: the gate's own admission before a backend server that
+//! takes as long as the trace says.
+
+use std::time::Duration;
+
+use crate::admission::{AdmissionOptions, AdmissionQueue};
+use crate::ids::NodeIncarnation;
+use crate::routing::LoadReport;
+use crate::table::{UpstreamEntry, UpstreamState};
+use crate::trace::UpstreamLine;
+
+/// Condition of a fake backend server and its node.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum BackendCondition {
+    /// Takes and answers requests.
+    Serving,
+    /// Fails each request at once.
+    FailingFast,
+    /// Answers nothing at all.
+    Silent,
+}
+
+#[derive(Debug)]
+pub(super) struct FakeUpstream {
+    pub(super) line: UpstreamLine,
+    pub(super) admission: AdmissionQueue,
+    pub(super) condition: BackendCondition,
+    pub(super) factor: f64,
+    incarnation: u64,
+    /// State that membership knows of.
+    pub(super) announced: UpstreamState,
+}
+
+impl FakeUpstream {
+    pub(super) fn new(line: UpstreamLine) -> Self {
+        Self {
+            admission: AdmissionQueue::new(line.slots, AdmissionOptions::default()),
+            line,
+            condition: BackendCondition::Serving,
+            factor: 1.0,
+            incarnation: 1,
+            announced: UpstreamState::Ready,
+        }
+    }
+
+    /// Starts again as a new process.
+    pub(super) fn recover(&mut self) {
+        let incarnation = self.incarnation + 1;
+        *self = Self::new(self.line.clone());
+        self.incarnation = incarnation;
+    }
+
+    pub(super) fn work_time(&self, work_us: u64) -> Duration {
+        Duration::from_micros(work_us).mul_f64(self.factor)
+    }
+
+    pub(super) fn report(&self) -> LoadReport {
+        LoadReport::from(self.admission.load())
+    }
+
+    /// Row of the routing table; the address only has to be well formed.
+    pub(super) fn table_entry(&self) -> Option<UpstreamEntry> {
+        let incarnation = NodeIncarnation::try_from(self.incarnation).ok()?;
+        Some(UpstreamEntry {
+            node: self.line.node.clone(),
+            incarnation,
+            region: self.line.region.clone(),
+            zone: self.line.zone.clone(),
+            peer_address: ([127, 0, 0, 1], 1).into(),
+            slots: self.line.slots,
+            state: self.announced,
+            is_suspect: false,
+        })
+    }
+}
--- a/src/routing.rs
+++ b/src/routing.rs
@@ -24,6 +24,7 @@
 
 use derive_more::Display;
 
+use crate::admission::GateLoad;
 use crate::error::ErrorKind;
 use crate::ids::{NodeId, NodeIncarnation, RegionName, ServiceName, ZoneName};
 
@@ -41,6 +42,16 @@
     pub limit: u32,
 }
 
+impl From<GateLoad> for LoadReport {
+    fn from(load: GateLoad) -> Self {
+        Self {
+            in_flight: load.in_flight,
+            queued: load.queued,
+            limit: load.limit,
+        }
+    }
+}
+
 /// Place of the node that routes.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct HomePlace {
@@ -115,6 +126,12 @@
 #[derive(Debug, Clone, Copy, Display, PartialEq, Eq, PartialOrd, Ord)]
 pub struct AttemptNumber(u64);
 
+impl From<u64> for AttemptNumber {
+    fn from(number: u64) -> Self {
+        Self(number)
+    }
+}
+
 /// One candidate that a choice looked at.
 #[derive(Debug, Clone, PartialEq)]
 pub struct CandidateScore {
@@ -170,6 +187,8 @@
 pub enum AttemptResult {
     /// The backend server answered.
     Answered,
+    /// The backend server answered with a 5xx status, which is passed on.
+    AnsweredError,
     /// The gate refused; the call was not run.
     Refused(ErrorKind),
     /// The attempt failed.
--- a/src/routing/upstream.rs
+++ b/src/routing/upstream.rs
@@ -158,6 +158,7 @@
                 self.failure_run = 0;
                 return Some(latency);
             }
+            AttemptResult::AnsweredError => self.on_failure(now, options),
             AttemptResult::Refused(kind) | AttemptResult::Failed(kind) => {
                 self.on_setback(now, kind, options);
             }
--- a/src/trace.rs
+++ b/src/trace.rs
@@ -145,7 +145,8 @@
     /// Time limit in milliseconds, where it differs from the rule's.
     #[serde(skip_serializing_if = "Option::is_none")]
     pub timeout_ms: Option<u64>,
-    /// Nested calls below this one, each to the same service; 0 if absent.
+    /// Nested calls below this one, each to the next service by name (the
+    /// first after the last); 0 if absent.
     #[serde(skip_serializing_if = "Option::is_none")]
     pub depth: Option<u32>,
 }
