--- a/src/membership/receive.rs
+++ b/src/membership/receive.rs
@@ -71,11 +71,23 @@
                 let target = MemberKey(datagram.target);
                 self.relay_ping(now, from, datagram.sequence, target);
             }
-            Ok(DatagramKind::Gossip) => {}
+            Ok(DatagramKind::Gossip) => self.correct(now, from, &notes),
             Err(_) => self.counters.malformed += 1,
         }
     }
 
+    /// Tells a sender about the processes that it has missed the start of.
+    fn correct(&mut self, now: Duration, from: SocketAddr, notes: &ReplyNotes) {
+        if notes.outdated.is_empty() {
+            return;
+        }
+        let mut correction = self.blank_datagram(DatagramKind::Gossip, 0);
+        for node in &notes.outdated {
+            self.add_record(&mut correction, node);
+        }
+        self.send_filled(now, from, correction);
+    }
+
     fn answer_ping(
         &mut self,
         now: Duration,
--- a/tests/membership.rs
+++ b/tests/membership.rs
@@ -115,6 +115,27 @@
     assert_eq!(net.nodes[5].state.counters().deaths, 0);
 }
 
+#[test]
+fn node_that_wakes_holds_nobody_dead_by_a_timer_that_ran_out() {
+    let mut net = FakeNet::settled(SMALL, 9);
+    net.run_for(Duration::from_secs(5));
+    net.freeze(6);
+    let accused = net.node_id(6);
+    let accuser = (0..SMALL.nodes).cycle().find(|slot| {
+        net.run_for(Duration::from_millis(10));
+        net.nodes[*slot].state.counters().suspicions > 0
+    });
+    let accuser = accuser.unwrap();
+    net.freeze(accuser);
+    net.thaw(6);
+    net.run_for(Duration::from_secs(30));
+    let is_refuted = |record: Option<&MemberRecord>| is_state(record, MemberState::Alive);
+    assert!(net.all_see(&accused, is_refuted));
+    net.thaw(accuser);
+    net.run_for(Duration::from_secs(10));
+    assert_eq!(net.nodes[accuser].state.counters().deaths, 0);
+}
+
 #[test]
 fn process_that_wakes_after_its_successor_started_is_superseded() {
     let mut net = FakeNet::settled(SMALL, 5);
@@ -124,6 +145,7 @@
     let successor = net.start_at(SMALL, 5, 2, address(900));
     net.act(successor, |state, now| state.join(now, &[address(0)]));
     net.run_for(Duration::from_secs(15));
+    net.drop_held(5);
     net.thaw(5);
     let took = net.run_until(Duration::from_secs(15), |net| net.nodes[5].is_superseded);
     assert!(took.is_some(), "woken process did not stop within 15 s");
--- a/tests/membership/net.rs
+++ b/tests/membership/net.rs
@@ -162,6 +162,12 @@
         self.nodes[slot].is_frozen = true;
     }
 
+    /// Drops the datagrams that wait for a frozen node.
+    pub fn drop_held(&mut self, slot: usize) {
+        let held = &mut self.nodes[slot].held;
+        held.retain(|delivery| matches!(delivery, Delivery::Tick));
+    }
+
     pub fn thaw(&mut self, slot: usize) {
         self.nodes[slot].is_frozen = false;
         for delivery in std::mem::take(&mut self.nodes[slot].held) {
