Check the store adapter against the stand-in and mend what it showed

Cause: the adapter and the stand-in had only been compiled.

Found and mended: the stand-in asked for a content type that the protocol does not ask for; a watch on an absent key could miss the very first write, because both had index 1; a refused connection counted as unknown effect, because the client reports it under the same kind as a lost answer (the two differ in having a source).

Change also: each call opens its own connection with a limit of 1 s, since a kept one may be silent for good; a watch ends after 20 s for the same reason.

Conclusion: every error tells "no effect" from "unknown" in the six tests, refused connections, silent stores, lost and delayed writes included.

--- a/src/standin/store/service.rs
+++ b/src/standin/store/service.rs
@@ -105,7 +105,7 @@
             return refuse(CallRefusal::Away);
         }
     }
-    let present = state.key_index(&key).max(1);
+    let present = state.key_index(&key);
     let Some(value) = state.with_table(|table, _| table.get(&key)) else {
         return HttpResponse::NotFound()
             .header("x-consul-index", present.to_string())
@@ -164,10 +164,14 @@
     flag_answer(state.write(0, removal))
 }
 
-async fn create_session(state: State<StandinState>, body: Json<SessionBody>) -> HttpResponse {
+async fn create_session(state: State<StandinState>, body: Bytes) -> HttpResponse {
     if let Err(refusal) = state.admit(CallKind::Lease).await {
         return refuse(refusal);
     }
+    // The protocol asks for no content type, so the body is read as it is.
+    let Ok(body) = serde_json::from_slice::<SessionBody>(&body) else {
+        return HttpResponse::BadRequest().body("malformed session");
+    };
     let ttl = body.ttl.as_deref().and_then(parse_time);
     let ttl = ttl.unwrap_or(DEFAULT_TTL);
     let id = state.with_table(|table, now| table.grant(ttl, now));
--- a/src/store.rs
+++ b/src/store.rs
@@ -122,3 +122,6 @@
     /// Writes a key under a lease; false if another lease holds the key.
     async fn acquire(&self, key: &str, value: Bytes, lease: &LeaseId) -> Result<bool, StoreError>;
 }
+
+#[cfg(test)]
+mod tests;
--- a/src/store/consul.rs
+++ b/src/store/consul.rs
@@ -2,16 +2,19 @@
 //!
 //! Keys under `/v1/kv/` with `?cas=`, blocking queries with `?index=&wait=`,
 //! and sessions with a time to live as leases. The client never resends a
-//! request by itself.
+//! request by itself. Every call opens a connection of its own: calls are few,
+//! and a kept connection may have gone silent for good while new ones work.
 
 use std::time::Duration;
 
 use base64::Engine;
 use base64::engine::general_purpose::STANDARD;
 use bytes::Bytes;
+use ntex::SharedCfg;
 use ntex::client::error::{ClientError, ConnectError};
 use ntex::client::{Client, ClientRequest, ClientResponse, Connector};
 use ntex::http::{Method, StatusCode};
+use ntex::io::IoConfig;
 use ntex::time::Millis;
 use serde::Deserialize;
 
@@ -27,9 +30,9 @@
 /// Largest answer: a value of the largest size in base64 with its envelope.
 const MAX_ANSWER_BYTES: usize = MAX_VALUE_BYTES * 2;
 /// Connections to the store at one time.
-const MAX_CONNECTIONS: usize = 8;
-/// Time that an unused connection is kept, in seconds.
-const KEEP_ALIVE_SECONDS: u16 = 30;
+const MAX_CONNECTIONS: usize = 16;
+/// Time limit for opening a connection.
+const CONNECT_TIMEOUT: Millis = Millis(1_000);
 
 /// Store client that speaks Consul's HTTP protocol.
 #[derive(Debug, Clone)]
@@ -65,15 +68,14 @@
     ///
     /// Fails if the HTTP client can't be built.
     pub async fn connect(base_url: &str) -> Result<Self, StoreError> {
-        let connector = Connector::default()
-            .limit(MAX_CONNECTIONS)
-            .keep_alive(ntex::time::Seconds(KEEP_ALIVE_SECONDS));
+        let connector = Connector::default().limit(MAX_CONNECTIONS);
+        let io_config = IoConfig::new().set_connect_timeout(CONNECT_TIMEOUT);
         let client = Client::builder()
             .connector::<()>(connector)
             .disable_timeout()
             .disable_redirects()
             .response_payload_limit(MAX_ANSWER_BYTES)
-            .build(ntex::SharedCfg::default())
+            .build(SharedCfg::new("STORE").add(io_config))
             .await
             .map_err(|error| not_done(&error))?;
         let base_url = base_url.trim_end_matches('/').to_string();
@@ -82,7 +84,8 @@
 
     fn request(&self, method: Method, path: &str) -> ClientRequest {
         let url = format!("{}{path}", self.base_url);
-        self.client.request(method, url).timeout(Millis::ZERO)
+        let request = self.client.request(method, url);
+        request.force_close()
     }
 
     async fn call(
@@ -153,8 +156,8 @@
 fn client_error(error: &ClientError) -> StoreError {
     match error {
         // The client reports a connection that closed before the answer under
-        // the connect errors too, so that one kind is excepted.
-        ClientError::Connect(ConnectError::Disconnected(_)) => unknown(error),
+        // the connect errors too; only a failure to connect has a source.
+        ClientError::Connect(ConnectError::Disconnected(None)) => unknown(error),
         ClientError::Connect(_) | ClientError::Url(_) | ClientError::Http(_) => not_done(error),
         _ => unknown(error),
     }
--- a/src/store/memory.rs
+++ b/src/store/memory.rs
@@ -28,8 +28,11 @@
     lapses_at: Duration,
 }
 
+/// Index of a table before its first change; 0 would mean "don't wait" to a watch.
+const FIRST_INDEX: u64 = 1;
+
 /// Keys and leases.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct MemoryTable {
     index: u64,
     entries: BTreeMap<String, MemoryEntry>,
@@ -39,6 +42,18 @@
     removal_index: u64,
 }
 
+impl Default for MemoryTable {
+    fn default() -> Self {
+        Self {
+            index: FIRST_INDEX,
+            entries: BTreeMap::new(),
+            leases: BTreeMap::new(),
+            leases_granted: 0,
+            removal_index: FIRST_INDEX,
+        }
+    }
+}
+
 impl MemoryTable {
     /// Count of changes so far.
     pub fn index(&self) -> u64 {
--- /dev/null
+++ b/src/store/tests.rs
@@ -0,0 +1,173 @@
+use std::net::TcpListener;
+
+use assert_matches::assert_matches;
+
+use super::consul::ConsulStore;
+use super::seeds::{read_seeds, register_seed, zone_key};
+use super::*;
+use crate::standin::store::{StandinOptions, serve};
+
+/// Longest wait of a watch that is expected to be answered by a change.
+const WATCH_LIMIT: Duration = Duration::from_secs(30);
+/// Time to live of leases in these tests.
+const TTL: Duration = Duration::from_secs(10);
+
+fn bytes(text: &'static str) -> Bytes {
+    Bytes::from_static(text.as_bytes())
+}
+
+/// Starts a stand-in store in this process and a client for it.
+async fn start_store(writes_per_second: u32) -> (ConsulStore, String) {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let url = format!("http://{}", listener.local_addr().unwrap());
+    let options = StandinOptions {
+        listen: listener.local_addr().unwrap(),
+        writes_per_second,
+        reads_per_second: 2_000,
+    };
+    ntex::rt::spawn(async move { serve(listener, &options).await });
+    (ConsulStore::connect(&url).await.unwrap(), url)
+}
+
+async fn set_faults(url: &str, faults: serde_json::Value) {
+    let client = ntex::client::Client::new().await;
+    let request = client.put(format!("{url}/standin/faults"));
+    let response = request.send_json(&faults).await.unwrap();
+    assert!(response.status().is_success());
+}
+
+#[ntex::test]
+async fn swap_needs_the_expected_revision() {
+    let (store, _) = start_store(400).await;
+    assert_eq!(store.get("a/b").await, Ok(None));
+    let value = Bytes::from_static(&[0, 159, 146, 150]);
+    let create = store.compare_and_swap("a/b", KeyRevision::ABSENT, value.clone());
+    assert_eq!(create.await, Ok(SwapOutcome::Swapped));
+    let again = store.compare_and_swap("a/b", KeyRevision::ABSENT, bytes("x"));
+    assert_eq!(again.await, Ok(SwapOutcome::Mismatch));
+    let stored = store.get("a/b").await.unwrap().unwrap();
+    assert_eq!(stored.bytes, value);
+    let swap = store.compare_and_swap("a/b", stored.revision, bytes("y"));
+    assert_eq!(swap.await, Ok(SwapOutcome::Swapped));
+    store.remove("a/b").await.unwrap();
+    assert_eq!(store.get("a/b").await, Ok(None));
+}
+
+#[ntex::test]
+async fn watch_ends_with_the_change() {
+    let (store, _) = start_store(400).await;
+    let first = store.watch("k", WatchPosition::default(), WATCH_LIMIT);
+    let first = first.await.unwrap();
+    assert_eq!(first.value, None);
+    let writer = store.clone();
+    ntex::rt::spawn(async move {
+        let create = writer.compare_and_swap("k", KeyRevision::ABSENT, bytes("x"));
+        create.await.unwrap();
+    });
+    let changed = store.watch("k", first.position, WATCH_LIMIT).await.unwrap();
+    assert_eq!(changed.value.unwrap().bytes, bytes("x"));
+    let remover = store.clone();
+    ntex::rt::spawn(async move { remover.remove("k").await });
+    let removed = store.watch("k", changed.position, WATCH_LIMIT).await;
+    assert_eq!(removed.unwrap().value, None);
+}
+
+#[ntex::test]
+async fn lease_holds_its_key_until_it_lapses() {
+    let (store, url) = start_store(400).await;
+    let holder = store.grant_lease(TTL).await.unwrap();
+    let other = store.grant_lease(TTL).await.unwrap();
+    assert_eq!(store.acquire("k", bytes("1"), &holder).await, Ok(true));
+    assert_eq!(store.acquire("k", bytes("2"), &other).await, Ok(false));
+    assert_eq!(store.renew_lease(&holder).await, Ok(true));
+    set_faults(&url, serde_json::json!({ "expire_leases": true })).await;
+    assert_eq!(store.renew_lease(&holder).await, Ok(false));
+    assert_eq!(store.get("k").await, Ok(None));
+    assert_matches!(
+        store.acquire("k", bytes("3"), &holder).await,
+        Err(StoreError::NotDone { .. })
+    );
+}
+
+#[ntex::test]
+async fn errors_tell_no_effect_from_unknown() {
+    let (store, url) = start_store(400).await;
+    let create = |key, value| store.compare_and_swap(key, KeyRevision::ABSENT, bytes(value));
+
+    set_faults(&url, serde_json::json!({ "lose_answers": 1 })).await;
+    assert_matches!(create("lost", "x").await, Err(StoreError::Unknown { .. }));
+    assert_eq!(store.get("lost").await.unwrap().unwrap().bytes, bytes("x"));
+
+    let first = store.watch("late", WatchPosition::default(), WATCH_LIMIT);
+    let first = first.await.unwrap();
+    let delayed = serde_json::json!({ "delay_writes": 1, "delay_ms": 300 });
+    set_faults(&url, delayed).await;
+    assert_matches!(create("late", "y").await, Err(StoreError::Unknown { .. }));
+    assert_eq!(store.get("late").await, Ok(None));
+    let landed = store.watch("late", first.position, WATCH_LIMIT).await;
+    assert_eq!(landed.unwrap().value.unwrap().bytes, bytes("y"));
+
+    set_faults(&url, serde_json::json!({ "away": true })).await;
+    assert_matches!(create("away", "z").await, Err(StoreError::Unknown { .. }));
+
+    let closed = TcpListener::bind("127.0.0.1:0").unwrap().local_addr();
+    let closed_url = format!("http://{}", closed.unwrap());
+    let nobody = ConsulStore::connect(&closed_url).await.unwrap();
+    let refused = nobody.get("k").await;
+    assert_matches!(refused, Err(StoreError::NotDone { .. }));
+
+    let silent = TcpListener::bind("127.0.0.1:0").unwrap();
+    let silent_url = format!("http://{}", silent.local_addr().unwrap());
+    let waiting = ConsulStore::connect(&silent_url).await.unwrap();
+    let write = waiting.compare_and_swap("k", KeyRevision::ABSENT, bytes("x"));
+    assert_matches!(write.await, Err(StoreError::Unknown { .. }));
+}
+
+#[ntex::test]
+async fn rate_and_size_are_enforced() {
+    let (store, _) = start_store(2).await;
+    for key in ["a", "b"] {
+        let create = store.compare_and_swap(key, KeyRevision::ABSENT, bytes("x"));
+        assert_eq!(create.await, Ok(SwapOutcome::Swapped));
+    }
+    let third = store.compare_and_swap("c", KeyRevision::ABSENT, bytes("x"));
+    assert_matches!(third.await, Err(StoreError::NotDone { .. }));
+
+    let (store, _) = start_store(400).await;
+    let large = Bytes::from(vec![b'x'; MAX_VALUE_BYTES]);
+    let create = store.compare_and_swap("large", KeyRevision::ABSENT, large);
+    assert_eq!(create.await, Ok(SwapOutcome::Swapped));
+    assert_eq!(
+        store.get("large").await.unwrap().unwrap().bytes.len(),
+        MAX_VALUE_BYTES
+    );
+    let larger = Bytes::from(vec![b'x'; MAX_VALUE_BYTES + 1]);
+    let create = store.compare_and_swap("larger", KeyRevision::ABSENT, larger);
+    assert_matches!(create.await, Err(StoreError::NotDone { .. }));
+}
+
+#[ntex::test]
+async fn seeds_are_found_in_the_zone_or_the_fleet() {
+    let (store, _) = start_store(400).await;
+    let zone: crate::ids::ZoneName = "qc-est-a".parse().unwrap();
+    let mut rng = rand::rng();
+    assert_eq!(read_seeds(&store, &zone, &mut rng).await, Ok(Vec::new()));
+    let lease = store.grant_lease(TTL).await.unwrap();
+    let key = zone_key(&zone);
+    let held = store.acquire(&key, bytes("127.0.0.1:1"), &lease).await;
+    assert_eq!(held, Ok(true));
+    let seeds = read_seeds(&store, &zone, &mut rng).await.unwrap();
+    assert_eq!(seeds, [([127, 0, 0, 1], 1).into()]);
+
+    // Any four of the eight slots hold one of five addresses.
+    let mut registered = 0;
+    while registered < 5 {
+        let lease = store.grant_lease(TTL).await.unwrap();
+        let address = ([127, 0, 0, 1], 2).into();
+        let is_free = register_seed(&store, address, &lease, &mut rng).await;
+        registered += u32::from(is_free.unwrap());
+    }
+    let other_zone = "qc-est-b".parse().unwrap();
+    let seeds = read_seeds(&store, &other_zone, &mut rng).await.unwrap();
+    assert_eq!(seeds.first(), Some(&([127, 0, 0, 1], 2).into()));
+}
--- a/src/tickets/watcher.rs
+++ b/src/tickets/watcher.rs
@@ -27,8 +27,8 @@
 const LEASE_TTL: Duration = Duration::from_secs(10);
 /// Time between renewals.
 const RENEW_INTERVAL: Duration = Duration::from_secs(4);
-/// Longest wait of one watch.
-const WATCH_LIMIT: Duration = Duration::from_secs(55);
+/// Longest wait of one watch; a connection that has gone silent ends with it.
+const WATCH_LIMIT: Duration = Duration::from_secs(20);
 /// Longest first pause after a failure; doubles with each further one.
 const FIRST_PAUSE: Duration = Duration::from_millis(200);
 /// Longest pause after a failure.
