End refused and failed calls at the gate at once

Cause: each refused or failed call stayed a task with its request for 10 s, though an ingress never acknowledges those: at 2,000 refusals a second that is 20,000 requests in memory. And a cancel or resume that arrived in the moment in which a call ended was dropped, so that its ingress waited until the time limit.

Change: only a long answer, which the ledger does not keep, stays with its call until it is acknowledged; refusals and failures are remembered by the ledger alone. What is left in a call's inputs at its end is answered out of the ledger. A permit of which the backend server saw nothing goes back.

Before: cancel_that_meets_a_refusal_is_answered_not_run red, the refused call was answered 'may have run'. After: green, with the other gate tests.

--- a/src/gate.rs
+++ b/src/gate.rs
@@ -327,6 +327,11 @@
         self.ledger.borrow_mut().end_unanswered(self.now(), permit);
     }
 
+    /// Takes a permit back of which the backend server has seen nothing.
+    pub fn return_permit(&self, permit: RunPermit) {
+        self.ledger.borrow_mut().return_permit(self.now(), permit);
+    }
+
     /// Notes that the call was refused and must never start.
     pub fn note_refused(&self, id: CallId) {
         self.ledger.borrow_mut().refuse(self.now(), id);
--- a/src/gate/answer.rs
+++ b/src/gate/answer.rs
@@ -15,17 +15,6 @@
 };
 use crate::link::window::{SendWindow, WINDOW_BYTES};
 
-/// How the call ended, kept for a resume.
-#[derive(Debug, Clone)]
-enum AnswerEnd {
-    /// The whole body was sent.
-    Whole,
-    /// The call failed part way.
-    Aborted(CallAbort),
-    /// The call was refused.
-    Refused(CallRefusal),
-}
-
 /// Sending side of one call's answer.
 #[derive(Debug)]
 pub struct AnswerOutput {
@@ -34,7 +23,7 @@
     head: Option<AnswerHead>,
     window: SendWindow,
     whole_body: Option<Bytes>,
-    end: Option<AnswerEnd>,
+    is_whole: bool,
 }
 
 impl AnswerOutput {
@@ -46,7 +35,7 @@
             head: None,
             window: SendWindow::new(WINDOW_BYTES),
             whole_body: None,
-            end: None,
+            is_whole: false,
         }
     }
 
@@ -59,7 +48,7 @@
     pub fn start(&mut self, head: AnswerHead) {
         self.window.push(head.body.clone(), head.is_last);
         if head.is_last {
-            self.end = Some(AnswerEnd::Whole);
+            self.is_whole = true;
             self.whole_body = Some(head.body.clone());
         }
         self.link.send(LinkMessage::Answer(head.clone()));
@@ -81,7 +70,7 @@
         };
         self.window.push(data, is_last);
         if is_last {
-            self.end = Some(AnswerEnd::Whole);
+            self.is_whole = true;
         }
         self.link.send(LinkMessage::AnswerChunk(chunk));
     }
@@ -103,8 +92,7 @@
             kind: kind.code().to_string(),
             load,
         };
-        self.link.send(LinkMessage::Abort(abort.clone()));
-        self.end = Some(AnswerEnd::Aborted(abort));
+        self.link.send(LinkMessage::Abort(abort));
     }
 
     /// Tells that the call was not run and never will be.
@@ -115,8 +103,7 @@
             retry_after_ms,
             load,
         };
-        self.link.send(LinkMessage::Refusal(refusal.clone()));
-        self.end = Some(AnswerEnd::Refused(refusal));
+        self.link.send(LinkMessage::Refusal(refusal));
     }
 
     /// Tells the ingress how much of the request's body was consumed.
@@ -133,6 +120,11 @@
         self.window.credit(consumed);
     }
 
+    /// Link that the call is on.
+    pub fn link(&self) -> &LinkSender {
+        &self.link
+    }
+
     /// Sends any message about the call.
     pub fn send(&self, message: LinkMessage) {
         self.link.send(message);
@@ -180,18 +172,14 @@
     }
 
     fn resend_end(&self) {
-        let message = match &self.end {
-            None => return,
-            Some(AnswerEnd::Whole) => LinkMessage::AnswerChunk(BodyChunk {
+        if self.is_whole {
+            self.link.send(LinkMessage::AnswerChunk(BodyChunk {
                 sequence: self.sequence,
                 offset: self.window.sent(),
                 data: Bytes::new(),
                 is_last: true,
                 load: None,
-            }),
-            Some(AnswerEnd::Aborted(abort)) => LinkMessage::Abort(abort.clone()),
-            Some(AnswerEnd::Refused(refusal)) => LinkMessage::Refusal(refusal.clone()),
-        };
-        self.link.send(message);
+            }));
+        }
     }
 }
--- a/src/gate/call.rs
+++ b/src/gate/call.rs
@@ -17,6 +17,7 @@
 use crate::gate::Gate;
 use crate::gate::answer::AnswerOutput;
 use crate::ids::CallId;
+use crate::ledger::RunPermit;
 use crate::link::endpoint::LinkSender;
 use crate::link::messages::{
     AnswerHead, BodyChunk, CallOpen, CallResume, CancelReply, LinkMessage,
@@ -139,18 +140,34 @@
             feed,
         };
         let started = call.gate.offer(id, &call.open, call.time_left());
-        let has_run = match started {
+        let is_kept = match started {
             Ok(None) => call.work(body).await,
             Ok(Some(turn)) => call.wait_then_work(turn, body).await,
             Err((kind, retry_after)) => {
                 call.refuse(kind, retry_after);
-                true
+                false
             }
         };
-        if has_run {
+        if is_kept {
             call.linger().await;
         }
-        call.gate.forget(id);
+        call.end();
+    }
+
+    /// Ends the call. What arrived in the same moment is answered out of the
+    /// ledger, as everything later is.
+    fn end(mut self) {
+        self.gate.forget(self.id);
+        while let Ok(input) = self.inputs.try_recv() {
+            match input {
+                CallInput::Resume(resume, link) => self.gate.resume_call(self.id, resume, &link),
+                CallInput::Cancel => self.gate.cancel_call(self.id, self.output.link()),
+                CallInput::Acknowledge
+                | CallInput::Chunk(_)
+                | CallInput::Consumed(_)
+                | CallInput::Credit(_) => {}
+            }
+        }
     }
 
     fn time_left(&self) -> Duration {
@@ -164,7 +181,8 @@
             .refuse(kind, retry_after_ms, Some(self.gate.load()));
     }
 
-    /// Waits for a slot. Returns whether there is an answer to keep.
+    /// Waits for a slot. Returns whether there is an answer to keep beside the
+    /// ledger.
     async fn wait_then_work(&mut self, turn: oneshot::Receiver<()>, body: BodySource) -> bool {
         tokio::pin!(turn);
         loop {
@@ -187,7 +205,7 @@
                     Ok(()) => return self.work(body).await,
                     Err(_) => {
                         self.refuse(ErrorKind::WaitTooLong, Duration::ZERO);
-                        return true;
+                        return false;
                     }
                 },
                 () = tokio::time::sleep_until(self.deadline) => {
@@ -195,7 +213,7 @@
                         self.gate.finish(self.id, WorkResult::Cancelled);
                     }
                     self.refuse(ErrorKind::TimedOut, Duration::ZERO);
-                    return true;
+                    return false;
                 }
             }
         }
@@ -235,7 +253,7 @@
         let Some(client) = self.gate.backend_client() else {
             self.gate.finish(self.id, WorkResult::Cancelled);
             self.refuse(ErrorKind::BackendUnreachable, Duration::ZERO);
-            return true;
+            return false;
         };
         let Some(permit) = self.gate.permit(self.id) else {
             self.gate.finish(self.id, WorkResult::Cancelled);
@@ -251,25 +269,34 @@
             Err(WorkEnd::Failed(_)) => WorkResult::Failed,
         };
         self.gate.finish(self.id, work_result);
-        if result.is_ok()
-            && let Some(answer) = self.output.kept_answer()
-        {
-            self.gate.end_answered(permit, answer);
-            return false;
-        }
-        self.gate.end_unanswered(permit);
+        self.end_run(permit, &result)
+    }
+
+    /// Tells the ledger and the ingress how the run ended. Returns whether
+    /// there is an answer to keep beside the ledger: a long one.
+    fn end_run(&mut self, permit: RunPermit, result: &Result<(), WorkEnd>) -> bool {
         match result {
-            Ok(()) => {}
+            Ok(()) => match self.output.kept_answer() {
+                Some(answer) => self.gate.end_answered(permit, answer),
+                None => {
+                    self.gate.end_unanswered(permit);
+                    return true;
+                }
+            },
             Err(WorkEnd::Cancelled) => {
+                self.gate.end_unanswered(permit);
                 self.reply_cancel(false);
-                return false;
             }
             Err(WorkEnd::Failed(ErrorKind::BackendUnreachable)) => {
+                self.gate.return_permit(permit);
                 self.refuse(ErrorKind::BackendUnreachable, Duration::ZERO);
             }
-            Err(WorkEnd::Failed(kind)) => self.output.abort(kind, Some(self.gate.load())),
+            Err(WorkEnd::Failed(kind)) => {
+                self.gate.end_unanswered(permit);
+                self.output.abort(*kind, Some(self.gate.load()));
+            }
         }
-        true
+        false
     }
 
     /// Request and answer with the backend server.
@@ -398,7 +425,7 @@
         }
     }
 
-    /// Keeps the answer until the ingress acknowledges it.
+    /// Keeps a long answer until the ingress acknowledges it.
     async fn linger(&mut self) {
         let limit = Instant::now() + KEEP_ANSWER;
         loop {
--- a/src/gate/tests.rs
+++ b/src/gate/tests.rs
@@ -205,3 +205,22 @@
     assert_matches!(fixture.receiver.recv().await, Some(LinkMessage::Answer(_)));
     assert_eq!(fixture.runs(), 1);
 }
+
+#[ntex::test]
+async fn cancel_that_meets_a_refusal_is_answered_not_run() {
+    let mut fixture = GateFixture::start().await;
+    fixture.commands.send(GateCommand::Drain).unwrap();
+    assert_matches!(fixture.receiver.recv().await, Some(LinkMessage::Leaving(_)));
+    fixture.open(1, "/");
+    fixture
+        .sender
+        .send(LinkMessage::Cancel(CallName { sequence: 1 }));
+    assert_matches!(fixture.receiver.recv().await, Some(LinkMessage::Refusal(_)));
+    assert_matches!(
+        fixture.receiver.recv().await,
+        Some(LinkMessage::CancelReply(CancelReply {
+            is_not_run: true,
+            ..
+        }))
+    );
+}
