Add the relay stand-in

A small forwarder between two nodes, steered by lines on standard input: it cuts open connections, swallows what they carry for good, keeps bytes back and delivers them late, or delays; new connections pass, as with a middlebox that lost its table. UDP is forwarded to the same target, so that a node can advertise the relay's address.

--- /dev/null
+++ b/src/standin/relay.rs
@@ -0,0 +1,157 @@
+//! Stand-in for what lies between two nodes: forwards TCP and UDP to one
+//! target and can lose track of connections.
+//!
+//! It is steered by lines on standard input and ends when that closes. A
+//! steering line applies to the connections open at that moment; new ones pass,
+//! as with a middlebox that has lost its table.
+
+mod command;
+mod options;
+mod stream;
+
+use std::cell::{Cell, RefCell};
+use std::io::{self, BufRead};
+use std::net::SocketAddr;
+use std::process::ExitCode;
+use std::rc::Rc;
+use std::time::Duration;
+
+use tokio::net::{TcpListener, TcpStream, UdpSocket};
+use tokio::sync::mpsc::{UnboundedReceiver, unbounded_channel};
+use tokio::sync::watch;
+
+use crate::options::options_from_process;
+use command::RelayCommand;
+use options::{RELAY_COMMAND, RelayOptions};
+use stream::{FlowMode, forward};
+
+/// Tries to find a port that is free for both TCP and UDP.
+const BIND_TRIES: u32 = 16;
+/// Largest datagram.
+const DATAGRAM_BYTES: usize = 64 * 1024;
+
+/// Runs the stand-in with the settings of this process.
+pub fn main() -> ExitCode {
+    let options = match options_from_process::<RelayOptions>(&RELAY_COMMAND) {
+        Ok(options) => options,
+        Err(code) => return code,
+    };
+    let system = ntex::rt::System::new("standin-relay", ntex::rt::DefaultRuntime);
+    match system.block_on(run(options.listen)) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("standin-relay: {error}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+async fn run(listen: SocketAddr) -> io::Result<()> {
+    let (listener, socket) = bind_both(listen).await?;
+    println!("{}", listener.local_addr()?);
+    let relay = Rc::new(RelayState::default());
+    ntex::rt::spawn(accept_streams(Rc::clone(&relay), listener));
+    ntex::rt::spawn(forward_datagrams(Rc::clone(&relay), Rc::new(socket)));
+    let mut commands = read_commands();
+    while let Some(command) = commands.recv().await {
+        relay.obey(command);
+        // The answer tells the test that the command is in force.
+        println!("ok");
+    }
+    Ok(())
+}
+
+async fn bind_both(listen: SocketAddr) -> io::Result<(TcpListener, UdpSocket)> {
+    let mut tries = BIND_TRIES;
+    loop {
+        let listener = TcpListener::bind(listen).await?;
+        match UdpSocket::bind(listener.local_addr()?).await {
+            Ok(socket) => return Ok((listener, socket)),
+            Err(error) if tries == 0 => return Err(error),
+            Err(_) => tries -= 1,
+        }
+    }
+}
+
+/// Reads standard input on a thread of its own.
+fn read_commands() -> UnboundedReceiver<RelayCommand> {
+    let (sender, receiver) = unbounded_channel();
+    std::thread::spawn(move || {
+        for line in io::stdin().lock().lines() {
+            let Ok(line) = line else {
+                return;
+            };
+            match line.parse() {
+                Ok(command) if sender.send(command).is_err() => return,
+                Ok(_) => {}
+                Err(error) => eprintln!("standin-relay: {error}"),
+            }
+        }
+    });
+    receiver
+}
+
+#[derive(Debug, Default)]
+struct RelayState {
+    target: Cell<Option<SocketAddr>>,
+    delay: Cell<Duration>,
+    streams: RefCell<Vec<watch::Sender<FlowMode>>>,
+}
+
+impl RelayState {
+    fn obey(&self, command: RelayCommand) {
+        match command {
+            RelayCommand::Target(target) => self.target.set(Some(target)),
+            RelayCommand::Delay(delay) => self.delay.set(delay),
+            RelayCommand::Silence => self.set_mode(FlowMode::Silent),
+            RelayCommand::Hold => self.set_mode(FlowMode::Held),
+            RelayCommand::Release => self.set_mode(FlowMode::Open),
+            RelayCommand::Cut => self.set_mode(FlowMode::Cut),
+        }
+    }
+
+    /// A silent stream stays silent for good.
+    fn set_mode(&self, mode: FlowMode) {
+        let mut streams = self.streams.borrow_mut();
+        streams.retain(|stream| !stream.is_closed());
+        for stream in streams.iter() {
+            stream.send_if_modified(|current| {
+                let is_changed = *current != FlowMode::Silent || mode == FlowMode::Cut;
+                if is_changed {
+                    *current = mode;
+                }
+                is_changed
+            });
+        }
+    }
+}
+
+async fn accept_streams(relay: Rc<RelayState>, listener: TcpListener) {
+    while let Ok((caller, _)) = listener.accept().await {
+        let Some(target) = relay.target.get() else {
+            continue;
+        };
+        let (sender, mode) = watch::channel(FlowMode::Open);
+        relay.streams.borrow_mut().push(sender);
+        let delay = relay.delay.get();
+        ntex::rt::spawn(async move {
+            if let Ok(callee) = TcpStream::connect(target).await {
+                forward(caller, callee, mode, delay).await;
+            }
+        });
+    }
+}
+
+/// Forwards datagrams. Nodes address each other by what they announce, so no
+/// way back is needed.
+async fn forward_datagrams(relay: Rc<RelayState>, socket: Rc<UdpSocket>) {
+    let mut buffer = vec![0; DATAGRAM_BYTES];
+    loop {
+        // A datagram that can't be received or sent counts as lost.
+        if let Ok((size, _)) = socket.recv_from(&mut buffer).await
+            && let Some(target) = relay.target.get()
+        {
+            let _ = socket.send_to(&buffer[..size], target).await;
+        }
+    }
+}
