--- a/src/node.rs
+++ b/src/node.rs
@@ -35,7 +35,9 @@
 use crate::exchange::PeerHello;
 use crate::gate::{GateCommand, GateStatus, run_gate};
 use crate::ids::NodeIncarnation;
-use crate::ingress::{IngressShared, IngressWorker, close_unused_links, follow_notices, serve_request};
+use crate::ingress::{
+    IngressShared, IngressWorker, close_unused_links, follow_notices, serve_request,
+};
 use crate::link::pool::{LinkIdentity, LinkPool};
 use crate::logs::start_logs;
 use crate::membership::driver::spawn_membership;
--- a/src/standin/store/service.rs
+++ b/src/standin/store/service.rs
@@ -57,6 +57,7 @@
             .route("/v1/session/renew/{id}", web::put().to(renew_session))
             .route("/v1/session/destroy/{id}", web::put().to(destroy_session))
             .route("/standin/counts", web::get().to(show_counts))
+            .route("/standin/counts", web::delete().to(reset_counts))
             .route("/standin/faults", web::put().to(set_faults))
     };
     HttpServer::new(app)
@@ -201,6 +202,11 @@
     HttpResponse::Ok().json(&state.counts())
 }
 
+async fn reset_counts(state: State<StandinState>) -> HttpResponse {
+    state.reset_counts();
+    HttpResponse::Ok().finish()
+}
+
 async fn set_faults(state: State<StandinState>, faults: Json<StoreFaults>) -> HttpResponse {
     state.set_faults(faults.into_inner());
     HttpResponse::Ok().finish()
--- a/src/standin/store/state.rs
+++ b/src/standin/store/state.rs
@@ -156,6 +156,11 @@
         self.changes.send_replace(());
     }
 
+    /// Sets the counts to zero.
+    pub fn reset_counts(&self) {
+        self.lock().meter.counts = CallCounts::default();
+    }
+
     /// Counts so far.
     pub fn counts(&self) -> CallCounts {
         let inner = self.lock();
--- a/src/store/seeds.rs
+++ b/src/store/seeds.rs
@@ -16,8 +16,10 @@
 
 /// Slots for the whole fleet.
 const FLEET_SLOTS: u32 = 8;
-/// Slots of the fleet that a joining node reads.
+/// Slots of the fleet that a joining node reads at most.
 const SLOTS_READ: usize = 4;
+/// Addresses that are enough to join through.
+const SEEDS_WANTED: usize = 2;
 
 /// Key of the lease under which one node of a zone watches the head.
 pub fn zone_key(zone: &ZoneName) -> String {
@@ -77,6 +79,9 @@
             }
             Err(error) => failure = Some(error),
         }
+        if seeds.len() >= SEEDS_WANTED {
+            break;
+        }
     }
     match failure {
         Some(error) if !is_answered => Err(error),
--- a/src/tickets/driver.rs
+++ b/src/tickets/driver.rs
@@ -3,7 +3,7 @@
 //! A [`ConfigHandle`] can be cloned and used from any thread. When the last
 //! one is dropped, its channels close and the tasks end.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -28,12 +28,18 @@
 
 /// Commands that wait for the control thread at one time.
 const COMMAND_QUEUE: usize = 256;
-/// Time after which a submission stops trying.
-const SUBMIT_LIMIT: Duration = Duration::from_secs(15);
+/// Time limit of a submission, below the one of the administration API.
+const SUBMIT_LIMIT: Duration = Duration::from_millis(7_500);
+/// Time after which no further attempt is begun.
+const ATTEMPT_LIMIT: Duration = Duration::from_secs(5);
 /// Longest first pause between attempts; doubles with each attempt.
 const FIRST_PAUSE: Duration = Duration::from_millis(20);
 /// Longest pause between attempts.
 const MAX_PAUSE: Duration = Duration::from_millis(800);
+/// Longest pause after the first vain look for nodes to join through.
+const FIRST_SEED_PAUSE: Duration = Duration::from_secs(1);
+/// Longest pause after many.
+const MAX_SEED_PAUSE: Duration = Duration::from_secs(16);
 /// Pause between attempts to apply a head whose bodies can't be read.
 const APPLY_PAUSE: Duration = Duration::from_millis(300);
 /// Attempts to apply such a head before it is left to peers and the watch.
@@ -104,6 +110,7 @@
             settings,
             publisher,
             sources: RefCell::default(),
+            seed_pause: Cell::default(),
         });
         let store = Rc::new(store);
         ntex::rt::spawn(run_commands(shared.clone(), store.clone(), queue));
@@ -115,7 +122,7 @@
         }
     }
 
-    /// Submits a ticket and waits for its answer, at most about 20 s.
+    /// Submits a ticket and waits for its answer, at most 7.5 s.
     pub async fn submit(&self, ticket: ChangeTicket) -> SubmitAnswer {
         let (reply, answer) = oneshot::channel();
         let command = ConfigCommand::Submit(ticket, reply);
@@ -199,6 +206,8 @@
     /// Peers to fetch from.
     pub sources: RefCell<FetchSources>,
     publisher: watch::Sender<Arc<TicketState>>,
+    /// Longest pause before the next look for seeds.
+    seed_pause: Cell<Duration>,
 }
 
 impl DriverShared {
@@ -272,7 +281,7 @@
     async fn next_attempt(&mut self) -> bool {
         let pause = rand::rng().random_range(Duration::ZERO..self.pause);
         self.pause = (self.pause * 2).min(MAX_PAUSE);
-        if self.started.elapsed() + pause > SUBMIT_LIMIT {
+        if self.started.elapsed() + pause > ATTEMPT_LIMIT {
             return false;
         }
         tokio::time::sleep(pause).await;
@@ -292,9 +301,7 @@
             ConfigCommand::Submit(ticket, reply) => {
                 let (shared, store, turn) = (shared.clone(), store.clone(), turn.clone());
                 ntex::rt::spawn(async move {
-                    let _guard = turn.lock().await;
-                    let answer = run_submit(shared, store, ticket).await;
-                    let _ = reply.send(answer);
+                    let _ = reply.send(submit_in_turn(shared, store, &turn, ticket).await);
                 });
             }
             ConfigCommand::Show(number, reply) => {
@@ -307,8 +314,7 @@
             ConfigCommand::ReadSeeds(reply) => {
                 let (shared, store) = (shared.clone(), store.clone());
                 ntex::rt::spawn(async move {
-                    let zone = &shared.settings.zone;
-                    let _ = reply.send(read_seeds(&*store, zone, &mut rand::rng()).await);
+                    let _ = reply.send(read_seeds_paced(&shared, &*store).await);
                 });
             }
             ConfigCommand::PeerHead(peer, version) => {
@@ -322,6 +328,26 @@
     }
 }
 
+/// Submits a ticket when it has its turn, within the limit.
+async fn submit_in_turn<S: ConfigStore + 'static>(
+    shared: Rc<DriverShared>,
+    store: Rc<S>,
+    turn: &tokio::sync::Mutex<()>,
+    ticket: ChangeTicket,
+) -> SubmitAnswer {
+    let end = tokio::time::Instant::now() + SUBMIT_LIMIT;
+    let Ok(_guard) = tokio::time::timeout_at(end, turn.lock()).await else {
+        return SubmitAnswer::Refused {
+            reason: RefusalReason::Contended,
+        };
+    };
+    let submission = run_submit(shared, store, ticket);
+    let answer = tokio::time::timeout_at(end, submission).await;
+    answer.unwrap_or_else(|_| SubmitAnswer::Unknown {
+        reason: "store takes too long".to_string(),
+    })
+}
+
 async fn run_submit<S: ConfigStore + 'static>(
     shared: Rc<DriverShared>,
     store: Rc<S>,
@@ -381,6 +407,27 @@
     }
 }
 
+/// Reads seeds; after each vain look the next one waits up to twice as long.
+///
+/// A whole fleet that starts at once thus stays within the store's rate.
+async fn read_seeds_paced<S: ConfigStore>(
+    shared: &DriverShared,
+    store: &S,
+) -> Result<Vec<SocketAddr>, StoreError> {
+    let longest = shared.seed_pause.get();
+    if !longest.is_zero() {
+        let pause = rand::rng().random_range(Duration::ZERO..longest);
+        tokio::time::sleep(pause).await;
+    }
+    let seeds = read_seeds(store, &shared.settings.zone, &mut rand::rng()).await;
+    let is_vain = seeds.as_ref().map_or(true, Vec::is_empty);
+    let next = (longest * 2).clamp(FIRST_SEED_PAUSE, MAX_SEED_PAUSE);
+    shared
+        .seed_pause
+        .set(if is_vain { next } else { Duration::ZERO });
+    seeds
+}
+
 async fn show_ticket<S: ConfigStore>(
     state: &TicketState,
     store: &S,
--- a/src/tickets/submit.rs
+++ b/src/tickets/submit.rs
@@ -200,7 +200,10 @@
     }
 
     async fn attempt(&mut self) -> AttemptEnd {
-        let stored = match self.store.get(HEAD_KEY).await {
+        // Read together, so that a store that takes seconds a call is waited
+        // for once.
+        let (stored, body) = tokio::join!(self.store.get(HEAD_KEY), self.read_body());
+        let stored = match stored {
             Ok(stored) => stored,
             Err(error) => return again(&error),
         };
@@ -227,7 +230,12 @@
                 self.discard_own_body();
                 AttemptEnd::Done(refused(RefusalReason::Stale { service, in_force }))
             }
-            TicketVerdict::Acceptable => return self.accept(head, revision).await,
+            TicketVerdict::Acceptable => {
+                if let Some(end) = self.check_body(body) {
+                    return end;
+                }
+                return self.accept(head, revision).await;
+            }
         };
         self.head = Some(head);
         end
@@ -288,19 +296,30 @@
                 self.is_body_stored = true;
                 None
             }
-            Ok(SwapOutcome::Mismatch) => self.compare_body(&key).await,
+            // Written since it was read: read it again.
+            Ok(SwapOutcome::Mismatch) => Some(AttemptEnd::Again(RefusalReason::Contended)),
             Err(error) => Some(again(&error)),
         }
     }
 
-    async fn compare_body(&mut self, key: &str) -> Option<AttemptEnd> {
-        match self.store.get(key).await {
-            Ok(Some(stored)) if stored.bytes == self.content => {
+    /// Reads the stored body, unless it is known to be there.
+    async fn read_body(&self) -> Result<Option<Bytes>, StoreError> {
+        if self.is_body_stored {
+            return Ok(None);
+        }
+        let stored = self.store.get(&body_key(self.ticket.number)).await?;
+        Ok(stored.map(|stored| stored.bytes))
+    }
+
+    /// Compares the stored body; an end if it is another one or not known.
+    fn check_body(&mut self, body: Result<Option<Bytes>, StoreError>) -> Option<AttemptEnd> {
+        match body {
+            Ok(Some(body)) if body == self.content => {
                 self.is_body_stored = true;
                 None
             }
             Ok(Some(_)) => Some(AttemptEnd::Done(refused(RefusalReason::Conflict))),
-            Ok(None) => Some(AttemptEnd::Again(RefusalReason::Contended)),
+            Ok(None) => None,
             Err(error) => Some(again(&error)),
         }
     }
