--- a/src/membership/tests.rs
+++ b/src/membership/tests.rs
@@ -186,3 +186,117 @@
     assert_eq!(bucket.available(second * 2 + second / 10), 100);
     assert_eq!(bucket.available(second * 10), 400);
 }
+
+mod driven {
+    use std::cell::RefCell;
+    use std::rc::Rc;
+    use std::time::{Duration, Instant};
+
+    use futures_util::{SinkExt, StreamExt};
+    use prost::Message;
+    use tokio::net::{TcpListener, UdpSocket};
+    use tokio::sync::mpsc;
+
+    use super::super::driver::{MembershipHandle, spawn_membership};
+    use super::super::*;
+    use crate::exchange::{ControlReply, ControlRequest, frame_stream};
+    use crate::ids::NodeIncarnation;
+
+    struct RunningNode {
+        handle: MembershipHandle,
+        events: mpsc::Receiver<MembershipEvent>,
+        address: std::net::SocketAddr,
+    }
+
+    async fn start_node(name: &str) -> RunningNode {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let address = listener.local_addr().unwrap();
+        let socket = UdpSocket::bind(address).await.unwrap();
+        let identity = MemberIdentity {
+            node: name.parse().unwrap(),
+            incarnation: NodeIncarnation::try_from(1).unwrap(),
+            region: "oyo-west".parse().unwrap(),
+            zone: "oyo-town-b".parse().unwrap(),
+            peer_address: address,
+        };
+        let state = MembershipState::new(Duration::ZERO, identity);
+        let state = Rc::new(RefCell::new(state));
+        let start = Instant::now();
+        let (sender, events) = mpsc::channel(64);
+        let handle = spawn_membership(state, socket, move || start.elapsed(), sender);
+        tokio::task::spawn_local(serve_peers(listener, handle.clone()));
+        RunningNode {
+            handle,
+            events,
+            address,
+        }
+    }
+
+    async fn serve_peers(listener: TcpListener, handle: MembershipHandle) {
+        while let Ok((stream, _)) = listener.accept().await {
+            let mut framed = frame_stream(stream);
+            let _hello = framed.next().await;
+            let Some(Ok(frame)) = framed.next().await else {
+                continue;
+            };
+            let request = ControlRequest::decode(frame).unwrap();
+            let payload = handle.handle_sync(&request.payload);
+            let reply = ControlReply { payload }.encode_to_vec();
+            framed.send(bytes::Bytes::from(reply)).await.unwrap();
+        }
+    }
+
+    async fn wait_for(node: &mut RunningNode, test: impl Fn(&MembershipState) -> bool) {
+        let waiting = async {
+            while !test(&node.handle.state().borrow()) {
+                node.events.recv().await.unwrap();
+            }
+        };
+        let limit = Duration::from_secs(20);
+        tokio::time::timeout(limit, waiting).await.unwrap();
+    }
+
+    #[tokio::test]
+    async fn nodes_find_each_other_over_sockets_and_hear_of_leaving() {
+        let local = tokio::task::LocalSet::new();
+        let run = async {
+            let mut first = start_node("node-1").await;
+            let mut second = start_node("node-2").await;
+            let mut third = start_node("node-3").await;
+            second.handle.join(&[first.address]);
+            third.handle.join(&[first.address]);
+            for node in [&mut first, &mut second, &mut third] {
+                wait_for(node, |state| state.members().len() == 3).await;
+            }
+            assert!(second.handle.state().borrow().has_joined());
+            third.handle.leave();
+            let id = "node-3".parse().unwrap();
+            for node in [&mut first, &mut second] {
+                wait_for(node, |state| {
+                    state.members()[&id].state() == MemberState::Leaving
+                })
+                .await;
+            }
+        };
+        local.run_until(run).await;
+    }
+
+    #[tokio::test]
+    async fn closing_the_events_ends_the_task() {
+        let local = tokio::task::LocalSet::new();
+        let run = async {
+            let node = start_node("node-1").await;
+            drop(node.events);
+            let socket_is_free = async {
+                while UdpSocket::bind(node.address).await.is_err() {
+                    node.handle.withdraw();
+                    node.handle.leave();
+                    tokio::time::sleep(Duration::from_millis(20)).await;
+                }
+            };
+            let limit = Duration::from_secs(20);
+            tokio::time::timeout(limit, socket_is_free).await.unwrap();
+        };
+        local.run_until(run).await;
+    }
+}
--- a/tests/membership.rs
+++ b/tests/membership.rs
@@ -28,6 +28,8 @@
 const LEAVING_BOUND: Duration = Duration::from_secs(3);
 /// Time until every member knows that a node was killed.
 const DEATH_BOUND: Duration = Duration::from_secs(20);
+/// Time until a process that wakes knows that a later one has started.
+const SUPERSEDED_BOUND: Duration = Duration::from_secs(3);
 
 fn is_state(record: Option<&MemberRecord>, state: MemberState) -> bool {
     record.is_some_and(|record| record.state() == state)
@@ -131,6 +133,7 @@
     net.run_for(Duration::from_secs(30));
     let is_refuted = |record: Option<&MemberRecord>| is_state(record, MemberState::Alive);
     assert!(net.all_see(&accused, is_refuted));
+    net.drop_held(accuser);
     net.thaw(accuser);
     net.run_for(Duration::from_secs(10));
     assert_eq!(net.nodes[accuser].state.counters().deaths, 0);
@@ -147,8 +150,11 @@
     net.run_for(Duration::from_secs(15));
     net.drop_held(5);
     net.thaw(5);
-    let took = net.run_until(Duration::from_secs(15), |net| net.nodes[5].is_superseded);
-    assert!(took.is_some(), "woken process did not stop within 15 s");
+    let took = net.run_until(SUPERSEDED_BOUND, |net| net.nodes[5].is_superseded);
+    assert!(
+        took.is_some(),
+        "woken process did not stop within {SUPERSEDED_BOUND:?}"
+    );
     net.kill(5);
     let node = net.node_id(successor);
     let is_successor = |record: Option<&MemberRecord>| {
