Prove at most once with real processes under faults

Cause: the promises were proved on the pure logic and on links in memory.

Each run is compared with what its caller was told. The backend stand-in prints its runs on request, so that a killed one leaves its count behind.

--- a/src/standin/backend/options.rs
+++ b/src/standin/backend/options.rs
@@ -5,7 +5,7 @@
 
 use crate::ids::{BackendId, ConnectionCount, ServiceName, SlotCount};
 use crate::options::{
-    BaseUrl, BoundedNumber, CommandSpec, FlagSpec, RawOptions, SecretToken, SettingError,
+    BaseUrl, BoundedNumber, CommandSpec, FlagArity, FlagSpec, RawOptions, SecretToken, SettingError,
 };
 
 /// Longest service time, in milliseconds.
@@ -65,6 +65,13 @@
         "http://HOST:PORT",
         "ingress of its node, for nested calls",
     ),
+    FlagSpec::single(
+        "print-runs",
+        "",
+        "true or false",
+        "print a line for each run, so that a killed process leaves its count behind",
+    )
+    .with_arity(FlagArity::Switch),
 ];
 
 /// Command line of `standin-backend`.
@@ -101,6 +108,8 @@
     pub work: Duration,
     /// Ingress for nested calls.
     pub via: Option<BaseUrl>,
+    /// Whether each run is printed.
+    pub print_runs: bool,
 }
 
 impl TryFrom<RawOptions> for StandinOptions {
@@ -118,6 +127,7 @@
             connections: raw.required("connections")?,
             work: Duration::from_millis(work.get()),
             via: raw.optional("via")?,
+            print_runs: raw.switch("print-runs")?,
         })
     }
 }
--- a/src/standin/backend/state.rs
+++ b/src/standin/backend/state.rs
@@ -67,6 +67,8 @@
     pub via: Option<BaseUrl>,
     /// Slots; a request waits here for its turn.
     pub slots: Arc<Semaphore>,
+    /// Whether each run is printed.
+    pub print_runs: bool,
     counts: Mutex<RunCounts>,
     faults: Mutex<FaultSettings>,
 }
@@ -80,6 +82,7 @@
             work: options.work,
             via: options.via.clone(),
             slots: Arc::new(Semaphore::new(slots)),
+            print_runs: options.print_runs,
             counts: Mutex::default(),
             faults: Mutex::default(),
         }
@@ -139,6 +142,9 @@
         counts.most_running = counts.most_running.max(running);
         if let Some(id) = request_id {
             *counts.runs.entry(id.to_string()).or_default() += 1;
+            if self.state.print_runs {
+                println!("run {id}");
+            }
         }
         self.phase = RequestPhase::Running;
     }
--- a/src/standin/relay.rs
+++ b/src/standin/relay.rs
@@ -10,8 +10,10 @@
 mod stream;
 
 use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::collections::btree_map::Entry;
 use std::io::{self, BufRead};
-use std::net::SocketAddr;
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::process::ExitCode;
 use std::rc::Rc;
 use std::time::Duration;
@@ -142,16 +144,46 @@
     }
 }
 
-/// Forwards datagrams. Nodes address each other by what they announce, so no
-/// way back is needed.
+/// Forwards datagrams. Each sender gets a socket of its own towards the target,
+/// on which the answers come back.
 async fn forward_datagrams(relay: Rc<RelayState>, socket: Rc<UdpSocket>) {
     let mut buffer = vec![0; DATAGRAM_BYTES];
+    let mut ways: BTreeMap<SocketAddr, Rc<UdpSocket>> = BTreeMap::new();
     loop {
         // A datagram that can't be received or sent counts as lost.
-        if let Ok((size, _)) = socket.recv_from(&mut buffer).await
-            && let Some(target) = relay.target.get()
+        let Ok((size, sender)) = socket.recv_from(&mut buffer).await else {
+            continue;
+        };
+        let Some(target) = relay.target.get() else {
+            continue;
+        };
+        if let Entry::Vacant(entry) = ways.entry(sender)
+            && let Ok(way) = UdpSocket::bind((socket_ip(&socket), 0)).await
         {
-            let _ = socket.send_to(&buffer[..size], target).await;
+            let way = Rc::new(way);
+            ntex::rt::spawn(return_datagrams(
+                Rc::clone(&way),
+                Rc::clone(&socket),
+                sender,
+            ));
+            entry.insert(way);
+        }
+        if let Some(way) = ways.get(&sender) {
+            let _ = way.send_to(&buffer[..size], target).await;
+        }
+    }
+}
+
+fn socket_ip(socket: &UdpSocket) -> IpAddr {
+    let address = socket.local_addr();
+    address.map_or(IpAddr::V4(Ipv4Addr::LOCALHOST), |address| address.ip())
+}
+
+async fn return_datagrams(way: Rc<UdpSocket>, socket: Rc<UdpSocket>, sender: SocketAddr) {
+    let mut buffer = vec![0; DATAGRAM_BYTES];
+    loop {
+        if let Ok((size, _)) = way.recv_from(&mut buffer).await {
+            let _ = socket.send_to(&buffer[..size], sender).await;
         }
     }
 }
--- /dev/null
+++ b/tests/support/fleet.rs
@@ -0,0 +1,217 @@
+//! A fleet of real processes: a store, one ingress without a backend server,
+//! and upstreams behind relays.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::process::Command;
+use std::time::{Duration, Instant};
+
+use currantlift::admin::MemberView;
+use ntex::client::Client;
+use ntex::http::Method;
+use serde::Deserialize;
+use serde_json::{Value, json};
+
+use crate::process::{Process, RunTally, keeps_logs};
+
+/// Longest wait for the fleet to be ready.
+const READY_PATIENCE: Duration = Duration::from_secs(30);
+/// Pause between two looks.
+const LOOK_PAUSE: Duration = Duration::from_millis(50);
+/// Service that the upstreams serve.
+pub const SERVICE: &str = "tillpost";
+/// Slots of each backend server.
+const SLOTS: &str = "6";
+/// Service time of an order, in milliseconds.
+const WORK_MS: &str = "12";
+/// Any free port.
+const ANY_PORT: &str = "127.0.0.1:0";
+
+#[derive(Clone, Copy, Deserialize)]
+struct NodeAddresses {
+    listen: SocketAddr,
+    peer_listen: SocketAddr,
+    admin_listen: SocketAddr,
+}
+
+/// A node with its backend server, behind a relay.
+pub struct Upstream {
+    name: String,
+    join: SocketAddr,
+    store: String,
+    tally: RunTally,
+    relay_address: String,
+    addresses: NodeAddresses,
+    pub relay: Process,
+    pub node: Option<Process>,
+    pub backend: Option<Process>,
+    backend_address: String,
+}
+
+impl Upstream {
+    fn start(number: usize, join: SocketAddr, store: &str, tally: &RunTally) -> Self {
+        let name = format!("{SERVICE}-{number}");
+        let mut command = Command::new(env!("CARGO_BIN_EXE_standin-relay"));
+        let mut relay = Process::start(&format!("{name}-relay"), &mut command, tally);
+        let relay_address = relay.line();
+        let extra = ["--peer-advertise", &relay_address];
+        let mut command = node_command(&name, store, &[ANY_PORT; 3], &extra);
+        command.args(["--peer", &join.to_string()]);
+        let node = Process::start(&name, &mut command, tally);
+        let addresses: NodeAddresses = serde_json::from_str(&node.line()).unwrap();
+        relay.steer(&format!("target {}", addresses.peer_listen));
+        let mut upstream = Self {
+            name,
+            join,
+            store: store.to_string(),
+            tally: tally.clone(),
+            relay_address,
+            addresses,
+            relay,
+            node: Some(node),
+            backend: None,
+            backend_address: String::new(),
+        };
+        upstream.start_backend();
+        upstream
+    }
+
+    /// Starts the node again, at the same addresses.
+    pub fn start_node(&mut self) {
+        let bound = self.addresses;
+        let listen = [bound.listen, bound.peer_listen, bound.admin_listen];
+        let listen = listen.map(|address| address.to_string());
+        let listen = [&*listen[0], &*listen[1], &*listen[2]];
+        let extra = ["--peer-advertise", &self.relay_address];
+        let mut command = node_command(&self.name, &self.store, &listen, &extra);
+        command.args(["--peer", &self.join.to_string()]);
+        let node = Process::start(&self.name, &mut command, &self.tally);
+        node.line();
+        self.node = Some(node);
+    }
+
+    /// Starts a backend server, at a new address.
+    pub fn start_backend(&mut self) {
+        let name = format!("{}-backend", self.name);
+        let admin = format!("http://{}", self.addresses.admin_listen);
+        let mut command = Command::new(env!("CARGO_BIN_EXE_standin-backend"));
+        command
+            .args(["--admin", &admin, "--id", &name, "--service", SERVICE])
+            .args(["--slots", SLOTS, "--work-ms", WORK_MS, "--print-runs"]);
+        let backend = Process::start(&name, &mut command, &self.tally);
+        self.backend_address = backend.line();
+        self.backend = Some(backend);
+    }
+
+    /// Sends a signal to the node, if it is there.
+    pub fn signal_node(&self, name: &str) {
+        if let Some(node) = &self.node {
+            node.signal(name);
+        }
+    }
+
+    /// Sends a signal to the backend server, if it is there.
+    pub fn signal_backend(&self, name: &str) {
+        if let Some(backend) = &self.backend {
+            backend.signal(name);
+        }
+    }
+
+    /// Switches the backend server's faults.
+    pub async fn set_faults(&self, client: &Client, faults: &Value) {
+        let url = format!("http://{}/standin/faults", self.backend_address);
+        let sent = client.put(url).send_json(faults).await;
+        assert!(sent.unwrap().status().is_success());
+    }
+}
+
+fn node_command(name: &str, store: &str, listen: &[&str; 3], extra: &[&str]) -> Command {
+    let level = if keeps_logs() { "info" } else { "off" };
+    let mut command = Command::new(env!("CARGO_BIN_EXE_currantlift-node"));
+    command
+        .args(["--node-id", name, "--region", "oyo-west"])
+        .args(["--zone", "ogbomoso-a", "--store", store])
+        .args(["--listen", listen[0], "--peer-listen", listen[1]])
+        .args(["--admin-listen", listen[2], "--threads", "1"])
+        .args(["--log-level", level])
+        .args(extra);
+    command
+}
+
+/// Processes of one test.
+pub struct Fleet {
+    pub upstreams: Vec<Upstream>,
+    pub tally: RunTally,
+    pub client: Client,
+    pub ingress_url: String,
+    ingress: Process,
+    ingress_admin: SocketAddr,
+    _store: Process,
+}
+
+impl Fleet {
+    /// Starts a fleet whose service is ready at the ingress.
+    pub async fn start(count: usize) -> Self {
+        let tally = RunTally::default();
+        let mut command = Command::new(env!("CARGO_BIN_EXE_standin-store"));
+        command.args(["--listen", ANY_PORT]);
+        let store = Process::start("store", &mut command, &tally);
+        let store_url = format!("http://{}", store.line());
+        let mut command = node_command("edge-1", &store_url, &[ANY_PORT; 3], &[]);
+        let ingress = Process::start("edge-1", &mut command, &tally);
+        let bound: NodeAddresses = serde_json::from_str(&ingress.line()).unwrap();
+        let upstreams = (1..=count)
+            .map(|number| Upstream::start(number, bound.peer_listen, &store_url, &tally))
+            .collect();
+        let client = currantlift::admin::http_client(Duration::from_secs(20)).await;
+        let fleet = Self {
+            upstreams,
+            tally,
+            client: client.unwrap(),
+            ingress_url: format!("http://{}", bound.listen),
+            ingress,
+            ingress_admin: bound.admin_listen,
+            _store: store,
+        };
+        fleet.submit_ticket().await;
+        fleet.wait_until_ready().await;
+        fleet
+    }
+
+    async fn submit_ticket(&self) {
+        let url = format!("http://{}/v1/tickets/1", self.ingress_admin);
+        let rule = json!({ "method": "POST", "path": "/orders", "idempotent": false });
+        let service = json!({ "timeout_ms": 1000, "attempts": 3, "requests": [rule] });
+        let ticket = json!({ "services": { SERVICE: service } });
+        let sent = self.client.put(url).send_json(&ticket).await;
+        assert!(sent.unwrap().status().is_success());
+    }
+
+    /// Waits until the ingress knows every upstream as ready.
+    pub async fn wait_until_ready(&self) {
+        let end = Instant::now() + READY_PATIENCE;
+        loop {
+            let ready = self.ready_count().await;
+            if ready == self.upstreams.len() {
+                return;
+            }
+            assert!(Instant::now() < end, "{ready} upstreams are ready");
+            ntex::time::sleep(LOOK_PAUSE).await;
+        }
+    }
+
+    async fn ready_count(&self) -> usize {
+        let url = format!("http://{}/v1/members", self.ingress_admin);
+        let request = self.client.request(Method::GET, url).send().await;
+        let members: BTreeMap<String, MemberView> = request.unwrap().json().await.unwrap();
+        let serves = |member: &&MemberView| member.state == "alive" && member.service.is_some();
+        members.values().filter(serves).count()
+    }
+
+    /// Ends all processes; then every run has been tallied.
+    pub fn end(mut self) -> RunTally {
+        assert!(!self.ingress.has_ended(), "the ingress ended");
+        self.upstreams.clear();
+        self.tally
+    }
+}
--- /dev/null
+++ b/tests/support/load.rs
@@ -0,0 +1,210 @@
+//! Callers that place non-idempotent orders and note what they are told.
+
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::fmt;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use ntex::client::{Client, ClientResponse};
+use ntex::time::{Millis, sleep};
+
+use crate::fleet::{Fleet, SERVICE};
+
+/// Callers at the same time.
+const CALLERS: u64 = 24;
+/// Pause of a caller between two orders.
+const CALLER_PAUSE: Millis = Millis(20);
+/// Time limit of an order.
+const ORDER_TIMEOUT: Duration = Duration::from_millis(1000);
+/// Lateness from which an answer counts as hung; the machine may be busy.
+const HUNG_AFTER: Duration = Duration::from_secs(2);
+/// Every order of this rank is a large one.
+const LARGE_EVERY: u64 = 20;
+/// Size of a large order, more than goes into one frame.
+const LARGE_BYTES: usize = 150_000;
+/// Status codes from which a server has failed.
+const SERVER_ERROR: u16 = 500;
+
+/// What a caller was told.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Told {
+    /// The whole answer to its own order.
+    Whole,
+    /// The backend server's own failure.
+    BackendFailure,
+    /// Not run.
+    NotRun,
+    /// Unknown.
+    Unknown,
+    /// An answer that broke off, and was seen to.
+    Cut,
+    /// An answer that is not its own, or is not whole.
+    Foreign,
+    /// No answer at all.
+    NoAnswer,
+}
+
+#[derive(Debug)]
+struct Order {
+    id: String,
+    told: Told,
+    latency: Duration,
+}
+
+/// Orders under way and placed.
+pub struct OrderLoad {
+    orders: Rc<RefCell<Vec<Order>>>,
+    is_over: Rc<Cell<bool>>,
+    running: Rc<Cell<u64>>,
+}
+
+impl OrderLoad {
+    /// Starts the callers.
+    pub fn start(fleet: &Fleet) -> Self {
+        let load = Self {
+            orders: Rc::default(),
+            is_over: Rc::default(),
+            running: Rc::new(Cell::new(CALLERS)),
+        };
+        for caller in 0..CALLERS {
+            let (orders, running) = (Rc::clone(&load.orders), Rc::clone(&load.running));
+            let is_over = Rc::clone(&load.is_over);
+            let (client, url) = (
+                fleet.client.clone(),
+                format!("{}/orders", fleet.ingress_url),
+            );
+            ntex::rt::spawn(async move {
+                let mut number = 0;
+                while !is_over.get() {
+                    let order = place_order(&client, &url, caller, number).await;
+                    orders.borrow_mut().push(order);
+                    number += 1;
+                    sleep(CALLER_PAUSE).await;
+                }
+                running.set(running.get() - 1);
+            });
+        }
+        load
+    }
+
+    /// Orders that have been answered.
+    pub fn count(&self) -> usize {
+        self.orders.borrow().len()
+    }
+
+    /// Waits for the last answers.
+    pub async fn end(self) -> OrderBook {
+        self.is_over.set(true);
+        while self.running.get() > 0 {
+            sleep(CALLER_PAUSE).await;
+        }
+        OrderBook {
+            orders: self.orders.take(),
+        }
+    }
+}
+
+async fn place_order(client: &Client, url: &str, caller: u64, number: u64) -> Order {
+    let id = format!("{caller}-{number}");
+    let mut body = format!("order {id}").into_bytes();
+    if number % LARGE_EVERY == LARGE_EVERY - 1 {
+        body.resize(LARGE_BYTES, b'.');
+    }
+    let request = client
+        .post(url)
+        .header("currantlift-service", SERVICE)
+        .header(
+            "currantlift-timeout-ms",
+            ORDER_TIMEOUT.as_millis().to_string(),
+        )
+        .header("request-id", id.as_str());
+    let begun = Instant::now();
+    let told = match request.send_body(body.clone()).await {
+        Ok(response) => read_answer(response, &body).await,
+        Err(_) => Told::NoAnswer,
+    };
+    Order {
+        id,
+        told,
+        latency: begun.elapsed(),
+    }
+}
+
+async fn read_answer(response: ClientResponse, sent: &[u8]) -> Told {
+    let outcome = response.headers().get("currantlift-outcome");
+    let outcome = outcome.and_then(|value| value.to_str().ok());
+    match outcome {
+        Some("not-run") => return Told::NotRun,
+        Some(_) => return Told::Unknown,
+        None => {}
+    }
+    let status = response.status().as_u16();
+    match response.body().limit(2 * LARGE_BYTES).await {
+        Ok(_) if status >= SERVER_ERROR => Told::BackendFailure,
+        Ok(body) if body[..] == *sent => Told::Whole,
+        Ok(_) => Told::Foreign,
+        Err(_) => Told::Cut,
+    }
+}
+
+/// What all callers were told.
+pub struct OrderBook {
+    orders: Vec<Order>,
+}
+
+impl OrderBook {
+    /// Compares what callers were told with what ran.
+    pub fn compare(&self, runs: &BTreeMap<String, u32>) -> FaultReport {
+        let mut report = FaultReport::default();
+        for order in &self.orders {
+            let count = runs.get(&order.id).copied().unwrap_or(0);
+            *report.told.entry(order.told).or_default() += 1;
+            report.lost += u32::from(order.told == Told::Whole && count == 0);
+            report.doubled += u32::from(count > 1);
+            report.false_not_run += u32::from(order.told == Told::NotRun && count > 0);
+            report.hung += u32::from(order.latency > ORDER_TIMEOUT + HUNG_AFTER);
+            report.slowest = report.slowest.max(order.latency);
+        }
+        report
+    }
+}
+
+/// Outcome of one test.
+#[derive(Debug, Default)]
+pub struct FaultReport {
+    pub told: BTreeMap<Told, u32>,
+    pub lost: u32,
+    pub doubled: u32,
+    pub false_not_run: u32,
+    pub hung: u32,
+    pub slowest: Duration,
+}
+
+impl FaultReport {
+    /// Orders that callers were told this of.
+    pub fn count(&self, told: Told) -> u32 {
+        self.told.get(&told).copied().unwrap_or(0)
+    }
+
+    /// Fails if a promise was broken.
+    pub fn check(&self) {
+        let broken = [self.lost, self.doubled, self.false_not_run, self.hung];
+        assert_eq!(broken, [0; 4], "lost, doubled, false not-run, hung: {self}");
+        assert_eq!(self.count(Told::Foreign), 0, "{self}");
+        assert_eq!(self.count(Told::NoAnswer), 0, "{self}");
+        let total: u32 = self.told.values().sum();
+        assert!(self.count(Told::Whole) * 2 > total, "{self}");
+    }
+}
+
+impl fmt::Display for FaultReport {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let total: u32 = self.told.values().sum();
+        write!(
+            formatter,
+            "orders {total} {:?} lost {} doubled {} false not-run {} hung {} slowest {:?}",
+            self.told, self.lost, self.doubled, self.false_not_run, self.hung, self.slowest
+        )
+    }
+}
--- /dev/null
+++ b/tests/support/process.rs
@@ -0,0 +1,110 @@
+//! Child processes that are steered by signals and lines.
+
+use std::collections::BTreeMap;
+use std::env;
+use std::fs::File;
+use std::io::{BufRead, BufReader, Write};
+use std::path::Path;
+use std::process::{Child, ChildStdin, ChildStdout, Command, Stdio};
+use std::sync::mpsc::{Receiver, Sender, channel};
+use std::sync::{Arc, Mutex};
+use std::thread::JoinHandle;
+use std::time::Duration;
+
+/// Longest wait for a line of a process.
+const LINE_PATIENCE: Duration = Duration::from_secs(10);
+/// Variable that names a directory for the processes' logs.
+const LOGS_VARIABLE: &str = "FAULTS_LOGS";
+
+/// Runs by request id, over all backend servers and their restarts.
+pub type RunTally = Arc<Mutex<BTreeMap<String, u32>>>;
+
+/// Child process that ends with its handle.
+pub struct Process {
+    child: Child,
+    stdin: Option<ChildStdin>,
+    lines: Receiver<String>,
+    reader: Option<JoinHandle<()>>,
+}
+
+impl Process {
+    /// Starts a process; what it prints as `run ID` is tallied.
+    pub fn start(name: &str, command: &mut Command, tally: &RunTally) -> Self {
+        let mut child = command
+            .stdin(Stdio::piped())
+            .stdout(Stdio::piped())
+            .stderr(log_output(name))
+            .spawn()
+            .unwrap();
+        let output = child.stdout.take().unwrap();
+        let stdin = child.stdin.take();
+        let (sender, lines) = channel();
+        let tally = Arc::clone(tally);
+        let reader = std::thread::spawn(move || read_lines(output, &sender, &tally));
+        Self {
+            child,
+            stdin,
+            lines,
+            reader: Some(reader),
+        }
+    }
+
+    /// Next line that is not a run.
+    pub fn line(&self) -> String {
+        self.lines.recv_timeout(LINE_PATIENCE).unwrap()
+    }
+
+    /// Sends a steering line and waits until it is in force.
+    pub fn steer(&mut self, line: &str) {
+        let stdin = self.stdin.as_mut().unwrap();
+        writeln!(stdin, "{line}").unwrap();
+        assert_eq!(self.line(), "ok");
+    }
+
+    /// Sends a signal by name.
+    pub fn signal(&self, name: &str) {
+        let pid = self.child.id().to_string();
+        let status = Command::new("kill").args(["-s", name, &pid]).status();
+        assert!(status.unwrap().success());
+    }
+
+    /// Whether the process ended by itself.
+    pub fn has_ended(&mut self) -> bool {
+        self.child.try_wait().unwrap().is_some()
+    }
+}
+
+impl Drop for Process {
+    /// Kills the process and reads what it has printed to the end.
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+        if let Some(reader) = self.reader.take() {
+            let _ = reader.join();
+        }
+    }
+}
+
+fn log_output(name: &str) -> Stdio {
+    let Ok(folder) = env::var(LOGS_VARIABLE) else {
+        return Stdio::null();
+    };
+    let path = Path::new(&folder).join(format!("{name}.log"));
+    let file = File::options().append(true).create(true).open(path);
+    Stdio::from(file.unwrap())
+}
+
+/// Whether logs are kept.
+pub fn keeps_logs() -> bool {
+    env::var(LOGS_VARIABLE).is_ok()
+}
+
+fn read_lines(output: ChildStdout, lines: &Sender<String>, tally: &RunTally) {
+    for line in BufReader::new(output).lines().map_while(Result::ok) {
+        match line.strip_prefix("run ") {
+            Some(id) => *tally.lock().unwrap().entry(id.to_string()).or_default() += 1,
+            // Nobody may be waiting for the line.
+            None => drop(lines.send(line)),
+        }
+    }
+}
