Keep the marks of an ingress from their last rise, and write down at most once

Before: late_original_stays_barred_after_the_gate_was_stopped_for_long red (Fresh instead of Barred).

--- a/src/ledger.rs
+++ b/src/ledger.rs
@@ -270,7 +270,7 @@
             if now.saturating_sub(ended_at) < self.limits.record_age {
                 break;
             }
-            self.forget(ended_at, call);
+            self.forget(now, ended_at, call);
         }
         self.marks.drop_older(now, self.limits.mark_age);
     }
@@ -303,20 +303,20 @@
         if self.ended.len() > self.limits.ended_records
             && let Some(&(ended_at, oldest)) = self.ended.first()
         {
-            self.forget(ended_at, oldest);
+            self.forget(now, ended_at, oldest);
         }
     }
 
-    fn forget(&mut self, ended_at: Duration, call: CallId) {
+    fn forget(&mut self, now: Duration, ended_at: Duration, call: CallId) {
         self.ended.remove(&(ended_at, call));
         self.shelf.drop_answer(call);
         let Some(record) = self.records.remove(&call) else {
             return;
         };
         if record.state == RecordState::Barred {
-            self.marks.raise_barred(call);
+            self.marks.raise_barred(now, call);
         } else {
-            self.marks.raise_run(call);
+            self.marks.raise_run(now, call);
         }
     }
 }
--- a/src/ledger/marks.rs
+++ b/src/ledger/marks.rs
@@ -12,8 +12,8 @@
     run: Option<u64>,
     /// Highest forgotten call that never ran.
     barred: Option<u64>,
-    /// Last time at which the ingress sent something.
-    heard_at: Duration,
+    /// Last time at which the ingress sent something or a mark rose.
+    fresh_at: Duration,
 }
 
 /// Marks by incarnation of the ingress.
@@ -24,7 +24,7 @@
 
 impl SequenceMarks {
     pub(super) fn touch(&mut self, now: Duration, ingress: u64) {
-        self.marks.entry(ingress).or_default().heard_at = now;
+        self.marks.entry(ingress).or_default().fresh_at = now;
     }
 
     /// Whether an unknown call may have run and been forgotten.
@@ -39,19 +39,27 @@
         marks.and_then(|marks| marks.barred) >= Some(call.sequence)
     }
 
-    pub(super) fn raise_run(&mut self, call: CallId) {
-        let marks = self.marks.entry(call.ingress).or_default();
+    pub(super) fn raise_run(&mut self, now: Duration, call: CallId) {
+        let marks = self.raised(now, call.ingress);
         marks.run = marks.run.max(Some(call.sequence));
     }
 
-    pub(super) fn raise_barred(&mut self, call: CallId) {
-        let marks = self.marks.entry(call.ingress).or_default();
+    pub(super) fn raise_barred(&mut self, now: Duration, call: CallId) {
+        let marks = self.raised(now, call.ingress);
         marks.barred = marks.barred.max(Some(call.sequence));
     }
 
-    /// Drops the marks of every ingress not heard of for `age` or longer.
+    /// A rise keeps the marks: a process that was stopped for long forgets
+    /// records in its first sweep, and late originals are still to be read.
+    fn raised(&mut self, now: Duration, ingress: u64) -> &mut IngressMarks {
+        self.touch(now, ingress);
+        self.marks.entry(ingress).or_default()
+    }
+
+    /// Drops marks that have been as they are for `age` or longer, with nothing
+    /// heard of the ingress.
     pub(super) fn drop_older(&mut self, now: Duration, age: Duration) {
         self.marks
-            .retain(|_, marks| now.saturating_sub(marks.heard_at) < age);
+            .retain(|_, marks| now.saturating_sub(marks.fresh_at) < age);
     }
 }
--- a/src/ledger/tests.rs
+++ b/src/ledger/tests.rs
@@ -91,3 +91,14 @@
     assert!(ledger.start(call(3)).is_none());
     assert_eq!(ledger.open(now, call(3), false), OpenOutcome::Barred);
 }
+
+#[test]
+fn late_original_stays_barred_after_the_gate_was_stopped_for_long() {
+    let limits = LedgerLimits::default();
+    let mut ledger = CallLedger::new(limits);
+    let outcome = ledger.resume(Duration::ZERO, call(3));
+    assert_eq!(outcome, ResumeOutcome::NeverSeen);
+    let woken = limits.mark_age * 2;
+    ledger.sweep(woken);
+    assert_eq!(ledger.open(woken, call(3), false), OpenOutcome::Barred);
+}
