Split the gate, the links, the attempt and the node by duty

Change: gate into dispatch, links, feed and the answer's relay; the open link apart from the pool; an attempt's resume and relay, and the node's listener, in files of their own. No behaviour changed.

--- a/src/gate.rs
+++ b/src/gate.rs
@@ -7,6 +7,9 @@
 
 pub mod answer;
 pub mod call;
+mod dispatch;
+mod feed;
+mod links;
 
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
@@ -14,27 +17,19 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use bytes::{Bytes, BytesMut};
-use futures_util::{SinkExt, StreamExt};
-use prost::Message;
-use tokio::net::TcpStream;
-use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel};
-use tokio::sync::{Notify, oneshot};
+use bytes::BytesMut;
+use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender};
+use tokio::sync::oneshot;
 
 use crate::admission::{Admission, AdmissionOptions, AdmissionQueue, CallOffer, WorkResult};
 use crate::backend::{BackendClient, BackendTarget};
 use crate::error::ErrorKind;
-use crate::exchange::{PeerFramed, frame_buffered};
-use crate::gate::call::{CallInput, GateCall};
+use crate::gate::call::CallInput;
+use crate::gate::links::{LinkOwner, serve_local, serve_remote};
 use crate::ids::{CallId, NodeIncarnation, ServiceName};
-use crate::ledger::{
-    CallLedger, CancelOutcome, KeptAnswer, LedgerLimits, OpenOutcome, ResumeOutcome, RunPermit,
-};
-use crate::link::endpoint::{LinkReceiver, LinkSender, lane_pair, read_frame, write_frames};
-use crate::link::messages::{
-    AnswerHead, BodyChunk, CallAbort, CallName, CallOpen, CallRefusal, CallResume, CancelReply,
-    LinkHello, LinkMessage, LinkPing, LinkWelcome, LoadStamp, ResumeReply, ResumeState,
-};
+use crate::ledger::{CallLedger, KeptAnswer, LedgerLimits, RunPermit};
+use crate::link::endpoint::{LinkReceiver, LinkSender};
+use crate::link::messages::{CallOpen, LinkHello, LinkMessage, LinkPing, LoadStamp};
 
 /// Interval at which lapsed entries of the ledger are removed.
 const SWEEP_INTERVAL: Duration = Duration::from_secs(1);
@@ -78,11 +73,6 @@
     pub limit: u32,
 }
 
-struct LinkOwner {
-    generation: u64,
-    closed: Rc<Notify>,
-}
-
 /// State of the gate, shared by its tasks on one thread.
 pub struct Gate {
     incarnation: NodeIncarnation,
@@ -346,187 +336,6 @@
     pub fn forget(&self, id: CallId) {
         self.calls.borrow_mut().remove(&id);
     }
-
-    fn open_call(self: &Rc<Self>, id: CallId, open: CallOpen, link: &LinkSender) {
-        let outcome = self
-            .ledger
-            .borrow_mut()
-            .open(self.now(), id, open.is_idempotent);
-        if outcome != OpenOutcome::Fresh {
-            log::info!(target: "admission", call:% = id, outcome:?; "original not let in");
-            answer_barred(open.sequence, outcome, link);
-            return;
-        }
-        let (sender, inputs) = unbounded_channel();
-        self.calls.borrow_mut().insert(id, sender.clone());
-        let gate = Rc::clone(self);
-        let link = link.clone();
-        ntex::rt::spawn(GateCall::run(gate, id, open, link, (sender, inputs)));
-    }
-
-    fn pass_on(&self, id: CallId, input: CallInput) -> Result<(), CallInput> {
-        match self.calls.borrow().get(&id) {
-            Some(call) => call.send(input).map_err(|error| error.0),
-            None => Err(input),
-        }
-    }
-
-    fn cancel_call(&self, id: CallId, link: &LinkSender) {
-        if self.pass_on(id, CallInput::Cancel).is_ok() {
-            return;
-        }
-        let outcome = self.ledger.borrow_mut().cancel(self.now(), id);
-        link.send(LinkMessage::CancelReply(CancelReply {
-            sequence: id.sequence,
-            is_not_run: matches!(outcome, CancelOutcome::NotRun),
-        }));
-    }
-
-    fn resume_call(&self, id: CallId, resume: CallResume, link: &LinkSender) {
-        let input = CallInput::Resume(resume, link.clone());
-        if self.pass_on(id, input).is_ok() {
-            return;
-        }
-        let outcome = self.ledger.borrow_mut().resume(self.now(), id);
-        let state = match outcome {
-            ResumeOutcome::NeverSeen | ResumeOutcome::NotRun => ResumeState::NeverSeen,
-            ResumeOutcome::Kept(_) => ResumeState::Known,
-            ResumeOutcome::Waiting
-            | ResumeOutcome::Running
-            | ResumeOutcome::NotKept
-            | ResumeOutcome::Forgotten => ResumeState::Forgotten,
-        };
-        link.send(LinkMessage::ResumeReply(ResumeReply {
-            sequence: id.sequence,
-            state: state.into(),
-            request_received: 0,
-        }));
-        if let ResumeOutcome::Kept(answer) = outcome {
-            resend_kept(&answer, resume, link);
-        }
-    }
-
-    fn handle_message(self: &Rc<Self>, ingress: u64, message: LinkMessage, link: &LinkSender) {
-        let id = |sequence| CallId { ingress, sequence };
-        // A message for a call that has ended needs no answer.
-        let _ = match message {
-            LinkMessage::Open(open) => {
-                self.open_call(id(open.sequence), open, link);
-                return;
-            }
-            LinkMessage::Cancel(CallName { sequence }) => {
-                self.cancel_call(id(sequence), link);
-                return;
-            }
-            LinkMessage::Resume(resume) => {
-                self.resume_call(id(resume.sequence), resume, link);
-                return;
-            }
-            LinkMessage::Ping(_) => {
-                let load = Some(self.load());
-                link.send(LinkMessage::Pong(LinkPing { load }));
-                return;
-            }
-            LinkMessage::RequestChunk(chunk) => self.pass_chunk(ingress, chunk),
-            LinkMessage::Credit(credit) => {
-                self.pass_on(id(credit.sequence), CallInput::Credit(credit.consumed))
-            }
-            LinkMessage::Acknowledge(name) => {
-                self.ledger.borrow_mut().acknowledge(id(name.sequence));
-                self.pass_on(id(name.sequence), CallInput::Acknowledge)
-            }
-            // Messages that only a gate sends.
-            LinkMessage::Refusal(CallRefusal { .. })
-            | LinkMessage::Answer(_)
-            | LinkMessage::AnswerChunk(_)
-            | LinkMessage::Abort(_)
-            | LinkMessage::CancelReply(_)
-            | LinkMessage::ResumeReply(_)
-            | LinkMessage::Pong(_)
-            | LinkMessage::Leaving(_) => return,
-        };
-    }
-
-    fn pass_chunk(&self, ingress: u64, chunk: BodyChunk) -> Result<(), CallInput> {
-        let sequence = chunk.sequence;
-        self.pass_on(CallId { ingress, sequence }, CallInput::Chunk(chunk))
-    }
-
-    /// Registers a link. A newer one of the same ingress thread closes the
-    /// older, so that nothing sent on the older can arrive after a resume.
-    fn own_link(&self, hello: &LinkHello, closed: &Rc<Notify>) -> bool {
-        let key = (hello.incarnation, hello.worker);
-        let mut links = self.links.borrow_mut();
-        if let Some(owner) = links.get(&key) {
-            if owner.generation >= hello.generation {
-                return false;
-            }
-            owner.closed.notify_one();
-        }
-        let owner = LinkOwner {
-            generation: hello.generation,
-            closed: Rc::clone(closed),
-        };
-        links.insert(key, owner);
-        true
-    }
-
-    fn disown_link(&self, hello: &LinkHello) {
-        let key = (hello.incarnation, hello.worker);
-        let mut links = self.links.borrow_mut();
-        let is_current = links
-            .get(&key)
-            .is_some_and(|owner| owner.generation == hello.generation);
-        if is_current {
-            links.remove(&key);
-        }
-    }
-
-    fn register_sender(&self, sender: &LinkSender) -> u64 {
-        let number = self.next_link.get();
-        self.next_link.set(number + 1);
-        self.senders.borrow_mut().insert(number, sender.clone());
-        if self.is_draining.get() {
-            sender.send(LinkMessage::Leaving(LinkPing { load: None }));
-        }
-        number
-    }
-}
-
-/// Answers an original that the ledger has not let in. Its ingress has usually
-/// moved on; if it has not, it must hear what is known.
-fn answer_barred(sequence: u64, outcome: OpenOutcome, link: &LinkSender) {
-    let message = match outcome {
-        OpenOutcome::Barred => LinkMessage::Refusal(CallRefusal {
-            sequence,
-            kind: ErrorKind::Cancelled.code().to_string(),
-            retry_after_ms: 0,
-            load: None,
-        }),
-        OpenOutcome::Forgotten => LinkMessage::Abort(CallAbort {
-            sequence,
-            kind: ErrorKind::LinkLost.code().to_string(),
-            load: None,
-        }),
-        // The first original answers.
-        OpenOutcome::Fresh | OpenOutcome::Duplicate(_) => return,
-    };
-    link.send(message);
-}
-
-/// Sends a kept answer again. A kept answer went out as one frame, so the
-/// ingress has all of it or nothing.
-fn resend_kept(answer: &KeptAnswer, resume: CallResume, link: &LinkSender) {
-    if resume.has_head {
-        return;
-    }
-    let Ok(head) = AnswerHead::decode(answer.head.clone()) else {
-        return;
-    };
-    link.send(LinkMessage::Answer(AnswerHead {
-        body: answer.body.clone(),
-        ..head
-    }));
 }
 
 fn log_admission(id: CallId, open: &CallOpen, decision: &Admission, load: LoadStamp) {
@@ -542,68 +351,5 @@
     );
 }
 
-async fn serve_local(
-    gate: Rc<Gate>,
-    sender: LinkSender,
-    mut receiver: LinkReceiver,
-    hello: LinkHello,
-) {
-    let number = gate.register_sender(&sender);
-    while let Some(message) = receiver.recv().await {
-        gate.handle_message(hello.incarnation, message, &sender);
-    }
-    gate.senders.borrow_mut().remove(&number);
-}
-
-async fn serve_remote(
-    gate: Rc<Gate>,
-    stream: StdTcpStream,
-    buffered: BytesMut,
-) -> std::io::Result<()> {
-    let stream = TcpStream::from_std(stream)?;
-    let mut framed = frame_buffered(stream, buffered);
-    let frame = framed
-        .next()
-        .await
-        .ok_or(std::io::ErrorKind::UnexpectedEof)??;
-    let hello = LinkHello::decode(frame).map_err(std::io::Error::other)?;
-    let closed = Rc::new(Notify::new());
-    if !gate.own_link(&hello, &closed) {
-        return Ok(());
-    }
-    let welcome = LinkWelcome {
-        incarnation: gate.incarnation.get(),
-    };
-    framed.send(Bytes::from(welcome.encode_to_vec())).await?;
-    let result = serve_frames(&gate, &hello, framed, &closed).await;
-    gate.disown_link(&hello);
-    result
-}
-
-async fn serve_frames(
-    gate: &Rc<Gate>,
-    hello: &LinkHello,
-    framed: PeerFramed,
-    closed: &Notify,
-) -> std::io::Result<()> {
-    let (sink, mut stream) = framed.split();
-    let (sender, outgoing) = lane_pair();
-    let number = gate.register_sender(&sender);
-    let reading = async {
-        while let Some(message) = read_frame(&mut stream).await? {
-            gate.handle_message(hello.incarnation, message, &sender);
-        }
-        Ok(())
-    };
-    let result = tokio::select! {
-        biased;
-        () = closed.notified() => Ok(()),
-        result = write_frames(sink, outgoing) => result,
-        result = reading => result,
-    };
-    gate.senders.borrow_mut().remove(&number);
-    result
-}
-
 #[cfg(test)]
 mod tests;
--- a/src/gate/call.rs
+++ b/src/gate/call.rs
@@ -1,28 +1,26 @@
 //! One call at the gate, from its arrival until its answer is acknowledged.
 
+mod relay;
+
 use std::rc::Rc;
 use std::time::Duration;
 
 use bytes::Bytes;
 use ntex::client::ClientResponse;
-use ntex::http::Payload;
-use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel};
+use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender};
 use tokio::sync::oneshot;
 use tokio::time::Instant;
 
 use crate::admission::WorkResult;
-use crate::backend::{BackendClient, BackendError, BodySource, RequestCut};
+use crate::backend::{BackendClient, BackendError, BodySource};
 use crate::error::ErrorKind;
-use crate::fields::{end_to_end_fields, stated_length};
 use crate::gate::Gate;
 use crate::gate::answer::AnswerOutput;
+use crate::gate::feed::RequestFeed;
 use crate::ids::CallId;
 use crate::ledger::RunPermit;
 use crate::link::endpoint::LinkSender;
-use crate::link::messages::{
-    AnswerHead, BodyChunk, CallOpen, CallResume, CancelReply, LinkMessage,
-};
-use crate::link::window::{CHUNK_BYTES, ReceiveWindow};
+use crate::link::messages::{BodyChunk, CallOpen, CallResume, CancelReply, LinkMessage};
 
 /// Time for which an answer is kept until the ingress acknowledges it.
 const KEEP_ANSWER: Duration = Duration::from_secs(10);
@@ -44,52 +42,6 @@
     Acknowledge,
 }
 
-/// Request body between the link and the backend server's connection.
-struct RequestFeed {
-    window: ReceiveWindow,
-    consumed: u64,
-    chunks: Option<UnboundedSender<Result<Bytes, RequestCut>>>,
-}
-
-impl RequestFeed {
-    fn new(open: &CallOpen, inputs: UnboundedSender<CallInput>) -> (Self, BodySource) {
-        let (sender, chunks) = unbounded_channel();
-        let mut feed = Self {
-            window: ReceiveWindow::default(),
-            consumed: 0,
-            chunks: Some(sender),
-        };
-        feed.accept(0, open.body.clone(), open.is_last);
-        let on_consumed = Box::new(move |length| {
-            // A call that ended needs no more credit.
-            let _ = inputs.send(CallInput::Consumed(length));
-        });
-        let source = BodySource {
-            chunks,
-            on_consumed,
-        };
-        (feed, source)
-    }
-
-    /// Takes a chunk in; a gap breaks the body off rather than joining what
-    /// does not belong together.
-    fn accept(&mut self, offset: u64, data: Bytes, is_last: bool) {
-        let chunk = match self.window.accept(offset, data, is_last) {
-            Some(fresh) if fresh.is_empty() => None,
-            Some(fresh) => Some(Ok(fresh)),
-            None => Some(Err(RequestCut)),
-        };
-        if let (Some(chunk), Some(sender)) = (chunk, &self.chunks)
-            && sender.send(chunk).is_err()
-        {
-            self.chunks = None;
-        }
-        if self.window.is_ended() {
-            self.chunks = None;
-        }
-    }
-}
-
 /// Step of a call's work that ended.
 enum WorkStep {
     Head(Result<ClientResponse, BackendError>),
@@ -234,11 +186,11 @@
             }
             CallInput::Credit(consumed) => self.output.credit(consumed),
             CallInput::Consumed(length) => {
-                self.feed.consumed += length;
-                self.output.credit_request(self.feed.consumed);
+                self.feed.note_consumed(length);
+                self.output.credit_request(self.feed.consumed());
             }
             CallInput::Resume(resume, link) => {
-                let received = self.feed.window.received();
+                let received = self.feed.received();
                 self.output.resume(link, resume, received);
             }
             CallInput::Cancel => return InputEffect::Cancelled,
@@ -307,7 +259,7 @@
     ) -> Result<(), WorkEnd> {
         if !self.open.is_last {
             // Even a credit of nothing opens the full window.
-            self.output.credit_request(self.feed.consumed);
+            self.output.credit_request(self.feed.consumed());
         }
         let time_left_ms = self.time_left().as_millis().max(1);
         let sender = Rc::clone(client);
@@ -361,70 +313,6 @@
         }
     }
 
-    async fn relay_answer(&mut self, response: &ClientResponse) -> Result<(), WorkEnd> {
-        let mut payload = response.take_payload();
-        let body_length = stated_length(response.headers());
-        let mut first = Bytes::new();
-        let mut is_last = matches!(payload, Payload::None);
-        // A short answer of known length goes out whole, in one frame.
-        let is_short = body_length.is_some_and(|length| length <= CHUNK_BYTES as u64);
-        while is_short && !is_last {
-            match self.next_chunk(&mut payload).await? {
-                Some(data) if first.is_empty() => first = data,
-                Some(data) => first = Bytes::from([first, data].concat()),
-                None => is_last = true,
-            }
-        }
-        self.output.start(AnswerHead {
-            sequence: self.open.sequence,
-            status: u32::from(response.status().as_u16()),
-            headers: end_to_end_fields(response.headers()),
-            body_length,
-            body: first,
-            is_last,
-            load: Some(self.gate.load()),
-        });
-        while !is_last {
-            is_last = self.relay_chunk(&mut payload).await?;
-        }
-        Ok(())
-    }
-
-    async fn relay_chunk(&mut self, payload: &mut Payload) -> Result<bool, WorkEnd> {
-        while self.output.room() == 0 {
-            self.serve_input().await?;
-        }
-        match self.next_chunk(payload).await? {
-            Some(mut data) => {
-                while !data.is_empty() {
-                    let piece = data.split_to(data.len().min(CHUNK_BYTES));
-                    self.output.push(piece, false, None);
-                }
-                Ok(false)
-            }
-            None => {
-                let load = Some(self.gate.load());
-                self.output.push(Bytes::new(), true, load);
-                Ok(true)
-            }
-        }
-    }
-
-    async fn next_chunk(&mut self, payload: &mut Payload) -> Result<Option<Bytes>, WorkEnd> {
-        let next = async {
-            let chunk = payload.recv().await;
-            WorkStep::Body(chunk.map(|chunk| {
-                chunk
-                    .map(|data| Bytes::copy_from_slice(&data))
-                    .map_err(|_| ErrorKind::BackendFailed)
-            }))
-        };
-        match self.step(next).await? {
-            WorkStep::Body(chunk) => chunk.transpose().map_err(WorkEnd::Failed),
-            WorkStep::Head(_) => Err(WorkEnd::Failed(ErrorKind::Internal)),
-        }
-    }
-
     /// Keeps a long answer until the ingress acknowledges it.
     async fn linger(&mut self) {
         let limit = Instant::now() + KEEP_ANSWER;
--- a/src/gate/tests.rs
+++ b/src/gate/tests.rs
@@ -4,8 +4,12 @@
 use assert_matches::assert_matches;
 use ntex::web::{self, App, HttpResponse, test};
 
+use tokio::sync::mpsc::unbounded_channel;
+
 use super::*;
 use crate::ids::{ConnectionCount, SlotCount};
+use crate::link::endpoint::lane_pair;
+use crate::link::messages::{CallName, CallResume, CancelReply, ResumeState};
 
 /// Gate with a backend server of one slot, and a link to it in memory.
 struct GateFixture {
--- a/src/ingress/attempt.rs
+++ b/src/ingress/attempt.rs
@@ -4,33 +4,30 @@
 //! one to the same gate and asks for the rest by call id. Dropping an attempt
 //! that has not ended cancels it at the gate.
 
-use std::io;
+mod relay;
+mod resume;
+
 use std::rc::Rc;
 use std::time::Duration;
 
 use bytes::Bytes;
-use tokio::sync::mpsc::{Sender, UnboundedReceiver, channel};
+use tokio::sync::mpsc::UnboundedReceiver;
 use tokio::time::Instant;
 
 use crate::error::ErrorKind;
 use crate::ids::{CallId, ServiceName};
-use crate::ingress::answer::{AnswerCut, AnswerReceiver};
 use crate::ingress::body::RequestBody;
 use crate::ingress::{IngressWorker, lock};
-use crate::ledger::attempt::{AlarmAction, AttemptState, ResumeKnowledge};
+use crate::ledger::attempt::{AlarmAction, AttemptState};
+use crate::link::call_link::{CallEvent, CallLink};
 use crate::link::messages::{
-    AnswerHead, BodyChunk, CallName, CallOpen, CallResume, LinkMessage, ResumeReply, ResumeState,
-    WindowCredit,
+    AnswerHead, BodyChunk, CallName, CallOpen, LinkMessage,
 };
-use crate::link::pool::{CallEvent, CallLink, GateTarget};
+use crate::link::pool::GateTarget;
 use crate::link::window::{FIRST_WINDOW_BYTES, ReceiveWindow, SendWindow};
 use crate::retry::AttemptFailure;
 use crate::routing::{AttemptNumber, AttemptResult};
 
-/// Chunks of an answer that wait for the caller's connection.
-const ANSWER_QUEUE_CHUNKS: usize = 8;
-/// Pause between two tries to reach a gate whose link was lost.
-const RECONNECT_PAUSE: Duration = Duration::from_millis(50);
 /// Longest time before the deadline at which a call is cancelled, so that the
 /// gate can still say whether it ran.
 const MAX_CANCEL_MARGIN: Duration = Duration::from_millis(20);
@@ -292,154 +289,12 @@
         }
     }
 
-    fn take_resume_reply(&mut self, reply: ResumeReply) -> Result<(), AttemptEnd> {
-        let knowledge = match reply.state() {
-            ResumeState::NeverSeen => ResumeKnowledge::NeverSeen,
-            ResumeState::Forgotten => ResumeKnowledge::Forgotten,
-            ResumeState::Known => ResumeKnowledge::Known,
-        };
-        self.state.on_resumed(knowledge)?;
-        let Some(chunks) = self.outgoing.resend_from(reply.request_received) else {
-            return Err(AttemptEnd::unknown(ErrorKind::LinkLost));
-        };
-        for (offset, data) in chunks {
-            self.resend_chunk(offset, data, false);
-        }
-        if self.outgoing.is_ended() {
-            self.resend_chunk(self.outgoing.sent(), Bytes::new(), true);
-        }
-        if self.state.is_cancelled() {
-            self.cancel();
-        }
-        Ok(())
-    }
-
-    fn resend_chunk(&self, offset: u64, data: Bytes, is_last: bool) {
-        self.link.send(LinkMessage::RequestChunk(BodyChunk {
-            sequence: self.sequence(),
-            offset,
-            data,
-            is_last,
-            load: None,
-        }));
-    }
-
-    /// Moves the call to a new link.
-    ///
-    /// An idempotent call gives up at the first failure, since another
-    /// upstream can answer it; a non-idempotent one goes on trying until its
-    /// deadline, unless the gate's process is gone.
-    async fn resume(&mut self) -> Result<(), AttemptEnd> {
-        self.link.detach(self.sequence());
-        let link = loop {
-            match self.worker.pool.link(&self.plan.target).await {
-                Ok(link) => break link,
-                Err(error) => self.check_reconnect(&error)?,
-            }
-            tokio::time::sleep(RECONNECT_PAUSE).await;
-        };
-        self.state.on_new_link(link.incarnation())?;
-        log::info!(target: "link", call:% = self.plan.id; "resumed on a new link");
-        self.events = link.attach(self.sequence());
-        self.link = link;
-        self.link.send(LinkMessage::Resume(CallResume {
-            sequence: self.sequence(),
-            has_head: self.has_head,
-            answer_received: self.incoming.received(),
-        }));
-        Ok(())
-    }
-
-    fn check_reconnect(&self, error: &io::Error) -> Result<(), AttemptEnd> {
-        let is_gone = error.kind() == io::ErrorKind::ConnectionRefused;
-        if is_gone || self.plan.is_idempotent {
-            return Err(self.state.on_gate_gone().into());
-        }
-        if Instant::now() + RECONNECT_PAUSE >= self.plan.deadline {
-            return Err(AttemptEnd::unknown(ErrorKind::TimedOut));
-        }
-        Ok(())
-    }
-
     fn acknowledge(&mut self) {
         self.link.send(LinkMessage::Acknowledge(CallName {
             sequence: self.sequence(),
         }));
         self.settle(self.result);
     }
-
-    /// Passes the rest of the answer on, from a task of its own.
-    pub fn relay_rest(mut self) -> AnswerReceiver {
-        let (sender, receiver) = channel(ANSWER_QUEUE_CHUNKS);
-        ntex::rt::spawn(async move {
-            if let Err(kind) = self.relay(&sender).await {
-                self.cancel();
-                self.settle(AttemptResult::Failed(kind));
-                // A caller that has left needs no telling.
-                let _ = sender.send(Err(AnswerCut { kind })).await;
-            }
-        });
-        receiver
-    }
-
-    async fn relay(&mut self, sender: &Sender<Result<Bytes, AnswerCut>>) -> Result<(), ErrorKind> {
-        self.credit_answer();
-        while !self.incoming.is_ended() {
-            let event = tokio::select! {
-                event = self.events.recv() => event,
-                () = sender.closed() => return Err(ErrorKind::Cancelled),
-                () = tokio::time::sleep_until(self.plan.deadline) => {
-                    return Err(ErrorKind::TimedOut);
-                }
-            };
-            if let Some(data) = self.take_answer_event(event).await? {
-                sender
-                    .send(Ok(data))
-                    .await
-                    .map_err(|_| ErrorKind::Cancelled)?;
-                self.credit_answer();
-            }
-        }
-        self.acknowledge();
-        Ok(())
-    }
-
-    async fn take_answer_event(
-        &mut self,
-        event: Option<CallEvent>,
-    ) -> Result<Option<Bytes>, ErrorKind> {
-        let message = match event {
-            Some(CallEvent::Message(message)) => message,
-            Some(CallEvent::LinkLost) | None => {
-                self.resume().await.map_err(|end| end.failure.kind())?;
-                return Ok(None);
-            }
-        };
-        match message {
-            LinkMessage::AnswerChunk(chunk) => {
-                let fresh = self
-                    .incoming
-                    .accept(chunk.offset, chunk.data, chunk.is_last)
-                    .ok_or(ErrorKind::LinkLost)?;
-                Ok(Some(fresh).filter(|data| !data.is_empty()))
-            }
-            LinkMessage::Abort(abort) => Err(kind_of(&abort.kind)),
-            LinkMessage::ResumeReply(reply) => {
-                self.take_resume_reply(reply)
-                    .map_err(|end| end.failure.kind())?;
-                Ok(None)
-            }
-            _ => Ok(None),
-        }
-    }
-
-    fn credit_answer(&self) {
-        self.link.send(LinkMessage::Credit(WindowCredit {
-            sequence: self.sequence(),
-            consumed: self.incoming.received(),
-            is_for_answer: true,
-        }));
-    }
 }
 
 impl Drop for CallAttempt {
--- /dev/null
+++ b/src/ingress/attempt/resume.rs
@@ -0,0 +1,87 @@
+//! Moves a call to a new link after its own was lost.
+
+use std::io;
+use std::time::Duration;
+
+use bytes::Bytes;
+use tokio::time::Instant;
+
+use super::{AttemptEnd, CallAttempt};
+use crate::error::ErrorKind;
+use crate::ledger::attempt::ResumeKnowledge;
+use crate::link::messages::{BodyChunk, CallResume, LinkMessage, ResumeReply, ResumeState};
+
+/// Pause between two tries to reach a gate whose link was lost.
+const RECONNECT_PAUSE: Duration = Duration::from_millis(50);
+
+impl CallAttempt {
+    /// Sends again what the gate has not received.
+    pub(super) fn take_resume_reply(&mut self, reply: ResumeReply) -> Result<(), AttemptEnd> {
+        let knowledge = match reply.state() {
+            ResumeState::NeverSeen => ResumeKnowledge::NeverSeen,
+            ResumeState::Forgotten => ResumeKnowledge::Forgotten,
+            ResumeState::Known => ResumeKnowledge::Known,
+        };
+        self.state.on_resumed(knowledge)?;
+        let Some(chunks) = self.outgoing.resend_from(reply.request_received) else {
+            return Err(AttemptEnd::unknown(ErrorKind::LinkLost));
+        };
+        for (offset, data) in chunks {
+            self.resend_chunk(offset, data, false);
+        }
+        if self.outgoing.is_ended() {
+            self.resend_chunk(self.outgoing.sent(), Bytes::new(), true);
+        }
+        if self.state.is_cancelled() {
+            self.cancel();
+        }
+        Ok(())
+    }
+
+    fn resend_chunk(&self, offset: u64, data: Bytes, is_last: bool) {
+        self.link.send(LinkMessage::RequestChunk(BodyChunk {
+            sequence: self.sequence(),
+            offset,
+            data,
+            is_last,
+            load: None,
+        }));
+    }
+
+    /// Moves the call to a new link.
+    ///
+    /// An idempotent call gives up at the first failure, since another
+    /// upstream can answer it; a non-idempotent one goes on trying until its
+    /// deadline, unless the gate's process is gone.
+    pub(super) async fn resume(&mut self) -> Result<(), AttemptEnd> {
+        self.link.detach(self.sequence());
+        let link = loop {
+            match self.worker.pool.link(&self.plan.target).await {
+                Ok(link) => break link,
+                Err(error) => self.check_reconnect(&error)?,
+            }
+            tokio::time::sleep(RECONNECT_PAUSE).await;
+        };
+        self.state.on_new_link(link.incarnation())?;
+        log::info!(target: "link", call:% = self.plan.id; "resumed on a new link");
+        self.events = link.attach(self.sequence());
+        self.link = link;
+        self.link.send(LinkMessage::Resume(CallResume {
+            sequence: self.sequence(),
+            has_head: self.has_head,
+            answer_received: self.incoming.received(),
+        }));
+        Ok(())
+    }
+
+    fn check_reconnect(&self, error: &io::Error) -> Result<(), AttemptEnd> {
+        let is_gone = error.kind() == io::ErrorKind::ConnectionRefused;
+        if is_gone || self.plan.is_idempotent {
+            return Err(self.state.on_gate_gone().into());
+        }
+        if Instant::now() + RECONNECT_PAUSE >= self.plan.deadline {
+            return Err(AttemptEnd::unknown(ErrorKind::TimedOut));
+        }
+        Ok(())
+    }
+}
--- a/src/link.rs
+++ b/src/link.rs
@@ -8,6 +8,7 @@
 //!
 //! A link inside one process is the same pair of endpoints without the socket.
 
+pub mod call_link;
 pub mod endpoint;
 pub mod messages;
 pub mod pool;
--- a/src/link/pool.rs
+++ b/src/link/pool.rs
@@ -12,7 +12,6 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use futures_util::stream::SplitStream;
 use futures_util::{SinkExt, StreamExt};
 use prost::Message;
 use tokio::net::TcpStream;
@@ -21,37 +20,14 @@
 
 use crate::exchange::{PeerFramed, PeerHello, frame_stream};
 use crate::ids::{NodeId, NodeIncarnation};
-use crate::link::endpoint::{LinkReceiver, LinkSender, lane_pair, read_frame, write_frames};
-use crate::link::messages::{LinkHello, LinkMessage, LinkPing, LinkWelcome, LoadStamp};
+use crate::link::call_link::{CallLink, UpstreamNotice, run_local, run_remote};
+use crate::link::endpoint::{LinkReceiver, LinkSender, lane_pair, write_frames};
+use crate::link::messages::{LinkHello, LinkMessage, LinkPing, LinkWelcome};
 
 /// Time limit for opening a link, its welcome included.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(100);
 /// Interval of the watchdog while calls are outstanding.
 const WATCHDOG_INTERVAL: Duration = Duration::from_millis(20);
-/// Silence after which a link with outstanding calls is pinged.
-const PING_AFTER: Duration = Duration::from_millis(40);
-/// Silence after a ping until the link is given up.
-const LOST_AFTER: Duration = Duration::from_millis(60);
-
-/// What happens to a call on its link.
-#[derive(Debug)]
-pub enum CallEvent {
-    /// A message for the call.
-    Message(LinkMessage),
-    /// The link is lost; the call may be resumed on another.
-    LinkLost,
-}
-
-/// Something a link tells about its upstream rather than about one call.
-#[derive(Debug, Clone, Copy)]
-pub enum UpstreamNotice {
-    /// Fresh load.
-    Load(LoadStamp),
-    /// The upstream takes no new work.
-    Leaving,
-    /// The link fell silent or broke.
-    LinkLost,
-}
 
 /// Address and expected incarnation of a gate.
 #[derive(Debug, Clone)]
@@ -62,107 +38,6 @@
     pub address: SocketAddr,
 }
 
-/// Open link to one gate.
-#[derive(Debug)]
-pub struct CallLink {
-    gate: NodeId,
-    incarnation: NodeIncarnation,
-    sender: LinkSender,
-    calls: RefCell<BTreeMap<u64, UnboundedSender<CallEvent>>>,
-    last_heard: Cell<Instant>,
-    pinged_at: Cell<Option<Instant>>,
-    is_lost: Cell<bool>,
-    closed: Notify,
-    has_work: Rc<Notify>,
-}
-
-impl CallLink {
-    fn new(
-        gate: NodeId,
-        incarnation: NodeIncarnation,
-        sender: LinkSender,
-        has_work: Rc<Notify>,
-    ) -> Self {
-        Self {
-            gate,
-            incarnation,
-            sender,
-            calls: RefCell::new(BTreeMap::new()),
-            last_heard: Cell::new(Instant::now()),
-            pinged_at: Cell::new(None),
-            is_lost: Cell::new(false),
-            closed: Notify::new(),
-            has_work,
-        }
-    }
-
-    /// Incarnation of the gate's node.
-    pub fn incarnation(&self) -> NodeIncarnation {
-        self.incarnation
-    }
-
-    /// Queues a message.
-    pub fn send(&self, message: LinkMessage) {
-        self.sender.send(message);
-    }
-
-    /// Routes a call's messages from this link to the returned channel.
-    pub fn attach(&self, sequence: u64) -> UnboundedReceiver<CallEvent> {
-        let (sender, receiver) = unbounded_channel();
-        if self.is_lost.get() {
-            // The receiver is fresh, so this can't fail.
-            let _ = sender.send(CallEvent::LinkLost);
-        }
-        self.calls.borrow_mut().insert(sequence, sender);
-        self.has_work.notify_one();
-        receiver
-    }
-
-    /// Ends the routing of a call's messages.
-    pub fn detach(&self, sequence: u64) {
-        self.calls.borrow_mut().remove(&sequence);
-    }
-
-    fn has_calls(&self) -> bool {
-        !self.calls.borrow().is_empty()
-    }
-
-    fn deliver(&self, sequence: u64, message: LinkMessage) {
-        if let Some(call) = self.calls.borrow().get(&sequence) {
-            // A call that ended meanwhile needs the message no more.
-            let _ = call.send(CallEvent::Message(message));
-        }
-    }
-
-    fn lose(&self) {
-        if self.is_lost.replace(true) {
-            return;
-        }
-        for call in self.calls.borrow().values() {
-            let _ = call.send(CallEvent::LinkLost);
-        }
-        self.closed.notify_one();
-    }
-
-    /// Checks for silence; returns whether the link has just been given up.
-    fn check_silence(&self, now: Instant) -> bool {
-        if !self.has_calls() || self.is_lost.get() {
-            self.pinged_at.set(None);
-            return false;
-        }
-        match self.pinged_at.get() {
-            Some(pinged_at) if pinged_at <= self.last_heard.get() => self.pinged_at.set(None),
-            Some(pinged_at) => return now.duration_since(pinged_at) >= LOST_AFTER,
-            None if now.duration_since(self.last_heard.get()) >= PING_AFTER => {
-                self.pinged_at.set(Some(now));
-                self.send(LinkMessage::Ping(LinkPing { load: None }));
-            }
-            None => {}
-        }
-        false
-    }
-}
-
 /// Identity that a traffic thread presents when it opens links.
 #[derive(Debug, Clone)]
 pub struct LinkIdentity {
@@ -359,7 +234,7 @@
         ntex::rt::spawn(async move {
             tokio::select! {
                 _ = write_frames(sink, outgoing) => writer.lose(),
-                () = writer.closed.notified() => writer.closed.notify_one(),
+                () = writer.closed() => {}
             }
         });
         link
@@ -368,76 +243,7 @@
 
 fn open_link_of(slot: &LinkSlot) -> Option<Rc<CallLink>> {
     let current = slot.current.borrow();
-    current.as_ref().filter(|link| !link.is_lost.get()).cloned()
-}
-
-async fn run_local(
-    link: Rc<CallLink>,
-    mut receiver: LinkReceiver,
-    notices: UnboundedSender<(NodeId, UpstreamNotice)>,
-) {
-    while let Some(message) = receiver.recv().await {
-        handle_message(&link, message, &notices);
-    }
-    link.lose();
-}
-
-async fn run_remote(
-    link: Rc<CallLink>,
-    mut stream: SplitStream<PeerFramed>,
-    notices: UnboundedSender<(NodeId, UpstreamNotice)>,
-) {
-    loop {
-        let frame = tokio::select! {
-            frame = read_frame(&mut stream) => frame,
-            () = link.closed.notified() => {
-                link.closed.notify_one();
-                break;
-            }
-        };
-        let Ok(Some(message)) = frame else {
-            break;
-        };
-        handle_message(&link, message, &notices);
-    }
-    link.lose();
-    // The pool may be gone already.
-    let _ = notices.send((link.gate.clone(), UpstreamNotice::LinkLost));
-}
-
-fn handle_message(
-    link: &CallLink,
-    message: LinkMessage,
-    notices: &UnboundedSender<(NodeId, UpstreamNotice)>,
-) {
-    link.last_heard.set(Instant::now());
-    let (sequence, load) = match &message {
-        LinkMessage::Refusal(refusal) => (Some(refusal.sequence), refusal.load),
-        LinkMessage::Answer(head) => (Some(head.sequence), head.load),
-        LinkMessage::AnswerChunk(chunk) => (Some(chunk.sequence), chunk.load),
-        LinkMessage::Abort(abort) => (Some(abort.sequence), abort.load),
-        LinkMessage::CancelReply(reply) => (Some(reply.sequence), None),
-        LinkMessage::ResumeReply(reply) => (Some(reply.sequence), None),
-        LinkMessage::Credit(credit) => (Some(credit.sequence), None),
-        LinkMessage::Pong(pong) => (None, pong.load),
-        LinkMessage::Leaving(_) => {
-            let _ = notices.send((link.gate.clone(), UpstreamNotice::Leaving));
-            (None, None)
-        }
-        // Messages that only an ingress sends.
-        LinkMessage::Open(_)
-        | LinkMessage::RequestChunk(_)
-        | LinkMessage::Cancel(_)
-        | LinkMessage::Resume(_)
-        | LinkMessage::Acknowledge(_)
-        | LinkMessage::Ping(_) => (None, None),
-    };
-    if let Some(load) = load {
-        let _ = notices.send((link.gate.clone(), UpstreamNotice::Load(load)));
-    }
-    if let Some(sequence) = sequence {
-        link.deliver(sequence, message);
-    }
+    current.as_ref().filter(|link| !link.is_lost()).cloned()
 }
 
 async fn watch_links(pool: std::rc::Weak<LinkPool>) {
@@ -457,7 +263,7 @@
         for link in links {
             is_busy |= link.has_calls();
             if link.check_silence(now) {
-                log::warn!(target: "link", "link to {} fell silent, dropped", link.gate);
+                log::warn!(target: "link", "link to {} fell silent, dropped", link.gate());
                 link.lose();
             }
         }
--- a/src/node.rs
+++ b/src/node.rs
@@ -4,23 +4,19 @@
 //! has as many as `--threads` says; the administration API has one that only
 //! translates between HTTP and control.
 
+mod listener;
+
 use std::cell::RefCell;
 use std::io::{self, Write};
 use std::net::{SocketAddr, TcpListener as StdTcpListener};
 use std::process::ExitCode;
 use std::rc::Rc;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
-use ntex::SharedCfg;
-use ntex::http::HttpServiceConfig;
 use ntex::rt::{Arbiter, DefaultRuntime, System};
 use ntex::server::Server;
-use ntex::time::Seconds;
-use ntex::web;
-use rand::rngs::StdRng;
-use rand::{Rng, SeedableRng};
+use rand::Rng;
 use serde::Serialize;
 use tokio::net::{TcpListener, UdpSocket};
 use tokio::sync::mpsc::{UnboundedSender, channel, unbounded_channel};
@@ -35,14 +31,12 @@
 use crate::exchange::PeerHello;
 use crate::gate::{GateCommand, GateStatus, run_gate};
 use crate::ids::NodeIncarnation;
-use crate::ingress::{
-    IngressShared, IngressWorker, close_unused_links, follow_notices, serve_request,
-};
-use crate::link::pool::{LinkIdentity, LinkPool};
+use crate::ingress::IngressShared;
 use crate::logs::start_logs;
 use crate::membership::driver::spawn_membership;
 use crate::membership::{MemberIdentity, MembershipState};
 use crate::metrics::publish_metrics;
+use crate::node::listener::start_ingress;
 use crate::options::{NODE_COMMAND, NodeOptions, options_from_process};
 use crate::routing::{HomePlace, RouterState, RoutingOptions};
 use crate::shutdown::wait_for_stop;
@@ -62,10 +56,6 @@
 const STOP_LINGER: Duration = Duration::from_secs(1);
 /// Interval at which a planned stop looks whether all calls have ended.
 const STOP_POLL: Duration = Duration::from_millis(50);
-/// Most header fields of a request.
-const MAX_HEADERS: usize = 96;
-/// Most bytes of a request head.
-const MAX_HEAD_BYTES: usize = 32 * 1024;
 /// Interval between two looks into the store for nodes to join through.
 const JOIN_INTERVAL: Duration = Duration::from_secs(2);
 
@@ -271,66 +261,6 @@
     (sender, receiver)
 }
 
-fn start_ingress(
-    options: &NodeOptions,
-    identity: &NodeIdentity,
-    listener: StdTcpListener,
-    shared: &Arc<IngressShared>,
-    gate: &UnboundedSender<GateCommand>,
-) -> io::Result<Server> {
-    let next_worker = Arc::new(AtomicU32::new(0));
-    let (shared, gate) = (Arc::clone(shared), gate.clone());
-    let identity = identity.clone();
-    let factory = async move || {
-        let link_identity = LinkIdentity {
-            node: identity.node.clone(),
-            incarnation: identity.incarnation,
-            worker: next_worker.fetch_add(1, Ordering::Relaxed),
-        };
-        let worker = new_worker(&shared, &gate, link_identity);
-        web::App::new()
-            .state(worker)
-            .default_service(web::to(serve_request))
-    };
-    let limits = HttpServiceConfig::new()
-        .set_max_headers(MAX_HEADERS)
-        .set_max_buf_size(MAX_HEAD_BYTES);
-    let stop_seconds = u16::try_from(options.drain_limit.as_secs()).unwrap_or(u16::MAX);
-    let stop_limit = Seconds(stop_seconds);
-    let server = web::HttpServer::new(factory)
-        .workers(usize::try_from(options.threads.get()).unwrap_or(1))
-        .config(SharedCfg::new("callers").add(limits))
-        .disable_signals()
-        .shutdown_timeout(stop_limit)
-        .listen(listener)?
-        .run();
-    Ok(server)
-}
-
-fn new_worker(
-    shared: &Arc<IngressShared>,
-    gate: &UnboundedSender<GateCommand>,
-    identity: LinkIdentity,
-) -> Rc<IngressWorker> {
-    let gate = gate.clone();
-    let local = Rc::new(move |sender, receiver, hello| {
-        // A gate that has ended drops the link, which the ingress notices.
-        let _ = gate.send(GateCommand::AcceptLocal {
-            sender,
-            receiver,
-            hello,
-        });
-    });
-    let (pool, notices) = LinkPool::new(identity, local);
-    ntex::rt::spawn(follow_notices(Arc::clone(shared), notices));
-    ntex::rt::spawn(close_unused_links(Arc::clone(shared), Rc::clone(&pool)));
-    Rc::new(IngressWorker {
-        shared: Arc::clone(shared),
-        pool,
-        rng: RefCell::new(StdRng::from_os_rng()),
-    })
-}
-
 /// Joins through the peers given and, until others are known, through the
 /// entries in the store.
 async fn join_fleet(control: Rc<ControlState>, peers: Vec<SocketAddr>) {
