Replay traces and constant rates in open loop

Cause: the promises have to be checked against running processes by recorded traces with stated outcomes, and the added latency measured beside its baseline in the same run.

Change: `currantlift-replay`. A pacer thread hands each job over at its intended time, and latency counts from that time, so that a stall can't hide; the sender's own lag is reported beside it. Every request has a body and an id of its own, and its answer has to bring both back.

Ruled out: the runtime's timers for pacing, as they count whole milliseconds.

Found on the way: ntex's client with `Connector::limit(0)` (no limit) loses requests. A request that comes while another one's connection to the same address is being opened waits, and the pool wakes it only if the count of connections is below the limit; with 0 it never is, and no time limit runs.

--- a/src/admin/client.rs
+++ b/src/admin/client.rs
@@ -17,6 +17,9 @@
 /// Largest answer, in bytes: the state of a whole fleet.
 const ANSWER_LIMIT: usize = 64 * 1024 * 1024;
 
+/// Limit of connections that no client of a node reaches.
+pub const ANY_CONNECTIONS: usize = 1_000_000;
+
 /// No whole answer came from the administration API.
 #[derive(Debug, Clone, Display, Error, PartialEq, Eq)]
 pub enum AdminClientError {
@@ -65,7 +68,7 @@
         base: BaseUrl,
         token: Option<SecretToken>,
     ) -> Result<Self, AdminClientError> {
-        let client = http_client(REQUEST_TIMEOUT).await;
+        let client = http_client(REQUEST_TIMEOUT, ANY_CONNECTIONS).await;
         let client = client.map_err(|cause| AdminClientError::Unreachable {
             url: base.to_string(),
             cause,
@@ -128,15 +131,18 @@
     }
 }
 
-/// HTTP client without a limit of connections.
+/// HTTP client with at most `connections` connections.
+///
+/// The library takes a limit of 0 for none, but then never wakes a request
+/// that waits while another one's connection is being opened.
 ///
 /// # Errors
 ///
 /// Fails with the reason as text if the connector can't be built.
-pub async fn http_client(timeout: Duration) -> Result<Client, String> {
+pub async fn http_client(timeout: Duration, connections: usize) -> Result<Client, String> {
     let timeout = Millis(u32::try_from(timeout.as_millis()).unwrap_or(u32::MAX));
     Client::builder()
-        .connector::<()>(Connector::new().limit(0))
+        .connector::<()>(Connector::new().limit(connections))
         .disable_redirects()
         .response_timeout(timeout)
         .response_payload_limit(ANSWER_LIMIT)
--- /dev/null
+++ b/src/replay/job.rs
@@ -0,0 +1,100 @@
+//! What the pacer hands to senders, and what they report back.
+
+use std::time::Duration;
+
+use crate::error::RunOutcome;
+use crate::ids::ServiceName;
+use crate::options::BaseUrl;
+
+/// Which of two series a request belongs to.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum LoadSeries {
+    /// Through the nodes.
+    Path,
+    /// Directly to a backend server.
+    Baseline,
+}
+
+/// One request to send.
+#[derive(Debug, Clone)]
+pub struct PlannedRequest {
+    /// Number, unique in the replay.
+    pub id: u64,
+    /// Series.
+    pub series: LoadSeries,
+    /// Where it goes.
+    pub url: BaseUrl,
+    /// HTTP method.
+    pub method: String,
+    /// Path of the URL.
+    pub path: String,
+    /// Service asked for.
+    pub service: ServiceName,
+    /// Size of the body in bytes.
+    pub body_bytes: u64,
+    /// Service time asked of the stand-in, in microseconds.
+    pub work_us: u64,
+    /// Time limit that is sent along, in milliseconds.
+    pub timeout_ms: Option<u64>,
+    /// Nested calls below this one.
+    pub depth: u32,
+}
+
+/// Change of a stand-in's faults.
+#[derive(Debug, Clone)]
+pub struct PlannedFault {
+    /// Stand-in.
+    pub url: BaseUrl,
+    /// Body of `PUT /standin/faults`.
+    pub faults: String,
+}
+
+/// One thing to do at an intended time.
+#[derive(Debug, Clone)]
+pub enum ReplayJob {
+    /// Send a request.
+    Request(Box<PlannedRequest>),
+    /// Change a stand-in's faults.
+    Fault(PlannedFault),
+}
+
+/// A job with its intended time since the start.
+#[derive(Debug, Clone)]
+pub struct TimedJob {
+    /// Intended time.
+    pub at: Duration,
+    /// What to do.
+    pub job: ReplayJob,
+}
+
+/// How a request ended for its caller.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum RequestEnd {
+    /// A backend server answered with 2xx, and the answer was the request's own.
+    Answered,
+    /// A backend server answered with another status.
+    Failed,
+    /// The system answered, and said what is known about the run.
+    Refused(RunOutcome),
+    /// The answer was cut short, and the caller could tell; or none came.
+    Broken,
+    /// The answer was whole and not the request's own.
+    WrongAnswer,
+}
+
+/// Result of one request.
+#[derive(Debug, Clone)]
+pub struct RequestResult {
+    /// Request.
+    pub request: Box<PlannedRequest>,
+    /// Intended time since the start.
+    pub at: Duration,
+    /// From the intended time to the last byte of the answer.
+    pub latency: Duration,
+    /// From the intended time until the request was sent.
+    pub lag: Duration,
+    /// How it ended.
+    pub end: RequestEnd,
+    /// What went wrong, in words, for a broken or wrong answer.
+    pub note: Option<String>,
+}
--- /dev/null
+++ b/src/replay/rates.rs
@@ -0,0 +1,188 @@
+//! Constant rate to an ingress and, in turns, directly to a backend server.
+
+use std::collections::BTreeMap;
+use std::io;
+use std::time::Duration;
+
+use serde::Serialize;
+
+use super::job::{LoadSeries, PlannedRequest, ReplayJob, RequestEnd, RequestResult, TimedJob};
+use super::options::{RateMode, ReplayOptions};
+use super::pacer::run_jobs;
+use super::sender::SenderSettings;
+use super::summary::{LatencyHistogram, LatencySummary};
+use super::{ReplayVerdict, print_json};
+
+/// Most results that are not answers to show in words.
+const SHOWN_NOTES: usize = 5;
+
+#[derive(Debug, Serialize)]
+struct RateSummary {
+    rate: u64,
+    body_bytes: u64,
+    path: SeriesSummary,
+    baseline: Option<SeriesSummary>,
+    /// Percentiles of the path less the same percentiles of the baseline.
+    added: Option<AddedLatency>,
+    /// Percentiles of the differences between each call and the baseline's
+    /// call beside it.
+    added_paired: Option<AddedLatency>,
+}
+
+#[derive(Debug, Serialize)]
+struct SeriesSummary {
+    latency: LatencySummary,
+    lag: LatencySummary,
+    ends: BTreeMap<String, u64>,
+}
+
+/// Added latency in milliseconds; it can be negative.
+#[derive(Debug, Clone, Copy, Serialize)]
+struct AddedLatency {
+    p50_ms: f64,
+    p90_ms: f64,
+    p99_ms: f64,
+    p999_ms: f64,
+}
+
+/// Sends the rate and prints the figures.
+///
+/// # Errors
+///
+/// Fails if a sending thread can't be started.
+pub fn run_rate(options: &ReplayOptions, mode: &RateMode) -> io::Result<ReplayVerdict> {
+    let settings = SenderSettings {
+        run_tag: rand::random(),
+        connections: options.connections,
+    };
+    let results = run_jobs(&plan_jobs(mode), options.threads, settings)?;
+    let warm_up = Duration::from_secs(mode.warm_up_seconds);
+    let (path, baseline): (Vec<_>, Vec<_>) = results
+        .into_iter()
+        .filter(|result| result.at >= warm_up)
+        .partition(|result| result.request.series == LoadSeries::Path);
+    let summary = RateSummary {
+        rate: mode.rate,
+        body_bytes: mode.body_bytes,
+        path: summarize("path", &path)?,
+        baseline: match baseline.is_empty() {
+            true => None,
+            false => Some(summarize("baseline", &baseline)?),
+        },
+        added: None,
+        added_paired: paired_difference(&path, &baseline),
+    };
+    let added = summary
+        .baseline
+        .as_ref()
+        .map(|baseline| difference(&summary.path.latency, &baseline.latency));
+    print_json(&RateSummary { added, ..summary })?;
+    let is_own = |result: &RequestResult| result.end != RequestEnd::WrongAnswer;
+    match path.iter().chain(&baseline).all(is_own) {
+        true => Ok(ReplayVerdict::Reached),
+        false => Ok(ReplayVerdict::Missed),
+    }
+}
+
+fn plan_jobs(mode: &RateMode) -> Vec<TimedJob> {
+    let count = mode.rate * (mode.seconds + mode.warm_up_seconds);
+    let interval = Duration::from_secs(1).div_f64(mode.rate as f64);
+    let mut jobs = Vec::new();
+    for index in 0..count {
+        let at = interval.mul_f64(index as f64);
+        jobs.push(plan_job(
+            mode,
+            2 * index,
+            at,
+            LoadSeries::Path,
+            &mode.target,
+        ));
+        if let Some(baseline) = &mode.baseline {
+            let at = at + interval / 2;
+            jobs.push(plan_job(
+                mode,
+                2 * index + 1,
+                at,
+                LoadSeries::Baseline,
+                baseline,
+            ));
+        }
+    }
+    jobs
+}
+
+fn plan_job(
+    mode: &RateMode,
+    id: u64,
+    at: Duration,
+    series: LoadSeries,
+    url: &crate::options::BaseUrl,
+) -> TimedJob {
+    let request = PlannedRequest {
+        id,
+        series,
+        url: url.clone(),
+        method: mode.method.clone(),
+        path: "/replay".to_string(),
+        service: mode.service.clone(),
+        body_bytes: mode.body_bytes,
+        work_us: mode.work_us,
+        timeout_ms: None,
+        depth: 0,
+    };
+    TimedJob {
+        at,
+        job: ReplayJob::Request(Box::new(request)),
+    }
+}
+
+fn summarize(title: &str, results: &[RequestResult]) -> io::Result<SeriesSummary> {
+    let histogram = LatencyHistogram::of(results.iter().map(|result| result.latency))?;
+    histogram.print(title);
+    let lag = LatencyHistogram::of(results.iter().map(|result| result.lag))?;
+    let mut ends: BTreeMap<String, u64> = BTreeMap::new();
+    for result in results {
+        *ends.entry(format!("{:?}", result.end)).or_default() += 1;
+    }
+    let notes = results.iter().filter_map(|result| result.note.as_ref());
+    for note in notes.take(SHOWN_NOTES) {
+        eprintln!("{title}: {note}");
+    }
+    Ok(SeriesSummary {
+        latency: histogram.summary(),
+        lag: lag.summary(),
+        ends,
+    })
+}
+
+fn difference(path: &LatencySummary, baseline: &LatencySummary) -> AddedLatency {
+    AddedLatency {
+        p50_ms: path.p50_ms - baseline.p50_ms,
+        p90_ms: path.p90_ms - baseline.p90_ms,
+        p99_ms: path.p99_ms - baseline.p99_ms,
+        p999_ms: path.p999_ms - baseline.p999_ms,
+    }
+}
+
+fn paired_difference(path: &[RequestResult], baseline: &[RequestResult]) -> Option<AddedLatency> {
+    let direct: BTreeMap<u64, Duration> = baseline
+        .iter()
+        .map(|result| (result.request.id - 1, result.latency))
+        .collect();
+    let mut added: Vec<f64> = path
+        .iter()
+        .filter_map(|result| {
+            let direct = direct.get(&result.request.id)?;
+            Some((result.latency.as_secs_f64() - direct.as_secs_f64()) * 1e3)
+        })
+        .collect();
+    added.sort_by(f64::total_cmp);
+    let last = added.len().checked_sub(1)?;
+    let at = |quantile: f64| added[((last as f64) * quantile).round() as usize];
+    Some(AddedLatency {
+        p50_ms: at(0.5),
+        p90_ms: at(0.9),
+        p99_ms: at(0.99),
+        p999_ms: at(0.999),
+    })
+}
--- a/src/standin/backend/announce.rs
+++ b/src/standin/backend/announce.rs
@@ -69,19 +69,29 @@
         let mut heartbeat = tokio::time::interval(HEARTBEAT_INTERVAL);
         loop {
             tokio::select! {
-                _ = heartbeat.tick() => self.announce().await,
+                _ = heartbeat.tick() => self.announce(state).await,
+                () = state.announce_now.notified() => self.announce(state).await,
                 _ = terminate.recv() => break,
                 _ = interrupt.recv() => break,
             }
         }
-        self.announcement.state = UpstreamState::Draining;
-        self.announce().await;
+        self.send_state(UpstreamState::Draining).await;
         wait_until_idle(state).await;
         self.send(Method::DELETE, None).await;
         Ok(())
     }
 
-    async fn announce(&self) {
+    async fn announce(&mut self, state: &StandinState) {
+        let state = if state.faults().draining {
+            UpstreamState::Draining
+        } else {
+            UpstreamState::Ready
+        };
+        self.send_state(state).await;
+    }
+
+    async fn send_state(&mut self, state: UpstreamState) {
+        self.announcement.state = state;
         match serde_json::to_string(&self.announcement) {
             Ok(body) => self.send(Method::PUT, Some(body)).await,
             Err(error) => eprintln!("standin-backend: {error}"),
--- a/src/standin/backend/handlers.rs
+++ b/src/standin/backend/handlers.rs
@@ -135,6 +135,9 @@
 ) -> HttpResponse {
     let mut response = HttpResponse::build(status);
     response.header(STANDIN_ID_HEADER, state.id.as_str());
+    if let Some(id) = request.headers().get(REQUEST_ID_HEADER) {
+        response.header(REQUEST_ID_HEADER, id.clone());
+    }
     let is_chunked = header_text(request.headers(), CHUNKED_HEADER).is_some();
     if faults.cut {
         return cut_answer(request, &mut response, &body, is_chunked);
--- a/src/standin/backend/options.rs
+++ b/src/standin/backend/options.rs
@@ -76,7 +76,8 @@
             length), standin-echo-head: true (answer is the request's head as JSON),\n\
             standin-nest: N (calls N deep through --via).\n\
             GET /standin/runs counts runs by request-id; PUT /standin/faults sets\n\
-            {\"slowdown\", \"fail_fast\", \"cut\", \"silent\", \"ignore_slots\"}.",
+            {\"slowdown\", \"fail_fast\", \"cut\", \"silent\", \"ignore_slots\",\n\
+            \"draining\"}.",
     flags: STANDIN_FLAGS,
 };
 
--- a/src/standin/backend/state.rs
+++ b/src/standin/backend/state.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
-use tokio::sync::Semaphore;
+use tokio::sync::{Notify, Semaphore};
 
 use super::options::StandinOptions;
 use crate::ids::BackendId;
@@ -25,6 +25,8 @@
     pub silent: bool,
     /// Work on more calls at once than there are slots.
     pub ignore_slots: bool,
+    /// Announce a drain, and go on running.
+    pub draining: bool,
 }
 
 impl Default for FaultSettings {
@@ -35,6 +37,7 @@
             cut: false,
             silent: false,
             ignore_slots: false,
+            draining: false,
         }
     }
 }
@@ -67,6 +70,8 @@
     pub via: Option<BaseUrl>,
     /// Slots; a request waits here for its turn.
     pub slots: Arc<Semaphore>,
+    /// Wakes the announcer before its next heartbeat.
+    pub announce_now: Notify,
     counts: Mutex<RunCounts>,
     faults: Mutex<FaultSettings>,
 }
@@ -80,6 +85,7 @@
             work: options.work,
             via: options.via.clone(),
             slots: Arc::new(Semaphore::new(slots)),
+            announce_now: Notify::new(),
             counts: Mutex::default(),
             faults: Mutex::default(),
         }
@@ -102,6 +108,9 @@
 
     /// Replaces the faults in force.
     pub fn set_faults(&self, faults: FaultSettings) {
+        if faults.draining != self.faults().draining {
+            self.announce_now.notify_one();
+        }
         let mut current = self.faults.lock().unwrap_or_else(PoisonError::into_inner);
         *current = faults;
     }
