--- /dev/null
+++ b/src/membership/tests.rs
@@ -0,0 +1,302 @@
+use std::net::SocketAddr;
+
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+
+use super::message::{SyncReply, WireBackend, WireRecord, decode_mark, encode_mark};
+use super::packing::{pack_names, unpack_names};
+use super::queue::{UpdateClass, UpdateQueue};
+use super::ring::FingerRing;
+use super::*;
+use crate::ids::{NodeId, NodeIncarnation};
+use crate::table::UpstreamState;
+
+fn verdicts() -> impl Strategy<Value = HealthVerdict> {
+    prop::sample::select(vec![
+        HealthVerdict::Alive,
+        HealthVerdict::Suspect,
+        HealthVerdict::Dead,
+    ])
+}
+
+fn backends() -> impl Strategy<Value = Option<BackendRecord>> {
+    let states = prop::sample::select(vec![UpstreamState::Ready, UpstreamState::Gone]);
+    prop::option::of((1_u32..3, states).prop_map(|(slots, state)| BackendRecord {
+        id: "backend-1".parse().unwrap(),
+        service: "tillpost".parse().unwrap(),
+        slots: slots.to_string().parse().unwrap(),
+        connections: "260".parse().unwrap(),
+        state,
+    }))
+}
+
+prop_compose! {
+    fn records()(
+        incarnation in 1_u64..3,
+        port in 1_u16..3,
+        announcement in 0_u32..3,
+        backend in backends(),
+        is_leaving in any::<bool>(),
+        refutation in 0_u32..3,
+        verdict in verdicts(),
+    ) -> MemberRecord {
+        MemberRecord {
+            node: "node-1".parse().unwrap(),
+            incarnation: NodeIncarnation::try_from(incarnation).unwrap(),
+            region: "oyo-west".parse().unwrap(),
+            zone: "oyo-town-b".parse().unwrap(),
+            peer_address: SocketAddr::from(([10, 0, 0, 1], port)),
+            announcement,
+            backend,
+            is_leaving,
+            health: MemberHealth { refutation, verdict },
+            head_version: 0,
+        }
+    }
+}
+
+fn merged(one: &MemberRecord, other: &MemberRecord) -> MemberRecord {
+    let mut record = one.clone();
+    record.merge(other);
+    record
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        rng_seed: RngSeed::Fixed(5),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
+    #[test]
+    fn merge_is_commutative(one in records(), other in records()) {
+        prop_assert_eq!(merged(&one, &other), merged(&other, &one));
+    }
+
+    #[test]
+    fn merge_is_associative(one in records(), other in records(), third in records()) {
+        let left = merged(&merged(&one, &other), &third);
+        let right = merged(&one, &merged(&other, &third));
+        prop_assert_eq!(left, right);
+    }
+
+    #[test]
+    fn merge_is_idempotent_and_reports_change(one in records(), other in records()) {
+        let mut record = one.clone();
+        let change = record.merge(&other);
+        prop_assert_eq!(change.is_any(), record != one);
+        prop_assert!(!record.merge(&other).is_any());
+        prop_assert!(!record.merge(&one).is_any());
+    }
+
+    #[test]
+    fn merge_never_goes_back(one in records(), others in prop::collection::vec(records(), 1..8)) {
+        let mut record = one;
+        for other in &others {
+            let before = record.clone();
+            record.merge(other);
+            prop_assert!(record.incarnation >= before.incarnation);
+            if record.incarnation == before.incarnation {
+                prop_assert!(record.announcement >= before.announcement);
+                prop_assert!(record.health >= before.health);
+                prop_assert!(record.is_leaving >= before.is_leaving);
+            }
+        }
+    }
+
+    #[test]
+    fn records_survive_the_wire(record in records()) {
+        let wire = WireRecord::from(&record);
+        prop_assert_eq!(MemberRecord::try_from(wire).unwrap(), record);
+    }
+
+    #[test]
+    fn marks_survive_the_wire(record in records()) {
+        let mark = encode_mark(record.health, record.is_leaving);
+        prop_assert_eq!(decode_mark(mark).unwrap(), (record.health, record.is_leaving));
+    }
+}
+
+#[test]
+fn names_survive_packing() {
+    let mut record = WireRecord {
+        region: "oyo-west".to_string(),
+        zone: "oyo-town-b".to_string(),
+        ..WireRecord::default()
+    };
+    record.backend = Some(WireBackend {
+        service: "tillpost".to_string(),
+        ..WireBackend::default()
+    });
+    let mut reply = SyncReply {
+        records: vec![record.clone(), record.clone()],
+        ..SyncReply::default()
+    };
+    pack_names(&mut reply);
+    assert_eq!(reply.names, ["oyo-west", "oyo-town-b", "tillpost"]);
+    for unpacked in unpack_names(reply) {
+        assert_eq!(
+            (&unpacked.region, &unpacked.zone),
+            (&record.region, &record.zone)
+        );
+        assert_eq!(unpacked.backend.unwrap().service, "tillpost");
+    }
+}
+
+#[test]
+fn every_member_is_the_finger_of_as_many_as_it_has() {
+    let keys: Vec<MemberKey> = (0..100).map(|place| MemberKey(place * 7)).collect();
+    let mut received = std::collections::BTreeMap::new();
+    for own in &keys {
+        let mut ring = FingerRing::new(*own);
+        keys.iter().for_each(|key| ring.insert(*key));
+        for _ in 0..ring.finger_count() {
+            *received.entry(ring.next_finger().unwrap()).or_insert(0) += 1;
+        }
+    }
+    assert_eq!(received.len(), 100);
+    assert!(received.values().all(|count| *count == 7));
+}
+
+#[test]
+fn queue_sends_leaving_first_and_counts_copies() {
+    let node = |text: &str| text.parse::<NodeId>().unwrap();
+    let mut queue = UpdateQueue::default();
+    queue.push(&node("joins"), UpdateClass::Join, true);
+    queue.push(&node("dies"), UpdateClass::Health, false);
+    queue.push(&node("leaves"), UpdateClass::Leaving, false);
+    queue.push(&node("bare"), UpdateClass::Other, false);
+    let order: Vec<String> = queue.iter().map(|update| update.node.to_string()).collect();
+    assert_eq!(order, ["leaves", "dies", "joins", "bare"]);
+    queue.mark_sent(&node("leaves"), 1, 2);
+    assert_eq!(queue.len(), 4);
+    queue.mark_sent(&node("leaves"), 1, 2);
+    assert_eq!(queue.len(), 3);
+}
+
+#[test]
+fn bucket_bounds_what_is_spent() {
+    let second = std::time::Duration::from_secs(1);
+    let mut bucket = ByteBucket::new(1_000, 400);
+    assert_eq!(bucket.available(second), 400);
+    bucket.charge(second, 900);
+    assert_eq!(bucket.available(second), 0);
+    bucket.charge(second, 10_000);
+    assert_eq!(bucket.available(second * 2), 0);
+    assert_eq!(bucket.available(second * 2 + second / 10), 100);
+    assert_eq!(bucket.available(second * 10), 400);
+}
+
+mod driven {
+    use std::cell::RefCell;
+    use std::rc::Rc;
+    use std::time::{Duration, Instant};
+
+    use futures_util::{SinkExt, StreamExt};
+    use prost::Message;
+    use tokio::net::{TcpListener, UdpSocket};
+    use tokio::sync::mpsc;
+
+    use super::super::driver::{MembershipHandle, spawn_membership};
+    use super::super::*;
+    use crate::exchange::{ControlReply, ControlRequest, frame_stream};
+    use crate::ids::NodeIncarnation;
+
+    struct RunningNode {
+        handle: MembershipHandle,
+        events: mpsc::Receiver<MembershipEvent>,
+        address: std::net::SocketAddr,
+    }
+
+    async fn start_node(name: &str) -> RunningNode {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let address = listener.local_addr().unwrap();
+        let socket = UdpSocket::bind(address).await.unwrap();
+        let identity = MemberIdentity {
+            node: name.parse().unwrap(),
+            incarnation: NodeIncarnation::try_from(1).unwrap(),
+            region: "oyo-west".parse().unwrap(),
+            zone: "oyo-town-b".parse().unwrap(),
+            peer_address: address,
+        };
+        let state = MembershipState::new(Duration::ZERO, identity);
+        let state = Rc::new(RefCell::new(state));
+        let start = Instant::now();
+        let (sender, events) = mpsc::channel(64);
+        let handle = spawn_membership(state, socket, move || start.elapsed(), sender);
+        tokio::task::spawn_local(serve_peers(listener, handle.clone()));
+        RunningNode {
+            handle,
+            events,
+            address,
+        }
+    }
+
+    async fn serve_peers(listener: TcpListener, handle: MembershipHandle) {
+        while let Ok((stream, _)) = listener.accept().await {
+            let mut framed = frame_stream(stream);
+            let _hello = framed.next().await;
+            let Some(Ok(frame)) = framed.next().await else {
+                continue;
+            };
+            let request = ControlRequest::decode(frame).unwrap();
+            let payload = handle.handle_sync(&request.payload);
+            let reply = ControlReply { payload }.encode_to_vec();
+            framed.send(bytes::Bytes::from(reply)).await.unwrap();
+        }
+    }
+
+    async fn wait_for(node: &mut RunningNode, test: impl Fn(&MembershipState) -> bool) {
+        let waiting = async {
+            while !test(&node.handle.state().borrow()) {
+                node.events.recv().await.unwrap();
+            }
+        };
+        let limit = Duration::from_secs(20);
+        tokio::time::timeout(limit, waiting).await.unwrap();
+    }
+
+    #[tokio::test]
+    async fn nodes_find_each_other_over_sockets_and_hear_of_leaving() {
+        let local = tokio::task::LocalSet::new();
+        let run = async {
+            let mut first = start_node("node-1").await;
+            let mut second = start_node("node-2").await;
+            let mut third = start_node("node-3").await;
+            second.handle.join(&[first.address]);
+            third.handle.join(&[first.address]);
+            for node in [&mut first, &mut second, &mut third] {
+                wait_for(node, |state| state.members().len() == 3).await;
+            }
+            assert!(second.handle.state().borrow().has_joined());
+            third.handle.leave();
+            let id = "node-3".parse().unwrap();
+            for node in [&mut first, &mut second] {
+                wait_for(node, |state| {
+                    state.members()[&id].state() == MemberState::Leaving
+                })
+                .await;
+            }
+        };
+        local.run_until(run).await;
+    }
+
+    #[tokio::test]
+    async fn closing_the_events_ends_the_task() {
+        let local = tokio::task::LocalSet::new();
+        let run = async {
+            let node = start_node("node-1").await;
+            drop(node.events);
+            let socket_is_free = async {
+                while UdpSocket::bind(node.address).await.is_err() {
+                    node.handle.withdraw();
+                    node.handle.leave();
+                    tokio::time::sleep(Duration::from_millis(20)).await;
+                }
+            };
+            let limit = Duration::from_secs(20);
+            tokio::time::timeout(limit, socket_is_free).await.unwrap();
+        };
+        local.run_until(run).await;
+    }
+}
