Score by the root of latency over a longer-trusted report

Cause: under a noisy neighbour the router followed latency samples that differ by request as much as by upstream, and forgot reports between two calls.

Change, found by varying one at a time: reports are trusted with a half-life of 100 ms (20 ms), latency enters as its root, three candidates per tier (two), spill from pressure 0.2 (0.5). The replay's work at a server now speeds up or slows down with the server, in place of keeping the speed at its start.

--- a/src/decisions/replay.rs
+++ b/src/decisions/replay.rs
@@ -45,7 +45,7 @@
     Trace(usize),
     Table,
     Offer(CallIndex, u32),
-    WorkDone(CallIndex, u32),
+    WorkDone(CallIndex, u64),
     Reply(CallIndex, u32, AttemptResult, Option<LoadReport>),
     ProbeReply(NodeId, NodeId),
     Deadline(CallIndex),
@@ -68,12 +68,21 @@
     runs: u32,
     /// Whether this attempt started at its gate.
     has_started: bool,
-    running_since: Option<Duration>,
+    running: Option<RunningWork>,
     is_ended: bool,
     is_spoiled: bool,
     parent: Option<CallIndex>,
 }
 
+/// Work of a call at a backend server.
+#[derive(Debug, Clone, Copy)]
+struct RunningWork {
+    /// Number of the event that ends it; a change of speed makes a new one.
+    number: u64,
+    started_at: Duration,
+    done_at: Duration,
+}
+
 /// A call about to start.
 struct NewCall<'a> {
     request: &'a RequestLine,
@@ -101,6 +110,7 @@
     ingresses: BTreeMap<NodeId, Ingress>,
     delays: DelayLine,
     version: u64,
+    works: u64,
     calls: Vec<ActiveCall<'a>>,
     figures: ReplayFigures,
 }
@@ -124,6 +134,7 @@
         ingresses: BTreeMap::new(),
         delays: NO_DELAY,
         version: 0,
+        works: 0,
         calls: Vec::new(),
         figures: ReplayFigures::new(),
     };
@@ -143,7 +154,7 @@
             ReplayEvent::Trace(index) => self.on_trace(&self.trace.events[index].kind),
             ReplayEvent::Table => self.publish_table(),
             ReplayEvent::Offer(call, attempt) => self.on_offer(call, attempt),
-            ReplayEvent::WorkDone(call, attempt) => self.on_work_done(call, attempt),
+            ReplayEvent::WorkDone(call, work) => self.on_work_done(call, work),
             ReplayEvent::Reply(call, attempt, result, report) => {
                 self.on_reply(call, attempt, result, report);
             }
@@ -163,7 +174,7 @@
             EventKind::Delay(line) => self.delays = *line,
             EventKind::Outcome(_) => {}
             EventKind::Speed(line) => {
-                self.change(&line.node, None, |upstream| upstream.factor = line.factor);
+                self.change_speed(&line.node, line.factor);
             }
             EventKind::Drain(line) => {
                 self.change(&line.node, Some(ANNOUNCE_DELAY), |upstream| {
@@ -314,7 +325,7 @@
             may_have_run: false,
             runs: 0,
             has_started: false,
-            running_since: None,
+            running: None,
             is_ended: false,
             is_spoiled: false,
             parent: new.parent,
--- a/src/decisions/replay/attempts.rs
+++ b/src/decisions/replay/attempts.rs
@@ -1,6 +1,8 @@
 //! One attempt at a fake upstream, and the end of a call.
 
-use super::{ActiveCall, CallIndex, NewCall, Replay, ReplayEvent, SILENT_LINK_TIME};
+use std::time::Duration;
+
+use super::{ActiveCall, CallIndex, NewCall, Replay, ReplayEvent, RunningWork, SILENT_LINK_TIME};
 use crate::admission::{Admission, CallOffer, WorkResult};
 use crate::decisions::upstream::BackendCondition;
 use crate::error::{ErrorKind, RunOutcome};
@@ -63,15 +65,43 @@
         };
         call.runs += 1;
         call.has_started = true;
-        call.running_since = Some(self.now);
         let work = self.upstreams[node].work_time(call.request.work_us);
-        let event = ReplayEvent::WorkDone(index, call.attempt);
-        self.queue.schedule(self.now + work, event);
+        self.run_until(index, self.now, self.now + work);
+    }
+
+    fn run_until(&mut self, index: CallIndex, started_at: Duration, done_at: Duration) {
+        self.works += 1;
+        self.calls[index].running = Some(RunningWork {
+            number: self.works,
+            started_at,
+            done_at,
+        });
+        let event = ReplayEvent::WorkDone(index, self.works);
+        self.queue.schedule(done_at, event);
     }
 
-    pub(super) fn on_work_done(&mut self, index: CallIndex, attempt: u32) {
+    /// Work left takes as much longer or shorter as the speed changes.
+    pub(super) fn change_speed(&mut self, node: &NodeId, factor: f64) {
+        let Some(upstream) = self.upstreams.get_mut(node) else {
+            return;
+        };
+        let change = factor / upstream.factor;
+        upstream.factor = factor;
+        for index in 0..self.calls.len() {
+            let call = &self.calls[index];
+            let is_here = call.place.as_ref().is_some_and(|(place, _)| place == node);
+            let Some(work) = call.running.filter(|_| is_here) else {
+                continue;
+            };
+            let left = work.done_at.saturating_sub(self.now);
+            self.run_until(index, work.started_at, self.now + left.mul_f64(change));
+        }
+    }
+
+    pub(super) fn on_work_done(&mut self, index: CallIndex, number: u64) {
         let call = &self.calls[index];
-        let Some((node, _)) = call.place.clone().filter(|_| call.is_at(attempt)) else {
+        let is_current = call.running.is_some_and(|work| work.number == number);
+        let Some((node, _)) = call.place.clone().filter(|_| is_current) else {
             return;
         };
         if self.upstreams[&node].condition == BackendCondition::Silent {
@@ -93,10 +123,10 @@
 
     fn finish_work(&mut self, index: CallIndex) {
         let call = &mut self.calls[index];
-        let (Some(since), Some((node, _))) = (call.running_since.take(), &call.place) else {
+        let (Some(work), Some((node, _))) = (call.running.take(), &call.place) else {
             return;
         };
-        let latency = self.now.saturating_sub(since);
+        let latency = self.now.saturating_sub(work.started_at);
         let node = node.clone();
         self.free_slot(index, &node, WorkResult::Completed { latency });
         self.reply(index, AttemptResult::Answered);
@@ -209,7 +239,7 @@
     fn cancel(&mut self, index: CallIndex) -> RunOutcome {
         let call = &mut self.calls[index];
         let may_have_run = call.may_have_run || call.has_started;
-        let is_running = call.running_since.take().is_some();
+        let is_running = call.running.take().is_some();
         let Some((node, number)) = call.place.take() else {
             return outcome_of(may_have_run);
         };
@@ -260,7 +290,7 @@
             return;
         }
         let levels = call.request.depth.unwrap_or(0) + 1;
-        figures.useful_work += std::time::Duration::from_micros(call.request.work_us) * levels;
+        figures.useful_work += Duration::from_micros(call.request.work_us) * levels;
         if call.is_idempotent {
             let way = 2 * self.delays.client_us;
             let elapsed = self.now.saturating_sub(call.started_at);
--- a/src/routing.rs
+++ b/src/routing.rs
@@ -110,13 +110,13 @@
             own_zone_links: 6,
             own_region_links: 6,
             other_region_links: 3,
-            draws: 2,
-            report_half_life: Duration::from_millis(20),
+            draws: 3,
+            report_half_life: Duration::from_millis(100),
             latency_half_life: Duration::from_millis(500),
             failure_half_life: Duration::from_secs(1),
             ramp_time: Duration::from_secs(10),
             probe_age: Duration::from_secs(2),
-            spill_pressure: 0.5,
+            spill_pressure: 0.2,
             zone_preference: 1.2,
         }
     }
--- a/src/routing/select.rs
+++ b/src/routing/select.rs
@@ -7,6 +7,7 @@
 use rand::seq::IndexedRandom;
 
 use super::router::{RouterState, ServiceView};
+use super::upstream::IDLE_SCORE;
 use super::{CandidateScore, PlaceTier, RouteReason};
 use crate::error::ErrorKind;
 use crate::ids::{NodeId, ServiceName};
@@ -37,7 +38,7 @@
                 break;
             }
             self.draw(now, rng, view, open.tier, &open.free, &mut candidates);
-            if self.is_relaxed(view, &candidates) {
+            if self.is_relaxed(&candidates) {
                 return Ok((candidates, reason_of(open.tier)));
             }
         }
@@ -103,8 +104,8 @@
     }
 
     /// Whether a candidate is good enough that no farther tier is looked at.
-    fn is_relaxed(&self, view: &ServiceView, candidates: &[CandidateScore]) -> bool {
-        let limit = view.means.latency_us * (0.5 + self.options.spill_pressure);
+    fn is_relaxed(&self, candidates: &[CandidateScore]) -> bool {
+        let limit = IDLE_SCORE + self.options.spill_pressure;
         candidates.iter().any(|candidate| candidate.score <= limit)
     }
 
--- a/src/routing/upstream.rs
+++ b/src/routing/upstream.rs
@@ -20,6 +20,8 @@
 const FAILURE_WEIGHT: f64 = 4.0;
 /// Share of its places that an upstream gets in the moment it joins.
 const RAMP_START: f64 = 0.1;
+/// Score of an upstream without any work.
+pub(super) const IDLE_SCORE: f64 = 0.5;
 /// Answers' worth of history in the latency mean.
 const LATENCY_SAMPLES: f64 = 8.0;
 
@@ -260,7 +262,11 @@
         total * 1e6 / self.outstanding.len() as f64
     }
 
-    /// Expected latency under load and failures; the lowest score wins.
+    /// Expected wait, worsened by slow answers and failures; the lowest score
+    /// wins, and an idle upstream of usual latency has about 0.5.
+    ///
+    /// The root damps the latency, which differs by request as well as by
+    /// upstream.
     pub(super) fn score(
         &self,
         now: Duration,
@@ -269,7 +275,8 @@
     ) -> f64 {
         let pressure = self.pressure(now, means, options);
         let wait = pressure + (pressure - 1.0).max(0.0);
+        let slowness = self.latency_us(now, means, options) / means.latency_us.max(1.0);
         let failures = 1.0 + FAILURE_WEIGHT * self.failure_weight(now, options);
-        self.latency_us(now, means, options) * (0.5 + wait) * failures
+        slowness.sqrt() * (IDLE_SCORE + wait) * failures
     }
 }
