--- /dev/null
+++ b/src/ingress/body.rs
@@ -0,0 +1,120 @@
+//! A caller's request body, kept replayable while it is short.
+
+use bytes::{Bytes, BytesMut};
+use ntex::web::types::Payload;
+
+use crate::error::ErrorKind;
+use crate::link::window::{CHUNK_BYTES, FIRST_WINDOW_BYTES};
+
+/// Bytes of a body that are kept for another attempt.
+const FIRST_BYTES: usize = FIRST_WINDOW_BYTES as usize;
+
+/// Request body as it comes in.
+///
+/// What was read before the first attempt is kept, so that a refused call can
+/// be sent to another upstream. It is at most the first window; a gate lets
+/// more of the body come only once it has started the call.
+pub struct RequestBody {
+    payload: Payload,
+    first: BytesMut,
+    rest: Bytes,
+    is_ended: bool,
+    is_overrun: bool,
+    received: u64,
+    limit: u64,
+}
+
+impl RequestBody {
+    /// Reads the start of the body: all of a short one of stated length,
+    /// otherwise what the first window allows.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the body is malformed, cut short, or longer than `limit` bytes.
+    pub async fn read_first(
+        payload: Payload,
+        stated: Option<u64>,
+        limit: u64,
+    ) -> Result<Self, ErrorKind> {
+        let mut body = Self {
+            payload,
+            first: BytesMut::new(),
+            rest: Bytes::new(),
+            is_ended: false,
+            is_overrun: false,
+            received: 0,
+            limit,
+        };
+        let wanted = stated.unwrap_or(FIRST_WINDOW_BYTES).min(FIRST_WINDOW_BYTES);
+        let is_short = stated.is_some_and(|length| length <= FIRST_WINDOW_BYTES);
+        while !body.is_ended && (is_short || (body.first.len() as u64) < wanted) {
+            if let Some(data) = body.read().await? {
+                body.first.extend_from_slice(&data);
+            }
+            if stated.is_none() && !body.first.is_empty() {
+                // A body of unstated length may pause; what is here goes out.
+                break;
+            }
+        }
+        let cut = body.first.len().min(FIRST_BYTES);
+        body.rest = body.first.split_off(cut).freeze();
+        Ok(body)
+    }
+
+    /// Bytes for the start of an attempt, and whether the body ends with them.
+    pub fn first(&self) -> (Bytes, bool) {
+        let is_all = self.is_ended && self.rest.is_empty() && !self.is_overrun;
+        (Bytes::copy_from_slice(&self.first), is_all)
+    }
+
+    /// Whether another attempt can still send the body from its start.
+    pub fn is_replayable(&self) -> bool {
+        !self.is_overrun
+    }
+
+    /// More of the body, at most `room` bytes; `None` at its end.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the body is malformed, cut short or too long.
+    pub async fn next(&mut self, room: usize) -> Result<Option<Bytes>, ErrorKind> {
+        while self.rest.is_empty() {
+            if self.is_ended {
+                return Ok(None);
+            }
+            if let Some(data) = self.read().await? {
+                self.rest = data;
+            }
+        }
+        let length = self.rest.len().min(room).min(CHUNK_BYTES);
+        let data = self.rest.split_to(length);
+        self.keep(&data);
+        Ok(Some(data))
+    }
+
+    fn keep(&mut self, data: &Bytes) {
+        let has_room = self.first.len() + data.len() <= FIRST_BYTES;
+        if has_room && !self.is_overrun {
+            self.first.extend_from_slice(data);
+        } else {
+            self.is_overrun = true;
+        }
+    }
+
+    async fn read(&mut self) -> Result<Option<Bytes>, ErrorKind> {
+        match self.payload.recv().await {
+            Some(Ok(data)) => {
+                self.received += data.len() as u64;
+                if self.received > self.limit {
+                    return Err(ErrorKind::BodyTooLarge);
+                }
+                Ok(Some(Bytes::copy_from_slice(&data)))
+            }
+            Some(Err(_)) => Err(ErrorKind::BadRequest),
+            None => {
+                self.is_ended = true;
+                Ok(None)
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/membership/ring.rs
@@ -0,0 +1,63 @@
+//! Ring of member keys and the fingers that a node sends to.
+//!
+//! Keys are hashes, so neighbours on the ring are spread over racks and zones.
+//! With fingers at the distances 1, 2, 4, 8, ... every node is the finger of
+//! as many nodes as it has fingers itself, which bounds what it receives.
+
+use super::record::MemberKey;
+
+/// Sorted keys of the live members, and whose fingers are asked for.
+#[derive(Debug)]
+pub struct FingerRing {
+    own: MemberKey,
+    keys: Vec<MemberKey>,
+    cursor: u32,
+}
+
+impl FingerRing {
+    /// Empty ring of the given member, whose turn of fingers starts anywhere.
+    pub fn new(own: MemberKey) -> Self {
+        Self {
+            own,
+            keys: Vec::new(),
+            cursor: own.0 as u32,
+        }
+    }
+
+    /// Adds a member.
+    pub fn insert(&mut self, key: MemberKey) {
+        if let Err(place) = self.keys.binary_search(&key) {
+            self.keys.insert(place, key);
+        }
+    }
+
+    /// Removes a member.
+    pub fn remove(&mut self, key: MemberKey) {
+        if let Ok(place) = self.keys.binary_search(&key) {
+            self.keys.remove(place);
+        }
+    }
+
+    /// Number of fingers of each member.
+    pub fn finger_count(&self) -> u32 {
+        match self.keys.len() {
+            0 | 1 => 0,
+            len => (len - 1).ilog2() + 1,
+        }
+    }
+
+    /// Next finger in turn.
+    pub fn next_finger(&mut self) -> Option<MemberKey> {
+        let finger_count = self.finger_count();
+        if finger_count == 0 {
+            return None;
+        }
+        let step = self.cursor % finger_count;
+        self.cursor = step + 1;
+        let place = match self.keys.binary_search(&self.own) {
+            Ok(place) | Err(place) => place,
+        };
+        let finger = self.keys[(place + (1 << step)) % self.keys.len()];
+        (finger != self.own).then_some(finger)
+    }
+}
