--- a/src/ingress/attempt.rs
+++ b/src/ingress/attempt.rs
@@ -20,9 +20,7 @@
 use crate::ingress::{IngressWorker, lock};
 use crate::ledger::attempt::{AlarmAction, AttemptState};
 use crate::link::call_link::{CallEvent, CallLink};
-use crate::link::messages::{
-    AnswerHead, BodyChunk, CallName, CallOpen, LinkMessage,
-};
+use crate::link::messages::{AnswerHead, BodyChunk, CallName, CallOpen, LinkMessage};
 use crate::link::pool::GateTarget;
 use crate::link::window::{FIRST_WINDOW_BYTES, ReceiveWindow, SendWindow};
 use crate::retry::AttemptFailure;
