Spare non-idempotent calls the trial of a failing upstream

Change: choose_for takes a RouteRequest that says whether the call is idempotent. After a failure only idempotent calls try whether the upstream is well again, and during the hold a non-idempotent one is refused as not-run rather than risked. choose stays, for idempotent calls. Refusals that are the caller's fault (too large, key in use) no longer count as the upstream's failure, and a refusal for time counts as want of capacity. A service's retry budget starts at one token in place of ten, so that attempts stay near 110% of first attempts also in a short trace. An upstream that returns to ready without a restart starts afresh.

--- a/src/decisions.rs
+++ b/src/decisions.rs
@@ -14,7 +14,6 @@
 mod replay;
 mod upstream;
 
-use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -24,7 +23,7 @@
 use crate::error::ErrorKind;
 use crate::ids::{NodeId, ServiceName};
 use crate::routing::{
-    AttemptNumber, AttemptResult, LoadReport, ProbeCounts, ProbeOrder, RouterState,
+    AttemptNumber, AttemptResult, LoadReport, ProbeCounts, ProbeOrder, RouteRequest, RouterState,
 };
 use crate::table::RoutingTable;
 
@@ -84,8 +83,7 @@
         &mut self,
         now: Duration,
         rng: &mut StdRng,
-        service: &ServiceName,
-        tried: &BTreeSet<NodeId>,
+        request: &RouteRequest<'_>,
     ) -> Result<(NodeId, AttemptNumber), ErrorKind>;
 
     fn on_report(&mut self, now: Duration, node: &NodeId, report: LoadReport);
@@ -113,10 +111,9 @@
         &mut self,
         now: Duration,
         rng: &mut StdRng,
-        service: &ServiceName,
-        tried: &BTreeSet<NodeId>,
+        request: &RouteRequest<'_>,
     ) -> Result<(NodeId, AttemptNumber), ErrorKind> {
-        let choice = self.choose(now, rng, service, tried)?;
+        let choice = self.choose_for(now, rng, request)?;
         Ok((choice.node, choice.attempt))
     }
 
--- a/src/decisions/baseline.rs
+++ b/src/decisions/baseline.rs
@@ -3,7 +3,7 @@
 //! They see the same table as the router, so that upstreams which announced
 //! that they drain, or were found lost, get nothing new from them either.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -14,7 +14,9 @@
 use super::{PolicyKind, RoutePolicy};
 use crate::error::ErrorKind;
 use crate::ids::{NodeId, ServiceName};
-use crate::routing::{AttemptNumber, AttemptResult, LoadReport, ProbeCounts, ProbeOrder};
+use crate::routing::{
+    AttemptNumber, AttemptResult, LoadReport, ProbeCounts, ProbeOrder, RouteRequest,
+};
 use crate::table::{RoutingTable, UpstreamState};
 
 #[derive(Debug)]
@@ -65,9 +67,9 @@
         &mut self,
         _now: Duration,
         rng: &mut StdRng,
-        service: &ServiceName,
-        tried: &BTreeSet<NodeId>,
+        request: &RouteRequest<'_>,
     ) -> Result<(NodeId, AttemptNumber), ErrorKind> {
+        let service = request.service;
         let table = Arc::clone(&self.table);
         let entry = table
             .services
@@ -76,7 +78,7 @@
         let ready = entry.upstreams.values().filter(|upstream| {
             upstream.state == UpstreamState::Ready
                 && !upstream.is_suspect
-                && !tried.contains(&upstream.node)
+                && !request.tried.contains(&upstream.node)
         });
         let open: Vec<_> = ready.map(|upstream| upstream.node.clone()).collect();
         let node = self
--- a/src/decisions/replay.rs
+++ b/src/decisions/replay.rs
@@ -19,7 +19,7 @@
 use crate::ids::{NodeId, ServiceName, TicketNumber};
 use crate::retry::{AttemptFailure, RetryPolicy};
 use crate::routing::{
-    AttemptNumber, AttemptResult, HomePlace, LoadReport, RouterState, RoutingOptions,
+    AttemptNumber, AttemptResult, HomePlace, LoadReport, RouteRequest, RouterState, RoutingOptions,
 };
 use crate::table::{RoutingTable, ServiceEntry, ServiceRule, UpstreamState};
 use crate::trace::{DelayLine, EventKind, RecordedTrace, RequestLine, TraceEvent, UpstreamLine};
@@ -341,10 +341,12 @@
         let Some(ingress) = self.ingresses.get_mut(&call.ingress) else {
             return;
         };
-        let service = call.service;
-        let choice = ingress
-            .policy
-            .choose(self.now, &mut self.rng, service, &call.tried);
+        let request = RouteRequest {
+            service: call.service,
+            is_idempotent: call.is_idempotent,
+            tried: &call.tried,
+        };
+        let choice = ingress.policy.choose(self.now, &mut self.rng, &request);
         match choice {
             Ok((node, number)) => {
                 call.tried.insert(node.clone());
--- a/src/retry.rs
+++ b/src/retry.rs
@@ -14,8 +14,10 @@
 
 /// Retries earned by one first attempt.
 const RETRY_RATIO: f64 = 0.1;
-/// Retries that a service without recent calls may make at once.
-const RETRY_RESERVE: f64 = 10.0;
+/// Most retries that a service saves up.
+const MAX_TOKENS: f64 = 10.0;
+/// Retries that a service may make before any first attempt earned one.
+const START_TOKENS: f64 = 1.0;
 /// Least time left with which another attempt is worth its cost.
 const MIN_TIME_LEFT: Duration = Duration::from_millis(2);
 /// Time after which a caller told of lost capacity should come back.
@@ -25,8 +27,8 @@
 
 /// Token bucket of one service's retries.
 ///
-/// Over any number `n` of first attempts it grants at most `10 + n / 10`
-/// retries.
+/// Over its first `n` first attempts it grants at most `1 + n / 10` retries,
+/// and over any later `n` at most `10 + n / 10`.
 #[derive(Debug, Clone)]
 pub struct RetryBudget {
     tokens: f64,
@@ -35,7 +37,7 @@
 impl Default for RetryBudget {
     fn default() -> Self {
         Self {
-            tokens: RETRY_RESERVE,
+            tokens: START_TOKENS,
         }
     }
 }
@@ -43,7 +45,7 @@
 impl RetryBudget {
     /// Earns a share of a retry for a first attempt.
     pub fn on_first_attempt(&mut self) {
-        self.tokens = (self.tokens + RETRY_RATIO).min(RETRY_RESERVE);
+        self.tokens = (self.tokens + RETRY_RATIO).min(MAX_TOKENS);
     }
 
     /// Spends one retry if there is one.
@@ -139,7 +141,7 @@
 }
 
 impl RetryPolicy {
-    /// Policy with a full reserve for each service.
+    /// Policy without history.
     pub fn new() -> Self {
         Self::default()
     }
@@ -177,7 +179,7 @@
     pub fn tokens(&self, service: &ServiceName) -> f64 {
         self.budgets
             .get(service)
-            .map_or(RETRY_RESERVE, RetryBudget::tokens)
+            .map_or(START_TOKENS, RetryBudget::tokens)
     }
 
     fn give_up_reason(
--- a/src/retry/tests.rs
+++ b/src/retry/tests.rs
@@ -1,1 +1,116 @@
+use assert_matches::assert_matches;
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
 
+use super::*;
+
+/// First attempts of the property test; tokens are counted from a fresh start.
+const MAX_STEPS: usize = 400;
+
+#[derive(Debug, Clone)]
+enum RetryStep {
+    First,
+    Failure(CallFacts, AttemptFailure),
+}
+
+fn any_kind() -> impl Strategy<Value = ErrorKind> {
+    proptest::sample::select(ErrorKind::ALL.to_vec())
+}
+
+fn any_failure() -> impl Strategy<Value = AttemptFailure> {
+    (any_kind(), any::<bool>()).prop_map(|(kind, is_not_run)| match is_not_run {
+        true => AttemptFailure::NotRun(kind),
+        false => AttemptFailure::Unknown(kind),
+    })
+}
+
+fn any_facts() -> impl Strategy<Value = CallFacts> {
+    (any::<bool>(), any::<bool>(), 1..5_u32, 0..50_u64).prop_map(
+        |(is_idempotent, may_have_run, attempt, left_ms)| CallFacts {
+            is_idempotent,
+            may_have_run,
+            attempt,
+            attempts_limit: 3,
+            time_left: Duration::from_millis(left_ms),
+        },
+    )
+}
+
+fn any_step() -> impl Strategy<Value = RetryStep> {
+    prop_oneof![
+        Just(RetryStep::First),
+        (any_facts(), any_failure())
+            .prop_map(|(facts, failure)| RetryStep::Failure(facts, failure)),
+    ]
+}
+
+fn service() -> ServiceName {
+    "tillpost".parse().unwrap()
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        rng_seed: RngSeed::Fixed(13),
+        ..ProptestConfig::with_cases(400)
+    })]
+
+    #[test]
+    fn retries_stay_within_budget_attempts_and_what_may_run_twice(
+        steps in proptest::collection::vec(any_step(), 1..MAX_STEPS),
+    ) {
+        let mut policy = RetryPolicy::new();
+        let (mut firsts, mut retries) = (0_u32, 0_u32);
+        for step in steps {
+            let RetryStep::Failure(facts, failure) = step else {
+                policy.on_first_attempt(&service());
+                firsts += 1;
+                continue;
+            };
+            let may_have_run =
+                facts.may_have_run || matches!(failure, AttemptFailure::Unknown(_));
+            match policy.decide(&service(), &facts, failure) {
+                RetryDecision::Retry => {
+                    retries += 1;
+                    prop_assert!(facts.is_idempotent || !may_have_run);
+                    prop_assert!(facts.attempt < facts.attempts_limit);
+                    prop_assert!(!facts.time_left.is_zero());
+                    // A tenth of the first attempts and the one at the start.
+                    prop_assert!(f64::from(retries) <= 1.0 + 0.1 * f64::from(firsts) + 1e-6);
+                }
+                RetryDecision::GiveUp { outcome, .. } => {
+                    prop_assert_eq!(outcome == RunOutcome::NotRun, !may_have_run);
+                }
+            }
+        }
+    }
+}
+
+#[test]
+fn refused_call_is_sent_again_until_the_budget_is_spent() {
+    let mut policy = RetryPolicy::new();
+    let facts = CallFacts {
+        is_idempotent: false,
+        may_have_run: false,
+        attempt: 1,
+        attempts_limit: 3,
+        time_left: Duration::from_secs(1),
+    };
+    for _ in 0..30 {
+        policy.on_first_attempt(&service());
+    }
+    let refused = AttemptFailure::NotRun(ErrorKind::Overloaded);
+    for _ in 0..4 {
+        assert_eq!(
+            policy.decide(&service(), &facts, refused),
+            RetryDecision::Retry
+        );
+    }
+    assert_matches!(
+        policy.decide(&service(), &facts, refused),
+        RetryDecision::GiveUp {
+            reason: GiveUpReason::BudgetSpent,
+            outcome: RunOutcome::NotRun,
+            ..
+        }
+    );
+}
--- a/src/routing.rs
+++ b/src/routing.rs
@@ -19,6 +19,7 @@
 mod subset;
 mod upstream;
 
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -132,6 +133,17 @@
     }
 }
 
+/// One attempt to choose an upstream for.
+#[derive(Debug, Clone, Copy)]
+pub struct RouteRequest<'a> {
+    /// Service asked for.
+    pub service: &'a ServiceName,
+    /// Whether a second run does no harm.
+    pub is_idempotent: bool,
+    /// Upstreams that earlier attempts of the call went to.
+    pub tried: &'a BTreeSet<NodeId>,
+}
+
 /// One candidate that a choice looked at.
 #[derive(Debug, Clone, PartialEq)]
 pub struct CandidateScore {
--- a/src/routing/router.rs
+++ b/src/routing/router.rs
@@ -10,7 +10,8 @@
 use super::upstream::{ServiceMeans, UpstreamLoad};
 use super::{
     AttemptNumber, AttemptResult, CandidateScore, HomePlace, LoadReport, PlaceTier, ProbeCounts,
-    ProbeOrder, RouteChoice, RouteReason, RouterSnapshot, RoutingOptions, UpstreamSnapshot,
+    ProbeOrder, RouteChoice, RouteReason, RouteRequest, RouterSnapshot, RoutingOptions,
+    UpstreamSnapshot,
 };
 use crate::error::ErrorKind;
 use crate::ids::{NodeId, ServiceName};
@@ -73,12 +74,11 @@
         self.drop_unused_loads();
     }
 
-    /// Chooses the upstream of one attempt and counts it as outstanding there.
+    /// Chooses the upstream of an idempotent attempt; see [`Self::choose_for`].
     ///
     /// # Errors
     ///
-    /// `UnknownService` without such a service in the table, `NoUpstream` if
-    /// no upstream outside `tried` takes work.
+    /// As [`Self::choose_for`].
     pub fn choose(
         &mut self,
         now: Duration,
@@ -86,13 +86,34 @@
         service: &ServiceName,
         tried: &BTreeSet<NodeId>,
     ) -> Result<RouteChoice, ErrorKind> {
+        let request = RouteRequest {
+            service,
+            is_idempotent: true,
+            tried,
+        };
+        self.choose_for(now, rng, &request)
+    }
+
+    /// Chooses the upstream of one attempt and counts it as outstanding there.
+    ///
+    /// # Errors
+    ///
+    /// `UnknownService` without such a service in the table, `NoUpstream` if
+    /// no upstream outside `tried` takes work.
+    pub fn choose_for(
+        &mut self,
+        now: Duration,
+        rng: &mut impl Rng,
+        request: &RouteRequest<'_>,
+    ) -> Result<RouteChoice, ErrorKind> {
+        let service = request.service;
         let table = Arc::clone(&self.table);
         let entry = table
             .services
             .get(service)
             .ok_or(ErrorKind::UnknownService)?;
         self.open_view(now, service, entry);
-        let (candidates, reason) = self.compare(now, rng, service, tried)?;
+        let (candidates, reason) = self.compare(now, rng, request)?;
         let best = candidates
             .iter()
             .min_by(|a, b| a.score.total_cmp(&b.score))
@@ -227,7 +248,7 @@
             report: load.report_with_age(now),
             score: load.score(now, means, &self.options),
             failures: load.failure_weight(now, &self.options),
-            is_held: load.is_held(now),
+            is_held: load.is_held(now, true),
         }
     }
 
@@ -269,7 +290,7 @@
                 .entry(node.clone())
                 .or_insert_with(|| UpstreamLoad::new(now, incarnation, tier, slots, joined_at));
             load.slots = slots;
-            if load.incarnation != incarnation {
+            if load.incarnation != incarnation || !was_ready {
                 load.restart(now, incarnation);
             }
         }
--- a/src/routing/select.rs
+++ b/src/routing/select.rs
@@ -1,6 +1,5 @@
 //! Which members of a subset are compared, and in which order of distance.
 
-use std::collections::BTreeSet;
 use std::time::Duration;
 
 use rand::Rng;
@@ -8,9 +7,9 @@
 
 use super::router::{RouterState, ServiceView};
 use super::upstream::IDLE_SCORE;
-use super::{CandidateScore, PlaceTier, RouteReason};
+use super::{CandidateScore, PlaceTier, RouteReason, RouteRequest};
 use crate::error::ErrorKind;
-use crate::ids::{NodeId, ServiceName};
+use crate::ids::NodeId;
 
 /// Members of one tier that may take an attempt.
 #[derive(Debug)]
@@ -26,11 +25,11 @@
         &self,
         now: Duration,
         rng: &mut impl Rng,
-        service: &ServiceName,
-        tried: &BTreeSet<NodeId>,
+        request: &RouteRequest<'_>,
     ) -> Result<(Vec<CandidateScore>, RouteReason), ErrorKind> {
-        let view = self.views.get(service).ok_or(ErrorKind::UnknownService)?;
-        let tiers = self.open_tiers(now, view, tried);
+        let view = self.views.get(request.service);
+        let view = view.ok_or(ErrorKind::UnknownService)?;
+        let tiers = self.open_tiers(now, view, request);
         let mut candidates = Vec::new();
         for open in &tiers {
             let is_far = open.tier == PlaceTier::OtherRegion;
@@ -58,16 +57,18 @@
         &self,
         now: Duration,
         view: &'a ServiceView,
-        tried: &BTreeSet<NodeId>,
+        request: &RouteRequest<'_>,
     ) -> Vec<OpenTier<'a>> {
+        let is_idempotent = request.is_idempotent;
+        let load_of = |node: &NodeId| self.loads.get(node);
         let mut tiers = Vec::new();
         for members in &view.tiers {
             let (held, free) = members
                 .nodes
                 .iter()
-                .filter(|node| !tried.contains(*node))
-                .filter(|node| !self.loads.get(*node).is_some_and(|it| it.is_draining(now)))
-                .partition(|node| self.loads.get(*node).is_some_and(|it| it.is_held(now)));
+                .filter(|node| !request.tried.contains(*node))
+                .filter(|node| !load_of(node).is_some_and(|it| it.is_closed(now, is_idempotent)))
+                .partition(|node| load_of(node).is_some_and(|it| it.is_held(now, is_idempotent)));
             tiers.push(OpenTier {
                 tier: members.tier,
                 free,
--- a/src/routing/tests.rs
+++ b/src/routing/tests.rs
@@ -1,1 +1,308 @@
+use std::collections::BTreeMap;
+use std::sync::Arc;
 
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+
+use super::*;
+use crate::table::{RoutingTable, ServiceEntry, ServiceRule, UpstreamEntry, UpstreamState};
+
+const ZONES: [&str; 3] = ["ogbomoso-a", "oyo-town-b", "iseyin-c"];
+const STATES: [UpstreamState; 3] = [
+    UpstreamState::Ready,
+    UpstreamState::Draining,
+    UpstreamState::Joining,
+];
+
+fn node(index: usize) -> NodeId {
+    format!("node-{index}").parse().unwrap()
+}
+
+fn service() -> ServiceName {
+    "slotbook".parse().unwrap()
+}
+
+fn upstream(index: usize, state: UpstreamState, incarnation: u64) -> UpstreamEntry {
+    UpstreamEntry {
+        node: node(index),
+        incarnation: NodeIncarnation::try_from(incarnation).unwrap(),
+        region: "oyo-west".parse().unwrap(),
+        zone: ZONES[index % 3].parse().unwrap(),
+        peer_address: ([127, 0, 0, 1], 1).into(),
+        slots: "6".parse().unwrap(),
+        state,
+        is_suspect: false,
+    }
+}
+
+fn table_of(services: BTreeMap<ServiceName, Vec<UpstreamEntry>>, rate: f64) -> Arc<RoutingTable> {
+    let entry_of = |upstreams: Vec<UpstreamEntry>| ServiceEntry {
+        ticket: "1".parse().unwrap(),
+        rule: ServiceRule {
+            probes_per_second: rate,
+            ..ServiceRule::default()
+        },
+        upstreams: upstreams
+            .into_iter()
+            .map(|it| (it.node.clone(), it))
+            .collect(),
+    };
+    Arc::new(RoutingTable {
+        version: 1,
+        services: services
+            .into_iter()
+            .map(|(name, upstreams)| (name, entry_of(upstreams)))
+            .collect(),
+    })
+}
+
+fn small_table(states: &[UpstreamState], incarnations: &[u64], rate: f64) -> Arc<RoutingTable> {
+    let rows = states.iter().zip(incarnations).enumerate();
+    let upstreams = rows.map(|(index, (state, number))| upstream(index, *state, *number));
+    table_of(BTreeMap::from([(service(), upstreams.collect())]), rate)
+}
+
+fn router(index: usize) -> RouterState {
+    let home = HomePlace {
+        node: node(index),
+        region: "oyo-west".parse().unwrap(),
+        zone: ZONES[index % 3].parse().unwrap(),
+    };
+    RouterState::new(home, RoutingOptions::default())
+}
+
+const BUSY: LoadReport = LoadReport {
+    in_flight: 6,
+    queued: 6,
+    limit: 6,
+};
+
+#[derive(Debug, Clone)]
+enum RouterStep {
+    Wait(u64),
+    Choose(bool),
+    Finish(usize, usize),
+    Report(usize),
+    State(usize, usize),
+    Restart(usize),
+}
+
+fn any_step() -> impl Strategy<Value = RouterStep> {
+    prop_oneof![
+        (0..300_u64).prop_map(RouterStep::Wait),
+        any::<bool>().prop_map(RouterStep::Choose),
+        any::<bool>().prop_map(RouterStep::Choose),
+        (0..64_usize, 0..5_usize).prop_map(|(at, end)| RouterStep::Finish(at, end)),
+        (0..4_usize).prop_map(RouterStep::Report),
+        (0..4_usize, 0..3_usize).prop_map(|(at, state)| RouterStep::State(at, state)),
+        (0..4_usize).prop_map(RouterStep::Restart),
+    ]
+}
+
+const RESULTS: [AttemptResult; 5] = [
+    AttemptResult::Answered,
+    AttemptResult::Refused(ErrorKind::Overloaded),
+    AttemptResult::Refused(ErrorKind::Draining),
+    AttemptResult::Failed(ErrorKind::LinkLost),
+    AttemptResult::Cancelled,
+];
+
+/// What a careful observer knows of each upstream.
+#[derive(Debug, Default)]
+struct UpstreamModel {
+    outstanding: Vec<AttemptNumber>,
+    has_refused_for_drain: bool,
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        rng_seed: RngSeed::Fixed(11),
+        ..ProptestConfig::with_cases(400)
+    })]
+
+    #[test]
+    fn draining_gets_nothing_new_and_outstanding_is_exact(
+        steps in proptest::collection::vec(any_step(), 1..120),
+        seed in any::<u64>(),
+    ) {
+        let mut rng = StdRng::seed_from_u64(seed);
+        let mut router = router(0);
+        let mut states = [UpstreamState::Ready; 4];
+        let mut incarnations = [1; 4];
+        let mut models: [UpstreamModel; 4] = Default::default();
+        let mut now = Duration::ZERO;
+        let mut probes = 0;
+        router.apply_table(now, &small_table(&states, &incarnations, 1.0));
+        for step in steps {
+            match step {
+                RouterStep::Wait(ms) => now += Duration::from_millis(ms),
+                RouterStep::Choose(is_idempotent) => {
+                    let tried = BTreeSet::new();
+                    let request = RouteRequest { service: &service(), is_idempotent, tried: &tried };
+                    if let Ok(choice) = router.choose_for(now, &mut rng, &request) {
+                        let index = (0..4).find(|index| node(*index) == choice.node).unwrap();
+                        prop_assert_eq!(states[index], UpstreamState::Ready);
+                        prop_assert!(!models[index].has_refused_for_drain);
+                        models[index].outstanding.push(choice.attempt);
+                    }
+                    probes += router.probe_due(now).len();
+                }
+                RouterStep::Finish(at, end) => {
+                    let index = at % 4;
+                    let Some(attempt) = models[index].outstanding.pop() else { continue };
+                    for _ in 0..2 {
+                        router.on_finished(now, &service(), &node(index), attempt, RESULTS[end]);
+                    }
+                    let is_drain = RESULTS[end] == AttemptResult::Refused(ErrorKind::Draining);
+                    models[index].has_refused_for_drain |= is_drain;
+                }
+                RouterStep::Report(index) => router.on_report(now, &node(index), BUSY),
+                RouterStep::State(index, state) => {
+                    models[index].has_refused_for_drain &= states[index] == STATES[state];
+                    states[index] = STATES[state];
+                    router.apply_table(now, &small_table(&states, &incarnations, 1.0));
+                }
+                RouterStep::Restart(index) => {
+                    incarnations[index] += 1;
+                    models[index].has_refused_for_drain = false;
+                    router.apply_table(now, &small_table(&states, &incarnations, 1.0));
+                }
+            }
+            for row in router.snapshot(now).upstreams {
+                let index = (0..4).find(|index| node(*index) == row.node).unwrap();
+                prop_assert_eq!(row.outstanding as usize, models[index].outstanding.len());
+            }
+            // Four upstreams, the rate shared by four ingresses, one token each.
+            let budget = 4.0 * (1.0 + now.as_secs_f64() / 4.0);
+            prop_assert!(f64::from(u32::try_from(probes).unwrap()) <= budget);
+        }
+    }
+
+    #[test]
+    fn probe_bucket_never_grants_more_than_its_rate(
+        gaps_us in proptest::collection::vec(0..400_000_u64, 1..300),
+        rate in 0.0..20.0_f64,
+    ) {
+        let mut bucket = ProbeBucket::new(Duration::ZERO);
+        let mut now = Duration::ZERO;
+        let mut grants = Vec::new();
+        for gap in gaps_us {
+            now += Duration::from_micros(gap);
+            if bucket.try_take(now, rate) {
+                grants.push(now);
+            }
+        }
+        for (first, from) in grants.iter().enumerate() {
+            for (last, to) in grants.iter().enumerate().skip(first) {
+                let count = (last - first + 1) as f64;
+                let span = to.saturating_sub(*from).as_secs_f64();
+                prop_assert!(count <= 1.0 + rate * span + 1e-6);
+            }
+        }
+    }
+}
+
+#[test]
+fn upstream_that_fails_fast_does_not_look_idle() {
+    let mut rng = StdRng::seed_from_u64(1);
+    let mut router = router(0);
+    router.apply_table(
+        Duration::ZERO,
+        &small_table(&[UpstreamState::Ready; 2], &[1; 2], 0.0),
+    );
+    let (mut to_failing, mut orders_to_failing) = (0, 0);
+    for call in 0..1_000_u64 {
+        let now = Duration::from_millis(30 * call);
+        let is_idempotent = call % 10 == 0;
+        let tried = BTreeSet::new();
+        let request = RouteRequest {
+            service: &service(),
+            is_idempotent,
+            tried: &tried,
+        };
+        let choice = router.choose_for(now, &mut rng, &request).unwrap();
+        let is_failing = choice.node == node(0);
+        let result = match is_failing {
+            true => AttemptResult::Failed(ErrorKind::BackendFailed),
+            false => AttemptResult::Answered,
+        };
+        to_failing += u32::from(is_failing);
+        orders_to_failing += u32::from(is_failing && !is_idempotent);
+        router.on_finished(now, &service(), &choice.node, choice.attempt, result);
+    }
+    assert!(
+        to_failing <= 6,
+        "{to_failing} calls to the failing upstream"
+    );
+    assert!(
+        orders_to_failing <= 1,
+        "{orders_to_failing} orders to the failing upstream"
+    );
+}
+
+#[test]
+fn joined_upstream_gets_its_share_by_and_by() {
+    let mut rng = StdRng::seed_from_u64(1);
+    let mut router = router(0);
+    let states = [UpstreamState::Ready; 4];
+    router.apply_table(Duration::ZERO, &small_table(&states[..3], &[1; 3], 0.0));
+    let mut shares = Vec::new();
+    for (step, second) in [0, 1, 20].into_iter().enumerate() {
+        let mut now = Duration::from_secs(second);
+        if step == 1 {
+            router.apply_table(now, &small_table(&states, &[1; 4], 0.0));
+        }
+        let mut open = Vec::new();
+        let mut count = 0;
+        for _ in 0..400 {
+            now += Duration::from_millis(1);
+            let choice = router
+                .choose(now, &mut rng, &service(), &BTreeSet::new())
+                .unwrap();
+            count += usize::from(choice.node == node(3));
+            open.push((choice.node, choice.attempt));
+            if open.len() > 12 {
+                let (node, attempt) = open.remove(0);
+                router.on_finished(now, &service(), &node, attempt, AttemptResult::Answered);
+            }
+        }
+        for (node, attempt) in open {
+            router.on_finished(now, &service(), &node, attempt, AttemptResult::Answered);
+        }
+        shares.push(count);
+    }
+    assert_eq!(shares[0], 0);
+    assert!(shares[1] * 2 < shares[2], "{shares:?}");
+}
+
+/// At the size to design for, one service with 300 upstreams.
+#[test]
+fn links_are_bounded_and_spread_over_the_upstreams() {
+    let upstreams: Vec<_> = (0..300)
+        .map(|it| upstream(it, UpstreamState::Ready, 1))
+        .collect();
+    let table = table_of(BTreeMap::from([(service(), upstreams)]), 1.0);
+    let mut rng = StdRng::seed_from_u64(1);
+    let mut links: BTreeMap<NodeId, u32> = BTreeMap::new();
+    for index in 0..300 {
+        let mut router = router(index);
+        router.apply_table(Duration::ZERO, &table);
+        router
+            .choose(Duration::ZERO, &mut rng, &service(), &BTreeSet::new())
+            .unwrap();
+        let rows = router.snapshot(Duration::ZERO).upstreams;
+        assert!(rows.len() <= 15, "{} links", rows.len());
+        assert!(rows.iter().any(|row| row.node == node(index)));
+        for row in rows {
+            *links.entry(row.node).or_default() += 1;
+        }
+    }
+    let most = links.values().max().unwrap();
+    assert!(
+        *most <= 3 * 12,
+        "{most} links to one upstream, 12 on average"
+    );
+    assert_eq!(links.len(), 300);
+}
--- a/src/routing/upstream.rs
+++ b/src/routing/upstream.rs
@@ -121,12 +121,19 @@
         weight * decay(now.saturating_sub(at), options.failure_half_life)
     }
 
-    pub(super) fn is_draining(&self, now: Duration) -> bool {
-        self.is_draining && now < self.held_until
+    /// Whether a call may not even go here as a last resort: a draining
+    /// upstream would refuse it, and one that fails might run it in vain.
+    pub(super) fn is_closed(&self, now: Duration, is_idempotent: bool) -> bool {
+        let is_failing = self.failure_run > 0 && !is_idempotent;
+        now < self.held_until && (self.is_draining || is_failing)
     }
 
-    pub(super) fn is_held(&self, now: Duration) -> bool {
-        now < self.held_until
+    /// Whether new calls go elsewhere while there is an elsewhere.
+    ///
+    /// After a failure only an idempotent call tries whether the upstream is
+    /// well again: a failed run of any other can't be repeated.
+    pub(super) fn is_held(&self, now: Duration, is_idempotent: bool) -> bool {
+        now < self.held_until || (self.failure_run > 0 && !is_idempotent)
     }
 
     pub(super) fn start(&mut self, now: Duration, attempt: AttemptNumber) {
@@ -189,9 +196,19 @@
     fn on_setback(&mut self, now: Duration, kind: ErrorKind, options: &RoutingOptions) {
         match kind {
             ErrorKind::Draining => self.on_leaving(now),
-            ErrorKind::Overloaded | ErrorKind::WaitTooLong | ErrorKind::ShareExceeded => {
+            ErrorKind::Overloaded
+            | ErrorKind::WaitTooLong
+            | ErrorKind::ShareExceeded
+            | ErrorKind::TimedOut => {
                 self.held_until = self.held_until.max(now + REFUSAL_HOLD);
             }
+            ErrorKind::BadRequest
+            | ErrorKind::BadTimeout
+            | ErrorKind::BodyTooLarge
+            | ErrorKind::HeadTooLarge
+            | ErrorKind::UnknownService
+            | ErrorKind::KeyInUse
+            | ErrorKind::Cancelled => {}
             _ => self.on_failure(now, options),
         }
     }
