--- a/src/admin.rs
+++ b/src/admin.rs
@@ -10,7 +10,7 @@
 mod replies;
 mod routes;
 
-pub use client::{ANY_CONNECTIONS, AdminAnswer, AdminClient, AdminClientError, http_client};
+pub use client::{AdminAnswer, AdminClient, AdminClientError, http_client, http_client_with_limit};
 pub use messages::{
     AdminCall, AdminReply, AdminRequest, BackendAnnouncement, BackendView, FieldError, HealthView,
     MemberView, RefusalReason, ServiceView, StatusView, StoreState, TicketAnswer, TicketView,
--- a/src/admin/client.rs
+++ b/src/admin/client.rs
@@ -18,7 +18,7 @@
 const ANSWER_LIMIT: usize = 64 * 1024 * 1024;
 
 /// Limit of connections that no client of a node reaches.
-pub const ANY_CONNECTIONS: usize = 1_000_000;
+const ANY_CONNECTIONS: usize = 1_000_000;
 
 /// No whole answer came from the administration API.
 #[derive(Debug, Clone, Display, Error, PartialEq, Eq)]
@@ -68,7 +68,7 @@
         base: BaseUrl,
         token: Option<SecretToken>,
     ) -> Result<Self, AdminClientError> {
-        let client = http_client(REQUEST_TIMEOUT, ANY_CONNECTIONS).await;
+        let client = http_client(REQUEST_TIMEOUT).await;
         let client = client.map_err(|cause| AdminClientError::Unreachable {
             url: base.to_string(),
             cause,
@@ -131,6 +131,15 @@
     }
 }
 
+/// HTTP client without a limit of connections that it could reach.
+///
+/// # Errors
+///
+/// Fails with the reason as text if the connector can't be built.
+pub async fn http_client(timeout: Duration) -> Result<Client, String> {
+    http_client_with_limit(timeout, ANY_CONNECTIONS).await
+}
+
 /// HTTP client with at most `connections` connections.
 ///
 /// The library takes a limit of 0 for none, but then never wakes a request
@@ -139,7 +148,10 @@
 /// # Errors
 ///
 /// Fails with the reason as text if the connector can't be built.
-pub async fn http_client(timeout: Duration, connections: usize) -> Result<Client, String> {
+pub async fn http_client_with_limit(
+    timeout: Duration,
+    connections: usize,
+) -> Result<Client, String> {
     let timeout = Millis(u32::try_from(timeout.as_millis()).unwrap_or(u32::MAX));
     Client::builder()
         .connector::<()>(Connector::new().limit(connections))
--- a/src/ctl/explain.rs
+++ b/src/ctl/explain.rs
@@ -6,13 +6,12 @@
 use serde_json::{Map, Value};
 
 use crate::ids::CallId;
+use crate::ingress::ATTEMPTS_PER_CALL;
 
 /// Fields that stand at the start of an explained line.
 const LEADING_FIELDS: [&str; 5] = ["at", "node", "target", "message", "call"];
 /// Field that names the call.
 const CALL_FIELD: &str = "call";
-/// Attempts of a call have sequence numbers below the next multiple of this.
-const ATTEMPTS_PER_CALL: u64 = 16;
 
 /// Log lines about a call and its attempts, in order of time, for a reader.
 ///
--- a/src/ingress.rs
+++ b/src/ingress.rs
@@ -35,7 +35,7 @@
 use crate::table::RoutingTable;
 
 /// Largest number of attempts whose number fits beside the call's own.
-const ATTEMPTS_PER_CALL: u64 = 16;
+pub const ATTEMPTS_PER_CALL: u64 = 16;
 
 /// State that all traffic threads of a node share.
 pub struct IngressShared {
--- a/src/standin/backend/nest.rs
+++ b/src/standin/backend/nest.rs
@@ -10,7 +10,7 @@
 
 use super::handlers::{REQUEST_ID_HEADER, header_text};
 use super::state::StandinState;
-use crate::admin::{ANY_CONNECTIONS, http_client};
+use crate::admin::http_client;
 
 /// Header with the count of calls that are still to be nested.
 const NEST_HEADER: &str = "standin-nest";
@@ -33,7 +33,7 @@
     if let Some(client) = CLIENT.with_borrow(Clone::clone) {
         return Some(client);
     }
-    let client = http_client(NEST_TIMEOUT, ANY_CONNECTIONS).await.ok()?;
+    let client = http_client(NEST_TIMEOUT).await.ok()?;
     CLIENT.set(Some(client.clone()));
     Some(client)
 }
