--- a/src/ingress/call.rs
+++ b/src/ingress/call.rs
@@ -19,7 +19,7 @@
 use crate::link::messages::CallOpen;
 use crate::link::pool::GateTarget;
 use crate::retry::{AttemptFailure, CallFacts, RetryDecision};
-use crate::routing::{ProbeOrder, RouteChoice};
+use crate::routing::{ProbeOrder, RouteChoice, RouteRequest};
 
 /// Requests in flight at one ingress that count as 100 percent of its shares.
 const INGRESS_CAPACITY: u32 = 1_000;
@@ -165,7 +165,12 @@
         let now = self.worker.shared.now();
         let mut rng = self.worker.rng.borrow_mut();
         let mut router = lock(&self.worker.shared.router);
-        let choice = router.choose(now, &mut *rng, &self.facts.service, &self.tried);
+        let request = RouteRequest {
+            service: &self.facts.service,
+            is_idempotent: self.facts.is_idempotent,
+            tried: &self.tried,
+        };
+        let choice = router.choose_for(now, &mut *rng, &request);
         let probes = router.probe_due(now);
         drop(router);
         self.log_choice(&choice);
