Keep joining in the byte budget and spread retries

Cause: a joining node took in 26 KB/s for 9 s at 2,700 members, one page of 8 KB every 250 ms; when a region of 225 out of 900 came back, one node got 25,253 bytes in a second, as every node retried the dead in the same order.

Change: pages of 4 KB a second, the own zone first, charged at both ends; an overdrawn node refuses a page and names others to ask; a process may spend 10,000 bytes above the rate within 10 s of its start; every node retries the dead from its own place on the ring.

Ruled out: charging refused requests too (24 fresh nodes with one address kept that node from serving any of them; 2 members known after 20 s).

--- a/src/membership.rs
+++ b/src/membership.rs
@@ -25,6 +25,7 @@
 mod receive;
 mod record;
 mod ring;
+mod serving;
 mod spread;
 mod state;
 mod suspicion;
--- a/src/membership/message.rs
+++ b/src/membership/message.rs
@@ -111,7 +111,8 @@
 /// Asks for the records in which two nodes differ.
 #[derive(Clone, PartialEq, Message)]
 pub struct SyncRequest {
-    /// Fingerprints of the asking node's live members, by part of the key space.
+    /// Fingerprints of the asking node's live members, by part of the key space;
+    /// none if it joins.
     #[prost(fixed64, repeated, tag = "1")]
     pub digests: Vec<u64>,
     /// First key that is wanted.
@@ -123,6 +124,9 @@
     /// Bytes of records after which the reply shall end.
     #[prost(uint32, tag = "4")]
     pub page_bytes: u32,
+    /// Only zone that is wanted, unless empty.
+    #[prost(string, tag = "5")]
+    pub zone: String,
 }
 
 /// Records of the parts that differ, in the order of their keys.
@@ -137,6 +141,9 @@
     /// Names that the records refer to by their place.
     #[prost(string, repeated, tag = "3")]
     pub names: Vec<String>,
+    /// Set if the page could not be served now.
+    #[prost(bool, tag = "4")]
+    pub is_refused: bool,
 }
 
 /// Reason why a record from the wire is refused.
--- a/src/membership/probing.rs
+++ b/src/membership/probing.rs
@@ -8,6 +8,7 @@
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
+use std::ops::Bound;
 use std::time::Duration;
 
 use super::message::DatagramKind;
@@ -55,7 +56,7 @@
     round: u32,
     next_probe: Duration,
     next_retry: Duration,
-    retry_cursor: Option<NodeId>,
+    retry_cursor: MemberKey,
     seed_cursor: usize,
 }
 
@@ -71,7 +72,7 @@
             round: 0,
             next_probe: now + phase,
             next_retry: now + phase + RETRY_INTERVAL,
-            retry_cursor: None,
+            retry_cursor: own,
             seed_cursor: 0,
         }
     }
@@ -245,17 +246,28 @@
 
     fn retry_dead(&mut self, now: Duration) {
         self.forget_old(now);
-        let next = self.suspicions.next_dead(self.probes.retry_cursor.as_ref());
-        let Some(node) = next else {
+        let Some(key) = self.next_dead(self.probes.retry_cursor) else {
             return;
         };
-        self.probes.retry_cursor = Some(node.clone());
-        let record = self.members.get(&node);
-        let retried = record.filter(|record| !record.is_leaving);
-        if let Some(key) = retried.map(MemberRecord::key) {
-            let sequence = self.probes.next_sequence();
-            self.send_ping(now, sequence, key);
-        }
+        self.probes.retry_cursor = key;
+        let sequence = self.probes.next_sequence();
+        self.send_ping(now, sequence, key);
+    }
+
+    /// Failed member that follows the given key on the ring.
+    ///
+    /// Every node goes round from another place, so that they don't all try
+    /// the same member when a region comes back.
+    fn next_dead(&self, after: MemberKey) -> Option<MemberKey> {
+        let is_failed = |(_, node): &(&MemberKey, &NodeId)| {
+            let record = self.members.get(*node);
+            record.is_some_and(|record| !record.is_live() && !record.is_leaving)
+        };
+        let behind = self
+            .by_key
+            .range((Bound::Excluded(after), Bound::Unbounded));
+        let mut round = behind.chain(self.by_key.range(..=after));
+        round.find(is_failed).map(|(key, _)| *key)
     }
 
     fn retry_seed(&mut self, now: Duration) {
--- a/src/membership/queue.rs
+++ b/src/membership/queue.rs
@@ -5,7 +5,7 @@
 use crate::ids::NodeId;
 
 /// Copies that an update counts as sent when it is received once more.
-const HEARD_COPIES: u32 = 2;
+const HEARD_COPIES: u32 = 1;
 
 /// Urgency of an update; the first one goes first.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
--- /dev/null
+++ b/src/membership/serving.rs
@@ -0,0 +1,89 @@
+//! Answers to nodes that compare digests.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use prost::Message;
+
+use super::message::{SyncReply, SyncRequest, WireRecord};
+use super::packing::pack_names;
+use super::receive::NewsSource;
+use super::record::{MemberKey, MemberRecord};
+use super::state::MembershipState;
+use super::sync::{JOIN_PAGE_BYTES, part_of};
+
+/// Members that are named in a refusal.
+const HINT_COUNT: usize = 4;
+/// Odd factor that spreads incarnations, which are close to each other, over
+/// the key space.
+const KEY_SPREAD: u64 = 0x9e37_79b9_7f4a_7c15;
+
+impl MembershipState {
+    /// Answers a request of another node to compare digests.
+    pub fn handle_sync(&mut self, now: Duration, request: &Bytes) -> Bytes {
+        let size = request.len();
+        let Ok(request) = SyncRequest::decode(request.clone()) else {
+            self.counters.malformed += 1;
+            return Bytes::new();
+        };
+        if let Some(own) = &request.own {
+            self.take_record(now, own.clone(), NewsSource::Gossip);
+        }
+        // A refused request isn't charged: a crowd of joining nodes would keep
+        // this node from serving any of them.
+        let is_refused = self.bucket.is_overdrawn(now);
+        self.count_sync_received(now, size, !is_refused);
+        let reply = if is_refused {
+            self.sync_refusal(&request)
+        } else {
+            self.sync_reply(&request)
+        };
+        let reply = Bytes::from(reply.encode_to_vec());
+        self.count_sync_sent(now, reply.len(), !is_refused);
+        reply
+    }
+
+    /// Empty page, with a few members that can be asked instead.
+    fn sync_refusal(&self, request: &SyncRequest) -> SyncReply {
+        let asker = request.own.as_ref().map_or(0, |own| own.incarnation);
+        let after = MemberKey(asker.wrapping_mul(KEY_SPREAD));
+        let others = self.by_key.range(after..).chain(self.by_key.range(..after));
+        let live = others.filter_map(|(_, node)| self.members.get(node).filter(|r| r.is_live()));
+        let mut reply = SyncReply {
+            records: live.take(HINT_COUNT).map(WireRecord::from).collect(),
+            next_key: Some(request.first_key),
+            is_refused: true,
+            names: Vec::new(),
+        };
+        pack_names(&mut reply);
+        reply
+    }
+
+    fn sync_reply(&self, request: &SyncRequest) -> SyncReply {
+        let ours = self.digests();
+        let is_wanted = |key: MemberKey, record: &MemberRecord| {
+            let part = part_of(key);
+            let is_equal = request.digests.get(part) == Some(&ours[part]);
+            let is_zone = request.zone.is_empty() || record.zone.as_str() == request.zone;
+            !is_equal && is_zone
+        };
+        let mut reply = SyncReply::default();
+        let mut room = request.page_bytes.min(JOIN_PAGE_BYTES) as usize;
+        for (key, node) in self.by_key.range(MemberKey(request.first_key)..) {
+            let record = self.members.get(node);
+            let Some(record) = record.filter(|record| is_wanted(*key, record)) else {
+                continue;
+            };
+            let wire = WireRecord::from(record);
+            let size = wire.encoded_len();
+            if size > room {
+                reply.next_key = Some(key.0);
+                break;
+            }
+            room -= size;
+            reply.records.push(wire);
+        }
+        pack_names(&mut reply);
+        reply
+    }
+}
--- a/src/membership/state.rs
+++ b/src/membership/state.rs
@@ -24,6 +24,8 @@
 const BYTE_RATE: u32 = 2_400;
 /// Datagram bytes that may be sent at once.
 const BYTE_BURST: u32 = 500;
+/// Bytes above the rate that a process may spend at its start, to join quickly.
+const BYTE_CREDIT: u32 = 10_000;
 
 /// Membership at one node.
 #[derive(Debug)]
@@ -79,7 +81,7 @@
             zone_ring: FingerRing::new(record.key()),
             fingerprint: 0,
             queue: UpdateQueue::default(),
-            bucket: ByteBucket::new(BYTE_RATE, BYTE_BURST),
+            bucket: ByteBucket::new(now, BYTE_RATE, BYTE_BURST, BYTE_CREDIT),
             probes: ProbeTable::new(now, record.key()),
             suspicions: SuspicionTable::default(),
             sync: SyncProgress::default(),
--- a/src/membership/suspicion.rs
+++ b/src/membership/suspicion.rs
@@ -80,16 +80,6 @@
         let own = |(node, suspicion): (&NodeId, &Suspicion)| suspicion.is_own.then(|| node.clone());
         self.running.iter().filter_map(own).collect()
     }
-
-    /// Dead member that follows the given one, in turn.
-    pub fn next_dead(&self, after: Option<&NodeId>) -> Option<NodeId> {
-        let is_after = |node: &&NodeId| after.is_none_or(|after| *node > after);
-        let mut dead = self.dead_since.keys();
-        let next = dead
-            .find(is_after)
-            .or_else(|| self.dead_since.keys().next());
-        next.cloned()
-    }
 }
 
 impl MembershipState {
--- a/src/membership/sync.rs
+++ b/src/membership/sync.rs
@@ -2,9 +2,9 @@
 //!
 //! The key space is cut into parts with a fingerprint each. The asked node
 //! sends the records of the parts that differ, page by page. A node that joins
-//! asks for large pages in quick succession, each from another member; this
-//! burst is counted apart. Later comparisons use small pages that are charged
-//! to the byte bucket.
+//! fetches its own availability zone first, then everything, each page from
+//! another member. Pages are charged to the byte bucket at both ends, and a
+//! node whose bucket is overdrawn answers with an empty one.
 
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -14,7 +14,7 @@
 
 use super::action::MembershipAction;
 use super::message::{SyncReply, SyncRequest, WireRecord};
-use super::packing::{pack_names, unpack_names};
+use super::packing::unpack_names;
 use super::receive::NewsSource;
 use super::record::MemberKey;
 use super::state::MembershipState;
@@ -23,14 +23,14 @@
 const PART_COUNT: usize = 64;
 /// Bits of a key behind those that name its part.
 const PART_SHIFT: u32 = 64 - PART_COUNT.trailing_zeros();
-/// Bytes of records in a page while joining.
-const JOIN_PAGE_BYTES: u32 = 8 * 1024;
-/// Time between two pages while joining.
-const JOIN_PAGE_INTERVAL: Duration = Duration::from_millis(250);
-/// Bytes of records in a page of later comparisons.
+/// Bytes of records in a page while joining, before names are packed.
+pub(super) const JOIN_PAGE_BYTES: u32 = 4 * 1024;
+/// Bytes of records in a page of later comparisons, before names are packed.
 const REPAIR_PAGE_BYTES: u32 = 1_024;
-/// Time between two pages of later comparisons.
-const REPAIR_PAGE_INTERVAL: Duration = Duration::from_secs(1);
+/// Time between two pages.
+const PAGE_INTERVAL: Duration = Duration::from_secs(1);
+/// Longest time until a page is asked for again after a refusal.
+const MAX_BACKOFF: Duration = Duration::from_secs(8);
 /// Headers and handshake of one exchange, each way, in bytes.
 const EXCHANGE_BYTES: usize = 250;
 /// Time that two nodes must differ, with no news under way, before one asks.
@@ -41,9 +41,7 @@
 /// at the same time may not have been known to the node that it asked.
 const SETTLING_TIME: Duration = Duration::from_secs(60);
 /// Delay and time between comparisons while settling.
-const SETTLING_INTERVAL: Duration = Duration::from_secs(1);
-/// Time until another member is asked after a page did not come.
-const JOIN_RETRY: Duration = Duration::from_secs(1);
+const SETTLING_INTERVAL: Duration = Duration::from_secs(2);
 /// Seeds that are pinged at once on joining.
 const JOIN_PINGS: usize = 3;
 
@@ -54,6 +52,7 @@
     first_key: u64,
     due: Duration,
     is_waiting: bool,
+    is_own_zone: bool,
 }
 
 /// Where this node stands with comparing digests.
@@ -62,6 +61,7 @@
     cursor: Option<SyncCursor>,
     pub(super) has_joined: bool,
     mismatch_since: Option<Duration>,
+    backoff: Duration,
     idle_until: Duration,
     settled_at: Duration,
     seed_cursor: usize,
@@ -84,14 +84,6 @@
             interval
         }
     }
-
-    fn page_interval(&self) -> Duration {
-        if self.has_joined {
-            REPAIR_PAGE_INTERVAL
-        } else {
-            JOIN_PAGE_INTERVAL
-        }
-    }
 }
 
 impl MembershipState {
@@ -142,52 +134,64 @@
             first_key: 0,
             due: now,
             is_waiting: false,
+            is_own_zone: !self.sync.has_joined,
         });
     }
 
     pub(super) fn tick_sync(&mut self, now: Duration) {
-        let page_bytes = self.sync.page_bytes();
-        let Some(cursor) = &mut self.sync.cursor else {
+        let Some(cursor) = self.sync.cursor.as_mut() else {
             return;
         };
-        if cursor.is_waiting || now < cursor.due {
+        if cursor.is_waiting || now < cursor.due || self.bucket.is_overdrawn(now) {
             return;
         }
         cursor.is_waiting = true;
-        let (peer, first_key) = (cursor.peer, cursor.first_key);
-        let request = SyncRequest {
-            digests: self.digests().to_vec(),
-            first_key,
-            own: Some(WireRecord::from(self.own_record())),
-            page_bytes,
+        let cursor = *cursor;
+        let request = Bytes::from(self.sync_request(cursor).encode_to_vec());
+        self.count_sync_sent(now, request.len(), true);
+        self.actions.push(MembershipAction::RequestSync {
+            peer: cursor.peer,
+            request,
+        });
+    }
+
+    fn sync_request(&self, cursor: SyncCursor) -> SyncRequest {
+        let digests = if self.sync.has_joined {
+            self.digests().to_vec()
+        } else {
+            Vec::new()
         };
-        let request = Bytes::from(request.encode_to_vec());
-        self.count_sync_sent(now, request.len(), page_bytes);
-        self.actions
-            .push(MembershipAction::RequestSync { peer, request });
+        let zone = if cursor.is_own_zone {
+            self.own_zone.to_string()
+        } else {
+            String::new()
+        };
+        SyncRequest {
+            digests,
+            first_key: cursor.first_key,
+            own: Some(WireRecord::from(self.own_record())),
+            page_bytes: self.sync.page_bytes(),
+            zone,
+        }
     }
 
-    fn count_sync_sent(&mut self, now: Duration, size: usize, page_bytes: u32) {
+    pub(super) fn count_sync_sent(&mut self, now: Duration, size: usize, is_charged: bool) {
         let size = size + EXCHANGE_BYTES;
         self.counters.sync_bytes_sent += size as u64;
-        self.charge_sync(now, size, page_bytes);
+        if is_charged {
+            self.bucket.charge(now, size);
+        }
     }
 
-    fn count_sync_received(&mut self, now: Duration, size: usize, page_bytes: u32) {
+    pub(super) fn count_sync_received(&mut self, now: Duration, size: usize, is_charged: bool) {
         let size = size + EXCHANGE_BYTES;
         self.counters.sync_bytes_received += size as u64;
-        self.charge_sync(now, size, page_bytes);
-    }
-
-    fn charge_sync(&mut self, now: Duration, size: usize, page_bytes: u32) {
-        // Pages for a joining node are counted apart: charging them would keep
-        // that node from telling the others about itself.
-        if page_bytes <= REPAIR_PAGE_BYTES {
+        if is_charged {
             self.bucket.charge(now, size);
         }
     }
 
-    fn digests(&self) -> [u64; PART_COUNT] {
+    pub(super) fn digests(&self) -> [u64; PART_COUNT] {
         let mut digests = [0; PART_COUNT];
         for record in self.members.values().filter(|record| record.is_live()) {
             digests[part_of(record.key())] ^= record.fingerprint();
@@ -195,75 +199,52 @@
         digests
     }
 
-    /// Answers a request of another node to compare digests.
-    pub fn handle_sync(&mut self, now: Duration, request: &Bytes) -> Bytes {
-        let size = request.len();
-        let Ok(request) = SyncRequest::decode(request.clone()) else {
-            self.counters.malformed += 1;
-            return Bytes::new();
-        };
-        let page_bytes = request.page_bytes.min(JOIN_PAGE_BYTES);
-        self.count_sync_received(now, size, page_bytes);
-        if let Some(own) = request.own {
-            self.take_record(now, own, NewsSource::Gossip);
-        }
-        let reply = self.sync_reply(&request.digests, request.first_key, page_bytes);
-        let reply = Bytes::from(reply.encode_to_vec());
-        self.count_sync_sent(now, reply.len(), page_bytes);
-        reply
-    }
-
-    fn sync_reply(&self, theirs: &[u64], first_key: u64, page_bytes: u32) -> SyncReply {
-        let ours = self.digests();
-        let is_equal = |key: MemberKey| {
-            let part = part_of(key);
-            theirs.get(part) == Some(&ours[part])
-        };
-        let mut reply = SyncReply::default();
-        let mut room = page_bytes as usize;
-        for (key, node) in self.by_key.range(MemberKey(first_key)..) {
-            let Some(record) = self.members.get(node).filter(|_| !is_equal(*key)) else {
-                continue;
-            };
-            let wire = WireRecord::from(record);
-            let size = wire.encoded_len();
-            if size > room {
-                reply.next_key = Some(key.0);
-                break;
-            }
-            room -= size;
-            reply.records.push(wire);
-        }
-        pack_names(&mut reply);
-        reply
-    }
-
     /// Takes the reply to a [`MembershipAction::RequestSync`].
     pub fn on_sync_reply(&mut self, now: Duration, reply: &Bytes) -> Vec<MembershipAction> {
-        self.count_sync_received(now, reply.len(), self.sync.page_bytes());
+        self.count_sync_received(now, reply.len(), true);
         let Ok(reply) = SyncReply::decode(reply.clone()) else {
             self.counters.malformed += 1;
             return self.on_sync_failure(now);
         };
-        let next_key = reply.next_key;
+        let (next_key, is_refused) = (reply.next_key, reply.is_refused);
         for wire in unpack_names(reply) {
             self.take_record(now, wire, NewsSource::Sync);
         }
         match next_key {
+            Some(next_key) if is_refused => self.back_off(now, next_key),
             Some(next_key) => self.turn_page(now, next_key),
-            None => {
-                if !self.sync.has_joined {
-                    self.sync.settled_at = now + SETTLING_TIME;
-                }
-                self.sync.has_joined = true;
-                self.end_sync(now);
-            }
+            None => self.end_pass(now),
         }
         self.take_actions()
     }
 
+    /// Goes on from the own zone to everything, or ends the comparison.
+    fn end_pass(&mut self, now: Duration) {
+        self.sync.backoff = Duration::ZERO;
+        if let Some(cursor) = &mut self.sync.cursor
+            && cursor.is_own_zone
+        {
+            cursor.is_own_zone = false;
+            cursor.first_key = 0;
+            cursor.due = now;
+            cursor.is_waiting = false;
+            return;
+        }
+        if !self.sync.has_joined {
+            self.sync.settled_at = now + SETTLING_TIME;
+        }
+        self.sync.has_joined = true;
+        self.end_sync(now);
+    }
+
+    fn back_off(&mut self, now: Duration, first_key: u64) {
+        let backoff = self.sync.backoff.max(PAGE_INTERVAL);
+        self.sync.backoff = (backoff * 2).min(MAX_BACKOFF);
+        self.turn_page(now + backoff - PAGE_INTERVAL, first_key);
+    }
+
     fn turn_page(&mut self, now: Duration, next_key: u64) {
-        let due = now + self.sync.page_interval();
+        let due = now + PAGE_INTERVAL;
         let source = if self.sync.has_joined {
             None
         } else {
@@ -283,7 +264,7 @@
             self.end_sync(now);
         } else {
             let first_key = self.sync.cursor.map_or(0, |cursor| cursor.first_key);
-            self.turn_page(now + JOIN_RETRY, first_key);
+            self.turn_page(now, first_key);
         }
         self.take_actions()
     }
@@ -309,6 +290,6 @@
     }
 }
 
-fn part_of(key: MemberKey) -> usize {
+pub(super) fn part_of(key: MemberKey) -> usize {
     (key.0 >> PART_SHIFT) as usize
 }
