--- a/src/gate/tests.rs
+++ b/src/gate/tests.rs
@@ -4,8 +4,12 @@
 use assert_matches::assert_matches;
 use ntex::web::{self, App, HttpResponse, test};
 
+use tokio::sync::mpsc::unbounded_channel;
+
 use super::*;
 use crate::ids::{ConnectionCount, SlotCount};
+use crate::link::endpoint::lane_pair;
+use crate::link::messages::{CallName, CallResume, CancelReply, ResumeState};
 
 /// Gate with a backend server of one slot, and a link to it in memory.
 struct GateFixture {
@@ -205,3 +209,22 @@
     assert_matches!(fixture.receiver.recv().await, Some(LinkMessage::Answer(_)));
     assert_eq!(fixture.runs(), 1);
 }
+
+#[ntex::test]
+async fn cancel_that_meets_a_refusal_is_answered_not_run() {
+    let mut fixture = GateFixture::start().await;
+    fixture.commands.send(GateCommand::Drain).unwrap();
+    assert_matches!(fixture.receiver.recv().await, Some(LinkMessage::Leaving(_)));
+    fixture.open(1, "/");
+    fixture
+        .sender
+        .send(LinkMessage::Cancel(CallName { sequence: 1 }));
+    assert_matches!(fixture.receiver.recv().await, Some(LinkMessage::Refusal(_)));
+    assert_matches!(
+        fixture.receiver.recv().await,
+        Some(LinkMessage::CancelReply(CancelReply {
+            is_not_run: true,
+            ..
+        }))
+    );
+}
