Refuse tickets that the store's older head could not bring into force

Cause: with a store set back to an old copy, a ticket would have been told accepted while every node ignored the lower head version.

Change: a submission does not build on a head below the one in force at its node; it is refused, with the versions in the reason. Answers move to a module of their own.

--- a/src/tickets.rs
+++ b/src/tickets.rs
@@ -6,12 +6,14 @@
 //! everything that follows only moves forward, so that order and repetition
 //! of delivery don't matter.
 //!
+//! * [`answer`]: what a submission is answered.
 //! * [`body`]: from raw JSON to a checked ticket.
 //! * [`head`]: the small value in the store that says what is accepted.
 //! * [`state`]: what a node knows to be in force, and deltas between nodes.
 //! * [`submit`]: the writes that get a ticket accepted, and settling of doubt.
 //! * [`handle`]: access for the rest of the node to the tasks on the control thread.
 
+pub mod answer;
 pub mod body;
 pub mod handle;
 pub mod head;
@@ -23,11 +25,12 @@
 mod view;
 mod watcher;
 
+pub use answer::{RefusalReason, SubmitAnswer};
 pub use body::{ChangeTicket, TicketDigest, TicketError};
 pub use handle::{ConfigHandle, ConfigSettings};
 pub use head::{TicketHead, TicketVerdict};
 pub use state::{TicketDelta, TicketState};
-pub use submit::{RefusalReason, SubmitAnswer};
+
 pub use view::{TicketStatus, TicketView};
 
 #[cfg(test)]
--- a/src/tickets/driver.rs
+++ b/src/tickets/driver.rs
@@ -10,12 +10,13 @@
 use rand::Rng;
 use tokio::sync::{mpsc, watch};
 
+use super::answer::{RefusalReason, SubmitAnswer};
 use super::body::ChangeTicket;
 use super::handle::{ConfigCommand, ConfigSettings};
 use super::head::TicketHead;
 use super::peers::{FetchSources, fetch_newer};
 use super::state::{TicketDelta, TicketState, is_accepted_body};
-use super::submit::{RefusalReason, SubmitAnswer, SubmitPacer, body_key, submit_ticket};
+use super::submit::{SubmitPacer, body_key, submit_ticket};
 use super::view::show_ticket;
 use super::watcher::watch_head;
 use crate::ids::TicketNumber;
@@ -217,7 +218,8 @@
         started: Instant::now(),
         pause: FIRST_PAUSE,
     };
-    let report = submit_ticket(&*store, &ticket, &mut pacer).await;
+    let least_version = shared.head_version();
+    let report = submit_ticket(&*store, &ticket, least_version, &mut pacer).await;
     log::info!("tickets: ticket {number} submitted: {:?}", report.answer);
     let mut bodies = BTreeMap::from([(number, ticket)]);
     let is_applied = match &report.head {
--- a/src/tickets/handle.rs
+++ b/src/tickets/handle.rs
@@ -9,11 +9,11 @@
 use bytes::Bytes;
 use tokio::sync::{mpsc, oneshot, watch};
 
+use super::answer::{RefusalReason, SubmitAnswer};
 use super::body::ChangeTicket;
 use super::driver::start_tasks;
 use super::peers::answer_fetch;
 use super::state::TicketState;
-use super::submit::{RefusalReason, SubmitAnswer};
 use super::view::{TicketView, local_view};
 use crate::exchange::PeerHello;
 use crate::ids::{NodeId, TicketNumber, ZoneName};
--- a/src/tickets/submit.rs
+++ b/src/tickets/submit.rs
@@ -9,11 +9,11 @@
 //! revision decides, of which at most one can take effect.
 
 use bytes::Bytes;
-use derive_more::{Display, Error};
 
+use super::answer::{RefusalReason, SubmitAnswer};
 use super::body::{ChangeTicket, TicketDigest, TicketError};
 use super::head::{TicketHead, TicketVerdict};
-use crate::ids::{ServiceName, TicketNumber};
+use crate::ids::TicketNumber;
 use crate::store::{ConfigStore, KeyRevision, StoreError, SwapOutcome};
 
 /// Key of the head.
@@ -26,75 +26,6 @@
     format!("{BODY_PREFIX}{number}")
 }
 
-/// Reason why a ticket was not accepted.
-#[derive(Debug, Clone, Display, Error, PartialEq, Eq)]
-pub enum RefusalReason {
-    /// The ticket is malformed.
-    #[display("{_0}")]
-    Malformed(#[error(not(source))] TicketError),
-    /// A higher number is in force.
-    #[display(
-        "out of date: ticket {in_force} is in force for service {service}; if this one was \
-         accepted before, it has been superseded"
-    )]
-    Stale {
-        /// First service with a higher number.
-        service: ServiceName,
-        /// Number in force there.
-        in_force: TicketNumber,
-    },
-    /// The number is taken by other content.
-    #[display("conflict: the number is taken by a ticket with other content")]
-    Conflict,
-    /// Limits on the configuration as a whole are reached.
-    #[display("configuration is full: remove services or shorten their rules first")]
-    Full,
-    /// The store can't be reached; nothing was changed.
-    #[display("store unavailable, nothing was changed: submit again later ({reason})")]
-    StoreAway {
-        /// Last failure in words.
-        reason: String,
-    },
-    /// Other tickets kept winning the race; nothing was changed.
-    #[display("too many tickets at once, nothing was changed: submit again")]
-    Contended,
-    /// The store holds a head that this version can't read.
-    #[display("stored head is not readable: {reason}")]
-    HeadUnreadable {
-        /// What was wrong.
-        reason: String,
-    },
-}
-
-impl RefusalReason {
-    /// Whether the same ticket may be accepted when it is submitted again.
-    pub fn is_worth_retrying(&self) -> bool {
-        matches!(self, Self::StoreAway { .. } | Self::Contended)
-    }
-}
-
-/// Answer to the submission of a ticket.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub enum SubmitAnswer {
-    /// Accepted; in force here, and everywhere within seconds.
-    Accepted {
-        /// Version of the head that accepted it.
-        head_version: u64,
-    },
-    /// The same ticket was accepted before; nothing was changed.
-    Repeated,
-    /// Not accepted by this submission.
-    Refused {
-        /// Why.
-        reason: RefusalReason,
-    },
-    /// It may have been accepted: ask again with the same number and content.
-    Unknown {
-        /// Last failure in words.
-        reason: String,
-    },
-}
-
 /// Result of a submission for the node that made it.
 #[derive(Debug)]
 pub struct SubmitReport {
@@ -120,6 +51,7 @@
 struct Submission<'a, S> {
     store: &'a S,
     ticket: &'a ChangeTicket,
+    least_version: u64,
     content: Bytes,
     digest: TicketDigest,
     is_body_stored: bool,
@@ -135,9 +67,13 @@
 }
 
 /// Submits a ticket and settles what can be settled in the time given.
+///
+/// A head below `least_version`, which is in force here already, is not
+/// replaced: the ticket could not come into force.
 pub async fn submit_ticket<S: ConfigStore>(
     store: &S,
     ticket: &ChangeTicket,
+    least_version: u64,
     pacer: &mut impl SubmitPacer,
 ) -> SubmitReport {
     let content = match ticket.encode() {
@@ -147,6 +83,7 @@
     let mut submission = Submission {
         store,
         ticket,
+        least_version,
         digest: TicketDigest::of(&content),
         content,
         is_body_stored: false,
@@ -214,6 +151,9 @@
             },
             None => (TicketHead::default(), KeyRevision::ABSENT),
         };
+        if head.version < self.least_version {
+            return AttemptEnd::Again(set_back(head.version, self.least_version));
+        }
         let was_doubtful = self.doubtful.is_some();
         if self.doubtful.is_some_and(|expected| revision > expected) {
             self.doubtful = None;
@@ -325,6 +265,12 @@
     }
 }
 
+fn set_back(stored: u64, in_force: u64) -> RefusalReason {
+    RefusalReason::HeadUnreadable {
+        reason: format!("version {stored} is older than {in_force}, which is in force here"),
+    }
+}
+
 fn unreadable(error: &TicketError) -> AttemptEnd {
     AttemptEnd::Done(refused(RefusalReason::HeadUnreadable {
         reason: error.to_string(),
--- a/src/tickets/tests.rs
+++ b/src/tickets/tests.rs
@@ -5,6 +5,7 @@
 use assert_matches::assert_matches;
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
+use prost::Message;
 
 use super::*;
 use crate::ids::TicketNumber;
@@ -260,3 +261,47 @@
         prop_assert_eq!(&state, last);
     }
 }
+
+/// Prints sizes and times of the logic at the stated size.
+#[test]
+#[ignore = "measurement, see docs/capacity-tickets.md"]
+fn measure_ticket_logic() {
+    let requests =
+        serde_json::json!({ "method": "POST", "path": "/orders/of/a/kind", "idempotent": false });
+    let rule = serde_json::json!({ "team": "team-00", "requests": vec![requests; 12] });
+    let body = |name: u64| {
+        let services = BTreeMap::from([(format!("service-{name:04}"), &rule)]);
+        serde_json::json!({ "services": services }).to_string()
+    };
+    let (mut head, mut state) = (TicketHead::default(), TicketState::default());
+    let mut before = state.clone();
+    let mut spent = [std::time::Duration::ZERO; 3];
+    const ROUNDS: u64 = 1_300;
+    for round in 0..ROUNDS {
+        let json = body(round % 130);
+        let started = std::time::Instant::now();
+        let ticket = ChangeTicket::parse(number(900_000_000 + round), json.as_bytes()).unwrap();
+        let bytes = head.encode().unwrap();
+        head = accept(&TicketHead::decode(&bytes).unwrap(), &ticket);
+        spent[0] += started.elapsed();
+        before = state.clone();
+        let started = std::time::Instant::now();
+        assert!(state.apply_head(&head, &BTreeMap::from([(ticket.number, ticket)])));
+        spent[1] += started.elapsed();
+        let started = std::time::Instant::now();
+        let delta = state.delta_since(before.head_version());
+        let delta = TicketDelta::decode(delta.encode_to_vec().as_slice()).unwrap();
+        let mut peer = before.clone();
+        assert!(peer.apply(&delta));
+        spent[2] += started.elapsed();
+    }
+    let times = spent.map(|spent| spent / u32::try_from(ROUNDS).unwrap());
+    println!("MEASURE submit, apply head, delta with a copy of the state: {times:?}");
+    println!(
+        "MEASURE bytes: head {}, rule {}, delta {}, whole state {}",
+        head.encode().unwrap().len(),
+        rule.to_string().len(),
+        state.delta_since(before.head_version()).encoded_len(),
+        state.delta_since(0).encoded_len(),
+    );
+}
--- a/src/tickets/tests/races.rs
+++ b/src/tickets/tests/races.rs
@@ -5,10 +5,11 @@
 use std::future::Future;
 use std::pin::Pin;
 use std::rc::Rc;
-use std::task::{Context, Waker};
+use std::task::{Context, Poll, Waker};
 
 use proptest::prelude::*;
 
+use assert_matches::assert_matches;
 use bytes::Bytes;
 
 use super::super::head::RECENT_TICKETS;
@@ -67,7 +68,7 @@
 fn operator(store: &MemoryStore, ticket: ChangeTicket, answers: &Answers) -> Operator {
     let (store, answers) = (store.clone(), answers.clone());
     Box::pin(async move {
-        let report = submit_ticket(&store, &ticket, &mut CountedPacer(ATTEMPTS)).await;
+        let report = submit_ticket(&store, &ticket, 0, &mut CountedPacer(ATTEMPTS)).await;
         answers.borrow_mut().push((ticket, report.answer));
         for number in report.garbage {
             let _ = store.remove(&body_key(number)).await;
@@ -343,3 +344,25 @@
         "after the head"
     );
 }
+
+#[test]
+fn store_that_was_set_back_accepts_nothing() {
+    let store = MemoryStore::default();
+    let late = ticket(9, &[(0, 1)]);
+    let mut pacer = CountedPacer(ATTEMPTS);
+    let submission = submit_ticket(&store, &late, 1, &mut pacer);
+    let mut submission = Box::pin(submission);
+    let mut context = Context::from_waker(Waker::noop());
+    let report = loop {
+        if let Poll::Ready(report) = submission.as_mut().poll(&mut context) {
+            break report;
+        }
+    };
+    assert_matches!(
+        report.answer,
+        SubmitAnswer::Refused {
+            reason: RefusalReason::HeadUnreadable { .. }
+        }
+    );
+    assert_eq!(store.key_count(), 0);
+}
