--- a/src/standin/backend/state.rs
+++ b/src/standin/backend/state.rs
@@ -72,6 +72,8 @@
     pub slots: Arc<Semaphore>,
     /// Wakes the announcer before its next heartbeat.
     pub announce_now: Notify,
+    /// Whether each run is printed.
+    pub print_runs: bool,
     counts: Mutex<RunCounts>,
     faults: Mutex<FaultSettings>,
 }
@@ -86,6 +88,7 @@
             via: options.via.clone(),
             slots: Arc::new(Semaphore::new(slots)),
             announce_now: Notify::new(),
+            print_runs: options.print_runs,
             counts: Mutex::default(),
             faults: Mutex::default(),
         }
@@ -148,6 +151,9 @@
         counts.most_running = counts.most_running.max(running);
         if let Some(id) = request_id {
             *counts.runs.entry(id.to_string()).or_default() += 1;
+            if self.state.print_runs {
+                println!("run {id}");
+            }
         }
         self.phase = RequestPhase::Running;
     }
