Run every binary on bad arguments

Cause: a bad or missing setting has to end the start with exit 2 and one line. Change: tests of all seven binaries as processes. They showed that ctl wrote "expected expected a whole number" for a bad number; its arguments now carry what is allowed themselves.

--- a/src/ctl/options.rs
+++ b/src/ctl/options.rs
@@ -29,6 +29,9 @@
     .with_arity(FlagArity::Repeated),
 ];
 
+const NUMBER_RULE: &str = "a whole number from 1";
+const CALL_RULE: &str = "a call id such as 00000000000000ff-1a";
+
 /// Command names, as an error lists them.
 const COMMAND_NAMES: &str = "submit, check, show, services, members, status, health or explain";
 
@@ -131,21 +134,21 @@
         match arguments.as_slice() {
             ["submit", file, number] => Ok(Self::Submit {
                 file: (*file).to_string(),
-                number: parse_argument("NUMBER", number)?,
+                number: parse_argument("NUMBER", NUMBER_RULE, number)?,
             }),
             ["check", file, number] => Ok(Self::Check {
                 file: (*file).to_string(),
-                number: parse_argument("NUMBER", number)?,
+                number: parse_argument("NUMBER", NUMBER_RULE, number)?,
             }),
             ["show", number] => Ok(Self::Show {
-                number: parse_argument("NUMBER", number)?,
+                number: parse_argument("NUMBER", NUMBER_RULE, number)?,
             }),
             ["services"] => Ok(Self::Services),
             ["members"] => Ok(Self::Members),
             ["status"] => Ok(Self::Status),
             ["health"] => Ok(Self::Health),
             ["explain", call] => Ok(Self::Explain {
-                call: parse_argument("CALL_ID", call)?,
+                call: parse_argument("CALL_ID", CALL_RULE, call)?,
                 logs: raw.required_list("log")?,
             }),
             _ => Err(SettingError::BadValue {
@@ -157,14 +160,10 @@
     }
 }
 
-fn parse_argument<T: FromStr>(name: &str, text: &str) -> Result<T, SettingError>
-where
-    T::Err: ToString,
-{
-    text.parse()
-        .map_err(|error: T::Err| SettingError::BadValue {
-            setting: name.to_string(),
-            value: text.to_string(),
-            allowed: error.to_string(),
-        })
+fn parse_argument<T: FromStr>(name: &str, allowed: &str, text: &str) -> Result<T, SettingError> {
+    text.parse().map_err(|_| SettingError::BadValue {
+        setting: name.to_string(),
+        value: text.to_string(),
+        allowed: allowed.to_string(),
+    })
 }
--- /dev/null
+++ b/tests/cli.rs
@@ -0,0 +1,184 @@
+//! Every binary's command line, run as a process.
+
+#![allow(clippy::unwrap_used)] // A missing binary should stop the run.
+
+use std::net::TcpListener;
+use std::process::{Command, Output};
+
+const BINARIES: [&str; 7] = [
+    env!("CARGO_BIN_EXE_currantlift-ctl"),
+    env!("CARGO_BIN_EXE_currantlift-decisions"),
+    env!("CARGO_BIN_EXE_currantlift-node"),
+    env!("CARGO_BIN_EXE_currantlift-replay"),
+    env!("CARGO_BIN_EXE_standin-backend"),
+    env!("CARGO_BIN_EXE_standin-relay"),
+    env!("CARGO_BIN_EXE_standin-store"),
+];
+const NODE: &str = env!("CARGO_BIN_EXE_currantlift-node");
+const CTL: &str = env!("CARGO_BIN_EXE_currantlift-ctl");
+const REPLAY: &str = env!("CARGO_BIN_EXE_currantlift-replay");
+const BACKEND: &str = env!("CARGO_BIN_EXE_standin-backend");
+
+fn run(binary: &str, arguments: &[&str], variables: &[(&str, &str)]) -> Output {
+    let mut command = Command::new(binary);
+    command.args(arguments).env_clear();
+    command.envs(variables.iter().copied());
+    command.output().unwrap()
+}
+
+/// Runs a binary that has to end with exit 2, and gives its one line.
+fn rejection(binary: &str, arguments: &[&str], variables: &[(&str, &str)]) -> String {
+    let output = run(binary, arguments, variables);
+    let line = String::from_utf8(output.stderr).unwrap();
+    assert_eq!(output.status.code(), Some(2), "{arguments:?}: {line}");
+    assert_eq!(line.lines().count(), 1, "{arguments:?}: {line}");
+    assert!(output.stdout.is_empty(), "{arguments:?}");
+    line
+}
+
+#[test]
+fn help_and_version_go_to_standard_output() {
+    for binary in BINARIES {
+        let name = binary.rsplit('/').next().unwrap();
+        let help = run(binary, &["--help"], &[]);
+        assert_eq!(help.status.code(), Some(0), "{name}");
+        let text = String::from_utf8(help.stdout).unwrap();
+        assert!(text.contains(&format!("Usage: {name}")), "{text}");
+        let version = run(binary, &["--version"], &[]);
+        let text = String::from_utf8(version.stdout).unwrap();
+        assert_eq!(text, format!("{name} {}\n", env!("CARGO_PKG_VERSION")));
+    }
+}
+
+#[test]
+fn an_unknown_flag_ends_every_binary_with_exit_2() {
+    for binary in BINARIES {
+        let line = rejection(binary, &["--bogus"], &[]);
+        assert!(
+            line.contains("--bogus: unknown argument, expected --"),
+            "{line}"
+        );
+    }
+}
+
+#[test]
+fn a_missing_setting_is_named() {
+    let cases: [(&str, &[&str], &str); 5] = [
+        (NODE, &[], "--node-id (CURRANTLIFT_NODE_ID): missing"),
+        (CTL, &[], "COMMAND: '' is not allowed, expected submit,"),
+        (CTL, &["status"], "--admin (CURRANTLIFT_ADMIN): missing"),
+        (REPLAY, &[], "--rate (CURRANTLIFT_RATE): missing"),
+        (BACKEND, &[], "--id (CURRANTLIFT_ID): missing"),
+    ];
+    for (binary, arguments, expected) in cases {
+        let line = rejection(binary, arguments, &[]);
+        assert!(line.contains(expected), "{line}");
+    }
+}
+
+#[test]
+fn a_bad_value_is_named_with_what_is_allowed() {
+    let cases: [(&str, &[&str], &str); 7] = [
+        (
+            NODE,
+            &["--threads", "0"],
+            "--threads: '0' is not allowed, expected 1 to 64",
+        ),
+        (
+            NODE,
+            &["--listen", "localhost"],
+            "--listen: 'localhost' is not allowed, expected IP:PORT",
+        ),
+        (
+            NODE,
+            &["--peer", "10.0.0.1:0"],
+            "--peer: '10.0.0.1:0' is not allowed",
+        ),
+        (
+            CTL,
+            &["show", "0"],
+            "NUMBER: '0' is not allowed, expected a whole number from 1",
+        ),
+        (
+            CTL,
+            &["explain", "x"],
+            "CALL_ID: 'x' is not allowed, expected a call id",
+        ),
+        (
+            REPLAY,
+            &["--trace", "t", "--ingress", "a"],
+            "--ingress: 'a' is not allowed, expected NAME=",
+        ),
+        (
+            BACKEND,
+            &["--work-ms", "-1"],
+            "--work-ms: '-1' is not allowed, expected 0 to 3600000",
+        ),
+    ];
+    let node = [
+        ("CURRANTLIFT_NODE_ID", "a"),
+        ("CURRANTLIFT_REGION", "r"),
+        ("CURRANTLIFT_ZONE", "z"),
+        ("CURRANTLIFT_LISTEN", "127.0.0.1:0"),
+        ("CURRANTLIFT_PEER_LISTEN", "127.0.0.1:0"),
+        ("CURRANTLIFT_ADMIN_LISTEN", "127.0.0.1:0"),
+    ];
+    for (binary, arguments, expected) in cases {
+        let line = rejection(binary, arguments, &node);
+        assert!(line.contains(expected), "{line}");
+    }
+    let variables = [("CURRANTLIFT_THREADS", "many")];
+    let line = rejection(NODE, &[], &[&node[..], &variables[..]].concat());
+    assert!(
+        line.contains("CURRANTLIFT_THREADS: 'many' is not allowed"),
+        "{line}"
+    );
+}
+
+#[test]
+fn an_unreadable_file_is_bad_usage() {
+    let admin = ["--admin", "http://127.0.0.1:1"];
+    let line = rejection(
+        CTL,
+        &[&admin[..], &["submit", "/no/such/file", "1"][..]].concat(),
+        &[],
+    );
+    assert!(line.contains("/no/such/file: "), "{line}");
+    let trace = [
+        "--trace",
+        "/no/such/file",
+        "--ingress",
+        "z=http://127.0.0.1:1",
+    ];
+    let standin = ["--standin", "n=http://127.0.0.1:1"];
+    let line = rejection(REPLAY, &[&trace[..], &standin[..]].concat(), &[]);
+    assert!(line.contains("/no/such/file: "), "{line}");
+}
+
+#[test]
+fn ctl_tells_an_unreachable_node_by_its_exit_code() {
+    // Bound and not listening for HTTP: dropped at once, so the port is free.
+    let address = TcpListener::bind("127.0.0.1:0")
+        .unwrap()
+        .local_addr()
+        .unwrap();
+    let admin = format!("http://{address}");
+    let output = run(CTL, &["--admin", &admin, "status"], &[]);
+    assert_eq!(output.status.code(), Some(4));
+}
+
+#[test]
+fn a_taken_port_ends_a_node_with_exit_1() {
+    let taken = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = taken.local_addr().unwrap().to_string();
+    let arguments = [
+        "--node-id=a",
+        "--region=r",
+        "--zone=z",
+        "--listen=127.0.0.1:0",
+        "--peer-listen=127.0.0.1:0",
+        "--admin-listen",
+        &address,
+    ];
+    assert_eq!(run(NODE, &arguments, &[]).status.code(), Some(1));
+}
