Never let a cut answer pass as whole, and answer malformed requests by the table

Cause: two faults of the ingress, found by tests against real processes (failing first): - An answer that its backend server cut short reached the caller with the library's own "HTTP/1.1 500 Internal Server Error" behind the first half: inside the chunks, or filling up the length that was promised, so that the caller could not tell that the answer was not whole. - Oversized heads, bad chunks, conflicting lengths and nonsense got the right status from the library, but without the table's body and without `currantlift-outcome`.

Change: the answer's stream terminates the connection when the answer breaks off and stays pending, so that nothing is written behind it. Protocol errors go through a control service that answers from the table of error kinds.

Ruled out: `IoRef::close`. A caller of HTTP/1.0 without a length can still only tell by a reset.

--- a/src/ingress.rs
+++ b/src/ingress.rs
@@ -139,12 +139,11 @@
     let guard = worker.shared.enter();
     let table = Arc::clone(&worker.shared.table.borrow());
     let is_stopping = *worker.shared.is_stopping.borrow();
-    let is_head = request.method() == ntex::http::Method::HEAD;
     let mut response = match RequestFacts::check(&request, &table) {
         Ok(facts) => {
             let call = CallDriver::new(worker, facts, payload);
             match call.run().await {
-                Ok(answer) => success_response(answer, is_head, guard),
+                Ok(answer) => success_response(&request, answer, guard),
                 Err(failure) => failure_response(&failure),
             }
         }
--- a/src/ingress/answer.rs
+++ b/src/ingress/answer.rs
@@ -6,10 +6,11 @@
 
 use derive_more::Display;
 use futures_util::stream;
-use ntex::http::StatusCode;
 use ntex::http::body::{Body, BoxedBodyStream, SizedStream};
 use ntex::http::header::{CONTENT_LENGTH, CONTENT_TYPE, RETRY_AFTER};
-use ntex::web::HttpResponse;
+use ntex::http::{Method, StatusCode};
+use ntex::io::IoRef;
+use ntex::web::{HttpRequest, HttpResponse};
 use serde::Serialize;
 use tokio::sync::mpsc::Receiver;
 
@@ -103,7 +104,11 @@
 }
 
 /// Passes a backend server's answer on to the caller.
-pub fn success_response(answer: CallAnswer, is_head: bool, guard: InFlightGuard) -> HttpResponse {
+pub fn success_response(
+    request: &HttpRequest,
+    answer: CallAnswer,
+    guard: InFlightGuard,
+) -> HttpResponse {
     let code = u16::try_from(answer.head.status).unwrap_or_default();
     let status = StatusCode::from_u16(code).unwrap_or(StatusCode::BAD_GATEWAY);
     let mut response = HttpResponse::build(status);
@@ -116,7 +121,7 @@
     if BODILESS.contains(&code) {
         return response.body(Body::None);
     }
-    if is_head {
+    if request.method() == Method::HEAD {
         return head_response(response, answer.head.body_length);
     }
     let body_length = answer.head.body_length;
@@ -124,7 +129,7 @@
         let body = ntex::util::Bytes::copy_from_slice(&answer.head.body);
         return response.body(Body::Bytes(body));
     };
-    let chunks = answer_stream(answer.head.body, rest, guard);
+    let chunks = answer_stream(answer.head.body, rest, request.io().cloned(), guard);
     match body_length {
         Some(length) => response.message_body(Body::from_message(SizedStream::new(length, chunks))),
         None => response.message_body(Body::from_message(BoxedBodyStream::new(chunks))),
@@ -143,23 +148,33 @@
     response.finish()
 }
 
+/// Body of an answer, chunk by chunk.
+///
+/// If it is cut short, the connection is closed and the stream stays pending.
+/// On an error the library would write an answer of its own behind the bytes
+/// sent so far, which could fill the length that the caller was promised.
 fn answer_stream(
     first: bytes::Bytes,
     rest: AnswerReceiver,
+    io: Option<IoRef>,
     guard: InFlightGuard,
 ) -> impl stream::Stream<Item = Result<ntex::util::Bytes, Rc<dyn Error>>> + Unpin {
-    let start = (Some(first), rest, guard);
+    let start = (Some(first), rest, io, guard);
     Box::pin(stream::unfold(
         start,
-        |(first, mut rest, guard)| async move {
+        |(first, mut rest, io, guard)| async move {
             let chunk = match first {
                 Some(first) if !first.is_empty() => Ok(first),
                 _ => rest.recv().await?,
             };
-            let chunk = chunk
-                .map(|data| ntex::util::Bytes::copy_from_slice(&data))
-                .map_err(|cut| Rc::new(cut) as Rc<dyn Error>);
-            Some((chunk, (None, rest, guard)))
+            let Ok(data) = chunk else {
+                if let Some(io) = &io {
+                    io.terminate();
+                }
+                return std::future::pending().await;
+            };
+            let data = ntex::util::Bytes::copy_from_slice(&data);
+            Some((Ok(data), (None, rest, io, guard)))
         },
     ))
 }
--- a/src/node/listener.rs
+++ b/src/node/listener.rs
@@ -8,8 +8,13 @@
 use std::sync::atomic::{AtomicU32, Ordering};
 
 use ntex::SharedCfg;
-use ntex::http::HttpServiceConfig;
-use ntex::server::Server;
+use ntex::http::error::{DecodeError, ResponseError};
+use ntex::http::h1::control::Reason;
+use ntex::http::h1::{Control, ControlAck, ProtocolError};
+use ntex::http::{HttpService, HttpServiceConfig};
+use ntex::io::Filter;
+use ntex::server::{Config, Server};
+
 use ntex::time::Seconds;
 use ntex::web;
 use rand::SeedableRng;
@@ -17,13 +22,17 @@
 use tokio::sync::mpsc::UnboundedSender;
 
 use crate::control::state::NodeIdentity;
+use crate::error::ErrorKind;
 use crate::gate::GateCommand;
+use crate::ingress::answer::failure_response;
 use crate::ingress::{
     IngressShared, IngressWorker, close_unused_links, follow_notices, serve_request,
 };
 use crate::link::pool::{LinkIdentity, LinkPool};
 use crate::options::NodeOptions;
 
+/// Name of the listener in the library's log lines.
+const LISTENER_NAME: &str = "callers";
 /// Most header fields of a request.
 const MAX_HEADERS: usize = 96;
 /// Most bytes of a request head.
@@ -60,16 +69,38 @@
         .set_max_buf_size(MAX_HEAD_BYTES);
     let stop_seconds = u16::try_from(options.drain_limit.as_secs()).unwrap_or(u16::MAX);
     let stop_limit = Seconds(stop_seconds);
-    let server = web::HttpServer::new(factory)
+    let config: SharedCfg = SharedCfg::new(LISTENER_NAME).add(limits).into();
+    let server = ntex::server::build()
         .workers(usize::try_from(options.threads.get()).unwrap_or(1))
-        .config(SharedCfg::new("callers").add(limits))
         .disable_signals()
         .shutdown_timeout(stop_limit)
-        .listen(listener)?
+        .listen(LISTENER_NAME, listener, async move |server: Config| {
+            server.config(config.clone());
+            HttpService::new(factory().await).h1_control(answer_control)
+        })?
         .run();
     Ok(server)
 }
 
+/// Answers requests that the library finds malformed from the closed table.
+async fn answer_control<F: Filter, E: ResponseError>(
+    control: Control<F, E>,
+) -> io::Result<ControlAck<F>> {
+    let Control::Disconnect(Reason::ProtocolError(error)) = control else {
+        return Ok(control.ack());
+    };
+    let kind = match error.err() {
+        ProtocolError::Decode(DecodeError::MaxHeaders | DecodeError::TooLarge(_)) => {
+            ErrorKind::HeadTooLarge
+        }
+        ProtocolError::Decode(_)
+        | ProtocolError::SlowRequestTimeout
+        | ProtocolError::SlowPayloadTimeout => ErrorKind::BadRequest,
+        ProtocolError::Encode(_) | ProtocolError::ResponsePayload(_) => ErrorKind::Internal,
+    };
+    Ok(error.fail_with(failure_response(&kind.into())))
+}
+
 fn new_worker(
     shared: &Arc<IngressShared>,
     gate: &UnboundedSender<GateCommand>,
--- a/src/standin/backend/handlers.rs
+++ b/src/standin/backend/handlers.rs
@@ -3,7 +3,6 @@
 use std::collections::BTreeMap;
 use std::io;
 use std::sync::Arc;
-use std::task::Poll;
 use std::time::{Duration, Instant};
 
 use futures_util::{StreamExt, stream};
@@ -30,6 +29,9 @@
 /// Body of an answer that is to be cut, where there is nothing to echo.
 const CUT_FILLER: &[u8] = b"an answer that is cut short";
 
+/// Time for the first half of a cut answer to get out.
+const FLUSH_TIME: Duration = Duration::from_millis(20);
+
 /// Head of a request, as the stand-in saw it.
 #[derive(Debug, Serialize)]
 struct SeenHead {
@@ -167,11 +169,13 @@
     };
     let half: Result<Bytes, io::Error> = Ok(body.slice(..body.len() / 2));
     let io = request.io().cloned();
-    let cut = stream::poll_fn(move |_| {
+    let cut = stream::once(async move {
+        // What was written has to reach the caller before the end does.
+        tokio::time::sleep(FLUSH_TIME).await;
         if let Some(io) = &io {
-            io.close();
+            io.terminate();
         }
-        Poll::Pending
+        std::future::pending().await
     });
     if !is_chunked {
         let length = u64::try_from(body.len()).unwrap_or(u64::MAX);
--- /dev/null
+++ b/tests/http.rs
@@ -0,0 +1,236 @@
+//! HTTP through the whole path, with real processes: a caller at node A, the
+//! backend server beside node B.
+
+#![allow(clippy::unwrap_used)] // A broken fixture should stop the run.
+
+#[path = "http/path.rs"]
+mod path;
+#[path = "http/raw.rs"]
+mod raw;
+
+use ntex::http::Method;
+use ntex::util::Bytes;
+use serde_json::{Value, json};
+
+use path::CallPath;
+use raw::RawCaller;
+
+/// Size of a photo.
+const PHOTO_BYTES: usize = 20_000_000;
+/// Small orders beside a photo.
+const ORDERS: usize = 100;
+
+fn body_of(number: usize) -> Bytes {
+    let text = format!("order {number} ");
+    Bytes::from(text.repeat(1 + number % 90).into_bytes())
+}
+
+#[ntex::test]
+async fn heads_and_bodies_pass_both_ways() {
+    let path = CallPath::start(&["--slots", "8"]).await;
+    for headers in [&[][..], &[("standin-chunked", "1")][..]] {
+        let answer = path
+            .send(Method::POST, "/orders?day=2", headers, body_of(3))
+            .await;
+        let answer = answer.unwrap();
+        assert_eq!((answer.status, answer.body), (200, body_of(3)));
+        assert_eq!(answer.headers["standin-id"], "b1");
+    }
+    let head = path
+        .send(Method::HEAD, "/stock", &[], Bytes::new())
+        .await
+        .unwrap();
+    assert_eq!((head.status, head.body.len()), (200, 0));
+    let echo = [("standin-echo-head", "1")];
+    let seen = path
+        .send(Method::PUT, "/a/b%20c?d=%2F", &echo, body_of(1))
+        .await
+        .unwrap();
+    let seen: Value = serde_json::from_slice(&seen.body).unwrap();
+    assert_eq!(seen["method"], "PUT");
+    assert_eq!(seen["target"], "/a/b%20c?d=%2F");
+}
+
+#[ntex::test]
+async fn hop_by_hop_headers_end_at_each_hop() {
+    let path = CallPath::start(&[]).await;
+    let mut caller = RawCaller::connect(path.listen).await;
+    caller
+        .send(
+            "GET / HTTP/1.1\r\nhost: slotbook\r\nstandin-echo-head: 1\r\nx-kept: 1\r\n\
+               connection: x-named, keep-alive\r\nx-named: 1\r\nkeep-alive: timeout=5\r\n\
+               te: trailers\r\nproxy-authorization: secret\r\n\r\n",
+        )
+        .await;
+    let answer = caller.answer().await.unwrap();
+    assert_eq!(answer.status, 200);
+    let seen: Value = serde_json::from_slice(&answer.body).unwrap();
+    let names: Vec<&String> = seen["headers"].as_object().unwrap().keys().collect();
+    assert!(names.iter().any(|name| *name == "x-kept"), "{names:?}");
+    for dropped in ["x-named", "keep-alive", "te", "proxy-authorization"] {
+        assert!(!names.iter().any(|name| *name == dropped), "{names:?}");
+    }
+}
+
+#[ntex::test]
+async fn a_caller_that_expects_100_continue_gets_it() {
+    let path = CallPath::start(&[]).await;
+    let mut caller = RawCaller::connect(path.listen).await;
+    caller
+        .send("POST / HTTP/1.1\r\nhost: slotbook\r\ncontent-length: 5\r\nexpect: 100-continue\r\n\r\n")
+        .await;
+    assert_eq!(caller.head().await.unwrap().status, 100);
+    caller.send("order").await;
+    let answer = caller.answer().await.unwrap();
+    assert_eq!((answer.status, &answer.body[..]), (200, &b"order"[..]));
+}
+
+/// Sends bytes that have to be refused, beside a call at work on the same link.
+async fn refusal(path: &CallPath, request: &str) -> (u16, Value) {
+    let work = [("standin-work-us", "300000")];
+    let neighbour = path.send(Method::POST, "/", &work, body_of(5));
+    let refused = async {
+        let mut caller = RawCaller::connect(path.listen).await;
+        caller.send(request).await;
+        let answer = caller.answer().await.unwrap();
+        (
+            answer.status,
+            serde_json::from_slice(&answer.body).unwrap_or_default(),
+        )
+    };
+    let (neighbour, refused) = futures_util::future::join(neighbour, refused).await;
+    let neighbour = neighbour.unwrap();
+    assert_eq!(
+        (neighbour.status, neighbour.body),
+        (200, body_of(5)),
+        "{request:.60}"
+    );
+    refused
+}
+
+#[ntex::test]
+async fn bad_input_gets_its_4xx_and_harms_no_neighbour() {
+    let path = CallPath::start(&["--slots", "8"]).await;
+    let many = "x-long: ".to_string() + &"y".repeat(40_000);
+    let chunked = "POST / HTTP/1.1\r\nhost: slotbook\r\ntransfer-encoding: chunked\r\n\r\n";
+    let cases = [
+        ("GET / HTTP/1.1\r\nhost: nothing\r\n\r\n".to_string(), 404, "unknown-service"),
+        (
+            "GET / HTTP/1.1\r\nhost: slotbook\r\ncurrantlift-timeout-ms: soon\r\n\r\n".to_string(),
+            400,
+            "bad-timeout",
+        ),
+        (
+            "GET / HTTP/1.1\r\nhost: slotbook\r\ncurrantlift-timeout-ms: 0\r\n\r\n".to_string(),
+            400,
+            "bad-timeout",
+        ),
+        (format!("GET / HTTP/1.1\r\nhost: slotbook\r\n{many}\r\n\r\n"), 431, "head-too-large"),
+        (format!("{chunked}zz\r\norder\r\n0\r\n\r\n"), 400, "bad-request"),
+        (
+            "POST / HTTP/1.1\r\nhost: slotbook\r\ncontent-length: 5\r\ncontent-length: 6\r\n\r\norder!"
+                .to_string(),
+            400,
+            "bad-request",
+        ),
+        (
+            "POST / HTTP/1.1\r\nhost: slotbook\r\ncontent-length: 5\r\n\
+             transfer-encoding: chunked\r\n\r\n5\r\norder\r\n0\r\n\r\n"
+                .to_string(),
+            400,
+            "bad-request",
+        ),
+        (
+            "POST / HTTP/1.1\r\nhost: slotbook\r\ncontent-length: 99000000\r\n\r\n".to_string(),
+            413,
+            "body-too-large",
+        ),
+        ("nonsense\r\n\r\n".to_string(), 400, "bad-request"),
+    ];
+    let mut wrong = Vec::new();
+    for (request, status, kind) in cases {
+        let (found, body) = refusal(&path, &request).await;
+        if (found, body["error"].as_str()) != (status, Some(kind)) {
+            wrong.push(format!("{request:.70}: {found} {body}"));
+        }
+    }
+    assert!(wrong.is_empty(), "{wrong:#?}");
+    assert_eq!(path.counts().await.active, 0);
+}
+
+#[ntex::test]
+async fn an_answer_cut_short_is_never_whole_to_the_caller() {
+    let path = CallPath::start(&[]).await;
+    path.set_faults(&json!({ "cut": true })).await;
+    let long = Bytes::from(vec![b'x'; 300_000]);
+    for body in [body_of(3), long] {
+        for extra in ["", "standin-chunked: 1\r\n"] {
+            let mut caller = RawCaller::connect(path.listen).await;
+            let head = format!(
+                "POST / HTTP/1.1\r\nhost: slotbook\r\ncontent-length: {}\r\n{extra}\r\n",
+                body.len()
+            );
+            caller.send(&head).await;
+            caller.send_bytes(&body).await;
+            match caller.answer().await {
+                Ok(answer) => {
+                    assert_eq!(answer.status, 502, "{extra}{} bytes", body.len());
+                    assert_eq!(answer.headers["currantlift-outcome"], "unknown");
+                }
+                // Whatever came before the end has to be the answer's own start.
+                Err(cut) => assert!(body.starts_with(&cut), "{extra}: {cut:?}"),
+            }
+        }
+    }
+}
+
+#[ntex::test]
+async fn a_caller_that_leaves_cancels_the_run() {
+    let path = CallPath::start(&[]).await;
+    let mut caller = RawCaller::connect(path.listen).await;
+    caller
+        .send(
+            "POST / HTTP/1.1\r\nhost: slotbook\r\ncontent-length: 5\r\n\
+               standin-work-us: 20000000\r\ncurrantlift-timeout-ms: 30000\r\n\r\norder",
+        )
+        .await;
+    path.wait_for_counts(|counts| counts.started == 1).await;
+    drop(caller);
+    path.wait_for_counts(|counts| counts.cancelled == 1).await;
+}
+
+#[ntex::test]
+async fn a_deadline_cancels_the_run() {
+    let path = CallPath::start(&[]).await;
+    let headers = [
+        ("standin-work-us", "20000000"),
+        ("currantlift-timeout-ms", "200"),
+    ];
+    let answer = path
+        .send(Method::POST, "/", &headers, body_of(1))
+        .await
+        .unwrap();
+    assert_eq!(answer.status, 504);
+    assert_eq!(answer.headers["currantlift-outcome"], "unknown");
+    path.wait_for_counts(|counts| counts.cancelled == 1).await;
+}
+
+#[ntex::test]
+async fn orders_pass_a_photo_that_is_half_sent() {
+    let path = CallPath::start(&["--slots", "8"]).await;
+    let photo = vec![7; PHOTO_BYTES];
+    let mut caller = RawCaller::connect(path.listen).await;
+    let head = format!(
+        "POST /photos HTTP/1.1\r\nhost: slotbook\r\ncontent-length: {PHOTO_BYTES}\r\n\
+         currantlift-timeout-ms: 60000\r\n\r\n"
+    );
+    caller.send(&head).await;
+    caller.send_bytes(&photo[..PHOTO_BYTES / 2]).await;
+    path.check_orders(ORDERS).await;
+    caller.send_bytes(&photo[PHOTO_BYTES / 2..]).await;
+    // The answer is as large, and its reader takes its time.
+    assert_eq!(caller.head().await.unwrap().status, 200);
+    path.check_orders(ORDERS).await;
+    let body = caller.body(PHOTO_BYTES).await.unwrap();
+    assert!(body == photo);
+}
--- /dev/null
+++ b/tests/http/path.rs
@@ -0,0 +1,233 @@
+//! Processes of the path: a store, node A without and node B with a backend
+//! server.
+
+use std::collections::BTreeMap;
+use std::io::{BufRead, BufReader};
+use std::net::SocketAddr;
+use std::process::{Child, Command, Stdio};
+use std::time::{Duration, Instant};
+
+use currantlift::admin::{AdminAnswer, ServiceView, http_client};
+use currantlift::standin::backend::RunCounts;
+use currantlift::table::UpstreamState;
+use ntex::client::Client;
+use ntex::client::error::ClientError;
+use ntex::http::Method;
+use ntex::util::Bytes;
+use serde::Deserialize;
+use serde_json::{Value, json};
+
+/// Longest wait for anything that has no stated bound.
+const PATIENCE: Duration = Duration::from_secs(30);
+/// Pause between two looks.
+const LOOK_PAUSE: Duration = Duration::from_millis(20);
+/// Largest answer that a test reads.
+const ANSWER_LIMIT: usize = 64 * 1024 * 1024;
+/// Any free port.
+const ANY_PORT: &str = "127.0.0.1:0";
+
+/// Child process that ends with its handle.
+struct Process(Child);
+
+impl Process {
+    fn start(command: &mut Command) -> (Self, String) {
+        let command = command.stdout(Stdio::piped());
+        if std::env::var_os("CURRANTLIFT_TEST_LOGS").is_none() {
+            command.stderr(Stdio::null());
+        }
+        let mut child = command.spawn().unwrap();
+        let mut line = String::new();
+        let output = child.stdout.take().unwrap();
+        BufReader::new(output).read_line(&mut line).unwrap();
+        (Self(child), line.trim().to_string())
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        let _ = self.0.kill();
+        let _ = self.0.wait();
+    }
+}
+
+#[derive(Deserialize)]
+struct NodeAddresses {
+    listen: SocketAddr,
+    peer_listen: SocketAddr,
+    admin_listen: SocketAddr,
+}
+
+/// Answer to a caller.
+#[derive(Debug)]
+pub struct CallAnswer {
+    pub status: u16,
+    pub headers: BTreeMap<String, String>,
+    pub body: Bytes,
+}
+
+/// The processes, and a caller's HTTP client.
+pub struct CallPath {
+    pub listen: SocketAddr,
+    admin: SocketAddr,
+    backend: String,
+    client: Client,
+    _processes: Vec<Process>,
+}
+
+fn start_node(name: &str, store: &str, peer: Option<SocketAddr>) -> (Process, NodeAddresses) {
+    let mut command = Command::new(env!("CARGO_BIN_EXE_currantlift-node"));
+    command
+        .args(["--node-id", name, "--region", "r", "--zone", name])
+        .args(["--listen", ANY_PORT, "--peer-listen", ANY_PORT])
+        .args(["--admin-listen", ANY_PORT, "--store", store]);
+    if let Some(peer) = peer {
+        command.args(["--peer", &peer.to_string()]);
+    }
+    let (process, line) = Process::start(&mut command);
+    (process, serde_json::from_str(&line).unwrap())
+}
+
+impl CallPath {
+    /// Starts the processes; `backend_flags` go to the backend server.
+    pub async fn start(backend_flags: &[&str]) -> Self {
+        let mut command = Command::new(env!("CARGO_BIN_EXE_standin-store"));
+        let (store, address) = Process::start(command.args(["--listen", ANY_PORT]));
+        let store_url = format!("http://{address}");
+        let (node_a, a) = start_node("a", &store_url, None);
+        let (node_b, b) = start_node("b", &store_url, Some(a.peer_listen));
+        let mut command = Command::new(env!("CARGO_BIN_EXE_standin-backend"));
+        command
+            .args(["--id", "b1", "--service", "slotbook"])
+            .args(["--admin", &format!("http://{}", b.admin_listen)])
+            .args(backend_flags);
+        let (backend_process, backend) = Process::start(&mut command);
+        let path = Self {
+            listen: a.listen,
+            admin: a.admin_listen,
+            backend,
+            client: http_client(Duration::from_secs(70)).await.unwrap(),
+            _processes: vec![node_a, node_b, backend_process, store],
+        };
+        path.submit_ticket().await;
+        path.wait_until_ready().await;
+        path
+    }
+
+    async fn admin(&self, method: Method, path: &str, body: Option<&Value>) -> AdminAnswer {
+        let request = self
+            .client
+            .request(method, format!("http://{}{path}", self.admin));
+        let response = match body {
+            Some(body) => request.send_json(body).await,
+            None => request.send().await,
+        };
+        let response = response.unwrap();
+        let body = response.body().await.unwrap();
+        AdminAnswer {
+            status: response.status().as_u16(),
+            body: String::from_utf8(body.to_vec()).unwrap(),
+        }
+    }
+
+    async fn submit_ticket(&self) {
+        let rule = json!({ "timeout_ms": 10_000, "attempts": 3 });
+        let ticket = json!({ "services": { "slotbook": rule } });
+        let answer = self
+            .admin(Method::PUT, "/v1/tickets/1", Some(&ticket))
+            .await;
+        assert_eq!(answer.status, 200, "{}", answer.body);
+    }
+
+    async fn wait_until_ready(&self) {
+        let end = Instant::now() + PATIENCE;
+        loop {
+            let answer = self.admin(Method::GET, "/v1/services", None).await;
+            let services: BTreeMap<String, ServiceView> =
+                serde_json::from_str(&answer.body).unwrap();
+            let service = services.get("slotbook");
+            let upstream = service.and_then(|service| service.upstreams.values().next());
+            if upstream.is_some_and(|upstream| upstream.state == UpstreamState::Ready) {
+                return;
+            }
+            assert!(Instant::now() < end, "{}", answer.body);
+            ntex::time::sleep(LOOK_PAUSE).await;
+        }
+    }
+
+    fn request(
+        &self,
+        method: Method,
+        target: &str,
+        headers: &[(&str, &str)],
+    ) -> ntex::client::ClientRequest {
+        let url = format!("http://{}{target}", self.listen);
+        let mut request = self.client.request(method, url);
+        request = request.set_header("currantlift-service", "slotbook");
+        for (name, value) in headers {
+            request = request.set_header(*name, *value);
+        }
+        request
+    }
+
+    /// Sends a call to node A.
+    pub async fn send(
+        &self,
+        method: Method,
+        target: &str,
+        headers: &[(&str, &str)],
+        body: Bytes,
+    ) -> Result<CallAnswer, ClientError> {
+        let response = self
+            .request(method, target, headers)
+            .send_body(body)
+            .await?;
+        let text = |value: &[u8]| String::from_utf8_lossy(value).into_owned();
+        let headers = response.headers().iter();
+        let headers = headers
+            .map(|(name, value)| (name.to_string(), text(value.as_bytes())))
+            .collect();
+        let body = response.body().limit(ANSWER_LIMIT).await;
+        Ok(CallAnswer {
+            status: response.status().as_u16(),
+            headers,
+            body: body.unwrap(),
+        })
+    }
+
+    /// Sends small orders one after the other and checks each answer.
+    pub async fn check_orders(&self, count: usize) {
+        for number in 0..count {
+            let body = Bytes::from(format!("{number:0>1024}").into_bytes());
+            let answer = self.send(Method::POST, "/orders", &[], body.clone()).await;
+            let answer = answer.unwrap();
+            assert_eq!((answer.status, answer.body), (200, body));
+        }
+    }
+
+    /// Switches the backend server's faults.
+    pub async fn set_faults(&self, faults: &Value) {
+        let url = format!("http://{}/standin/faults", self.backend);
+        let sent = self.client.put(url).send_json(faults).await;
+        assert!(sent.unwrap().status().is_success());
+    }
+
+    /// Backend server's counts.
+    pub async fn counts(&self) -> RunCounts {
+        let url = format!("http://{}/standin/runs", self.backend);
+        let response = self.client.get(url).send().await.unwrap();
+        response.json().limit(ANSWER_LIMIT).await.unwrap()
+    }
+
+    /// Waits until the backend server's counts are as wanted.
+    pub async fn wait_for_counts(&self, is_wanted: impl Fn(&RunCounts) -> bool) {
+        let end = Instant::now() + PATIENCE;
+        loop {
+            let counts = self.counts().await;
+            if is_wanted(&counts) {
+                return;
+            }
+            assert!(Instant::now() < end, "{counts:?}");
+            ntex::time::sleep(LOOK_PAUSE).await;
+        }
+    }
+}
--- /dev/null
+++ b/tests/http/raw.rs
@@ -0,0 +1,142 @@
+//! Caller that writes bytes and reads answers strictly.
+
+use std::collections::BTreeMap;
+use std::io::ErrorKind;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use tokio::net::TcpStream;
+use tokio::time::timeout;
+
+/// Longest wait for bytes.
+const PATIENCE: Duration = Duration::from_secs(30);
+
+/// Answer as it was read.
+#[derive(Debug)]
+pub struct RawAnswer {
+    pub status: u16,
+    pub headers: BTreeMap<String, String>,
+    pub body: Vec<u8>,
+}
+
+/// Connection of a caller.
+pub struct RawCaller {
+    stream: TcpStream,
+    unread: Vec<u8>,
+}
+
+impl RawCaller {
+    pub async fn connect(address: SocketAddr) -> Self {
+        let stream = TcpStream::connect(address).await.unwrap();
+        let unread = Vec::new();
+        Self { stream, unread }
+    }
+
+    pub async fn send(&mut self, text: &str) {
+        self.send_bytes(text.as_bytes()).await;
+    }
+
+    /// Sends bytes; a server that has refused the request may close early.
+    pub async fn send_bytes(&mut self, mut bytes: &[u8]) {
+        while !bytes.is_empty() {
+            let writable = timeout(PATIENCE, self.stream.writable()).await;
+            writable.expect("room to write").unwrap();
+            match self.stream.try_write(bytes) {
+                Ok(count) => bytes = &bytes[count..],
+                Err(error) if error.kind() == ErrorKind::WouldBlock => {}
+                Err(_) => return,
+            }
+        }
+    }
+
+    /// Reads more bytes; false at the end of the connection.
+    async fn read(&mut self) -> bool {
+        loop {
+            let readable = timeout(PATIENCE, self.stream.readable()).await;
+            readable.expect("bytes or the end").unwrap();
+            let mut chunk = [0; 16 * 1024];
+            match self.stream.try_read(&mut chunk) {
+                Ok(count) => {
+                    self.unread.extend_from_slice(&chunk[..count]);
+                    return count > 0;
+                }
+                Err(error) if error.kind() == ErrorKind::WouldBlock => {}
+                Err(_) => return false,
+            }
+        }
+    }
+
+    /// Bytes up to and with `end`, or what came before the connection ended.
+    async fn until(&mut self, end: &[u8]) -> Result<Vec<u8>, Vec<u8>> {
+        loop {
+            let found = self.unread.windows(end.len()).position(|part| part == end);
+            if let Some(at) = found {
+                return Ok(self.unread.drain(..at + end.len()).collect());
+            }
+            if !self.read().await {
+                return Err(std::mem::take(&mut self.unread));
+            }
+        }
+    }
+
+    /// Reads a head.
+    pub async fn head(&mut self) -> Result<RawAnswer, Vec<u8>> {
+        let head = self.until(b"\r\n\r\n").await?;
+        let head = String::from_utf8(head).unwrap();
+        let mut lines = head.lines();
+        let status = lines.next().unwrap().split(' ').nth(1).unwrap();
+        let fields = lines.filter_map(|line| line.split_once(": "));
+        Ok(RawAnswer {
+            status: status.parse().unwrap(),
+            headers: fields
+                .map(|(name, value)| (name.to_lowercase(), value.to_string()))
+                .collect(),
+            body: Vec::new(),
+        })
+    }
+
+    /// Reads a body of stated length, or fails with what came of it.
+    pub async fn body(&mut self, length: usize) -> Result<Vec<u8>, Vec<u8>> {
+        while self.unread.len() < length {
+            if !self.read().await {
+                return Err(std::mem::take(&mut self.unread));
+            }
+        }
+        Ok(self.unread.drain(..length).collect())
+    }
+
+    async fn chunks(&mut self) -> Result<Vec<u8>, Vec<u8>> {
+        let mut body = Vec::new();
+        loop {
+            let Ok(size) = self.until(b"\r\n").await else {
+                return Err(body);
+            };
+            let size = String::from_utf8_lossy(&size);
+            let Ok(size) = usize::from_str_radix(size.trim(), 16) else {
+                // Not a chunk's size: what is here can't be told from a body.
+                body.extend_from_slice(size.as_bytes());
+                return Err(body);
+            };
+            match self.body(size + 2).await {
+                Ok(chunk) => body.extend_from_slice(&chunk[..size]),
+                Err(rest) => {
+                    body.extend_from_slice(&rest[..rest.len().min(size)]);
+                    return Err(body);
+                }
+            }
+            if size == 0 {
+                return Ok(body);
+            }
+        }
+    }
+
+    /// Reads a whole answer, or fails with the part of its body that came.
+    pub async fn answer(&mut self) -> Result<RawAnswer, Vec<u8>> {
+        let mut answer = self.head().await?;
+        answer.body = match answer.headers.get("content-length") {
+            Some(length) => self.body(length.parse().unwrap()).await?,
+            None => self.chunks().await?,
+        };
+        Ok(answer)
+    }
+}
