--- a/src/routing.rs
+++ b/src/routing.rs
@@ -19,6 +19,7 @@
 mod subset;
 mod upstream;
 
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -110,13 +111,13 @@
             own_zone_links: 6,
             own_region_links: 6,
             other_region_links: 3,
-            draws: 2,
-            report_half_life: Duration::from_millis(20),
+            draws: 3,
+            report_half_life: Duration::from_millis(100),
             latency_half_life: Duration::from_millis(500),
             failure_half_life: Duration::from_secs(1),
             ramp_time: Duration::from_secs(10),
             probe_age: Duration::from_secs(2),
-            spill_pressure: 0.5,
+            spill_pressure: 0.2,
             zone_preference: 1.2,
         }
     }
@@ -132,6 +133,17 @@
     }
 }
 
+/// One attempt to choose an upstream for.
+#[derive(Debug, Clone, Copy)]
+pub struct RouteRequest<'a> {
+    /// Service asked for.
+    pub service: &'a ServiceName,
+    /// Whether a second run does no harm.
+    pub is_idempotent: bool,
+    /// Upstreams that earlier attempts of the call went to.
+    pub tried: &'a BTreeSet<NodeId>,
+}
+
 /// One candidate that a choice looked at.
 #[derive(Debug, Clone, PartialEq)]
 pub struct CandidateScore {
--- a/src/routing/upstream.rs
+++ b/src/routing/upstream.rs
@@ -20,6 +20,8 @@
 const FAILURE_WEIGHT: f64 = 4.0;
 /// Share of its places that an upstream gets in the moment it joins.
 const RAMP_START: f64 = 0.1;
+/// Score of an upstream without any work.
+pub(super) const IDLE_SCORE: f64 = 0.5;
 /// Answers' worth of history in the latency mean.
 const LATENCY_SAMPLES: f64 = 8.0;
 
@@ -119,12 +121,19 @@
         weight * decay(now.saturating_sub(at), options.failure_half_life)
     }
 
-    pub(super) fn is_draining(&self, now: Duration) -> bool {
-        self.is_draining && now < self.held_until
+    /// Whether a call may not even go here as a last resort: a draining
+    /// upstream would refuse it, and one that fails might run it in vain.
+    pub(super) fn is_closed(&self, now: Duration, is_idempotent: bool) -> bool {
+        let is_failing = self.failure_run > 0 && !is_idempotent;
+        now < self.held_until && (self.is_draining || is_failing)
     }
 
-    pub(super) fn is_held(&self, now: Duration) -> bool {
-        now < self.held_until
+    /// Whether new calls go elsewhere while there is an elsewhere.
+    ///
+    /// After a failure only an idempotent call tries whether the upstream is
+    /// well again: a failed run of any other can't be repeated.
+    pub(super) fn is_held(&self, now: Duration, is_idempotent: bool) -> bool {
+        now < self.held_until || (self.failure_run > 0 && !is_idempotent)
     }
 
     pub(super) fn start(&mut self, now: Duration, attempt: AttemptNumber) {
@@ -187,9 +196,19 @@
     fn on_setback(&mut self, now: Duration, kind: ErrorKind, options: &RoutingOptions) {
         match kind {
             ErrorKind::Draining => self.on_leaving(now),
-            ErrorKind::Overloaded | ErrorKind::WaitTooLong | ErrorKind::ShareExceeded => {
+            ErrorKind::Overloaded
+            | ErrorKind::WaitTooLong
+            | ErrorKind::ShareExceeded
+            | ErrorKind::TimedOut => {
                 self.held_until = self.held_until.max(now + REFUSAL_HOLD);
             }
+            ErrorKind::BadRequest
+            | ErrorKind::BadTimeout
+            | ErrorKind::BodyTooLarge
+            | ErrorKind::HeadTooLarge
+            | ErrorKind::UnknownService
+            | ErrorKind::KeyInUse
+            | ErrorKind::Cancelled => {}
             _ => self.on_failure(now, options),
         }
     }
@@ -263,7 +282,11 @@
         total * 1e6 / self.outstanding.len() as f64
     }
 
-    /// Expected latency under load and failures; the lowest score wins.
+    /// Expected wait, worsened by slow answers and failures; the lowest score
+    /// wins, and an idle upstream of usual latency has about 0.5.
+    ///
+    /// The root damps the latency, which differs by request as well as by
+    /// upstream.
     pub(super) fn score(
         &self,
         now: Duration,
@@ -272,7 +295,8 @@
     ) -> f64 {
         let pressure = self.pressure(now, means, options);
         let wait = pressure + (pressure - 1.0).max(0.0);
+        let slowness = self.latency_us(now, means, options) / means.latency_us.max(1.0);
         let failures = 1.0 + FAILURE_WEIGHT * self.failure_weight(now, options);
-        self.latency_us(now, means, options) * (0.5 + wait) * failures
+        slowness.sqrt() * (IDLE_SCORE + wait) * failures
     }
 }
