Answer at the time limit also while a link is being opened

Change: opening and reopening end at the deadline. The verdict on a time limit without news comes from AttemptState in both places.

--- a/src/ingress/attempt.rs
+++ b/src/ingress/attempt.rs
@@ -7,6 +7,7 @@
 mod relay;
 mod resume;
 
+use std::io;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -118,7 +119,9 @@
         plan: AttemptPlan,
         open: CallOpen,
     ) -> Result<Self, AttemptEnd> {
-        let link = match worker.pool.link(&plan.target).await {
+        let linking = worker.pool.link(&plan.target);
+        let linked = tokio::time::timeout_at(plan.deadline, linking).await;
+        let link = match linked.unwrap_or_else(|_| Err(io::ErrorKind::TimedOut.into())) {
             Ok(link) => link,
             Err(error) => {
                 log::warn!(target: "link", call:% = plan.id, gate:% = plan.target.node; "no link: {error}");
--- a/src/ingress/attempt/resume.rs
+++ b/src/ingress/attempt/resume.rs
@@ -1,14 +1,15 @@
 //! Moves a call to a new link after its own was lost.
 
 use std::io;
+use std::rc::Rc;
 use std::time::Duration;
 
 use bytes::Bytes;
-use tokio::time::Instant;
 
 use super::{AttemptEnd, CallAttempt};
 use crate::error::ErrorKind;
 use crate::ledger::attempt::ResumeKnowledge;
+use crate::link::call_link::CallLink;
 use crate::link::messages::{BodyChunk, CallResume, LinkMessage, ResumeReply, ResumeState};
 
 /// Pause between two tries to reach a gate whose link was lost.
@@ -55,13 +56,9 @@
     /// deadline, unless the gate's process is gone.
     pub(super) async fn resume(&mut self) -> Result<(), AttemptEnd> {
         self.link.detach(self.sequence());
-        let link = loop {
-            match self.worker.pool.link(&self.plan.target).await {
-                Ok(link) => break link,
-                Err(error) => self.check_reconnect(&error)?,
-            }
-            tokio::time::sleep(RECONNECT_PAUSE).await;
-        };
+        let deadline = self.plan.deadline;
+        let reconnecting = tokio::time::timeout_at(deadline, self.reconnect()).await;
+        let link = reconnecting.unwrap_or_else(|_| Err(self.state.on_time_out().into()))?;
         self.state.on_new_link(link.incarnation())?;
         log::info!(target: "link", call:% = self.plan.id; "resumed on a new link");
         self.events = link.attach(self.sequence());
@@ -74,14 +71,17 @@
         Ok(())
     }
 
-    fn check_reconnect(&self, error: &io::Error) -> Result<(), AttemptEnd> {
-        let is_gone = error.kind() == io::ErrorKind::ConnectionRefused;
-        if is_gone || self.plan.is_idempotent {
-            return Err(self.state.on_gate_gone().into());
-        }
-        if Instant::now() + RECONNECT_PAUSE >= self.plan.deadline {
-            return Err(AttemptEnd::unknown(ErrorKind::TimedOut));
+    async fn reconnect(&self) -> Result<Rc<CallLink>, AttemptEnd> {
+        loop {
+            let error = match self.worker.pool.link(&self.plan.target).await {
+                Ok(link) => return Ok(link),
+                Err(error) => error,
+            };
+            let is_gone = error.kind() == io::ErrorKind::ConnectionRefused;
+            if is_gone || self.plan.is_idempotent {
+                return Err(self.state.on_gate_gone().into());
+            }
+            tokio::time::sleep(RECONNECT_PAUSE).await;
         }
-        Ok(())
     }
 }
--- a/src/ledger/attempt.rs
+++ b/src/ledger/attempt.rs
@@ -96,6 +96,11 @@
         AttemptFailure::Unknown(ErrorKind::LinkLost)
     }
 
+    /// The time limit has come and the gate has not said what it knows.
+    pub fn on_time_out(&self) -> AttemptFailure {
+        AttemptFailure::Unknown(ErrorKind::TimedOut)
+    }
+
     /// A cancel is being sent.
     pub fn on_cancelling(&mut self) {
         self.is_cancelled = true;
@@ -113,7 +118,7 @@
     /// The time limit is near or, after a cancel, has come.
     pub fn on_alarm(&mut self) -> AlarmAction {
         if self.is_cancelled {
-            return AlarmAction::GiveUp(AttemptFailure::Unknown(ErrorKind::TimedOut));
+            return AlarmAction::GiveUp(self.on_time_out());
         }
         self.is_cancelled = true;
         AlarmAction::Cancel
