--- a/src/ingress.rs
+++ b/src/ingress.rs
@@ -36,7 +36,7 @@
 use crate::table::RoutingTable;
 
 /// Largest number of attempts whose number fits beside the call's own.
-const ATTEMPTS_PER_CALL: u64 = 16;
+pub const ATTEMPTS_PER_CALL: u64 = 16;
 
 /// State that all traffic threads of a node share.
 pub struct IngressShared {
@@ -139,12 +139,11 @@
     let guard = worker.shared.enter();
     let table = Arc::clone(&worker.shared.table.borrow());
     let is_stopping = *worker.shared.is_stopping.borrow();
-    let is_head = request.method() == ntex::http::Method::HEAD;
     let mut response = match RequestFacts::check(&request, &table) {
         Ok(facts) => {
             let call = CallDriver::new(worker, facts, payload);
             match call.run().await {
-                Ok(answer) => success_response(answer, is_head, guard),
+                Ok(answer) => success_response(&request, answer, guard),
                 Err(failure) => failure_response(&failure),
             }
         }
