Restart every node and drain every backend server under load without a failure

Cause: planned stops were tried by hand only. And a call whose last upstream failed was told 'no upstream available', which says less than the failure itself.

--- a/src/ingress/call.rs
+++ b/src/ingress/call.rs
@@ -33,6 +33,7 @@
     deadline: Instant,
     tried: BTreeSet<NodeId>,
     attempts: u32,
+    last_end: Option<AttemptEnd>,
     history: CallHistory,
 }
 
@@ -51,6 +52,7 @@
             id,
             tried: BTreeSet::new(),
             attempts: 0,
+            last_end: None,
             history: CallHistory::default(),
         }
     }
@@ -81,6 +83,19 @@
         }
     }
 
+    /// Failure to tell when there is no upstream left to try: that of the
+    /// attempt before, which says more than that none is left.
+    fn earlier_failure(&self, end: AttemptEnd) -> Option<CallFailure> {
+        let is_no_upstream = end.failure == AttemptFailure::NotRun(ErrorKind::NoUpstream);
+        let earlier = self.last_end.filter(|_| is_no_upstream)?;
+        let failure = self.failure(earlier.failure.kind());
+        Some(CallFailure {
+            outcome: self.history.outcome(),
+            retry_after: earlier.retry_after.unwrap_or(failure.retry_after),
+            ..failure
+        })
+    }
+
     /// Whether another upstream should be asked in place of a failed answer.
     fn wants_other(&self, answer: &CallAnswer) -> bool {
         self.facts.is_idempotent && answer.head.status >= FIRST_SERVER_ERROR
@@ -239,6 +254,10 @@
 
     /// Returns to try again, or fails with what the caller is told.
     fn decide(&mut self, end: AttemptEnd, body: &RequestBody) -> Result<(), CallFailure> {
+        if let Some(failure) = self.earlier_failure(end) {
+            return Err(failure);
+        }
+        self.last_end = Some(end);
         self.history.on_failed(end.failure);
         let attempts_limit = if body.is_replayable() {
             self.facts.attempts_limit
--- /dev/null
+++ b/tests/stop.rs
@@ -0,0 +1,87 @@
+//! Planned stops under load with real processes: no request is cut or refused,
+//! and a stopped process ends with exit code 0.
+
+#![allow(clippy::unwrap_used, reason = "helpers of tests fail as the tests do")]
+#![allow(dead_code, reason = "the fleet is shared with the tests of faults")]
+
+#[path = "support/fleet.rs"]
+mod fleet;
+#[path = "support/load.rs"]
+mod load;
+#[path = "support/process.rs"]
+mod process;
+
+use std::time::Duration;
+
+use ntex::time::sleep;
+use serde_json::json;
+
+use fleet::Fleet;
+use load::{OrderBook, OrderLoad, Told};
+
+/// Upstreams of the service.
+const UPSTREAMS: usize = 3;
+/// Time of load between two stops.
+const BETWEEN_STOPS: Duration = Duration::from_millis(700);
+/// Users' bound after which a leaving upstream receives no new work.
+const NO_NEW_WORK_AFTER: Duration = Duration::from_secs(3);
+
+fn check_all_whole(book: &OrderBook, fleet: Fleet) {
+    let tally = fleet.end();
+    let report = book.compare(&tally.lock().unwrap());
+    report.check();
+    let whole = report.count(Told::Whole);
+    let all: u32 = report.told.values().sum();
+    assert_eq!(whole, all, "orders that were not answered whole: {report}");
+}
+
+#[ntex::test]
+async fn every_node_restarts_under_load_without_a_failed_order() {
+    let mut fleet = Fleet::start(UPSTREAMS).await;
+    let load = OrderLoad::start(&fleet);
+    for index in 0..UPSTREAMS {
+        sleep(BETWEEN_STOPS).await;
+        fleet.upstreams[index].signal_node("TERM");
+        let mut node = fleet.upstreams[index].node.take().unwrap();
+        assert_eq!(node.exit_code().await, Some(0));
+        fleet.upstreams[index].start_node();
+        fleet.wait_until_ready().await;
+    }
+    sleep(BETWEEN_STOPS).await;
+    let book = load.end().await;
+    check_all_whole(&book, fleet);
+}
+
+#[ntex::test]
+async fn every_backend_server_drains_under_load_without_a_failed_order() {
+    let mut fleet = Fleet::start(UPSTREAMS).await;
+    let load = OrderLoad::start(&fleet);
+    for index in 0..UPSTREAMS {
+        sleep(BETWEEN_STOPS).await;
+        fleet.upstreams[index].signal_backend("TERM");
+        let mut backend = fleet.upstreams[index].backend.take().unwrap();
+        assert_eq!(backend.exit_code().await, Some(0));
+        fleet.upstreams[index].start_backend();
+        fleet.wait_until_ready().await;
+    }
+    sleep(BETWEEN_STOPS).await;
+    let book = load.end().await;
+    check_all_whole(&book, fleet);
+}
+
+#[ntex::test]
+async fn leaving_upstream_gets_no_new_work_after_the_bound() {
+    let fleet = Fleet::start(UPSTREAMS).await;
+    let load = OrderLoad::start(&fleet);
+    sleep(BETWEEN_STOPS).await;
+    // The backend server says that it drains, and stays.
+    let drain = json!({ "draining": true });
+    fleet.upstreams[0].set_faults(&fleet.client, &drain).await;
+    sleep(NO_NEW_WORK_AFTER).await;
+    let before = fleet.upstreams[0].run_count(&fleet.client).await;
+    sleep(BETWEEN_STOPS).await;
+    let after = fleet.upstreams[0].run_count(&fleet.client).await;
+    assert_eq!(before, after);
+    let book = load.end().await;
+    check_all_whole(&book, fleet);
+}
--- a/tests/support/fleet.rs
+++ b/tests/support/fleet.rs
@@ -117,6 +117,13 @@
         }
     }
 
+    /// Runs that the backend server has begun.
+    pub async fn run_count(&self, client: &Client) -> u64 {
+        let url = format!("http://{}/standin/runs", self.backend_address);
+        let counts: Value = client.get(url).send().await.unwrap().json().await.unwrap();
+        counts["started"].as_u64().unwrap()
+    }
+
     /// Switches the backend server's faults.
     pub async fn set_faults(&self, client: &Client, faults: &Value) {
         let url = format!("http://{}/standin/faults", self.backend_address);
--- a/tests/support/process.rs
+++ b/tests/support/process.rs
@@ -9,10 +9,14 @@
 use std::sync::mpsc::{Receiver, Sender, channel};
 use std::sync::{Arc, Mutex};
 use std::thread::JoinHandle;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// Longest wait for a line of a process.
 const LINE_PATIENCE: Duration = Duration::from_secs(10);
+/// Longest wait for a process to end after it was asked to.
+const EXIT_PATIENCE: Duration = Duration::from_secs(40);
+/// Pause between two looks.
+const LOOK_PAUSE: Duration = Duration::from_millis(20);
 /// Variable that names a directory for the processes' logs.
 const LOGS_VARIABLE: &str = "FAULTS_LOGS";
 
@@ -72,6 +76,18 @@
     pub fn has_ended(&mut self) -> bool {
         self.child.try_wait().unwrap().is_some()
     }
+
+    /// Waits for the process to end by itself.
+    pub async fn exit_code(&mut self) -> Option<i32> {
+        let end = Instant::now() + EXIT_PATIENCE;
+        loop {
+            if let Some(status) = self.child.try_wait().unwrap() {
+                return status.code();
+            }
+            assert!(Instant::now() < end, "process does not end");
+            ntex::time::sleep(LOOK_PAUSE).await;
+        }
+    }
 }
 
 impl Drop for Process {
