Share the start and end of processes between scripts

Cause: the measuring script had its own copy, and read the addresses of the fleet before, because files of an earlier process of the same name were still there.

--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -28,38 +28,8 @@
 
 cargo build --release --locked --bins
 bin=target/release
-logs=$(mktemp -d)
-pids=()
-
-stop_all() {
-    kill -TERM "${pids[@]}" 2>/dev/null || true
-    wait "${pids[@]}" 2>/dev/null || true
-}
-trap stop_all EXIT
-
-# start NAME COMMAND...: starts a process and waits for its first line, which
-# names the addresses that it bound.
-start() {
-    local name=$1
-    shift
-    "$@" >"$logs/$name.out" 2>"$logs/$name.log" &
-    pids+=($!)
-    for _ in $(seq 200); do
-        [ -s "$logs/$name.out" ] && return
-        sleep 0.02
-    done
-    echo "$name did not start:" >&2
-    cat "$logs/$name.log" >&2
-    exit 1
-}
-
-first_line() {
-    head -n 1 "$logs/$1.out"
-}
-
-address() {
-    first_line "$1" | sed -n "s/.*\"$2\":\"\([^\"]*\)\".*/\1/p"
-}
+. scripts/processes.sh
+trap 'stop_all TERM' EXIT
 
 start store $bin/standin-store
 store=$(first_line store)
@@ -102,6 +72,6 @@
 echo "one of the decisions on the way:"
 grep -h -m 1 '"target":"routing"' "$logs/$last.log"
 
-stop_all
+stop_all TERM
 trap - EXIT
 echo "stopped"
--- a/scripts/measure-nodes.sh
+++ b/scripts/measure-nodes.sh
@@ -15,34 +15,9 @@
 sizes=("${@:-10}")
 settle_seconds=25
 bin=target/release
-logs=$(mktemp -d)
-pids=()
-
-stop_all() {
-    # The end of a fleet isn't measured, so nobody drains.
-    kill -KILL "${pids[@]}" 2>/dev/null || true
-    wait "${pids[@]}" 2>/dev/null || true
-    pids=()
-}
-trap stop_all EXIT
-
-# start NAME COMMAND...: starts a process and waits for its first line.
-start() {
-    local name=$1
-    shift
-    "$@" >"$logs/$name.out" 2>"$logs/$name.log" &
-    pids+=($!)
-    for _ in $(seq 500); do
-        [ -s "$logs/$name.out" ] && return
-        sleep 0.02
-    done
-    echo "$name did not start, see $logs" >&2
-    exit 1
-}
-
-address() {
-    sed -n "s/.*\"$2\":\"\([^\"]*\)\".*/\1/p" "$logs/$1.out"
-}
+. scripts/processes.sh
+# The end of a fleet isn't measured, so nobody drains.
+trap 'stop_all KILL' EXIT
 
 # sample: prints processor ticks, memory and byte counters of all nodes.
 sample() {
@@ -86,7 +61,7 @@
     node_pids=() admins=() peer=()
     number=0
     start store $bin/standin-store
-    store=$(head -n 1 "$logs/store.out")
+    store=$(first_line store)
     for index in $(seq "$size"); do
         node=upstream-$(printf %04d "$index")
         start "$node" $bin/currantlift-node --node-id "$node" \
@@ -105,5 +80,5 @@
     [ "$known" -eq "$size" ] || echo "only $known of $size members known" >&2
     measure "$size" 0
     measure "$size" "$((seconds / 2))"
-    stop_all
+    stop_all KILL
 done
