Choose the dead member to retry among the dead alone

Cause: every 5 s a node looked through all members for dead ones, which took about 2 ms at 2,700 members; a joining node's page, request and probes came to 4.2 KB in one second.

Change: look through the dead only; pages of 3,500 bytes while joining.

--- a/examples/slopes.rs
+++ b/examples/slopes.rs
@@ -289,16 +289,30 @@
         }
         let known = known_share(&net, fault, &facts);
         run_second(&mut net, &format!("fault {second}"), known);
+        if fault == Fault::Join {
+            print_joiner(&net, second, nodes);
+        }
         let is_cut = fault == Fault::Region && second < CUT_SECONDS;
         let is_whole = fault != Fault::Join || net.nodes[nodes].state.members().len() > nodes;
         if known == 1.0 && is_whole && !is_cut {
             break;
         }
     }
-    if fault == Fault::Join {
-        let counters = net.nodes[nodes].state.counters();
-        println!("joiner {counters:?}");
-    }
+}
+
+/// Prints what a joining node knows, and its bytes since it started.
+fn print_joiner(net: &FakeNet, second: usize, slot: usize) {
+    let state = &net.nodes[slot].state;
+    let zone = &state.own_record().zone;
+    let members = state.members().values();
+    let near = members.filter(|record| &record.zone == zone).count();
+    let counters = state.counters();
+    let datagrams = counters.bytes_sent + counters.bytes_received;
+    let digests = counters.sync_bytes_sent + counters.sync_bytes_received;
+    println!(
+        "joiner {second} knows {} of its zone {near} datagrams {datagrams} digests {digests}",
+        state.members().len()
+    );
 }
 
 fn main() {
--- a/src/membership/probing.rs
+++ b/src/membership/probing.rs
@@ -8,13 +8,11 @@
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
-use std::ops::Bound;
 use std::time::Duration;
 
 use super::message::DatagramKind;
 use super::record::{HealthVerdict, MemberKey, MemberRecord};
 use super::state::MembershipState;
-use crate::ids::NodeId;
 
 /// Time between two probes.
 const PROBE_PERIOD: Duration = Duration::from_secs(1);
@@ -259,15 +257,12 @@
     /// Every node goes round from another place, so that they don't all try
     /// the same member when a region comes back.
     fn next_dead(&self, after: MemberKey) -> Option<MemberKey> {
-        let is_failed = |(_, node): &(&MemberKey, &NodeId)| {
-            let record = self.members.get(*node);
-            record.is_some_and(|record| !record.is_live() && !record.is_leaving)
-        };
-        let behind = self
-            .by_key
-            .range((Bound::Excluded(after), Bound::Unbounded));
-        let mut round = behind.chain(self.by_key.range(..=after));
-        round.find(is_failed).map(|(key, _)| *key)
+        let dead = self.suspicions.dead();
+        let records = dead.filter_map(|node| self.members.get(node));
+        let failed = records.filter(|record| !record.is_leaving);
+        let keys = failed.map(MemberRecord::key);
+        // Keys behind the given one come before those that go round again.
+        keys.min_by_key(|key| (*key <= after, *key))
     }
 
     fn retry_seed(&mut self, now: Duration) {
--- a/src/membership/suspicion.rs
+++ b/src/membership/suspicion.rs
@@ -75,6 +75,11 @@
         }
     }
 
+    /// Members that are held to be dead.
+    pub fn dead(&self) -> impl Iterator<Item = &NodeId> {
+        self.dead_since.keys()
+    }
+
     /// Members that this node itself suspects.
     pub fn own_suspects(&self) -> Vec<NodeId> {
         let own = |(node, suspicion): (&NodeId, &Suspicion)| suspicion.is_own.then(|| node.clone());
--- a/src/membership/sync.rs
+++ b/src/membership/sync.rs
@@ -24,7 +24,7 @@
 /// Bits of a key behind those that name its part.
 const PART_SHIFT: u32 = 64 - PART_COUNT.trailing_zeros();
 /// Bytes of records in a page while joining, before names are packed.
-pub(super) const JOIN_PAGE_BYTES: u32 = 4 * 1024;
+pub(super) const JOIN_PAGE_BYTES: u32 = 3_500;
 /// Bytes of records in a page of later comparisons, before names are packed.
 const REPAIR_PAGE_BYTES: u32 = 1_024;
 /// Time between two pages.
