Test nested calls eleven deep, with their time and attempts left

Cause: nesting was tried by hand only. Change: three tests through real nodes. A fourth, of attempts under a failing bottom level, was dropped before it landed: with one upstream nothing is sent twice, so it could not fail; the amplification is measured on the decisions.

--- a/tests/http.rs
+++ b/tests/http.rs
@@ -293,3 +293,54 @@
     assert!(runs.values().all(|runs| *runs == 1));
     assert!(runs.len() >= count - count / LEAVING_EVERY);
 }
+
+#[ntex::test]
+async fn calls_nest_eleven_deep_through_the_nodes() {
+    let path = CallPath::start(&["--slots", "32"]).await;
+    let headers = [("standin-nest", "10"), ("request-id", "top")];
+    let answer = path
+        .send(Method::POST, "/", &headers, body_of(1))
+        .await
+        .unwrap();
+    assert_eq!((answer.status, answer.body), (200, body_of(1)));
+    let counts = path.counts().await;
+    assert_eq!((counts.started, counts.finished), (11, 11));
+}
+
+#[ntex::test]
+async fn time_left_shrinks_on_the_way_down() {
+    let path = CallPath::start(&["--slots", "32"]).await;
+    let headers = [
+        ("standin-nest", "10"),
+        ("standin-work-us", "60000"),
+        ("currantlift-timeout-ms", "300"),
+    ];
+    let answer = path
+        .send(Method::POST, "/", &headers, body_of(1))
+        .await
+        .unwrap();
+    assert_eq!(answer.headers["currantlift-outcome"], "unknown");
+    // 60 ms at each level: with 300 ms for all of them the sixth level is not
+    // begun, and nothing goes on working.
+    path.wait_for_counts(|counts| counts.active == 0).await;
+    assert!(path.counts().await.started <= 5);
+}
+
+#[ntex::test]
+async fn backend_server_is_told_the_time_and_attempts_left() {
+    let path = CallPath::start(&[]).await;
+    let headers = [
+        ("standin-echo-head", "1"),
+        ("currantlift-timeout-ms", "5000"),
+        ("currantlift-attempts", "2"),
+    ];
+    let answer = path
+        .send(Method::PUT, "/", &headers, Bytes::new())
+        .await
+        .unwrap();
+    let seen: Value = serde_json::from_slice(&answer.body).unwrap();
+    // The first of two attempts leaves one.
+    assert_eq!(seen["headers"]["currantlift-attempts"], json!(["1"]));
+    let left = seen["headers"]["currantlift-timeout-ms"][0].as_str();
+    assert!(left.unwrap().parse::<u64>().unwrap() <= 5000);
+}
--- a/tests/http/path.rs
+++ b/tests/http/path.rs
@@ -99,6 +99,7 @@
         command
             .args(["--id", "b1", "--service", "slotbook"])
             .args(["--admin", &format!("http://{}", b.admin_listen)])
+            .args(["--via", &format!("http://{}", a.listen)])
             .args(backend_flags);
         let (backend_process, backend) = Process::start(&mut command);
         let path = Self {
