--- a/tests/http.rs
+++ b/tests/http.rs
@@ -8,6 +8,8 @@
 #[path = "http/raw.rs"]
 mod raw;
 
+use std::time::Duration;
+
 use ntex::http::Method;
 use ntex::util::Bytes;
 use serde_json::{Value, json};
@@ -25,6 +27,13 @@
     Bytes::from(text.repeat(1 + number % 90).into_bytes())
 }
 
+/// Concurrent calls, where the environment names no other number.
+const CONCURRENT_CALLS: usize = 2_000;
+/// One caller in this many leaves before its answer.
+const LEAVING_EVERY: usize = 10;
+/// Pause of a refused caller.
+const REFUSED_PAUSE: Duration = Duration::from_millis(100);
+
 #[ntex::test]
 async fn heads_and_bodies_pass_both_ways() {
     let path = CallPath::start(&["--slots", "8"]).await;
@@ -160,11 +169,13 @@
 
 #[ntex::test]
 async fn an_answer_cut_short_is_never_whole_to_the_caller() {
-    let path = CallPath::start(&[]).await;
-    path.set_faults(&json!({ "cut": true })).await;
     let long = Bytes::from(vec![b'x'; 300_000]);
     for body in [body_of(3), long] {
         for extra in ["", "standin-chunked: 1\r\n"] {
+            // A path for each case: after a failure, orders are refused for a
+            // while rather than risked at the only upstream.
+            let path = CallPath::start(&[]).await;
+            path.set_faults(&json!({ "cut": true })).await;
             let mut caller = RawCaller::connect(path.listen).await;
             let head = format!(
                 "POST / HTTP/1.1\r\nhost: slotbook\r\ncontent-length: {}\r\n{extra}\r\n",
@@ -234,3 +245,102 @@
     let body = caller.body(PHOTO_BYTES).await.unwrap();
     assert!(body == photo);
 }
+
+/// Places a call until it is answered, as a caller may while it is told that
+/// the call was not run; returns how often it was told so.
+async fn call_until_answered(path: &CallPath, number: usize) -> usize {
+    let id = number.to_string();
+    // Later calls end earlier, so answers come out of order.
+    let work = ((200 - number % 200) * 100).to_string();
+    let mut headers = vec![
+        ("request-id", id.as_str()),
+        ("standin-work-us", work.as_str()),
+        ("currantlift-timeout-ms", "60000"),
+    ];
+    if number.is_multiple_of(3) {
+        headers.push(("standin-chunked", "1"));
+    }
+    if number.is_multiple_of(LEAVING_EVERY) {
+        path.send_and_leave(&headers, body_of(number)).await;
+        return 0;
+    }
+    for refusals in 0.. {
+        let answer = path
+            .send(Method::POST, "/", &headers, body_of(number))
+            .await;
+        let answer = answer.unwrap();
+        if answer.status == 200 {
+            assert_eq!(answer.headers["request-id"], id);
+            assert!(answer.body == body_of(number), "call {number}");
+            return refusals;
+        }
+        assert_eq!(answer.headers["currantlift-outcome"], "not-run");
+        ntex::time::sleep(REFUSED_PAUSE).await;
+    }
+    unreachable!("counting never ends")
+}
+
+#[ntex::test]
+async fn concurrent_calls_get_their_own_answers() {
+    let path = CallPath::start(&["--slots", "256", "--connections", "256"]).await;
+    path.check_orders(1).await;
+    let count = std::env::var("CURRANTLIFT_TEST_CALLS");
+    let count = count.map_or(CONCURRENT_CALLS, |text| text.parse().unwrap());
+    let calls = (0..count).map(|number| call_until_answered(&path, number));
+    let refusals = futures_util::future::join_all(calls).await;
+    println!("{count} calls, {} refusals", refusals.iter().sum::<usize>());
+    let runs = path.counts().await.runs;
+    assert!(runs.values().all(|runs| *runs == 1));
+    assert!(runs.len() >= count - count / LEAVING_EVERY);
+}
+
+#[ntex::test]
+async fn calls_nest_eleven_deep_through_the_nodes() {
+    let path = CallPath::start(&["--slots", "32"]).await;
+    let headers = [("standin-nest", "10"), ("request-id", "top")];
+    let answer = path
+        .send(Method::POST, "/", &headers, body_of(1))
+        .await
+        .unwrap();
+    assert_eq!((answer.status, answer.body), (200, body_of(1)));
+    let counts = path.counts().await;
+    assert_eq!((counts.started, counts.finished), (11, 11));
+}
+
+#[ntex::test]
+async fn time_left_shrinks_on_the_way_down() {
+    let path = CallPath::start(&["--slots", "32"]).await;
+    let headers = [
+        ("standin-nest", "10"),
+        ("standin-work-us", "60000"),
+        ("currantlift-timeout-ms", "300"),
+    ];
+    let answer = path
+        .send(Method::POST, "/", &headers, body_of(1))
+        .await
+        .unwrap();
+    assert_eq!(answer.headers["currantlift-outcome"], "unknown");
+    // 60 ms at each level: with 300 ms for all of them the sixth level is not
+    // begun, and nothing goes on working.
+    path.wait_for_counts(|counts| counts.active == 0).await;
+    assert!(path.counts().await.started <= 5);
+}
+
+#[ntex::test]
+async fn backend_server_is_told_the_time_and_attempts_left() {
+    let path = CallPath::start(&[]).await;
+    let headers = [
+        ("standin-echo-head", "1"),
+        ("currantlift-timeout-ms", "5000"),
+        ("currantlift-attempts", "2"),
+    ];
+    let answer = path
+        .send(Method::PUT, "/", &headers, Bytes::new())
+        .await
+        .unwrap();
+    let seen: Value = serde_json::from_slice(&answer.body).unwrap();
+    // The first of two attempts leaves one.
+    assert_eq!(seen["headers"]["currantlift-attempts"], json!(["1"]));
+    let left = seen["headers"]["currantlift-timeout-ms"][0].as_str();
+    assert!(left.unwrap().parse::<u64>().unwrap() <= 5000);
+}
