--- a/src/ctl.rs
+++ b/src/ctl.rs
@@ -9,7 +9,7 @@
 mod explain;
 mod options;
 
-use std::io::Read;
+use std::io::{Read, Write};
 use std::path::Path;
 use std::process::ExitCode;
 use std::{fs, io};
@@ -70,7 +70,7 @@
             (query, is_submission)
         }
         Ok(CommandSource::Logs(text)) => {
-            print!("{text}");
+            print_text(text.trim_end());
             return CtlResult::Done;
         }
         Err(error) => {
@@ -169,11 +169,17 @@
         .map_err(|error| io::Error::new(error.kind(), format!("{file}: {error}")))
 }
 
+/// Prints text; a reader that has seen enough may close the pipe.
+fn print_text(text: &str) {
+    let _ = writeln!(io::stdout(), "{text}");
+}
+
 fn show_answer(answer: &AdminAnswer) -> CtlResult {
-    match serde_json::from_str::<serde_json::Value>(&answer.body) {
-        Ok(json) => println!("{json:#}"),
-        Err(_) => println!("{}", answer.body),
-    }
+    let text = match serde_json::from_str::<serde_json::Value>(&answer.body) {
+        Ok(json) => format!("{json:#}"),
+        Err(_) => answer.body.clone(),
+    };
+    print_text(&text);
     let ticket: Option<TicketAnswer> = serde_json::from_str(&answer.body).ok();
     match (ticket, answer.status) {
         (Some(TicketAnswer::Unknown { .. }), _) | (_, 504) => CtlResult::Unknown,
