--- a/src/tickets/driver.rs
+++ b/src/tickets/driver.rs
@@ -220,7 +220,7 @@
     };
     let least_version = shared.head_version();
     let report = submit_ticket(&*store, &ticket, least_version, &mut pacer).await;
-    log::info!("tickets: ticket {number} submitted: {:?}", report.answer);
+    log::info!(target: "tickets", "ticket {number} submitted: {:?}", report.answer);
     let mut bodies = BTreeMap::from([(number, ticket)]);
     let is_applied = match &report.head {
         Some(head) => shared.apply_bodies(head, &bodies),
@@ -250,7 +250,7 @@
         }
         tokio::time::sleep(APPLY_PAUSE).await;
     }
-    log::warn!("tickets: head {} could not be applied", head.version);
+    log::warn!(target: "tickets", "head {} could not be applied", head.version);
 }
 
 /// Reads seeds; after each vain look the next one waits up to twice as long.
--- a/src/tickets/peers.rs
+++ b/src/tickets/peers.rs
@@ -54,12 +54,13 @@
             Ok(delta) => {
                 let is_applied = shared.apply_delta(&delta);
                 log::info!(
-                    "tickets: delta from peer {peer}, version {} to {}, applied {is_applied}",
+                    target: "tickets",
+                    "delta from peer {peer}, version {} to {}, applied {is_applied}",
                     delta.base,
                     delta.version
                 );
             }
-            Err(error) => log::warn!("tickets: fetch from peer {peer} failed: {error}"),
+            Err(error) => log::warn!(target: "tickets", "fetch from peer {peer} failed: {error}"),
         }
     }
 }
--- a/src/tickets/watcher.rs
+++ b/src/tickets/watcher.rs
@@ -71,7 +71,7 @@
         match hold_once(shared, store, &mut rank).await {
             Ok(()) => pause = FailurePause::new(),
             Err(error) => {
-                log::warn!("tickets: store watch failed: {error}");
+                log::warn!(target: "tickets", "store watch failed: {error}");
                 pause.wait().await;
             }
         }
@@ -102,7 +102,8 @@
         return store.end_lease(&lease).await;
     }
     log::info!(
-        "tickets: watching the head for zone {}",
+        target: "tickets",
+        "watching the head for zone {}",
         shared.settings.zone
     );
     let seed = shared.settings.peer_address;
@@ -120,10 +121,10 @@
         match store.renew_lease(lease).await {
             Ok(true) => {}
             Ok(false) => {
-                log::info!("tickets: watch lease has lapsed");
+                log::info!(target: "tickets", "watch lease has lapsed");
                 return;
             }
-            Err(error) => log::warn!("tickets: lease renewal failed: {error}"),
+            Err(error) => log::warn!(target: "tickets", "lease renewal failed: {error}"),
         }
     }
 }
@@ -144,7 +145,7 @@
                 }
             }
             Err(error) => {
-                log::warn!("tickets: head watch failed: {error}");
+                log::warn!(target: "tickets", "head watch failed: {error}");
                 pause.wait().await;
             }
         }
@@ -163,7 +164,7 @@
     match TicketHead::decode(&stored.bytes) {
         Ok(head) => shared.apply_head(store, &head, &mut BTreeMap::new()).await,
         Err(error) => {
-            log::error!("tickets: {error}");
+            log::error!(target: "tickets", "{error}");
             false
         }
     }
