Drop the store's state from the status page

Cause: most nodes never call the store, and the page said 'none' everywhere. Change: the field is gone; 'store watch failed' in the log of a zone's watching node says what is known. Run: clippy, the API's tests.

--- a/src/admin/messages.rs
+++ b/src/admin/messages.rs
@@ -216,21 +216,6 @@
     pub service: Option<ServiceName>,
 }
 
-/// What the node knows about the platform's store.
-#[derive(Debug, Clone, Copy, Display, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(rename_all = "kebab-case")]
-pub enum StoreState {
-    /// No store is set.
-    #[display("none")]
-    None,
-    /// The last call was answered.
-    #[display("reachable")]
-    Reachable,
-    /// The last call failed.
-    #[display("away")]
-    Away,
-}
-
 /// One backend server beside this node.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct BackendView {
@@ -260,8 +245,6 @@
     pub table_version: u64,
     /// Whether a planned stop has begun.
     pub is_stopping: bool,
-    /// Platform's store.
-    pub store: StoreState,
     /// Nodes known to be alive, this one included.
     pub members_alive: u64,
     /// Backend servers beside this node.
--- a/src/control/admin.rs
+++ b/src/control/admin.rs
@@ -7,8 +7,7 @@
 
 use crate::admin::{
     AdminCall, AdminReply, AdminRequest, BackendAnnouncement, BackendView, FieldError, HealthView,
-    MemberView, RefusalReason, ServiceView, StatusView, StoreState, TicketAnswer, TicketView,
-    UpstreamView,
+    MemberView, RefusalReason, ServiceView, StatusView, TicketAnswer, TicketView, UpstreamView,
 };
 use crate::control::state::ControlState;
 use crate::ids::{BackendId, NodeId, ServiceName, TicketNumber};
@@ -238,7 +237,6 @@
         uptime_ms: u64::try_from(uptime_ms).unwrap_or(u64::MAX),
         table_version: control.table().version,
         is_stopping: *control.is_stopping.borrow(),
-        store: StoreState::None,
         members_alive: count_alive(control),
         backends: backends.collect(),
         counters: counters(control),
