Weigh own outstanding attempts four times; state outcomes in tests

Change: an own outstanding attempt counts as four reported calls, since it is never stale and other ingresses are likely to have done the same since the report.

--- a/src/decisions.rs
+++ b/src/decisions.rs
@@ -12,6 +12,7 @@
 mod figures;
 mod generate;
 mod replay;
+mod timing;
 mod upstream;
 
 use std::sync::Arc;
@@ -31,6 +32,7 @@
 pub use figures::{ReplayFigures, check_outcome};
 pub use generate::{Deployment, Scenario, generate_trace};
 pub use replay::replay_trace;
+pub use timing::measure_decisions;
 
 /// Reason why a text names none of a closed list of things.
 #[derive(Debug, Clone, Display, derive_more::Error, PartialEq, Eq)]
--- a/src/decisions/command.rs
+++ b/src/decisions/command.rs
@@ -5,7 +5,7 @@
 use std::process::ExitCode;
 
 use super::figures::{ReplayFigures, check_outcome};
-use super::{Deployment, PolicyKind, Scenario, generate_trace, replay_trace};
+use super::{Deployment, PolicyKind, Scenario, generate_trace, measure_decisions, replay_trace};
 use crate::options::{
     BoundedNumber, CommandSpec, FlagArity, FlagSpec, RawOptions, SettingError, options_from_process,
 };
@@ -15,9 +15,9 @@
 /// Exit code when a stated outcome is missed.
 const EXIT_MISSED: u8 = 1;
 /// Heading of the tables.
-const HEADING: &str = "| policy | p50 ms | p99 ms | p99.9 ms | answered % | goodput % | refused \
+const HEADING: &str = "| policy | p50 ms | p99 ms | p99.9 ms | p99 beyond work ms | answered % | goodput % | refused \
                        | unknown | attempts % | probes/1,000 |\n\
-                       |---|---:|---:|---:|---:|---:|---:|---:|---:|---:|";
+                       |---|---:|---:|---:|---:|---:|---:|---:|---:|---:|---:|";
 
 const FLAGS: &[FlagSpec] = &[
     FlagSpec::single(
@@ -45,6 +45,13 @@
         "write the trace to standard output in place of replaying it",
     )
     .with_arity(FlagArity::Switch),
+    FlagSpec::single(
+        "time-decisions",
+        "true|false",
+        "true or false",
+        "measure the time of a decision in a fleet of 2,700 upstreams",
+    )
+    .with_arity(FlagArity::Switch),
 ];
 
 const COMMAND: CommandSpec = CommandSpec {
@@ -65,6 +72,7 @@
     seconds: f64,
     seeds: std::ops::Range<u64>,
     is_write: bool,
+    is_timing: bool,
 }
 
 impl TryFrom<RawOptions> for DecisionsOptions {
@@ -89,6 +97,7 @@
             seconds: seconds.get() as f64,
             seeds: seed.get()..seed.get() + seeds.get(),
             is_write: raw.switch("write")?,
+            is_timing: raw.switch("time-decisions")?,
         })
     }
 }
@@ -120,6 +129,10 @@
         if !self.files.is_empty() {
             return Ok(missed);
         }
+        if self.is_timing {
+            print_timing()?;
+            return Ok(0);
+        }
         for deployment in &self.deployments {
             for scenario in self.scenarios.iter().filter(|it| it.fits(*deployment)) {
                 let name = format!("{deployment}, {scenario}");
@@ -164,13 +177,22 @@
             return Ok(0);
         };
         let misses = check_outcome(&outcome, own, round_robin, least_outstanding);
-        for miss in &misses {
-            println!("\nmissed: {miss}");
+        if !misses.is_empty() {
+            println!("\nMissed: {}.", misses.join("; "));
         }
         Ok(misses.len())
     }
 }
 
+fn print_timing() -> io::Result<()> {
+    let times = measure_decisions().map_err(io::Error::other)?;
+    for quantile in [0.5, 0.99, 0.999] {
+        let time_us = times.value_at_quantile(quantile) as f64 / 1e3;
+        println!("decision, quantile {quantile}: {time_us:.1} us");
+    }
+    Ok(())
+}
+
 fn read_trace(path: &str) -> io::Result<RecordedTrace> {
     let file = File::open(path).map_err(|e| io::Error::new(e.kind(), format!("{path}: {e}")))?;
     RecordedTrace::read(BufReader::new(file)).map_err(|e| io::Error::other(format!("{path}: {e}")))
@@ -178,10 +200,11 @@
 
 fn table_row(kind: PolicyKind, figures: &ReplayFigures) -> String {
     format!(
-        "| {kind} | {:.1} | {:.1} | {:.1} | {:.2} | {:.1} | {} | {} | {:.1} | {:.2} |",
+        "| {kind} | {:.1} | {:.1} | {:.1} | {:.1} | {:.2} | {:.1} | {} | {} | {:.1} | {:.2} |",
         figures.latency_ms(0.5),
         figures.latency_ms(0.99),
         figures.latency_ms(0.999),
+        figures.delay_ms(0.99),
         figures.answered_percent(),
         figures.goodput_percent,
         figures.refused,
--- a/src/decisions/figures.rs
+++ b/src/decisions/figures.rs
@@ -40,13 +40,16 @@
     pub goodput_percent: f64,
     /// Latency of answered idempotent requests, in microseconds.
     pub latency: Histogram<u64>,
+    /// The same without the undisturbed service time: network, waits, slow-downs.
+    pub delay: Histogram<u64>,
     /// Work of answered requests.
     pub(super) useful_work: Duration,
 }
 
 impl ReplayFigures {
     pub(super) fn new() -> Self {
-        let latency = Histogram::new_with_bounds(1, MAX_LATENCY_US, LATENCY_DIGITS);
+        let histogram = Histogram::new_with_bounds(1, MAX_LATENCY_US, LATENCY_DIGITS)
+            .expect("bounds of the histogram are constants");
         Self {
             requests: 0,
             answered: 0,
@@ -60,7 +63,8 @@
             attempts: 0,
             probes: 0,
             goodput_percent: 0.0,
-            latency: latency.expect("bounds of the histogram are constants"),
+            delay: histogram.clone(),
+            latency: histogram,
             useful_work: Duration::ZERO,
         }
     }
@@ -82,6 +86,7 @@
         self.attempts += other.attempts;
         self.probes += other.probes;
         self.latency += &other.latency;
+        self.delay += &other.delay;
     }
 
     /// Latency at a quantile in milliseconds.
@@ -89,6 +94,11 @@
         self.latency.value_at_quantile(quantile) as f64 / 1e3
     }
 
+    /// Delay beyond the undisturbed service time at a quantile, in milliseconds.
+    pub fn delay_ms(&self, quantile: f64) -> f64 {
+        self.delay.value_at_quantile(quantile) as f64 / 1e3
+    }
+
     /// Share of requests answered, in percent.
     pub fn answered_percent(&self) -> f64 {
         percent(self.answered, self.requests)
--- a/src/decisions/replay/attempts.rs
+++ b/src/decisions/replay/attempts.rs
@@ -296,6 +296,9 @@
             let elapsed = self.now.saturating_sub(call.started_at);
             let latency_us = u64::try_from(elapsed.as_micros()).unwrap_or(u64::MAX);
             figures.latency.saturating_record(latency_us + way);
+            let work_us = call.request.work_us * u64::from(levels);
+            let delay_us = (latency_us + way).saturating_sub(work_us);
+            figures.delay.saturating_record(delay_us);
         }
     }
 }
--- a/src/decisions/tests.rs
+++ b/src/decisions/tests.rs
@@ -1,1 +1,122 @@
+use super::*;
+use crate::routing::RoutingOptions;
 
+/// Length of a generated trace.
+const SECONDS: f64 = 2.0;
+/// Seeds summed up for a percentile.
+const SEEDS: std::ops::Range<u64> = 1..4;
+
+fn replay(deployment: Deployment, scenario: Scenario, kind: PolicyKind) -> ReplayFigures {
+    let options = RoutingOptions::default();
+    let mut sum: Option<ReplayFigures> = None;
+    for seed in SEEDS {
+        let trace = generate_trace(deployment, scenario, SECONDS, seed).unwrap();
+        let figures = replay_trace(&trace, kind, &options, seed);
+        match &mut sum {
+            Some(sum) => sum.add(&figures),
+            None => sum = Some(figures),
+        }
+    }
+    sum.unwrap()
+}
+
+/// Outcomes that the own policy misses in the deployments with such a trace.
+fn misses(scenario: Scenario, other: PolicyKind) -> Vec<String> {
+    let mut misses = Vec::new();
+    for deployment in Deployment::ALL {
+        if !scenario.fits(deployment) {
+            continue;
+        }
+        let stated = generate_trace(deployment, scenario, 0.1, 1)
+            .unwrap()
+            .outcome;
+        let own = replay(deployment, scenario, PolicyKind::Currantlift);
+        assert_eq!(own.requests, own.answered + own.refused + own.unknown);
+        let other = match other {
+            PolicyKind::Currantlift => own.clone(),
+            kind => replay(deployment, scenario, kind),
+        };
+        let found = check_outcome(&stated, &own, &other, &other);
+        misses.extend(
+            found
+                .into_iter()
+                .map(|miss| format!("{deployment}: {miss}")),
+        );
+    }
+    misses
+}
+
+fn assert_no_worse_than_least_outstanding(scenario: Scenario) {
+    let mut misses = misses(scenario, PolicyKind::LeastOutstanding);
+    misses.retain(|miss| miss.contains("_of_least_outstanding"));
+    assert_eq!(misses, [""; 0]);
+}
+
+fn assert_half_of_round_robin(scenario: Scenario) {
+    let mut misses = misses(scenario, PolicyKind::RoundRobin);
+    misses.retain(|miss| miss.contains("_of_round_robin"));
+    assert_eq!(misses, [""; 0]);
+}
+
+#[test]
+fn every_trace_reaches_its_outcomes_that_compare_with_no_other_policy() {
+    for scenario in Scenario::ALL {
+        let mut misses = misses(scenario, PolicyKind::Currantlift);
+        misses.retain(|miss| !miss.contains("max_p99_percent"));
+        assert_eq!(misses, [""; 0], "{scenario}");
+    }
+}
+
+#[test]
+fn slow_down_p99_is_at_most_half_of_round_robins() {
+    assert_half_of_round_robin(Scenario::SlowDown);
+}
+
+#[test]
+fn noisy_neighbour_p99_is_at_most_half_of_round_robins() {
+    assert_half_of_round_robin(Scenario::NoisyNeighbour);
+}
+
+#[test]
+fn calm_p99_is_no_worse_than_least_outstandings() {
+    assert_no_worse_than_least_outstanding(Scenario::Calm);
+}
+
+#[test]
+fn noisy_neighbour_p99_is_no_worse_than_least_outstandings() {
+    assert_no_worse_than_least_outstanding(Scenario::NoisyNeighbour);
+}
+
+#[test]
+fn slow_down_p99_is_no_worse_than_least_outstandings() {
+    assert_no_worse_than_least_outstanding(Scenario::SlowDown);
+}
+
+#[test]
+fn drain_and_fail_fast_p99_is_no_worse_than_least_outstandings() {
+    assert_no_worse_than_least_outstanding(Scenario::DrainAndFailFast);
+}
+
+#[test]
+fn zone_gone_p99_is_no_worse_than_least_outstandings() {
+    assert_no_worse_than_least_outstanding(Scenario::ZoneGone);
+}
+
+#[test]
+fn flash_90_p99_is_no_worse_than_least_outstandings() {
+    assert_no_worse_than_least_outstanding(Scenario::Flash90);
+}
+
+#[test]
+fn flash_130_p99_is_no_worse_than_least_outstandings() {
+    assert_no_worse_than_least_outstanding(Scenario::Flash130);
+}
+
+#[test]
+fn same_trace_and_seed_give_the_same_figures() {
+    let trace = generate_trace(Deployment::Hearthwood, Scenario::ZoneGone, 0.5, 7).unwrap();
+    let options = RoutingOptions::default();
+    let [a, b] = [0, 1].map(|_| replay_trace(&trace, PolicyKind::Currantlift, &options, 7));
+    assert_eq!(a.latency, b.latency);
+    assert_eq!((a.answered, a.attempts), (b.answered, b.attempts));
+}
--- /dev/null
+++ b/src/decisions/timing.rs
@@ -0,0 +1,114 @@
+//! Time that one decision takes at the size to design for.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use hdrhistogram::Histogram;
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+
+use crate::error::ErrorKind;
+use crate::ids::{NodeId, NodeIncarnation, ParseIdError, ServiceName, SlotCount};
+use crate::routing::{
+    AttemptResult, HomePlace, LoadReport, RouteRequest, RouterState, RoutingOptions,
+};
+use crate::table::{RoutingTable, ServiceEntry, ServiceRule, UpstreamEntry, UpstreamState};
+
+/// Services of the fleet.
+const SERVICES: usize = 130;
+/// Upstreams of the fleet.
+const UPSTREAMS: usize = 2_700;
+/// Availability zones of the fleet.
+const ZONES: usize = 9;
+/// Regions of the fleet.
+const REGIONS: usize = 4;
+/// Services that one node calls.
+const CALLED_SERVICES: usize = 15;
+/// Decisions to measure.
+const DECISIONS: u64 = 200_000;
+
+/// Measures decisions in nanoseconds; every eighth attempt is refused.
+///
+/// One decision is a choice, the report on its answer and its end.
+///
+/// # Errors
+///
+/// Fails if a generated name is not allowed, which a test rules out.
+pub fn measure_decisions() -> Result<Histogram<u64>, ParseIdError> {
+    let table = fleet_table()?;
+    let home = HomePlace {
+        node: "node-0".parse()?,
+        region: "region-0".parse()?,
+        zone: "zone-0".parse()?,
+    };
+    let mut router = RouterState::new(home, RoutingOptions::default());
+    router.apply_table(Duration::ZERO, &table);
+    let services: Vec<_> = table.services.keys().take(CALLED_SERVICES).collect();
+    let mut rng = StdRng::seed_from_u64(1);
+    let mut times = Histogram::new(3).expect("3 digits are allowed");
+    for decision in 0..DECISIONS {
+        let now = Duration::from_millis(decision);
+        let service = services[decision as usize % services.len()];
+        let started = Instant::now();
+        decide(&mut router, now, &mut rng, service, decision);
+        let elapsed = u64::try_from(started.elapsed().as_nanos()).unwrap_or(u64::MAX);
+        times += elapsed.max(1);
+    }
+    Ok(times)
+}
+
+fn decide(
+    router: &mut RouterState,
+    now: Duration,
+    rng: &mut StdRng,
+    service: &ServiceName,
+    decision: u64,
+) {
+    let tried = BTreeSet::new();
+    let request = RouteRequest {
+        service,
+        is_idempotent: true,
+        tried: &tried,
+    };
+    let Ok(choice) = router.choose_for(now, rng, &request) else {
+        return;
+    };
+    let report = LoadReport {
+        in_flight: (decision % 7) as u32,
+        queued: 0,
+        limit: 6,
+    };
+    let result = match decision % 8 {
+        0 => AttemptResult::Refused(ErrorKind::Overloaded),
+        _ => AttemptResult::Answered,
+    };
+    router.on_report(now, &choice.node, report);
+    router.on_finished(now, service, &choice.node, choice.attempt, result);
+}
+
+fn fleet_table() -> Result<Arc<RoutingTable>, ParseIdError> {
+    let mut table = RoutingTable::default();
+    for index in 0..UPSTREAMS {
+        let service: ServiceName = format!("service-{}", index % SERVICES).parse()?;
+        let entry = table.services.entry(service).or_insert(ServiceEntry {
+            ticket: "1".parse()?,
+            rule: ServiceRule::default(),
+            upstreams: BTreeMap::new(),
+        });
+        let node: NodeId = format!("node-{index}").parse()?;
+        let zone = index / SERVICES % ZONES;
+        let upstream = UpstreamEntry {
+            node: node.clone(),
+            incarnation: NodeIncarnation::try_from(1)?,
+            region: format!("region-{}", zone % REGIONS).parse()?,
+            zone: format!("zone-{zone}").parse()?,
+            peer_address: ([127, 0, 0, 1], 1).into(),
+            slots: SlotCount::try_from(6)?,
+            state: UpstreamState::Ready,
+            is_suspect: false,
+        };
+        entry.upstreams.insert(node, upstream);
+    }
+    Ok(Arc::new(table))
+}
--- a/src/routing/upstream.rs
+++ b/src/routing/upstream.rs
@@ -20,6 +20,9 @@
 const FAILURE_WEIGHT: f64 = 4.0;
 /// Share of its places that an upstream gets in the moment it joins.
 const RAMP_START: f64 = 0.1;
+/// Weight of an own outstanding attempt against one that a report tells of: it
+/// is never stale, and other ingresses are likely to have done the same since.
+const OWN_WEIGHT: f64 = 4.0;
 /// Score of an upstream without any work.
 pub(super) const IDLE_SCORE: f64 = 0.5;
 /// Answers' worth of history in the latency mean.
@@ -238,7 +241,7 @@
             }
             None => prior,
         };
-        (f64::from(self.outstanding_count()) + others + 1.0) / places
+        (OWN_WEIGHT * f64::from(self.outstanding_count()) + others + 1.0) / places
     }
 
     /// Calls it can work on at once, as far as known.
