--- a/src/ingress/attempt.rs
+++ b/src/ingress/attempt.rs
@@ -4,33 +4,29 @@
 //! one to the same gate and asks for the rest by call id. Dropping an attempt
 //! that has not ended cancels it at the gate.
 
+mod relay;
+mod resume;
+
 use std::io;
 use std::rc::Rc;
 use std::time::Duration;
 
 use bytes::Bytes;
-use tokio::sync::mpsc::{Sender, UnboundedReceiver, channel};
+use tokio::sync::mpsc::UnboundedReceiver;
 use tokio::time::Instant;
 
 use crate::error::ErrorKind;
-use crate::ids::ServiceName;
-use crate::ids::{CallId, NodeIncarnation};
-use crate::ingress::answer::{AnswerCut, AnswerReceiver};
+use crate::ids::{CallId, ServiceName};
 use crate::ingress::body::RequestBody;
 use crate::ingress::{IngressWorker, lock};
-use crate::link::messages::{
-    AnswerHead, BodyChunk, CallName, CallOpen, CallResume, LinkMessage, ResumeReply, ResumeState,
-    WindowCredit,
-};
-use crate::link::pool::{CallEvent, CallLink, GateTarget};
+use crate::ledger::attempt::{AlarmAction, AttemptState};
+use crate::link::call_link::{CallEvent, CallLink};
+use crate::link::messages::{AnswerHead, BodyChunk, CallName, CallOpen, LinkMessage};
+use crate::link::pool::GateTarget;
 use crate::link::window::{FIRST_WINDOW_BYTES, ReceiveWindow, SendWindow};
 use crate::retry::AttemptFailure;
 use crate::routing::{AttemptNumber, AttemptResult};
 
-/// Chunks of an answer that wait for the caller's connection.
-const ANSWER_QUEUE_CHUNKS: usize = 8;
-/// Pause between two tries to reach a gate whose link was lost.
-const RECONNECT_PAUSE: Duration = Duration::from_millis(50);
 /// Longest time before the deadline at which a call is cancelled, so that the
 /// gate can still say whether it ran.
 const MAX_CANCEL_MARGIN: Duration = Duration::from_millis(20);
@@ -51,10 +47,7 @@
 
 impl AttemptEnd {
     fn not_run(kind: ErrorKind) -> Self {
-        Self {
-            failure: AttemptFailure::NotRun(kind),
-            retry_after: None,
-        }
+        AttemptFailure::NotRun(kind).into()
     }
 
     /// End of an attempt whose answer says that the backend server failed.
@@ -63,8 +56,14 @@
     }
 
     fn unknown(kind: ErrorKind) -> Self {
+        AttemptFailure::Unknown(kind).into()
+    }
+}
+
+impl From<AttemptFailure> for AttemptEnd {
+    fn from(failure: AttemptFailure) -> Self {
         Self {
-            failure: AttemptFailure::Unknown(kind),
+            failure,
             retry_after: None,
         }
     }
@@ -93,14 +92,13 @@
     worker: Rc<IngressWorker>,
     plan: AttemptPlan,
     link: Rc<CallLink>,
-    gate: NodeIncarnation,
+    state: AttemptState,
     events: UnboundedReceiver<CallEvent>,
     outgoing: SendWindow,
     incoming: ReceiveWindow,
     has_head: bool,
     result: AttemptResult,
     cancel_at: Instant,
-    is_cancelled: bool,
     is_settled: bool,
 }
 
@@ -121,7 +119,9 @@
         plan: AttemptPlan,
         open: CallOpen,
     ) -> Result<Self, AttemptEnd> {
-        let link = match worker.pool.link(&plan.target).await {
+        let linking = worker.pool.link(&plan.target);
+        let linked = tokio::time::timeout_at(plan.deadline, linking).await;
+        let link = match linked.unwrap_or_else(|_| Err(io::ErrorKind::TimedOut.into())) {
             Ok(link) => link,
             Err(error) => {
                 log::warn!(target: "link", call:% = plan.id, gate:% = plan.target.node; "no link: {error}");
@@ -137,7 +137,7 @@
         let margin = (plan.timeout / CANCEL_MARGIN_SHARE).min(MAX_CANCEL_MARGIN);
         Ok(Self {
             cancel_at: plan.deadline - margin,
-            gate: link.incarnation(),
+            state: AttemptState::new(link.incarnation()),
             worker,
             plan,
             link,
@@ -146,7 +146,6 @@
             incoming: ReceiveWindow::default(),
             has_head: false,
             result: AttemptResult::Answered,
-            is_cancelled: false,
             is_settled: false,
         })
     }
@@ -195,8 +194,8 @@
     async fn exchange(&mut self, body: &mut RequestBody) -> Result<AnswerHead, AttemptEnd> {
         loop {
             let room = self.outgoing.room();
-            let has_body = !self.outgoing.is_ended() && room > 0 && !self.is_cancelled;
-            let alarm = if self.is_cancelled {
+            let has_body = !self.outgoing.is_ended() && room > 0 && !self.state.is_cancelled();
+            let alarm = if self.state.is_cancelled() {
                 self.plan.deadline
             } else {
                 self.cancel_at
@@ -243,15 +242,15 @@
 
     /// Cancels shortly before the deadline, and gives up at it.
     fn pass_alarm(&mut self) -> Result<(), AttemptEnd> {
-        if self.is_cancelled {
-            return Err(AttemptEnd::unknown(ErrorKind::TimedOut));
+        match self.state.on_alarm() {
+            AlarmAction::Cancel => self.cancel(),
+            AlarmAction::GiveUp(failure) => return Err(failure.into()),
         }
-        self.cancel();
         Ok(())
     }
 
     fn cancel(&mut self) {
-        self.is_cancelled = true;
+        self.state.on_cancelling();
         self.link.send(LinkMessage::Cancel(CallName {
             sequence: self.sequence(),
         }));
@@ -272,14 +271,13 @@
                 Ok(Progress::Head(AnswerHead { body, ..head }))
             }
             LinkMessage::Refusal(refusal) => Err(AttemptEnd {
-                failure: AttemptFailure::NotRun(kind_of(&refusal.kind)),
+                failure: self.state.on_refused(kind_of(&refusal.kind)),
                 retry_after: Some(Duration::from_millis(refusal.retry_after_ms)),
             }),
-            LinkMessage::Abort(abort) => Err(AttemptEnd::unknown(kind_of(&abort.kind))),
-            LinkMessage::CancelReply(reply) if reply.is_not_run => {
-                Err(AttemptEnd::not_run(ErrorKind::TimedOut))
+            LinkMessage::Abort(abort) => Err(self.state.on_aborted(kind_of(&abort.kind)).into()),
+            LinkMessage::CancelReply(reply) => {
+                Err(self.state.on_cancel_reply(reply.is_not_run).into())
             }
-            LinkMessage::CancelReply(_) => Err(AttemptEnd::unknown(ErrorKind::TimedOut)),
             LinkMessage::Credit(credit) => {
                 self.outgoing.credit(credit.consumed);
                 Ok(Progress::Continue)
@@ -292,155 +290,12 @@
         }
     }
 
-    fn take_resume_reply(&mut self, reply: ResumeReply) -> Result<(), AttemptEnd> {
-        match reply.state() {
-            ResumeState::NeverSeen => return Err(AttemptEnd::not_run(ErrorKind::LinkLost)),
-            ResumeState::Forgotten => return Err(AttemptEnd::unknown(ErrorKind::LinkLost)),
-            ResumeState::Known => {}
-        }
-        let Some(chunks) = self.outgoing.resend_from(reply.request_received) else {
-            return Err(AttemptEnd::unknown(ErrorKind::LinkLost));
-        };
-        for (offset, data) in chunks {
-            self.resend_chunk(offset, data, false);
-        }
-        if self.outgoing.is_ended() {
-            self.resend_chunk(self.outgoing.sent(), Bytes::new(), true);
-        }
-        if self.is_cancelled {
-            self.cancel();
-        }
-        Ok(())
-    }
-
-    fn resend_chunk(&self, offset: u64, data: Bytes, is_last: bool) {
-        self.link.send(LinkMessage::RequestChunk(BodyChunk {
-            sequence: self.sequence(),
-            offset,
-            data,
-            is_last,
-            load: None,
-        }));
-    }
-
-    /// Moves the call to a new link.
-    ///
-    /// An idempotent call gives up at the first failure, since another
-    /// upstream can answer it; a non-idempotent one goes on trying until its
-    /// deadline, unless the gate's process is gone.
-    async fn resume(&mut self) -> Result<(), AttemptEnd> {
-        self.link.detach(self.sequence());
-        let link = loop {
-            match self.worker.pool.link(&self.plan.target).await {
-                Ok(link) => break link,
-                Err(error) => self.check_reconnect(&error)?,
-            }
-            tokio::time::sleep(RECONNECT_PAUSE).await;
-        };
-        if link.incarnation() != self.gate {
-            return Err(AttemptEnd::unknown(ErrorKind::GateRestarted));
-        }
-        log::info!(target: "link", call:% = self.plan.id; "resumed on a new link");
-        self.events = link.attach(self.sequence());
-        self.link = link;
-        self.link.send(LinkMessage::Resume(CallResume {
-            sequence: self.sequence(),
-            has_head: self.has_head,
-            answer_received: self.incoming.received(),
-        }));
-        Ok(())
-    }
-
-    fn check_reconnect(&self, error: &io::Error) -> Result<(), AttemptEnd> {
-        let is_gone = error.kind() == io::ErrorKind::ConnectionRefused;
-        if is_gone || self.plan.is_idempotent {
-            return Err(AttemptEnd::unknown(ErrorKind::LinkLost));
-        }
-        if Instant::now() + RECONNECT_PAUSE >= self.plan.deadline {
-            return Err(AttemptEnd::unknown(ErrorKind::TimedOut));
-        }
-        Ok(())
-    }
-
     fn acknowledge(&mut self) {
         self.link.send(LinkMessage::Acknowledge(CallName {
             sequence: self.sequence(),
         }));
         self.settle(self.result);
     }
-
-    /// Passes the rest of the answer on, from a task of its own.
-    pub fn relay_rest(mut self) -> AnswerReceiver {
-        let (sender, receiver) = channel(ANSWER_QUEUE_CHUNKS);
-        ntex::rt::spawn(async move {
-            if let Err(kind) = self.relay(&sender).await {
-                self.cancel();
-                self.settle(AttemptResult::Failed(kind));
-                // A caller that has left needs no telling.
-                let _ = sender.send(Err(AnswerCut { kind })).await;
-            }
-        });
-        receiver
-    }
-
-    async fn relay(&mut self, sender: &Sender<Result<Bytes, AnswerCut>>) -> Result<(), ErrorKind> {
-        self.credit_answer();
-        while !self.incoming.is_ended() {
-            let event = tokio::select! {
-                event = self.events.recv() => event,
-                () = sender.closed() => return Err(ErrorKind::Cancelled),
-                () = tokio::time::sleep_until(self.plan.deadline) => {
-                    return Err(ErrorKind::TimedOut);
-                }
-            };
-            if let Some(data) = self.take_answer_event(event).await? {
-                sender
-                    .send(Ok(data))
-                    .await
-                    .map_err(|_| ErrorKind::Cancelled)?;
-                self.credit_answer();
-            }
-        }
-        self.acknowledge();
-        Ok(())
-    }
-
-    async fn take_answer_event(
-        &mut self,
-        event: Option<CallEvent>,
-    ) -> Result<Option<Bytes>, ErrorKind> {
-        let message = match event {
-            Some(CallEvent::Message(message)) => message,
-            Some(CallEvent::LinkLost) | None => {
-                self.resume().await.map_err(|end| end.failure.kind())?;
-                return Ok(None);
-            }
-        };
-        match message {
-            LinkMessage::AnswerChunk(chunk) => {
-                let fresh = self
-                    .incoming
-                    .accept(chunk.offset, chunk.data, chunk.is_last)
-                    .ok_or(ErrorKind::LinkLost)?;
-                Ok(Some(fresh).filter(|data| !data.is_empty()))
-            }
-            LinkMessage::Abort(abort) => Err(kind_of(&abort.kind)),
-            LinkMessage::ResumeReply(reply) => {
-                self.take_resume_reply(reply)
-                    .map_err(|end| end.failure.kind())?;
-                Ok(None)
-            }
-            _ => Ok(None),
-        }
-    }
-
-    fn credit_answer(&self) {
-        self.link.send(LinkMessage::Credit(WindowCredit {
-            sequence: self.sequence(),
-            consumed: self.incoming.received(),
-            is_for_answer: true,
-        }));
-    }
 }
 
 impl Drop for CallAttempt {
--- a/src/ingress/call.rs
+++ b/src/ingress/call.rs
@@ -8,17 +8,18 @@
 use tokio::time::Instant;
 
 use crate::admission::{ShareKey, WorkShare};
-use crate::error::{ErrorKind, RunOutcome};
+use crate::error::ErrorKind;
 use crate::ids::{CallId, NodeId};
 use crate::ingress::answer::{CallAnswer, CallFailure};
 use crate::ingress::attempt::{AttemptEnd, AttemptPlan, CallAttempt, FIRST_SERVER_ERROR};
 use crate::ingress::body::RequestBody;
 use crate::ingress::request::RequestFacts;
 use crate::ingress::{IngressWorker, lock};
+use crate::ledger::attempt::CallHistory;
 use crate::link::messages::CallOpen;
 use crate::link::pool::GateTarget;
 use crate::retry::{AttemptFailure, CallFacts, RetryDecision};
-use crate::routing::{ProbeOrder, RouteChoice};
+use crate::routing::{ProbeOrder, RouteChoice, RouteRequest};
 
 /// Requests in flight at one ingress that count as 100 percent of its shares.
 const INGRESS_CAPACITY: u32 = 1_000;
@@ -32,7 +33,8 @@
     deadline: Instant,
     tried: BTreeSet<NodeId>,
     attempts: u32,
-    may_have_run: bool,
+    last_end: Option<AttemptEnd>,
+    history: CallHistory,
 }
 
 impl CallDriver {
@@ -50,7 +52,8 @@
             id,
             tried: BTreeSet::new(),
             attempts: 0,
-            may_have_run: false,
+            last_end: None,
+            history: CallHistory::default(),
         }
     }
 
@@ -60,8 +63,8 @@
     ///
     /// The failure that the caller is told.
     pub async fn run(mut self) -> Result<CallAnswer, CallFailure> {
-        let _share = self.enter_share()?;
         let mut body = self.read_first().await?;
+        let _share = self.enter_share()?;
         let service = &self.facts.service;
         lock(&self.worker.shared.retries).on_first_attempt(service);
         loop {
@@ -80,6 +83,19 @@
         }
     }
 
+    /// Failure to tell when there is no upstream left to try: that of the
+    /// attempt before, which says more than that none is left.
+    fn earlier_failure(&self, end: AttemptEnd) -> Option<CallFailure> {
+        let is_no_upstream = end.failure == AttemptFailure::NotRun(ErrorKind::NoUpstream);
+        let earlier = self.last_end.filter(|_| is_no_upstream)?;
+        let failure = self.failure(earlier.failure.kind());
+        Some(CallFailure {
+            outcome: self.history.outcome(),
+            retry_after: earlier.retry_after.unwrap_or(failure.retry_after),
+            ..failure
+        })
+    }
+
     /// Whether another upstream should be asked in place of a failed answer.
     fn wants_other(&self, answer: &CallAnswer) -> bool {
         self.facts.is_idempotent && answer.head.status >= FIRST_SERVER_ERROR
@@ -164,7 +180,12 @@
         let now = self.worker.shared.now();
         let mut rng = self.worker.rng.borrow_mut();
         let mut router = lock(&self.worker.shared.router);
-        let choice = router.choose(now, &mut *rng, &self.facts.service, &self.tried);
+        let request = RouteRequest {
+            service: &self.facts.service,
+            is_idempotent: self.facts.is_idempotent,
+            tried: &self.tried,
+        };
+        let choice = router.choose_for(now, &mut *rng, &request);
         let probes = router.probe_due(now);
         drop(router);
         self.log_choice(&choice);
@@ -233,7 +254,11 @@
 
     /// Returns to try again, or fails with what the caller is told.
     fn decide(&mut self, end: AttemptEnd, body: &RequestBody) -> Result<(), CallFailure> {
-        self.may_have_run |= matches!(end.failure, AttemptFailure::Unknown(_));
+        if let Some(failure) = self.earlier_failure(end) {
+            return Err(failure);
+        }
+        self.last_end = Some(end);
+        self.history.on_failed(end.failure);
         let attempts_limit = if body.is_replayable() {
             self.facts.attempts_limit
         } else {
@@ -241,7 +266,7 @@
         };
         let facts = CallFacts {
             is_idempotent: self.facts.is_idempotent,
-            may_have_run: self.may_have_run,
+            may_have_run: self.history.may_have_run(),
             attempt: self.attempts,
             attempts_limit,
             time_left: self.time_left(),
@@ -261,27 +286,15 @@
         match decision {
             RetryDecision::Retry => Ok(()),
             RetryDecision::GiveUp {
-                kind,
-                outcome,
-                retry_after,
-                ..
+                kind, retry_after, ..
             } => Err(CallFailure {
                 call: Some(self.id),
                 kind,
-                outcome: self.honest_outcome(outcome),
+                outcome: self.history.outcome(),
                 retry_after: end.retry_after.unwrap_or(retry_after),
             }),
         }
     }
-
-    /// No earlier attempt may be forgotten when the caller is told `not-run`.
-    fn honest_outcome(&self, outcome: RunOutcome) -> RunOutcome {
-        if self.may_have_run {
-            RunOutcome::Unknown
-        } else {
-            outcome
-        }
-    }
 }
 
 /// Gives a request's shares back when it has ended.
--- a/src/ledger.rs
+++ b/src/ledger.rs
@@ -19,6 +19,7 @@
 //! [`CallLedger::cancel`]: a restarted gate knows nothing of earlier calls.
 
 mod answers;
+pub mod attempt;
 mod marks;
 mod record;
 
@@ -140,6 +141,12 @@
     marks: SequenceMarks,
 }
 
+impl Default for CallLedger {
+    fn default() -> Self {
+        Self::new(LedgerLimits::default())
+    }
+}
+
 impl CallLedger {
     /// Makes an empty ledger.
     pub fn new(limits: LedgerLimits) -> Self {
@@ -199,6 +206,12 @@
         self.end(now, call, RecordState::Answered);
     }
 
+    /// Takes back the permit of a call of which nothing reached the backend
+    /// server; it never starts from now on.
+    pub fn return_permit(&mut self, now: Duration, permit: RunPermit) {
+        self.end(now, permit.into_call(), RecordState::Barred);
+    }
+
     /// Ends a run that has no whole answer: it failed or was cut.
     pub fn end_unanswered(&mut self, now: Duration, permit: RunPermit) {
         self.end(now, permit.into_call(), RecordState::Unanswered);
@@ -257,7 +270,7 @@
             if now.saturating_sub(ended_at) < self.limits.record_age {
                 break;
             }
-            self.forget(ended_at, call);
+            self.forget(now, ended_at, call);
         }
         self.marks.drop_older(now, self.limits.mark_age);
     }
@@ -290,20 +303,20 @@
         if self.ended.len() > self.limits.ended_records
             && let Some(&(ended_at, oldest)) = self.ended.first()
         {
-            self.forget(ended_at, oldest);
+            self.forget(now, ended_at, oldest);
         }
     }
 
-    fn forget(&mut self, ended_at: Duration, call: CallId) {
+    fn forget(&mut self, now: Duration, ended_at: Duration, call: CallId) {
         self.ended.remove(&(ended_at, call));
         self.shelf.drop_answer(call);
         let Some(record) = self.records.remove(&call) else {
             return;
         };
         if record.state == RecordState::Barred {
-            self.marks.raise_barred(call);
+            self.marks.raise_barred(now, call);
         } else {
-            self.marks.raise_run(call);
+            self.marks.raise_run(now, call);
         }
     }
 }
--- a/src/membership/probing.rs
+++ b/src/membership/probing.rs
@@ -13,7 +13,6 @@
 use super::message::DatagramKind;
 use super::record::{HealthVerdict, MemberKey, MemberRecord};
 use super::state::MembershipState;
-use crate::ids::NodeId;
 
 /// Time between two probes.
 const PROBE_PERIOD: Duration = Duration::from_secs(1);
@@ -55,7 +54,7 @@
     round: u32,
     next_probe: Duration,
     next_retry: Duration,
-    retry_cursor: Option<NodeId>,
+    retry_cursor: MemberKey,
     seed_cursor: usize,
 }
 
@@ -71,7 +70,7 @@
             round: 0,
             next_probe: now + phase,
             next_retry: now + phase + RETRY_INTERVAL,
-            retry_cursor: None,
+            retry_cursor: own,
             seed_cursor: 0,
         }
     }
@@ -245,17 +244,25 @@
 
     fn retry_dead(&mut self, now: Duration) {
         self.forget_old(now);
-        let next = self.suspicions.next_dead(self.probes.retry_cursor.as_ref());
-        let Some(node) = next else {
+        let Some(key) = self.next_dead(self.probes.retry_cursor) else {
             return;
         };
-        self.probes.retry_cursor = Some(node.clone());
-        let record = self.members.get(&node);
-        let retried = record.filter(|record| !record.is_leaving);
-        if let Some(key) = retried.map(MemberRecord::key) {
-            let sequence = self.probes.next_sequence();
-            self.send_ping(now, sequence, key);
-        }
+        self.probes.retry_cursor = key;
+        let sequence = self.probes.next_sequence();
+        self.send_ping(now, sequence, key);
+    }
+
+    /// Failed member that follows the given key on the ring.
+    ///
+    /// Every node goes round from another place, so that they don't all try
+    /// the same member when a region comes back.
+    fn next_dead(&self, after: MemberKey) -> Option<MemberKey> {
+        let dead = self.suspicions.dead();
+        let records = dead.filter_map(|node| self.members.get(node));
+        let failed = records.filter(|record| !record.is_leaving);
+        let keys = failed.map(MemberRecord::key);
+        // Keys behind the given one come before those that go round again.
+        keys.min_by_key(|key| (*key <= after, *key))
     }
 
     fn retry_seed(&mut self, now: Duration) {
