--- a/tests/http/path.rs
+++ b/tests/http/path.rs
@@ -99,6 +99,7 @@
         command
             .args(["--id", "b1", "--service", "slotbook"])
             .args(["--admin", &format!("http://{}", b.admin_listen)])
+            .args(["--via", &format!("http://{}", a.listen)])
             .args(backend_flags);
         let (backend_process, backend) = Process::start(&mut command);
         let path = Self {
@@ -194,6 +195,12 @@
         })
     }
 
+    /// Sends a call to node A and leaves before its answer.
+    pub async fn send_and_leave(&self, headers: &[(&str, &str)], body: Bytes) {
+        let sent = self.request(Method::POST, "/", headers).send_body(body);
+        let _ = tokio::time::timeout(LOOK_PAUSE, sent).await;
+    }
+
     /// Sends small orders one after the other and checks each answer.
     pub async fn check_orders(&self, count: usize) {
         for number in 0..count {
