--- a/src/tickets/watcher.rs
+++ b/src/tickets/watcher.rs
@@ -77,7 +77,7 @@
         match hold_once(shared, store, &mut rank).await {
             Ok(()) => pause = FailurePause::new(),
             Err(error) => {
-                log::warn!("tickets: store watch failed: {error}");
+                log::warn!(target: "tickets", "store watch failed: {error}");
                 pause.wait().await;
             }
         }
@@ -115,7 +115,8 @@
         return store.end_lease(&lease).await;
     }
     log::info!(
-        "tickets: watching the head for zone {}",
+        target: "tickets",
+        "watching the head for zone {}",
         shared.settings.zone
     );
     tokio::select! {
@@ -136,10 +137,10 @@
         match store.renew_lease(lease).await {
             Ok(true) => {}
             Ok(false) => {
-                log::info!("tickets: watch lease has lapsed");
+                log::info!(target: "tickets", "watch lease has lapsed");
                 return;
             }
-            Err(error) => log::warn!("tickets: lease renewal failed: {error}"),
+            Err(error) => log::warn!(target: "tickets", "lease renewal failed: {error}"),
         }
     }
 }
@@ -160,7 +161,7 @@
                 }
             }
             Err(error) => {
-                log::warn!("tickets: head watch failed: {error}");
+                log::warn!(target: "tickets", "head watch failed: {error}");
                 pause.wait().await;
             }
         }
@@ -179,7 +180,7 @@
     match TicketHead::decode(&stored.bytes) {
         Ok(head) => shared.apply_head(store, &head, &mut BTreeMap::new()).await,
         Err(error) => {
-            log::error!("tickets: {error}");
+            log::error!(target: "tickets", "{error}");
             false
         }
     }
