--- a/src/tickets/watcher.rs
+++ b/src/tickets/watcher.rs
@@ -130,7 +130,7 @@
     tokio::time::sleep(SEED_DELAY).await;
     let seed = shared.settings.peer_address;
     if let Err(error) = register_seed(store, seed, lease, &mut rand::rng()).await {
-        log::warn!("tickets: seed not registered: {error}");
+        log::warn!(target: "tickets", "seed not registered: {error}");
     }
     loop {
         tokio::time::sleep(RENEW_INTERVAL).await;
