Give callers ten seconds to send a request's head

Cause: the library's default is one second, which a phone on a bad network can miss, and which also ran out for heads that had arrived when a burst held the thread up: 10,000 concurrent calls (debug build, busy machine) ended after 3.8 s with "Disconnected" in 2 of 2 runs.

What is left lies with the kernel's limit of 4,096 waiting connections and with pooled connections of the test's client that outlive the ingress's 5 s of keep-alive.

--- a/scripts/measure-latency.sh
+++ b/scripts/measure-latency.sh
@@ -99,3 +99,15 @@
 echo "1000 in flight: rss a $(rss_kb "$pid_a") kB, b $(rss_kb "$pid_b") kB"
 wait "$load" || true
 tail -n 1 "$work/inflight"
+
+# Every traffic thread of a has a link of its own to each gate.
+for number in $(seq "${GATES:-50}"); do
+    node "n$number" --peer "$(field a peer_listen)" --threads 1
+    start "s$number" "$bin/standin-backend" --id "s$number" --service slotbook --slots 100 \
+        --work-ms 0 --admin "http://$(field "n$number" admin_listen)"
+done
+sleep 5
+"$bin/currantlift-replay" --rate 600 --seconds 5 --service slotbook \
+    --target "http://$(field a listen)" | tail -n 1 >"$work/links"
+links=$(ss -Htnp state established | grep -c "pid=$pid_a,.*" || true)
+echo "$links connections of a, $((${GATES:-50} + 1)) gates: rss a $(rss_kb "$pid_a") kB, b $(rss_kb "$pid_b") kB"
--- a/src/node/listener.rs
+++ b/src/node/listener.rs
@@ -35,6 +35,11 @@
 const LISTENER_NAME: &str = "callers";
 /// Most header fields of a request.
 const MAX_HEADERS: usize = 96;
+/// Time for a caller to send a request's head.
+///
+/// A phone on a bad network needs seconds, and in a burst the thread may come
+/// to a head that has long arrived only after a second.
+const HEAD_TIMEOUT: Seconds = Seconds(10);
 /// Most bytes of a request head.
 const MAX_HEAD_BYTES: usize = 32 * 1024;
 
@@ -65,6 +70,7 @@
             .default_service(web::to(serve_request))
     };
     let limits = HttpServiceConfig::new()
+        .set_client_timeout(HEAD_TIMEOUT)
         .set_max_headers(MAX_HEADERS)
         .set_max_buf_size(MAX_HEAD_BYTES);
     let stop_seconds = u16::try_from(options.drain_limit.as_secs()).unwrap_or(u16::MAX);
