--- a/tests/tickets.rs
+++ b/tests/tickets.rs
@@ -210,3 +210,18 @@
         .wait_in_force(&others, &tickets(&[("a", 7)]), IN_FORCE_BOUND)
         .await;
 }
+
+#[ntex::test]
+async fn nodes_without_peers_meet_through_the_store() {
+    let mut fleet = Fleet::start(0, 1).await;
+    for zone in ["zone-0", "zone-1", "zone-0", "zone-1", "zone-2"] {
+        fleet.add_node_with(zone, &[]);
+    }
+    fleet.wait_for_members().await;
+    fleet.accept(4, 1, &[("a", 1)]).await;
+    let all = fleet.all();
+    fleet
+        .wait_in_force(&all, &tickets(&[("a", 1)]), IN_FORCE_BOUND)
+        .await;
+    fleet.assert_rates_kept().await;
+}
--- a/tests/tickets/fleet.rs
+++ b/tests/tickets/fleet.rs
@@ -94,8 +94,15 @@
         fleet
     }
 
-    /// Starts one more node.
+    /// Starts one more node, which joins through the first two.
     pub fn add_node(&mut self, zone: &str) {
+        let peers = self.nodes.iter().take(2);
+        let peers: Vec<SocketAddr> = peers.map(|node| node.peer).collect();
+        self.add_node_with(zone, &peers);
+    }
+
+    /// Starts one more node, which joins through the given peers.
+    pub fn add_node_with(&mut self, zone: &str, peers: &[SocketAddr]) {
         let name = format!("node-{:03}", self.nodes.len());
         let mut command = Command::new(env!("CARGO_BIN_EXE_currantlift-node"));
         command
@@ -103,8 +110,8 @@
             .args(["--listen", "127.0.0.1:0", "--peer-listen", "127.0.0.1:0"])
             .args(["--admin-listen", "127.0.0.1:0", "--threads", "1"])
             .args(["--store", &self.store_url]);
-        for node in self.nodes.iter().take(2) {
-            command.args(["--peer", &node.peer.to_string()]);
+        for peer in peers {
+            command.args(["--peer", &peer.to_string()]);
         }
         let (process, line) = Process::start(&mut command);
         let addresses: NodeAddresses = serde_json::from_str(&line).unwrap();
@@ -116,7 +123,8 @@
         });
     }
 
-    async fn wait_for_members(&self) {
+    /// Waits until every node knows all nodes.
+    pub async fn wait_for_members(&self) {
         let end = Instant::now() + PATIENCE;
         for node in &self.nodes {
             loop {
