Let groups that started apart meet through the store

Cause: a node looked for others in the store only while it was alone. Two groups that formed at the same time, or that lost and forgot each other, never met.

Ruled out: every node looking now and then, because the store's calls would grow with the fleet.

It touches the node's joining task and adds one question to the control state.

--- a/src/control/state.rs
+++ b/src/control/state.rs
@@ -189,6 +189,11 @@
         status.in_flight == 0 && status.queued == 0 && self.ingress.in_flight() == 0
     }
 
+    /// Whether no live node of the own availability zone has a lower name.
+    pub fn is_first_of_zone(&self) -> bool {
+        zone_rank(self.membership.state().borrow().members(), &self.identity) == 0
+    }
+
     fn publish(&self) {
         let version = self.version.get() + 1;
         let tickets = self.config.subscribe().borrow().clone();
--- a/src/node.rs
+++ b/src/node.rs
@@ -64,6 +64,8 @@
 const LOG_FLUSH_LIMIT: Duration = Duration::from_millis(500);
 /// Interval between two looks into the store for nodes to join through.
 const JOIN_INTERVAL: Duration = Duration::from_secs(2);
+/// Least interval between two such looks of a zone's first node later on.
+const MEET_INTERVAL: Duration = Duration::from_secs(10);
 
 /// Runs `currantlift-node`.
 pub fn run_process() -> ExitCode {
@@ -272,22 +274,42 @@
 
 /// Joins through the peers given and, until others are known, through the
 /// entries in the store.
+///
+/// Later the first node of each availability zone looks there now and then,
+/// so that groups that started apart, or forgot each other, meet again.
 async fn join_fleet(control: Rc<ControlState>, peers: Vec<SocketAddr>) {
     if !peers.is_empty() {
         control.membership.join(&peers);
     }
     loop {
-        tokio::time::sleep(JOIN_INTERVAL).await;
         let is_alone = control.membership.state().borrow().members().len() == 1;
-        if !is_alone {
-            return;
+        if is_alone || control.is_first_of_zone() {
+            join_through_store(&control).await;
         }
-        if let Ok(seeds) = control.config.read_seeds().await {
-            control.membership.join(&seeds);
-        }
-        if !peers.is_empty() {
+        if is_alone && !peers.is_empty() {
             control.membership.join(&peers);
         }
+        let interval = if is_alone {
+            JOIN_INTERVAL
+        } else {
+            rand::rng().random_range(MEET_INTERVAL..MEET_INTERVAL * 2)
+        };
+        tokio::time::sleep(interval).await;
+    }
+}
+
+async fn join_through_store(control: &ControlState) {
+    let Ok(mut seeds) = control.config.read_seeds().await else {
+        return;
+    };
+    let state = control.membership.state().borrow();
+    seeds.retain(|seed| {
+        let mut members = state.members().values();
+        !members.any(|member| member.is_live() && member.peer_address == *seed)
+    });
+    drop(state);
+    if !seeds.is_empty() {
+        control.membership.join(&seeds);
     }
 }
 
--- a/tests/tickets.rs
+++ b/tests/tickets.rs
@@ -225,3 +225,13 @@
         .await;
     fleet.assert_rates_kept().await;
 }
+
+#[ntex::test]
+async fn groups_that_started_apart_meet_through_the_store() {
+    let mut fleet = Fleet::start(2, 1).await;
+    fleet.add_node_with("zone-1", &[]);
+    let apart = fleet.nodes[2].peer;
+    fleet.add_node_with("zone-1", &[apart]);
+    fleet.wait_for_members().await;
+    fleet.assert_rates_kept().await;
+}
