Find any address that the store has for joining

Cause: a node read its zone's key and four of eight slots at random and counted one node in two of them as two addresses.

Change: all slots are read until two different addresses are found.

--- a/src/store/seeds.rs
+++ b/src/store/seeds.rs
@@ -16,9 +16,9 @@
 
 /// Slots for the whole fleet.
 const FLEET_SLOTS: u32 = 8;
-/// Slots of the fleet that a joining node reads at most.
-const SLOTS_READ: usize = 4;
-/// Addresses that are enough to join through.
+/// Slots of the fleet that a holder tries at most.
+const SLOTS_TRIED: usize = 4;
+/// Different addresses that are enough to join through.
 const SEEDS_WANTED: usize = 2;
 
 /// Key of the lease under which one node of a zone watches the head.
@@ -47,7 +47,7 @@
     lease: &LeaseId,
     rng: &mut impl Rng,
 ) -> Result<bool, StoreError> {
-    for slot in shuffled_slots(rng).into_iter().take(SLOTS_READ) {
+    for slot in shuffled_slots(rng).into_iter().take(SLOTS_TRIED) {
         let value = Bytes::from(address.to_string());
         if store.acquire(&fleet_key(slot), value, lease).await? {
             return Ok(true);
@@ -66,7 +66,7 @@
     zone: &ZoneName,
     rng: &mut impl Rng,
 ) -> Result<Vec<SocketAddr>, StoreError> {
-    let slots = shuffled_slots(rng).into_iter().take(SLOTS_READ);
+    let slots = shuffled_slots(rng).into_iter();
     let keys = std::iter::once(zone_key(zone)).chain(slots.map(fleet_key));
     let mut seeds = Vec::new();
     let mut failure = None;
@@ -75,7 +75,9 @@
         match store.get(&key).await {
             Ok(stored) => {
                 is_answered = true;
-                seeds.extend(stored.and_then(|stored| parse_address(&stored.bytes)));
+                let address = stored.and_then(|stored| parse_address(&stored.bytes));
+                // One node may hold both its zone's key and a slot.
+                seeds.extend(address.filter(|address| !seeds.contains(address)));
             }
             Err(error) => failure = Some(error),
         }
