--- a/scripts/measure-latency.sh
+++ b/scripts/measure-latency.sh
@@ -51,7 +51,9 @@
 start backend "$bin/standin-backend" --id b1 --service slotbook --slots 2000 \
     --connections 2000 --work-ms 0 --admin "http://$(field b admin_listen)"
 backend=http://$(head -n 1 "$work/backend.out")
-echo '{"services":{"slotbook":{"timeout_ms":20000}}}' |
+# Ten more services, so that a has reason to open links to many gates.
+services=$(printf '"many%d":{},' $(seq 0 9))
+echo "{\"services\":{$services\"slotbook\":{\"timeout_ms\":20000}}}" |
     "$bin/currantlift-ctl" --admin "http://$(field a admin_listen)" submit - 1 >"$work/ticket"
 is_ready() {
     "$bin/currantlift-ctl" --admin "http://$(field a admin_listen)" services >"$work/services"
@@ -91,6 +93,27 @@
     done
 done
 
+# Every traffic thread of a opens a link of its own to each gate it chooses.
+for number in $(seq "${GATES:-64}"); do
+    node "n$number" --peer "$(field a peer_listen)" --threads 1
+    start "s$number" "$bin/standin-backend" --id "s$number" --service "many$((number % 10))" \
+        --slots 100 --work-ms 0 --admin "http://$(field "n$number" admin_listen)"
+done
+sleep 5
+rm -f "$work"/many*
+loads=()
+for number in $(seq 0 9); do
+    "$bin/currantlift-replay" --rate 60 --seconds 6 --service "many$number" \
+        --target "http://$(field a listen)" >"$work/many$number" &
+    loads+=($!)
+done
+sleep 6
+peers=$(sed -n 's/.*"peer_listen":"[^"]*:\([0-9]*\)".*/\1/p' "$work"/n*.out | paste -sd '|')
+links=$(ss -Htnp state established | grep "pid=$pid_a," | awk '{print $4}' | grep -cE ":($peers)\$" || true)
+echo "$links links of a to ${GATES:-64} gates: rss a $(rss_kb "$pid_a") kB"
+wait "${loads[@]}" || true
+tail -qn 1 "$work"/many* | grep -o '"ends":{[^}]*}' | sort | uniq -c
+
 "$bin/currantlift-replay" --rate 500 --seconds 5 --warm-up-seconds 0 --service slotbook \
     --work-us 2000000 --target "http://$(field a listen)" >"$work/inflight" &
 load=$!
@@ -99,15 +122,3 @@
 echo "1000 in flight: rss a $(rss_kb "$pid_a") kB, b $(rss_kb "$pid_b") kB"
 wait "$load" || true
 tail -n 1 "$work/inflight"
-
-# Every traffic thread of a has a link of its own to each gate.
-for number in $(seq "${GATES:-50}"); do
-    node "n$number" --peer "$(field a peer_listen)" --threads 1
-    start "s$number" "$bin/standin-backend" --id "s$number" --service slotbook --slots 100 \
-        --work-ms 0 --admin "http://$(field "n$number" admin_listen)"
-done
-sleep 5
-"$bin/currantlift-replay" --rate 600 --seconds 5 --service slotbook \
-    --target "http://$(field a listen)" | tail -n 1 >"$work/links"
-links=$(ss -Htnp state established | grep -c "pid=$pid_a,.*" || true)
-echo "$links connections of a, $((${GATES:-50} + 1)) gates: rss a $(rss_kb "$pid_a") kB, b $(rss_kb "$pid_b") kB"
