Check a ticket against the accepted one, and show what became of it

Cause: 'check' saw only out-of-date tickets, 'show' left out removed services and whether a ticket is superseded; the API's client called a request whose connection was lost after sending 'can't have had an effect'; with port 0 the UDP port beside a free TCP port could be taken, which ended the start. Change: 'check' compares with the accepted content of the number; 'show' gives the status; a lost connection counts as no answer; 16 free ports are tried. Run: submit, check (repeated, conflict, out of date, acceptable) and show by hand against two nodes; the API's tests.

--- a/src/admin.rs
+++ b/src/admin.rs
@@ -13,7 +13,7 @@
 pub use client::{AdminAnswer, AdminClient, AdminClientError, http_client, http_client_with_limit};
 pub use messages::{
     AdminCall, AdminReply, AdminRequest, BackendAnnouncement, BackendView, FieldError, HealthView,
-    MemberView, RefusalReason, ServiceView, StatusView, TicketAnswer, TicketView, UpstreamView,
+    MemberView, RefusalReason, ServiceView, StatusView, TicketAnswer, UpstreamView,
 };
 pub use routes::{AdminAccess, configure, start_admin_server};
 
--- a/src/admin/client.rs
+++ b/src/admin/client.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use derive_more::{Display, Error};
+use ntex::client::error::{ClientError, ConnectError};
 use ntex::client::{Client, ClientRequest, ClientResponse, Connector};
 use ntex::http::Method;
 use ntex::http::header::CONTENT_TYPE;
@@ -100,11 +101,10 @@
         };
         let response = send_json(request, body).await.map_err(|error| {
             let (url, cause) = (url.clone(), error.to_string());
-            match error {
-                ntex::client::error::ClientError::Connect(_) => {
-                    AdminClientError::Unreachable { url, cause }
-                }
-                _ => AdminClientError::NoAnswer { url, cause },
+            if is_unsent(&error) {
+                AdminClientError::Unreachable { url, cause }
+            } else {
+                AdminClientError::NoAnswer { url, cause }
             }
         })?;
         let status = response.status().as_u16();
@@ -118,10 +118,20 @@
     }
 }
 
+/// Whether a request is sure not to have been sent.
+fn is_unsent(error: &ClientError) -> bool {
+    match error {
+        // Without a cause the connection was lost after the request was sent.
+        ClientError::Connect(ConnectError::Disconnected(cause)) => cause.is_some(),
+        ClientError::Connect(_) => true,
+        _ => false,
+    }
+}
+
 async fn send_json(
     request: ClientRequest,
     body: Option<String>,
-) -> Result<ClientResponse, ntex::client::error::ClientError> {
+) -> Result<ClientResponse, ClientError> {
     match body {
         Some(body) => {
             let request = request.set_header(CONTENT_TYPE, "application/json");
--- a/src/admin/messages.rs
+++ b/src/admin/messages.rs
@@ -15,6 +15,7 @@
     TicketNumber, ZoneName,
 };
 use crate::table::{ServiceRule, UpstreamState};
+use crate::tickets::TicketView;
 
 /// One request to control with the way back for its reply.
 #[derive(Debug)]
@@ -77,7 +78,7 @@
     /// Answer to a submission or a check. Status 200; 409 if refused, 503 if
     /// refused for want of the store, 504 if unknown.
     Ticket(TicketAnswer),
-    /// Content of a ticket. Status 200.
+    /// What is known of a ticket. Status 200.
     TicketContent(TicketView),
     /// Services in force. Status 200.
     Services(BTreeMap<ServiceName, ServiceView>),
@@ -164,17 +165,6 @@
     },
 }
 
-/// Content of an accepted ticket.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
-pub struct TicketView {
-    /// Number of the ticket.
-    pub number: TicketNumber,
-    /// Whole new state of every service that it touches.
-    pub services: BTreeMap<ServiceName, ServiceRule>,
-    /// Those of its services for which it is in force at this node.
-    pub in_force: BTreeSet<ServiceName>,
-}
-
 /// One service in force.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct ServiceView {
--- a/src/control/admin.rs
+++ b/src/control/admin.rs
@@ -7,14 +7,14 @@
 
 use crate::admin::{
     AdminCall, AdminReply, AdminRequest, BackendAnnouncement, BackendView, FieldError, HealthView,
-    MemberView, RefusalReason, ServiceView, StatusView, TicketAnswer, TicketView, UpstreamView,
+    MemberView, RefusalReason, ServiceView, StatusView, TicketAnswer, UpstreamView,
 };
 use crate::control::state::ControlState;
 use crate::ids::{BackendId, NodeId, ServiceName, TicketNumber};
 use crate::ingress::lock;
 use crate::membership::MemberRecord;
 use crate::table::{ServiceEntry, UpstreamState};
-use crate::tickets::{ChangeTicket, RefusalReason as TicketRefusal, SubmitAnswer};
+use crate::tickets::{ChangeTicket, RefusalReason as TicketRefusal, SubmitAnswer, TicketStatus};
 
 /// Serves requests until the API's channel closes.
 pub async fn serve_admin(control: Rc<ControlState>, mut calls: Receiver<AdminCall>) {
@@ -43,7 +43,7 @@
             }
         }
         AdminRequest::SubmitTicket { number, body } => submit(control, number, &body).await,
-        AdminRequest::CheckTicket { number, body } => check(control, number, &body),
+        AdminRequest::CheckTicket { number, body } => check(control, number, &body).await,
         AdminRequest::ShowTicket { number } => show(control, number).await,
         AdminRequest::ListServices => AdminReply::Services(list_services(control)),
         AdminRequest::ListMembers => AdminReply::Members(list_members(control)),
@@ -124,11 +124,16 @@
     })
 }
 
-fn check(control: &ControlState, number: TicketNumber, body: &str) -> AdminReply {
+/// Says what a submission would be answered as far as this node can know.
+async fn check(control: &ControlState, number: TicketNumber, body: &str) -> AdminReply {
     let ticket = match parse_ticket(number, body) {
         Ok(ticket) => ticket,
         Err(reply) => return reply,
     };
+    let known = control.config.show(number).await.ticket;
+    if let Some(known) = known {
+        return AdminReply::Ticket(answer_known(number, &ticket, &known));
+    }
     let state = control.config.subscribe().borrow().clone();
     let services: BTreeSet<ServiceName> = ticket
         .services
@@ -151,21 +156,27 @@
     AdminReply::Ticket(answer)
 }
 
+/// Answer to a ticket whose number was accepted before.
+fn answer_known(number: TicketNumber, ticket: &ChangeTicket, known: &ChangeTicket) -> TicketAnswer {
+    if ticket == known {
+        return TicketAnswer::Accepted {
+            number,
+            is_repeated: true,
+        };
+    }
+    TicketAnswer::Refused {
+        number,
+        reason: RefusalReason::Conflict,
+        services: ticket.services.keys().cloned().collect(),
+    }
+}
+
 async fn show(control: &ControlState, number: TicketNumber) -> AdminReply {
     let view = control.config.show(number).await;
-    let Some(ticket) = view.ticket else {
-        return AdminReply::NotFound;
-    };
-    let services = ticket
-        .services
-        .into_iter()
-        .filter_map(|(name, rule)| rule.map(|rule| (name, rule)))
-        .collect();
-    AdminReply::TicketContent(TicketView {
-        number,
-        services,
-        in_force: view.in_force.into_keys().collect(),
-    })
+    match view.status {
+        TicketStatus::NotListed => AdminReply::NotFound,
+        _ => AdminReply::TicketContent(view),
+    }
 }
 
 fn list_services(control: &ControlState) -> BTreeMap<ServiceName, ServiceView> {
--- a/src/node.rs
+++ b/src/node.rs
@@ -60,6 +60,8 @@
 const CALLER_BACKLOG: i32 = 4_096;
 /// Interval at which a planned stop looks whether all calls have ended.
 const STOP_POLL: Duration = Duration::from_millis(50);
+/// Free ports that are tried for the peer listener.
+const PORT_TRIES: u32 = 16;
 /// Longest wait for the last log lines to be written.
 const LOG_FLUSH_LIMIT: Duration = Duration::from_millis(500);
 /// Interval between two looks into the store for nodes to join through.
@@ -105,9 +107,7 @@
 
 impl NodeSockets {
     async fn bind(options: &NodeOptions) -> io::Result<Self> {
-        let peers = TcpListener::bind(options.peer_listen).await?;
-        // Membership uses the same port over UDP.
-        let datagrams = UdpSocket::bind(peers.local_addr()?).await?;
+        let (peers, datagrams) = bind_peer_sockets(options.peer_listen).await?;
         Ok(Self {
             callers: create_tcp_listener(options.listen, CALLER_BACKLOG)?,
             admin: StdTcpListener::bind(options.admin_listen)?,
@@ -125,6 +125,22 @@
     }
 }
 
+/// Binds TCP and UDP to the same port, since membership shares the address of
+/// the peer listener. Any free TCP port may be taken for UDP, so with port 0
+/// another one is tried.
+async fn bind_peer_sockets(address: SocketAddr) -> io::Result<(TcpListener, UdpSocket)> {
+    let tries = if address.port() == 0 { PORT_TRIES } else { 1 };
+    let mut failure = io::Error::from(io::ErrorKind::AddrInUse);
+    for _ in 0..tries {
+        let peers = TcpListener::bind(address).await?;
+        match UdpSocket::bind(peers.local_addr()?).await {
+            Ok(datagrams) => return Ok((peers, datagrams)),
+            Err(error) => failure = error,
+        }
+    }
+    Err(failure)
+}
+
 /// Incarnation of a process that starts now.
 fn new_incarnation() -> NodeIncarnation {
     let since_epoch = SystemTime::now()
