Repeat the credit when a call moves to a new link

Cause: a credit that was lost with a silent link was never sent again.

Change: the gate repeats its credit after a resume once the call is at work; the bytes that a resume names as received count as the ingress's credit.

Before: resumed_call_gets_its_credit_again red (aborted at its time limit). Large orders of the process tests are now 400 kB, more than one window.

--- a/src/gate/answer.rs
+++ b/src/gate/answer.rs
@@ -134,6 +134,8 @@
     pub fn resume(&mut self, link: LinkSender, resume: CallResume, request_received: u64) {
         self.link = link;
         let resent = self.window.resend_from(resume.answer_received);
+        // The ingress's last credit may have been lost with the old link.
+        self.window.credit(resume.answer_received);
         let state = if resent.is_some() {
             ResumeState::Known
         } else {
--- a/src/gate/call.rs
+++ b/src/gate/call.rs
@@ -63,6 +63,7 @@
     inputs: UnboundedReceiver<CallInput>,
     output: AnswerOutput,
     feed: RequestFeed,
+    is_at_work: bool,
 }
 
 /// What the caller's side wants of a call at work.
@@ -90,6 +91,7 @@
             open,
             inputs,
             feed,
+            is_at_work: false,
         };
         let started = call.gate.offer(id, &call.open, call.time_left());
         let is_kept = match started {
@@ -192,6 +194,8 @@
             CallInput::Resume(resume, link) => {
                 let received = self.feed.received();
                 self.output.resume(link, resume, received);
+                // The last credit may have been lost with the old link.
+                self.credit_request();
             }
             CallInput::Cancel => return InputEffect::Cancelled,
             CallInput::Acknowledge => {}
@@ -251,16 +255,22 @@
         false
     }
 
+    /// Lets the ingress send more of the body; even a credit of nothing opens the
+    /// full window. A waiting call gets none, so that it stays replayable.
+    fn credit_request(&self) {
+        if self.is_at_work && !self.open.is_last {
+            self.output.credit_request(self.feed.consumed());
+        }
+    }
+
     /// Request and answer with the backend server.
     async fn exchange(
         &mut self,
         client: &Rc<BackendClient>,
         body: BodySource,
     ) -> Result<(), WorkEnd> {
-        if !self.open.is_last {
-            // Even a credit of nothing opens the full window.
-            self.output.credit_request(self.feed.consumed());
-        }
+        self.is_at_work = true;
+        self.credit_request();
         let time_left_ms = self.time_left().as_millis().max(1);
         let sender = Rc::clone(client);
         let open = self.open.clone();
--- a/src/gate/tests.rs
+++ b/src/gate/tests.rs
@@ -228,3 +228,24 @@
         }))
     );
 }
+
+#[ntex::test]
+async fn resumed_call_gets_its_credit_again() {
+    let mut fixture = GateFixture::start().await;
+    let open = CallOpen {
+        sequence: 1,
+        service: "slotbook".to_string(),
+        method: "POST".to_string(),
+        path: "/".to_string(),
+        time_left_us: 300_000,
+        body_length: Some(1_000_000),
+        ..CallOpen::default()
+    };
+    fixture.sender.send(LinkMessage::Open(open));
+    assert_matches!(fixture.receiver.recv().await, Some(LinkMessage::Credit(_)));
+    let (sender, mut receiver) = open_link(&fixture.commands);
+    sender.send(resume(1));
+    assert_matches!(receiver.recv().await, Some(LinkMessage::ResumeReply(_)));
+    // Without it the call would wait for its time limit and be aborted.
+    assert_matches!(receiver.recv().await, Some(LinkMessage::Credit(_)));
+}
--- a/tests/support/load.rs
+++ b/tests/support/load.rs
@@ -21,8 +21,8 @@
 const HUNG_AFTER: Duration = Duration::from_secs(2);
 /// Every order of this rank is a large one.
 const LARGE_EVERY: u64 = 20;
-/// Size of a large order, more than goes into one frame.
-const LARGE_BYTES: usize = 150_000;
+/// Size of a large order, more than a link has under way for one call.
+const LARGE_BYTES: usize = 400_000;
 /// Status codes from which a server has failed.
 const SERVER_ERROR: u16 = 500;
 
