--- a/src/routing/upstream.rs
+++ b/src/routing/upstream.rs
@@ -216,6 +216,8 @@
             | ErrorKind::UnknownService
             | ErrorKind::KeyInUse
             | ErrorKind::Cancelled => {}
+            // One lost link fails many calls; within a hold they are one failure.
+            ErrorKind::LinkLost | ErrorKind::GateRestarted if now < self.failing_until => {}
             _ => self.on_failure(now, options),
         }
     }
@@ -223,10 +225,6 @@
     fn on_failure(&mut self, now: Duration, options: &RoutingOptions) {
         let weight = self.failure_weight(now, options) + 1.0;
         self.failures = (now, weight);
-        if now < self.failing_until {
-            // One lost link fails many calls; they are one failure.
-            return;
-        }
         let factor = 1_u32.checked_shl(self.failure_run).unwrap_or(u32::MAX);
         let hold = FAILURE_HOLD.saturating_mul(factor).min(MAX_FAILURE_HOLD);
         self.failing_until = now + hold;
