Wait for the routing table in the process tests, and log every refusal

The fixture waited until the members were known; the table with the service's rule follows up to 10 ms later, and the first order of each caller met a service that was not in force. Ruled out: retries, shares and drains (the 13 retries in the log all went on). Change: the fixture waits for the service's upstreams at the ingress, which is stricter; every request that is refused or fails now has a line of its own.

--- a/src/ingress.rs
+++ b/src/ingress.rs
@@ -25,7 +25,7 @@
 
 use crate::admission::ShareTable;
 use crate::ids::{NodeId, NodeIncarnation};
-use crate::ingress::answer::{failure_response, success_response};
+use crate::ingress::answer::{CallFailure, failure_response, success_response};
 use crate::ingress::body::discard_body;
 use crate::ingress::call::CallDriver;
 use crate::ingress::request::RequestFacts;
@@ -144,12 +144,12 @@
             let call = CallDriver::new(worker, facts, payload);
             match call.run().await {
                 Ok(answer) => success_response(&request, answer, guard),
-                Err(failure) => failure_response(&failure),
+                Err(failure) => refuse(&failure),
             }
         }
         Err(kind) => {
             discard_body(payload).await;
-            failure_response(&kind.into())
+            refuse(&kind.into())
         }
     };
     if is_stopping {
@@ -161,6 +161,19 @@
     response
 }
 
+/// Answers a request that got no answer of a backend server.
+fn refuse(failure: &CallFailure) -> HttpResponse {
+    let call = failure.call.map(|call| call.to_string());
+    log::info!(
+        target: "routing",
+        call = call.as_deref().unwrap_or("none"),
+        kind = failure.kind.code(),
+        outcome:% = failure.outcome;
+        "request refused or failed"
+    );
+    failure_response(failure)
+}
+
 /// Closes links to gates that no table has any more, until control ends.
 pub async fn close_unused_links(shared: Arc<IngressShared>, pool: Rc<LinkPool>) {
     let mut table = shared.table.clone();
--- a/tests/support/fleet.rs
+++ b/tests/support/fleet.rs
@@ -6,7 +6,8 @@
 use std::process::Command;
 use std::time::{Duration, Instant};
 
-use currantlift::admin::MemberView;
+use currantlift::admin::ServiceView;
+use currantlift::table::UpstreamState;
 use ntex::client::Client;
 use ntex::http::Method;
 use serde::Deserialize;
@@ -207,12 +208,19 @@
         }
     }
 
+    /// Upstreams that the ingress would choose from: what it knows as members
+    /// is not in its routing table at once.
     async fn ready_count(&self) -> usize {
-        let url = format!("http://{}/v1/members", self.ingress_admin);
+        let url = format!("http://{}/v1/services", self.ingress_admin);
         let request = self.client.request(Method::GET, url).send().await;
-        let members: BTreeMap<String, MemberView> = request.unwrap().json().await.unwrap();
-        let serves = |member: &&MemberView| member.state == "alive" && member.service.is_some();
-        members.values().filter(serves).count()
+        let services: BTreeMap<String, ServiceView> = request.unwrap().json().await.unwrap();
+        let Some(service) = services.get(SERVICE) else {
+            return 0;
+        };
+        let upstreams = service.upstreams.values();
+        upstreams
+            .filter(|upstream| upstream.state == UpstreamState::Ready && !upstream.is_suspect)
+            .count()
     }
 
     /// Ends all processes; then every run has been tallied.
