--- a/src/admin.rs
+++ b/src/admin.rs
@@ -10,12 +10,14 @@
 mod replies;
 mod routes;
 
+pub use announcement::{AnnouncementDecoder, OWN_ANNOUNCEMENTS};
 pub use client::{AdminAnswer, AdminClient, AdminClientError, http_client, http_client_with_limit};
 pub use messages::{
-    AdminCall, AdminReply, AdminRequest, BackendAnnouncement, BackendView, FieldError, HealthView,
-    MemberView, RefusalReason, ServiceView, StatusView, TicketAnswer, UpstreamView,
+    AdminCall, AdminReply, AdminRequest, AnnouncementOrder, BackendAnnouncement, BackendView,
+    FieldError, HealthView, MemberView, RefusalReason, ServiceView, StatusView, TicketAnswer,
+    UpstreamView, Withdrawal,
 };
-pub use routes::{AdminAccess, configure, start_admin_server};
+pub use routes::{AdminAccess, configure, start_admin_server, start_health_server};
 
 #[cfg(test)]
 mod tests;
--- a/src/admin/announcement.rs
+++ b/src/admin/announcement.rs
@@ -3,9 +3,27 @@
 use serde::de::DeserializeOwned;
 use serde_json::{Map, Value};
 
-use super::messages::{BackendAnnouncement, FieldError};
+use super::messages::{BackendAnnouncement, FieldError, Withdrawal};
 use crate::table::UpstreamState;
 
+/// Readers of what backend servers send, so that an adapter can put those of
+/// its platform in their place.
+#[derive(Debug, Clone, Copy)]
+pub struct AnnouncementDecoder {
+    /// Reads an announcement.
+    pub announcement: fn(&str) -> Result<BackendAnnouncement, FieldError>,
+    /// Reads the body of a withdrawal.
+    pub withdrawal: fn(&str) -> Withdrawal,
+}
+
+/// Reader of the product's own announcements.
+pub const OWN_ANNOUNCEMENTS: AnnouncementDecoder = AnnouncementDecoder {
+    announcement: |text| BackendAnnouncement::try_from(RawAnnouncement::parse(text)?),
+    withdrawal: |_| Withdrawal {
+        started_at_ms: None,
+    },
+};
+
 /// Announcement as it was sent: any JSON object.
 #[derive(Debug)]
 pub struct RawAnnouncement(Map<String, Value>);
@@ -49,6 +67,8 @@
             slots: raw.take("slots", "a whole number from 1 to 4294967295")?,
             connections: raw.take("connections", "a whole number from 1 to 4294967295")?,
             state: raw.take("state", "joining, ready or draining")?,
+            order: None,
+            warmup_left_ms: 0,
         };
         if announcement.address.port() == 0 || announcement.address.ip().is_unspecified() {
             let reason = format!(
--- a/src/admin/messages.rs
+++ b/src/admin/messages.rs
@@ -40,6 +40,8 @@
     WithdrawBackend {
         /// Backend server.
         backend: BackendId,
+        /// What it says.
+        withdrawal: Withdrawal,
     },
     /// Submission of a change ticket.
     SubmitTicket {
@@ -119,6 +121,33 @@
     pub connections: ConnectionCount,
     /// Its state; `gone` is announced by withdrawal only.
     pub state: UpstreamState,
+    /// Place among the announcements of this address, where it is stated.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub order: Option<AnnouncementOrder>,
+    /// How much longer it stays slow after its start, in milliseconds.
+    #[serde(default, skip_serializing_if = "is_zero")]
+    pub warmup_left_ms: u64,
+}
+
+fn is_zero(number: &u64) -> bool {
+    *number == 0
+}
+
+/// Place of an announcement among others: a later start goes first, then the
+/// count within it. It tells a late announcement from a new one.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct AnnouncementOrder {
+    /// Start of the backend server, in Unix milliseconds.
+    pub started_at_ms: u64,
+    /// Count of announcements since that start.
+    pub sequence: u64,
+}
+
+/// What a withdrawal says beside the identifier.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Withdrawal {
+    /// Start of the backend server that leaves, if it is stated.
+    pub started_at_ms: Option<u64>,
 }
 
 /// Why a ticket was refused for good.
--- a/src/admin/routes.rs
+++ b/src/admin/routes.rs
@@ -12,10 +12,8 @@
 use ntex::web::{self, App, HttpRequest, HttpResponse, HttpServer, ServiceConfig};
 use tokio::sync::{mpsc, oneshot};
 
-use super::announcement::RawAnnouncement;
-use super::messages::{
-    AdminCall, AdminReply, AdminRequest, BackendAnnouncement, FieldError, TicketAnswer,
-};
+use super::announcement::AnnouncementDecoder;
+use super::messages::{AdminCall, AdminReply, AdminRequest, FieldError, TicketAnswer};
 use super::replies::{ApiError, reply_response};
 use crate::ids::{BackendId, TicketNumber};
 use crate::options::SecretToken;
@@ -36,6 +34,8 @@
     pub control: mpsc::Sender<AdminCall>,
     /// Bearer token that calls other than GET need.
     pub token: Option<SecretToken>,
+    /// Readers of what backend servers send.
+    pub announcements: AnnouncementDecoder,
 }
 
 /// Starts a server for the administration API on one thread of its own.
@@ -53,6 +53,21 @@
     Ok(server.workers(1).disable_signals().listen(listener)?.run())
 }
 
+/// Starts a server that only says whether this node takes work.
+///
+/// # Errors
+///
+/// Fails if the listener can't be used.
+pub fn start_health_server(listener: TcpListener, access: AdminAccess) -> io::Result<Server> {
+    let server = HttpServer::new(async move || {
+        App::new()
+            .state(access.clone())
+            .service(web::resource("/v1/health").route(web::get().to(get_health)))
+            .service(web::resource("/{path}*").to(unknown_path))
+    });
+    Ok(server.workers(1).disable_signals().listen(listener)?.run())
+}
+
 /// Adds the routes; the app's state has to hold an [`AdminAccess`].
 pub fn configure(config: &mut ServiceConfig) {
     config
@@ -84,7 +99,7 @@
     check_token(&request, &access)?;
     let backend = path_value::<BackendId>(&request, "id")?;
     let body = body?;
-    let announcement = BackendAnnouncement::try_from(RawAnnouncement::parse(&body)?)?;
+    let announcement = (access.announcements.announcement)(&body)?;
     let message = AdminRequest::AnnounceBackend {
         backend,
         announcement,
@@ -97,11 +112,15 @@
     payload: Payload,
     access: State<AdminAccess>,
 ) -> Result<HttpResponse, ApiError> {
-    // A body has no meaning here, but it is read for the same reason.
-    let _ = read_body(payload).await;
+    let body = read_body(payload).await;
     check_token(&request, &access)?;
     let backend = path_value::<BackendId>(&request, "id")?;
-    ask(&access, AdminRequest::WithdrawBackend { backend }).await
+    let withdrawal = (access.announcements.withdrawal)(&body?);
+    let message = AdminRequest::WithdrawBackend {
+        backend,
+        withdrawal,
+    };
+    ask(&access, message).await
 }
 
 async fn put_ticket(
--- a/src/admin/tests.rs
+++ b/src/admin/tests.rs
@@ -49,6 +49,7 @@
     let (sender, asked) = mpsc::unbounded_channel();
     ntex::rt::spawn(answer_calls(calls, sender));
     let access = AdminAccess {
+        announcements: crate::admin::OWN_ANNOUNCEMENTS,
         control,
         token: Some(TOKEN.parse::<SecretToken>().unwrap()),
     };
--- a/src/admission.rs
+++ b/src/admission.rs
@@ -135,6 +135,8 @@
     latency: LatencyEstimate,
     /// Sum of the start times of the calls at work.
     start_sum: Duration,
+    /// Slowness of the VM as last stated, and when.
+    slowness: Option<(Duration, f64)>,
     is_draining: bool,
 }
 
@@ -149,6 +151,7 @@
             waiting: VecDeque::new(),
             latency: LatencyEstimate::default(),
             start_sum: Duration::ZERO,
+            slowness: None,
             is_draining: false,
         }
     }
@@ -239,6 +242,11 @@
         self.waiting.iter().map(|entry| entry.expires_at).min()
     }
 
+    /// Takes note of how slow the VM is at present, against the usual.
+    pub fn note_slowness(&mut self, now: Duration, slowness: f64) {
+        self.slowness = Some((now, slowness));
+    }
+
     /// Refuses everything from now on; what waits or runs ends normally.
     pub fn drain(&mut self) {
         self.is_draining = true;
--- a/src/control/admin.rs
+++ b/src/control/admin.rs
@@ -9,7 +9,7 @@
     AdminCall, AdminReply, AdminRequest, BackendAnnouncement, BackendView, FieldError, HealthView,
     MemberView, RefusalReason, ServiceView, StatusView, TicketAnswer, UpstreamView,
 };
-use crate::control::state::ControlState;
+use crate::control::state::{AnnounceOutcome, ControlState};
 use crate::ids::{BackendId, NodeId, ServiceName, TicketNumber};
 use crate::ingress::lock;
 use crate::membership::MemberRecord;
@@ -35,8 +35,11 @@
             backend,
             announcement,
         } => announce(control, backend, announcement),
-        AdminRequest::WithdrawBackend { backend } => {
-            if control.withdraw(&backend) {
+        AdminRequest::WithdrawBackend {
+            backend,
+            withdrawal,
+        } => {
+            if control.withdraw(&backend, withdrawal) {
                 AdminReply::Done
             } else {
                 AdminReply::NotFound
@@ -67,10 +70,11 @@
     if announcement.state == UpstreamState::Gone {
         return bad_input("state", "must be joining, ready or draining");
     }
-    if control.announce(backend, announcement) {
-        AdminReply::Done
-    } else {
-        bad_input("id", "another backend server is beside this node")
+    match control.announce(backend, announcement) {
+        AnnounceOutcome::Accepted | AnnounceOutcome::Outdated => AdminReply::Done,
+        AnnounceOutcome::OtherIsHere => {
+            bad_input("id", "another backend server is beside this node")
+        }
     }
 }
 
@@ -247,7 +251,7 @@
         version: env!("CARGO_PKG_VERSION").to_string(),
         uptime_ms: u64::try_from(uptime_ms).unwrap_or(u64::MAX),
         table_version: control.table().version,
-        is_stopping: *control.is_stopping.borrow(),
+        is_stopping: control.is_stopping(),
         members_alive: count_alive(control),
         backends: backends.collect(),
         counters: counters(control),
@@ -295,7 +299,7 @@
 }
 
 fn check_health(control: &ControlState) -> HealthView {
-    if *control.is_stopping.borrow() {
+    if control.is_stopping() {
         HealthView::Stopping
     } else {
         HealthView::Serving
--- a/src/control/placement.rs
+++ b/src/control/placement.rs
@@ -1,17 +1,22 @@
 //! Builds the routing table out of members and rules in force.
 
 use std::collections::BTreeMap;
+use std::sync::Arc;
 
-use crate::ids::{NodeId, ServiceName};
+use crate::ids::{NodeId, ServiceName, TicketNumber};
 use crate::membership::{MemberRecord, MemberState};
-use crate::table::{RoutingTable, ServiceEntry, UpstreamEntry, UpstreamState};
+use crate::routes::RouteConfig;
+use crate::table::{RoutingTable, ServiceEntry, ServiceRule, UpstreamEntry, UpstreamState};
 use crate::tickets::TicketState;
 
 /// Table for the given members and configuration.
+///
+/// The services of the routes, where there are any, go before those of tickets.
 pub fn build_table(
     version: u64,
     members: &BTreeMap<NodeId, MemberRecord>,
     tickets: &TicketState,
+    routes: Option<Arc<RouteConfig>>,
 ) -> RoutingTable {
     let mut services: BTreeMap<ServiceName, ServiceEntry> = tickets
         .rules_in_force()
@@ -25,6 +30,9 @@
             (name.clone(), entry)
         })
         .collect();
+    if let Some(config) = &routes {
+        services.extend(services_of(config));
+    }
     for member in members.values().filter(|member| member.is_live()) {
         let Some(backend) = &member.backend else {
             continue;
@@ -34,7 +42,28 @@
             service.upstreams.insert(member.node.clone(), upstream);
         }
     }
-    RoutingTable { version, services }
+    RoutingTable {
+        version,
+        services,
+        routes,
+    }
+}
+
+/// Services that a configuration of routes names, whose version takes the
+/// place of a ticket's number.
+fn services_of(config: &RouteConfig) -> BTreeMap<ServiceName, ServiceEntry> {
+    let targets = config.hosts.values().flatten();
+    let targets = targets.flat_map(|route| route.target.services());
+    let names = config.services.keys().chain(targets);
+    let Ok(ticket) = TicketNumber::try_from(config.version.0) else {
+        return BTreeMap::new();
+    };
+    let entry = || ServiceEntry {
+        ticket,
+        rule: ServiceRule::default(),
+        upstreams: BTreeMap::new(),
+    };
+    names.map(|name| (name.clone(), entry())).collect()
 }
 
 fn upstream_entry(
--- a/src/control/state.rs
+++ b/src/control/state.rs
@@ -8,19 +8,18 @@
 use tokio::sync::mpsc::{Receiver, UnboundedSender};
 use tokio::sync::{Notify, watch};
 
-use crate::admin::BackendAnnouncement;
+use crate::admin::{AnnouncementOrder, BackendAnnouncement, Withdrawal};
 use crate::backend::BackendTarget;
 use crate::control::placement::{build_table, log_changes};
 use crate::gate::{GateCommand, GateStatus};
 use crate::ids::{BackendId, NodeId, NodeIncarnation, RegionName, ZoneName};
-use crate::ingress::{IngressShared, lock};
+use crate::ingress::{IngressShared, StopPhase, lock};
 use crate::membership::driver::MembershipHandle;
 use crate::membership::{BackendRecord, MembershipEvent};
+use crate::routes::{ConfigVersion, RoutesHandle};
 use crate::table::{RoutingTable, UpstreamState};
 use crate::tickets::ConfigHandle;
 
-/// Time after its last heartbeat at which a backend server counts as gone.
-pub const BACKEND_TTL: Duration = Duration::from_secs(3);
 /// Time for which changes are collected before a new table is published.
 const PUBLISH_DELAY: Duration = Duration::from_millis(10);
 
@@ -50,6 +49,17 @@
     pub heard: Instant,
 }
 
+/// What became of an announcement.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum AnnounceOutcome {
+    /// It is in force.
+    Accepted,
+    /// A later one is known.
+    Outdated,
+    /// Another backend server is beside this node.
+    OtherIsHere,
+}
+
 /// State of the control thread.
 pub struct ControlState {
     /// This node.
@@ -58,6 +68,8 @@
     pub membership: MembershipHandle,
     /// Change tickets.
     pub config: ConfigHandle,
+    /// Configuration of routes.
+    pub routes: RoutesHandle,
     /// Orders to the gate.
     pub gate: UnboundedSender<GateCommand>,
     /// Counters of the gate.
@@ -66,39 +78,66 @@
     pub ingress: Arc<IngressShared>,
     /// Backend server, if one announced itself.
     pub backend: RefCell<Option<LocalBackend>>,
-    /// Whether a planned stop has begun.
-    pub is_stopping: watch::Sender<bool>,
+    /// How far a planned stop has come.
+    pub stop_phase: watch::Sender<StopPhase>,
     /// Raised when this process must stop.
     pub stop: Notify,
+    backend_ttl: Duration,
+    withdrawn: RefCell<Option<WithdrawnBackend>>,
     table: watch::Sender<Arc<RoutingTable>>,
     version: Cell<u64>,
     changed: Notify,
 }
 
+/// Backend server that has withdrawn; a late announcement must not bring it
+/// back.
+#[derive(Debug)]
+struct WithdrawnBackend {
+    id: BackendId,
+    order: AnnouncementOrder,
+}
+
+/// What a [`ControlState`] is put together from.
+pub struct ControlParts {
+    /// This node.
+    pub identity: NodeIdentity,
+    /// Membership.
+    pub membership: MembershipHandle,
+    /// Change tickets.
+    pub config: ConfigHandle,
+    /// Configuration of routes.
+    pub routes: RoutesHandle,
+    /// Orders to the gate.
+    pub gate: UnboundedSender<GateCommand>,
+    /// Counters of the gate.
+    pub gate_status: watch::Receiver<GateStatus>,
+    /// State shared with the traffic threads.
+    pub ingress: Arc<IngressShared>,
+    /// Where new tables go.
+    pub table: watch::Sender<Arc<RoutingTable>>,
+    /// How far a planned stop has come.
+    pub stop_phase: watch::Sender<StopPhase>,
+    /// Time after its last heartbeat at which a backend server counts as gone.
+    pub backend_ttl: Duration,
+}
+
 impl ControlState {
     /// State of a node that has just started.
-    #[expect(clippy::too_many_arguments, reason = "assembled in one place only")]
-    pub fn new(
-        identity: NodeIdentity,
-        membership: MembershipHandle,
-        config: ConfigHandle,
-        gate: UnboundedSender<GateCommand>,
-        gate_status: watch::Receiver<GateStatus>,
-        ingress: Arc<IngressShared>,
-        table: watch::Sender<Arc<RoutingTable>>,
-        is_stopping: watch::Sender<bool>,
-    ) -> Self {
+    pub fn new(parts: ControlParts) -> Self {
         Self {
-            identity,
-            membership,
-            config,
-            gate,
-            gate_status,
-            ingress,
+            identity: parts.identity,
+            membership: parts.membership,
+            config: parts.config,
+            routes: parts.routes,
+            gate: parts.gate,
+            gate_status: parts.gate_status,
+            ingress: parts.ingress,
             backend: RefCell::new(None),
-            is_stopping,
+            stop_phase: parts.stop_phase,
             stop: Notify::new(),
-            table,
+            backend_ttl: parts.backend_ttl,
+            withdrawn: RefCell::new(None),
+            table: parts.table,
             version: Cell::new(0),
             changed: Notify::new(),
         }
@@ -111,16 +150,36 @@
 
     /// Takes in an announcement or heartbeat of the backend server.
     ///
-    /// Returns false if another backend server is beside this node already.
-    pub fn announce(&self, id: BackendId, announcement: BackendAnnouncement) -> bool {
+    /// One that is older than what is known has no effect.
+    pub fn announce(&self, id: BackendId, announcement: BackendAnnouncement) -> AnnounceOutcome {
+        if self.is_outdated(&id, &announcement) {
+            log::info!(
+                target: "control",
+                backend:% = id, order:? = announcement.order;
+                "outdated announcement ignored"
+            );
+            return AnnounceOutcome::Outdated;
+        }
         let mut backend = self.backend.borrow_mut();
-        let is_other = backend
-            .as_ref()
-            .is_some_and(|known| known.id != id && known.heard.elapsed() < BACKEND_TTL);
+        let is_other = backend.as_ref().is_some_and(|known| {
+            let is_ordered = known.announcement.order.is_some() && announcement.order.is_some();
+            known.id != id && !is_ordered && known.heard.elapsed() < self.backend_ttl
+        });
         if is_other {
-            return false;
+            return AnnounceOutcome::OtherIsHere;
         }
-        self.command_gate(&announcement);
+        let is_news = backend
+            .as_ref()
+            .is_none_or(|known| known.id != id || known.announcement.state != announcement.state);
+        if is_news {
+            log::info!(
+                target: "control",
+                backend:% = id, service:% = announcement.service,
+                state:? = announcement.state, order:? = announcement.order;
+                "backend server announced"
+            );
+        }
+        self.command_gate(&id, &announcement);
         let record = BackendRecord {
             id: id.clone(),
             service: announcement.service.clone(),
@@ -134,18 +193,34 @@
             heard: Instant::now(),
         });
         drop(backend);
-        self.membership.announce(record, BACKEND_TTL);
-        true
+        self.membership.announce(record, self.backend_ttl);
+        AnnounceOutcome::Accepted
     }
 
-    fn command_gate(&self, announcement: &BackendAnnouncement) {
+    /// Whether a later announcement is known, of this or a later start.
+    fn is_outdated(&self, id: &BackendId, announcement: &BackendAnnouncement) -> bool {
+        let Some(order) = announcement.order else {
+            return false;
+        };
+        let backend = self.backend.borrow();
+        let known = backend.as_ref().and_then(|known| known.announcement.order);
+        let withdrawn = self.withdrawn.borrow();
+        let is_withdrawn = withdrawn.as_ref().is_some_and(|gone| {
+            gone.id == *id && order.started_at_ms <= gone.order.started_at_ms
+                || order.started_at_ms < gone.order.started_at_ms
+        });
+        is_withdrawn || known.is_some_and(|known| order < known)
+    }
+
+    fn command_gate(&self, id: &BackendId, announcement: &BackendAnnouncement) {
         self.order(GateCommand::SetBackend(BackendTarget {
+            id: id.clone(),
             service: announcement.service.clone(),
             address: announcement.address,
             slots: announcement.slots,
             connections: announcement.connections,
         }));
-        let is_stopping = *self.is_stopping.borrow();
+        let is_stopping = self.is_stopping();
         match announcement.state {
             UpstreamState::Draining | UpstreamState::Gone => self.order(GateCommand::Drain),
             UpstreamState::Joining | UpstreamState::Ready if !is_stopping => {
@@ -163,10 +238,26 @@
     }
 
     /// Takes in the withdrawal of the backend server; false if it isn't here.
-    pub fn withdraw(&self, id: &BackendId) -> bool {
+    ///
+    /// What it is working on ends normally.
+    pub fn withdraw(&self, id: &BackendId, withdrawal: Withdrawal) -> bool {
         let mut backend = self.backend.borrow_mut();
-        if backend.as_ref().is_none_or(|known| known.id != *id) {
+        let Some(known) = backend.as_ref().filter(|known| known.id == *id) else {
             return false;
+        };
+        let order = known.announcement.order;
+        let is_older = withdrawal.started_at_ms.is_some()
+            && withdrawal.started_at_ms < order.map(|order| order.started_at_ms);
+        if is_older {
+            log::info!(target: "control", backend:% = id; "outdated withdrawal ignored");
+            return true;
+        }
+        log::info!(target: "control", backend:% = id, order:?; "backend server withdrew");
+        if let Some(order) = order {
+            *self.withdrawn.borrow_mut() = Some(WithdrawnBackend {
+                id: id.clone(),
+                order,
+            });
         }
         *backend = None;
         drop(backend);
@@ -178,11 +269,21 @@
     /// Begins a planned stop: no new work, what runs ends normally.
     pub fn begin_stop(&self) {
         log::info!(target: "placement", "planned stop begins");
-        self.is_stopping.send_replace(true);
+        self.stop_phase.send_replace(StopPhase::Leaving);
         self.membership.leave();
         self.order(GateCommand::Drain);
     }
 
+    /// Whether a planned stop has begun.
+    pub fn is_stopping(&self) -> bool {
+        *self.stop_phase.borrow() != StopPhase::Serving
+    }
+
+    /// Takes no further connections and requests of callers.
+    pub fn close_ingress(&self) {
+        self.stop_phase.send_replace(StopPhase::Closed);
+    }
+
     /// Whether no call is under way at the gate or the ingress.
     pub fn is_idle(&self) -> bool {
         let status = *self.gate_status.borrow();
@@ -198,12 +299,13 @@
         let version = self.version.get() + 1;
         let tickets = self.config.subscribe().borrow().clone();
         let state = self.membership.state().borrow();
-        let table = build_table(version, state.members(), &tickets);
+        let routes = self.routes.subscribe().borrow().clone();
+        let table = build_table(version, state.members(), &tickets, routes);
         let rank = zone_rank(state.members(), &self.identity);
         drop(state);
         self.config.set_zone_rank(rank);
         let old = self.table();
-        if old.services == table.services {
+        if old.services == table.services && old.routes == table.routes {
             return;
         }
         log_changes(&old, &table);
@@ -245,7 +347,11 @@
                 node,
                 peer_address,
                 version,
-            } => control.config.on_peer_head(&node, peer_address, version),
+            } => {
+                control.config.on_peer_head(&node, peer_address, version);
+                let version = ConfigVersion(version);
+                control.routes.on_peer_version(peer_address, version);
+            }
             MembershipEvent::Superseded => {
                 log::error!(target: "control", "a later start of this node runs, stopping");
                 control.stop.notify_one();
@@ -254,7 +360,7 @@
     }
 }
 
-/// Follows the configuration in force until its channel closes.
+/// Follows the tickets in force until their channel closes.
 pub async fn follow_config(control: Rc<ControlState>) {
     let mut tickets = control.config.subscribe();
     loop {
@@ -266,3 +372,15 @@
         }
     }
 }
+
+/// Follows the routes in force until their channel closes.
+pub async fn follow_routes(control: Rc<ControlState>) {
+    let mut routes = control.routes.subscribe();
+    while routes.changed().await.is_ok() {
+        routes.mark_unchanged();
+        let version = control.routes.version();
+        control.membership.set_head_version(version.0);
+        // A new configuration is not kept back for others to join it.
+        control.publish();
+    }
+}
--- a/src/decisions/replay/attempts.rs
+++ b/src/decisions/replay/attempts.rs
@@ -215,6 +215,7 @@
             may_have_run: call.may_have_run,
             attempt: call.attempt,
             attempts_limit: call.attempts_limit,
+            free_refusals: 0,
             time_left: call.deadline.saturating_sub(self.now),
         };
         call.may_have_run |= matches!(failure, AttemptFailure::Unknown(_));
--- a/src/decisions/replay/places.rs
+++ b/src/decisions/replay/places.rs
@@ -10,7 +10,7 @@
 use crate::decisions::baseline::BaselinePolicy;
 use crate::decisions::upstream::{BackendCondition, FakeUpstream};
 use crate::ids::{NodeId, TicketNumber};
-use crate::retry::RetryPolicy;
+use crate::retry::{RetryOptions, RetryPolicy};
 use crate::routing::{HomePlace, RouterState};
 use crate::table::{RoutingTable, ServiceEntry, UpstreamState};
 use crate::trace::{EventKind, UpstreamLine};
@@ -81,7 +81,7 @@
         };
         let ingress = Ingress {
             policy,
-            retries: RetryPolicy::new(),
+            retries: RetryPolicy::new(RetryOptions::default()),
         };
         self.ingresses.insert(line.node.clone(), ingress);
         let upstream = FakeUpstream::new(line.clone());
@@ -97,6 +97,7 @@
         let mut table = RoutingTable {
             version: self.version,
             services: BTreeMap::new(),
+            routes: None,
         };
         for (service, rule) in &self.rules {
             let members = self.upstreams.values();
--- a/src/error.rs
+++ b/src/error.rs
@@ -36,6 +36,15 @@
     /// No service of that name is in force.
     #[display("unknown service")]
     UnknownService,
+    /// No route matches the host and path of the request.
+    #[display("no route for this host and path")]
+    UnknownRoute,
+    /// This node has no configuration yet.
+    #[display("no configuration yet")]
+    NoConfig,
+    /// The caller took too long to send the head of a request.
+    #[display("request head too slow")]
+    SlowHead,
     /// The service has no upstream that takes work.
     #[display("no upstream available")]
     NoUpstream,
@@ -54,6 +63,9 @@
     /// The backend server could not be reached.
     #[display("backend server unreachable")]
     BackendUnreachable,
+    /// The backend server said that it did not run the request.
+    #[display("backend server refused")]
+    BackendRefused,
     /// The backend server failed before its answer was whole.
     #[display("backend server failed")]
     BackendFailed,
@@ -88,18 +100,22 @@
 
 impl ErrorKind {
     /// Every kind, in the order of the table.
-    pub const ALL: [Self; 18] = [
+    pub const ALL: [Self; 22] = [
         Self::BadRequest,
         Self::BadTimeout,
         Self::BodyTooLarge,
         Self::HeadTooLarge,
         Self::UnknownService,
+        Self::UnknownRoute,
+        Self::NoConfig,
+        Self::SlowHead,
         Self::NoUpstream,
         Self::Overloaded,
         Self::ShareExceeded,
         Self::WaitTooLong,
         Self::Draining,
         Self::BackendUnreachable,
+        Self::BackendRefused,
         Self::BackendFailed,
         Self::LinkLost,
         Self::GateRestarted,
@@ -113,18 +129,21 @@
     pub fn answer_row(self) -> AnswerRow {
         let (status, has_retry_after) = match self {
             Self::BadRequest | Self::BadTimeout => (400, false),
-            Self::UnknownService => (404, false),
+            Self::UnknownService | Self::UnknownRoute => (404, false),
+            Self::SlowHead => (408, false),
             Self::KeyInUse => (409, true),
             Self::BodyTooLarge => (413, false),
             Self::HeadTooLarge => (431, false),
             Self::Internal => (500, true),
             Self::BackendFailed | Self::LinkLost | Self::GateRestarted => (502, true),
-            Self::NoUpstream
+            Self::NoConfig
+            | Self::NoUpstream
             | Self::Overloaded
             | Self::ShareExceeded
             | Self::WaitTooLong
             | Self::Draining
             | Self::BackendUnreachable
+            | Self::BackendRefused
             | Self::Cancelled => (503, true),
             Self::TimedOut => (504, true),
         };
@@ -134,6 +153,20 @@
         }
     }
 
+    /// Row of the answer table, given what is known about the run.
+    ///
+    /// A 502 or 504 leaves open whether the request ran, and a 503 says that
+    /// it did not, so the status follows the outcome where the two differ.
+    pub fn answer_row_for(self, outcome: RunOutcome) -> AnswerRow {
+        let row = self.answer_row();
+        let status = match (row.status, outcome) {
+            (502, RunOutcome::NotRun) => 503,
+            (503 | 408, RunOutcome::Unknown) => 502,
+            (status, _) => status,
+        };
+        AnswerRow { status, ..row }
+    }
+
     /// Stable name for log lines, metrics and the wire.
     pub fn code(self) -> &'static str {
         match self {
@@ -142,12 +175,16 @@
             Self::BodyTooLarge => "body-too-large",
             Self::HeadTooLarge => "head-too-large",
             Self::UnknownService => "unknown-service",
+            Self::UnknownRoute => "unknown-route",
+            Self::NoConfig => "no-config",
+            Self::SlowHead => "slow-head",
             Self::NoUpstream => "no-upstream",
             Self::Overloaded => "overloaded",
             Self::ShareExceeded => "share-exceeded",
             Self::WaitTooLong => "wait-too-long",
             Self::Draining => "draining",
             Self::BackendUnreachable => "backend-unreachable",
+            Self::BackendRefused => "backend-refused",
             Self::BackendFailed => "backend-failed",
             Self::LinkLost => "link-lost",
             Self::GateRestarted => "gate-restarted",
--- a/src/exchange.rs
+++ b/src/exchange.rs
@@ -60,6 +60,8 @@
     Membership = 0,
     /// Fetch of change tickets.
     Tickets = 1,
+    /// Fetch of the configuration of routes.
+    Routes = 2,
 }
 
 /// Framing of a peer connection.
--- a/src/fields.rs
+++ b/src/fields.rs
@@ -2,25 +2,64 @@
 //!
 //! Hop-by-hop fields concern one connection only and are removed in both
 //! directions. Body length and transfer coding travel as part of the call, so
-//! they are removed as well and written anew by the library at the other end.
+//! they are removed as well and written anew at the other end. The names of
+//! the fields that the system itself reads and sets are a [`CallDialect`], so
+//! that an adapter can put those of its platform in their place.
 
 use std::collections::BTreeSet;
 
-use bytes::Bytes;
-use ntex::http::header::{CONNECTION, CONTENT_LENGTH, HeaderMap, HeaderName, HeaderValue};
-
+use crate::backend::BackendLoad;
 use crate::link::messages::HeaderField;
 
-/// Service that a request is for, where the host name doesn't say it.
-pub const SERVICE_FIELD: &str = "currantlift-service";
-/// Time left for a request, in milliseconds.
-pub const TIMEOUT_FIELD: &str = "currantlift-timeout-ms";
-/// Attempts that a nested request may use.
-pub const ATTEMPTS_FIELD: &str = "currantlift-attempts";
-/// Whether a request that got an error answer may have run.
-pub const OUTCOME_FIELD: &str = "currantlift-outcome";
-/// Identifier of the call, for log lines.
-pub const CALL_FIELD: &str = "currantlift-call";
+/// Names of the fields that the system reads and sets, and how it reads them.
+///
+/// A field without a name is neither read nor set.
+#[derive(Debug, Clone, Copy)]
+pub struct CallDialect {
+    /// Time left for a request, in milliseconds.
+    pub time_left: &'static str,
+    /// Service that a request is for, where the host name doesn't say it.
+    pub service: Option<&'static str>,
+    /// Attempts that a nested request may use.
+    pub attempts: Option<&'static str>,
+    /// Whether a request that got an error answer may have run.
+    pub outcome: Option<&'static str>,
+    /// Identifier of the call, for log lines.
+    pub call: Option<&'static str>,
+    /// Caller's own identifier of a request; the backend server repeats it.
+    pub request_id: Option<&'static str>,
+    /// Mark by which an answer shows that the backend server made it.
+    pub signature: Option<&'static str>,
+    /// Mark of an answer that says that the request was not run.
+    pub not_executed: Option<&'static str>,
+    /// Backend server that a request is meant for; another one refuses it.
+    pub expected_backend: Option<&'static str>,
+    /// Service on whose VM a request began.
+    pub caller_service: Option<&'static str>,
+    /// Load of the backend server, on its answers.
+    pub load: Option<&'static str>,
+    /// Reads the value of the load field.
+    pub parse_load: fn(&str) -> Option<BackendLoad>,
+    /// Whether `Retry-After` may have fractions of a second.
+    pub has_retry_fractions: bool,
+}
+
+/// The product's own dialect.
+pub const OWN_DIALECT: CallDialect = CallDialect {
+    time_left: "currantlift-timeout-ms",
+    service: Some("currantlift-service"),
+    attempts: Some("currantlift-attempts"),
+    outcome: Some("currantlift-outcome"),
+    call: Some("currantlift-call"),
+    request_id: None,
+    signature: None,
+    not_executed: None,
+    expected_backend: None,
+    caller_service: None,
+    load: None,
+    parse_load: |_| None,
+    has_retry_fractions: false,
+};
 
 /// Fields that concern one connection only (RFC 9110, section 7.6.1), and
 /// those that state a body's length and coding.
@@ -40,22 +79,19 @@
 
 /// Fields that travel on, without the dropped ones and those that the
 /// `Connection` field names.
-pub fn end_to_end_fields(headers: &HeaderMap) -> Vec<HeaderField> {
-    let named = connection_options(headers);
-    headers
-        .iter()
-        .filter(|(name, _)| !is_dropped(name.as_str(), &named))
-        .map(|(name, value)| HeaderField {
-            name: name.as_str().to_string(),
-            value: Bytes::copy_from_slice(value.as_bytes()),
-        })
-        .collect()
+pub fn end_to_end_fields(fields: Vec<HeaderField>) -> Vec<HeaderField> {
+    let named = connection_options(&fields);
+    let kept = fields
+        .into_iter()
+        .filter(|field| !is_dropped(&field.name, &named));
+    kept.collect()
 }
 
-fn connection_options(headers: &HeaderMap) -> BTreeSet<String> {
-    headers
-        .get_all(CONNECTION)
-        .filter_map(|value| value.to_str().ok())
+fn connection_options(fields: &[HeaderField]) -> BTreeSet<String> {
+    fields
+        .iter()
+        .filter(|field| field.name == "connection")
+        .filter_map(|field| std::str::from_utf8(&field.value).ok())
         .flat_map(|value| value.split(','))
         .map(|option| option.trim().to_ascii_lowercase())
         .collect()
@@ -65,17 +101,5 @@
     DROPPED_FIELDS.contains(&name) || named.contains(name)
 }
 
-/// Library form of a field; `None` for a malformed one.
-pub fn library_field(field: &HeaderField) -> Option<(HeaderName, HeaderValue)> {
-    let name = HeaderName::from_bytes(field.name.as_bytes()).ok()?;
-    let value = HeaderValue::from_bytes(&field.value).ok()?;
-    Some((name, value))
-}
-
-/// Body length that a head states.
-pub fn stated_length(headers: &HeaderMap) -> Option<u64> {
-    headers.get(CONTENT_LENGTH)?.to_str().ok()?.parse().ok()
-}
-
 #[cfg(test)]
 mod tests;
--- a/src/gate.rs
+++ b/src/gate.rs
@@ -22,8 +22,9 @@
 use tokio::sync::oneshot;
 
 use crate::admission::{Admission, AdmissionOptions, AdmissionQueue, CallOffer, WorkResult};
-use crate::backend::{BackendClient, BackendTarget};
+use crate::backend::{BackendClient, BackendLoad, BackendTarget};
 use crate::error::ErrorKind;
+use crate::fields::CallDialect;
 use crate::gate::call::CallInput;
 use crate::gate::links::{LinkOwner, serve_local, serve_remote};
 use crate::ids::{CallId, NodeIncarnation, ServiceName};
@@ -76,6 +77,7 @@
 /// State of the gate, shared by its tasks on one thread.
 pub struct Gate {
     incarnation: NodeIncarnation,
+    dialect: &'static CallDialect,
     started: Instant,
     admission: RefCell<Option<AdmissionQueue>>,
     ledger: RefCell<CallLedger>,
@@ -92,11 +94,13 @@
 /// Runs the gate until its command channel closes.
 pub async fn run_gate(
     incarnation: NodeIncarnation,
+    dialect: &'static CallDialect,
     mut commands: UnboundedReceiver<GateCommand>,
     status: tokio::sync::watch::Sender<GateStatus>,
 ) {
     let gate = Rc::new(Gate {
         incarnation,
+        dialect,
         started: Instant::now(),
         admission: RefCell::new(None),
         ledger: RefCell::new(CallLedger::new(LedgerLimits::default())),
@@ -113,7 +117,7 @@
     loop {
         tokio::select! {
             command = commands.recv() => match command {
-                Some(command) => gate.obey(command).await,
+                Some(command) => gate.obey(command),
                 None => return,
             },
             _ = sweep.tick() => gate.sweep(),
@@ -122,9 +126,9 @@
 }
 
 impl Gate {
-    async fn obey(self: &Rc<Self>, command: GateCommand) {
+    fn obey(self: &Rc<Self>, command: GateCommand) {
         match command {
-            GateCommand::SetBackend(target) => self.set_backend(target).await,
+            GateCommand::SetBackend(target) => self.set_backend(target),
             GateCommand::ClearBackend => *self.client.borrow_mut() = None,
             GateCommand::Drain => self.drain(),
             GateCommand::Reopen => self.is_draining.set(false),
@@ -146,19 +150,19 @@
         }
     }
 
-    async fn set_backend(&self, target: BackendTarget) {
+    fn set_backend(&self, target: BackendTarget) {
         let current = self.client.borrow().clone();
         if current.is_some_and(|client| *client.target() == target) {
             return;
         }
         let slots = target.slots;
-        match BackendClient::connect(target).await {
-            Ok(client) => *self.client.borrow_mut() = Some(Rc::new(client)),
-            Err(error) => {
-                log::error!(target: "gate", "{error}");
-                return;
-            }
-        }
+        log::info!(
+            target: "gate",
+            backend:% = target.id, service:% = target.service, address:% = target.address;
+            "backend server set"
+        );
+        let client = BackendClient::new(target, self.dialect);
+        *self.client.borrow_mut() = Some(Rc::new(client));
         let mut started = Vec::new();
         let mut admission = self.admission.borrow_mut();
         match admission.as_mut() {
@@ -196,6 +200,14 @@
         })
     }
 
+    /// Takes in the load that the backend server stated.
+    pub fn note_load(&self, load: BackendLoad) {
+        let now = self.now();
+        if let Some(admission) = self.admission.borrow_mut().as_mut() {
+            admission.note_slowness(now, load.slowness);
+        }
+    }
+
     fn publish_status(&self) {
         let load = self.load();
         self.status.send_replace(GateStatus {
--- a/src/gate/call.rs
+++ b/src/gate/call.rs
@@ -6,13 +6,12 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use ntex::client::ClientResponse;
 use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender};
 use tokio::sync::oneshot;
 use tokio::time::Instant;
 
 use crate::admission::WorkResult;
-use crate::backend::{BackendClient, BackendError, BodySource};
+use crate::backend::{BackendAnswer, BackendClient, BackendError, BodySource};
 use crate::error::ErrorKind;
 use crate::gate::Gate;
 use crate::gate::answer::AnswerOutput;
@@ -44,8 +43,8 @@
 
 /// Step of a call's work that ended.
 enum WorkStep {
-    Head(Result<ClientResponse, BackendError>),
-    Body(Option<Result<Bytes, ErrorKind>>),
+    Head(Result<BackendAnswer, BackendError>),
+    Body(Result<Option<Bytes>, ErrorKind>),
 }
 
 /// Why the work on a call ended without a whole answer.
@@ -243,9 +242,11 @@
                 self.gate.end_unanswered(permit);
                 self.reply_cancel(false);
             }
-            Err(WorkEnd::Failed(ErrorKind::BackendUnreachable)) => {
+            Err(WorkEnd::Failed(
+                kind @ (ErrorKind::BackendUnreachable | ErrorKind::BackendRefused),
+            )) => {
                 self.gate.return_permit(permit);
-                self.refuse(ErrorKind::BackendUnreachable, Duration::ZERO);
+                self.refuse(*kind, Duration::ZERO);
             }
             Err(WorkEnd::Failed(kind)) => {
                 self.gate.end_unanswered(permit);
@@ -284,13 +285,17 @@
             }
             WorkStep::Body(_) => return Err(WorkEnd::Failed(ErrorKind::Internal)),
         };
-        self.relay_answer(&response).await
+        if let Some(load) = response.load() {
+            self.gate.note_load(load);
+        }
+        self.relay_answer(response).await
     }
 
     fn backend_failure(&self, error: &BackendError) -> ErrorKind {
         log::warn!(target: "gate", call:% = self.id; "{error}");
         match error {
             BackendError::Unreachable { .. } => ErrorKind::BackendUnreachable,
+            BackendError::Refused { .. } => ErrorKind::BackendRefused,
             BackendError::Failed { .. } => ErrorKind::BackendFailed,
         }
     }
--- a/src/gate/call/relay.rs
+++ b/src/gate/call/relay.rs
@@ -1,51 +1,85 @@
 //! The backend server's answer on its way into the link.
 
-use bytes::Bytes;
-use ntex::client::ClientResponse;
-use ntex::http::Payload;
+use std::time::Duration;
+
+use bytes::{Bytes, BytesMut};
+use tokio::time::Instant;
 
 use super::{GateCall, WorkEnd, WorkStep};
+use crate::backend::BackendAnswer;
 use crate::error::ErrorKind;
-use crate::fields::{end_to_end_fields, stated_length};
 use crate::link::messages::AnswerHead;
 use crate::link::window::CHUNK_BYTES;
 
+/// Time for which the start of an answer of unstated length is collected. Most
+/// are short, and a failure before the start is passed on can still be hidden.
+const COLLECT_LIMIT: Duration = Duration::from_millis(20);
+
 impl GateCall {
     /// Passes the backend server's answer on, whole.
-    pub(super) async fn relay_answer(&mut self, response: &ClientResponse) -> Result<(), WorkEnd> {
-        let mut payload = response.take_payload();
-        let body_length = stated_length(response.headers());
-        let mut first = Bytes::new();
-        let mut is_last = matches!(payload, Payload::None);
-        // A short answer of known length goes out whole, in one frame.
-        let is_short = body_length.is_some_and(|length| length <= CHUNK_BYTES as u64);
-        while is_short && !is_last {
-            match self.next_chunk(&mut payload).await? {
-                Some(data) if first.is_empty() => first = data,
-                Some(data) => first = Bytes::from([first, data].concat()),
-                None => is_last = true,
-            }
-        }
+    pub(super) async fn relay_answer(&mut self, mut answer: BackendAnswer) -> Result<(), WorkEnd> {
+        let body_length = answer.body_length();
+        let (first, is_last) = self.collect_first(&mut answer).await?;
+        let body_length = if is_last && body_length.is_none() {
+            Some(first.len() as u64)
+        } else {
+            body_length
+        };
         self.output.start(AnswerHead {
             sequence: self.open.sequence,
-            status: u32::from(response.status().as_u16()),
-            headers: end_to_end_fields(response.headers()),
+            status: u32::from(answer.status()),
+            headers: answer.take_fields(),
             body_length,
             body: first,
             is_last,
             load: Some(self.gate.load()),
         });
+        let mut is_last = is_last;
         while !is_last {
-            is_last = self.relay_chunk(&mut payload).await?;
+            is_last = self.relay_chunk(&mut answer).await?;
         }
         Ok(())
     }
 
-    async fn relay_chunk(&mut self, payload: &mut Payload) -> Result<bool, WorkEnd> {
+    /// Collects a short answer whole, so that it goes out in one frame.
+    async fn collect_first(
+        &mut self,
+        answer: &mut BackendAnswer,
+    ) -> Result<(Bytes, bool), WorkEnd> {
+        if answer.is_ended() {
+            answer.release();
+            return Ok((Bytes::new(), true));
+        }
+        let is_short = match answer.body_length() {
+            Some(length) => length <= CHUNK_BYTES as u64,
+            None => true,
+        };
+        let is_stated = answer.body_length().is_some();
+        let end = Instant::now() + COLLECT_LIMIT;
+        let mut first = BytesMut::new();
+        while is_short && first.len() < CHUNK_BYTES {
+            let next = self.next_chunk(answer);
+            let next = if is_stated {
+                next.await?
+            } else {
+                match tokio::time::timeout_at(end, next).await {
+                    Ok(next) => next?,
+                    Err(_) => break,
+                }
+            };
+            match next {
+                Some(data) => first.extend_from_slice(&data),
+                None => return Ok((first.freeze(), true)),
+            }
+        }
+        Ok((first.freeze(), false))
+    }
+
+    async fn relay_chunk(&mut self, answer: &mut BackendAnswer) -> Result<bool, WorkEnd> {
         while self.output.room() == 0 {
             self.serve_input().await?;
         }
-        match self.next_chunk(payload).await? {
+        match self.next_chunk(answer).await? {
             Some(mut data) => {
                 while !data.is_empty() {
                     let piece = data.split_to(data.len().min(CHUNK_BYTES));
@@ -61,17 +95,17 @@
         }
     }
 
-    async fn next_chunk(&mut self, payload: &mut Payload) -> Result<Option<Bytes>, WorkEnd> {
+    async fn next_chunk(&mut self, answer: &mut BackendAnswer) -> Result<Option<Bytes>, WorkEnd> {
+        let id = self.id;
         let next = async {
-            let chunk = payload.recv().await;
-            WorkStep::Body(chunk.map(|chunk| {
-                chunk
-                    .map(|data| Bytes::copy_from_slice(&data))
-                    .map_err(|_| ErrorKind::BackendFailed)
+            let chunk = answer.next().await;
+            WorkStep::Body(chunk.map_err(|error| {
+                log::warn!(target: "gate", call:% = id; "{error}");
+                ErrorKind::BackendFailed
             }))
         };
         match self.step(next).await? {
-            WorkStep::Body(chunk) => chunk.transpose().map_err(WorkEnd::Failed),
+            WorkStep::Body(chunk) => chunk.map_err(WorkEnd::Failed),
             WorkStep::Head(_) => Err(WorkEnd::Failed(ErrorKind::Internal)),
         }
     }
--- a/src/gate/tests.rs
+++ b/src/gate/tests.rs
@@ -7,6 +7,7 @@
 use tokio::sync::mpsc::unbounded_channel;
 
 use super::*;
+use crate::fields::OWN_DIALECT;
 use crate::ids::{ConnectionCount, SlotCount};
 use crate::link::endpoint::lane_pair;
 use crate::link::messages::{CallName, CallResume, CancelReply, ResumeState};
@@ -41,9 +42,10 @@
         let (commands, receiver) = unbounded_channel();
         let (status, _) = tokio::sync::watch::channel(GateStatus::default());
         let incarnation = NodeIncarnation::try_from(7).unwrap();
-        ntex::rt::spawn(run_gate(incarnation, receiver, status));
+        ntex::rt::spawn(run_gate(incarnation, &OWN_DIALECT, receiver, status));
         commands
             .send(GateCommand::SetBackend(BackendTarget {
+                id: "b1".parse().unwrap(),
                 service: "slotbook".parse().unwrap(),
                 address: backend.addr(),
                 slots: SlotCount::try_from(1).unwrap(),
--- /dev/null
+++ b/src/http1/body.rs
@@ -0,0 +1,196 @@
+//! Bodies as they come in: by length, in chunks, or until the end of the
+//! connection.
+
+use bytes::{Buf, Bytes, BytesMut};
+
+use super::head::HeadError;
+
+/// Longest line that states a chunk's size, extensions included, in bytes.
+const MAX_CHUNK_LINE: usize = 4 * 1024;
+/// Most bytes of trailer fields.
+const MAX_TRAILER_BYTES: usize = 16 * 1024;
+/// Largest piece that is handed on at once, in bytes.
+const MAX_PIECE: usize = 32 * 1024;
+
+/// How the end of a body is told.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum BodyFraming {
+    /// Length in bytes; 0 for no body.
+    Length(u64),
+    /// Chunks, each with its length.
+    Chunked,
+    /// Everything until the connection ends.
+    UntilClose,
+}
+
+impl BodyFraming {
+    /// Length in bytes, if the head states it.
+    pub fn length(self) -> Option<u64> {
+        match self {
+            Self::Length(length) => Some(length),
+            Self::Chunked | Self::UntilClose => None,
+        }
+    }
+}
+
+/// Result of one look at the buffer.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum BodyStep {
+    /// Bytes of the body.
+    Data(Bytes),
+    /// More has to be read first.
+    NeedMore,
+    /// The body is whole.
+    End,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum DecoderState {
+    Length(u64),
+    ChunkSize,
+    ChunkData(u64),
+    ChunkEnd,
+    Trailers(usize),
+    UntilClose,
+    Ended,
+}
+
+/// Takes a body out of the bytes of a connection.
+#[derive(Debug)]
+pub struct BodyDecoder {
+    state: DecoderState,
+}
+
+impl BodyDecoder {
+    /// Decoder for the body behind a head.
+    pub fn new(framing: BodyFraming) -> Self {
+        let state = match framing {
+            BodyFraming::Length(0) => DecoderState::Ended,
+            BodyFraming::Length(length) => DecoderState::Length(length),
+            BodyFraming::Chunked => DecoderState::ChunkSize,
+            BodyFraming::UntilClose => DecoderState::UntilClose,
+        };
+        Self { state }
+    }
+
+    /// Whether the body is whole.
+    pub fn is_ended(&self) -> bool {
+        self.state == DecoderState::Ended
+    }
+
+    /// Takes the next piece out of the buffer.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the chunks are malformed.
+    pub fn step(&mut self, buffer: &mut BytesMut) -> Result<BodyStep, HeadError> {
+        loop {
+            match self.state {
+                DecoderState::Ended => return Ok(BodyStep::End),
+                DecoderState::Length(left) => {
+                    return Ok(self.take_data(buffer, left, DecoderState::Length));
+                }
+                DecoderState::ChunkData(left) => {
+                    return Ok(self.take_data(buffer, left, DecoderState::ChunkData));
+                }
+                DecoderState::UntilClose if buffer.is_empty() => return Ok(BodyStep::NeedMore),
+                DecoderState::UntilClose => {
+                    let length = buffer.len().min(MAX_PIECE);
+                    return Ok(BodyStep::Data(buffer.split_to(length).freeze()));
+                }
+                DecoderState::ChunkSize | DecoderState::ChunkEnd | DecoderState::Trailers(_) => {
+                    if !self.step_line(buffer)? {
+                        return Ok(BodyStep::NeedMore);
+                    }
+                }
+            }
+        }
+    }
+
+    /// Takes note that the connection has ended without an error.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the body is not whole.
+    pub fn end_of_stream(&mut self) -> Result<(), HeadError> {
+        match self.state {
+            DecoderState::Ended | DecoderState::UntilClose => {
+                self.state = DecoderState::Ended;
+                Ok(())
+            }
+            _ => Err(HeadError::Malformed),
+        }
+    }
+
+    fn take_data(
+        &mut self,
+        buffer: &mut BytesMut,
+        left: u64,
+        rest: fn(u64) -> DecoderState,
+    ) -> BodyStep {
+        if buffer.is_empty() {
+            return BodyStep::NeedMore;
+        }
+        let wanted = usize::try_from(left).unwrap_or(usize::MAX).min(MAX_PIECE);
+        let data = buffer.split_to(buffer.len().min(wanted)).freeze();
+        let left = left - data.len() as u64;
+        self.state = match (left, self.state) {
+            (0, DecoderState::ChunkData(_)) => DecoderState::ChunkEnd,
+            (0, _) => DecoderState::Ended,
+            _ => rest(left),
+        };
+        BodyStep::Data(data)
+    }
+
+    /// Takes a chunk's size, the end of a chunk or a trailer line; false if
+    /// the line is not whole yet.
+    fn step_line(&mut self, buffer: &mut BytesMut) -> Result<bool, HeadError> {
+        match self.state {
+            DecoderState::ChunkSize => match httparse::parse_chunk_size(buffer) {
+                Ok(httparse::Status::Complete((length, size))) => {
+                    buffer.advance(length);
+                    self.state = match size {
+                        0 => DecoderState::Trailers(0),
+                        size => DecoderState::ChunkData(size),
+                    };
+                    Ok(true)
+                }
+                Ok(httparse::Status::Partial) if buffer.len() <= MAX_CHUNK_LINE => Ok(false),
+                _ => Err(HeadError::Malformed),
+            },
+            DecoderState::ChunkEnd => match buffer.get(..2) {
+                Some(b"\r\n") => {
+                    buffer.advance(2);
+                    self.state = DecoderState::ChunkSize;
+                    Ok(true)
+                }
+                Some(_) => Err(HeadError::Malformed),
+                None => Ok(false),
+            },
+            DecoderState::Trailers(seen) => self.step_trailer(buffer, seen),
+            _ => Ok(true),
+        }
+    }
+
+    /// Drops one trailer field; an empty line ends the body.
+    fn step_trailer(&mut self, buffer: &mut BytesMut, seen: usize) -> Result<bool, HeadError> {
+        let Some(end) = buffer.iter().position(|byte| *byte == b'\n') else {
+            let is_too_long = seen + buffer.len() > MAX_TRAILER_BYTES;
+            return if is_too_long {
+                Err(HeadError::TooLarge)
+            } else {
+                Ok(false)
+            };
+        };
+        let line = buffer.split_to(end + 1);
+        let seen = seen + line.len();
+        if seen > MAX_TRAILER_BYTES {
+            return Err(HeadError::TooLarge);
+        }
+        self.state = match line.trim_ascii_end() {
+            b"" => DecoderState::Ended,
+            _ => DecoderState::Trailers(seen),
+        };
+        Ok(true)
+    }
+}
--- /dev/null
+++ b/src/http1/head.rs
@@ -0,0 +1,278 @@
+//! Heads of requests and answers, and the body length that they state.
+
+use bytes::{Buf, Bytes, BytesMut};
+use derive_more::{Display, Error};
+
+use super::body::BodyFraming;
+use crate::link::messages::HeaderField;
+
+/// Most header fields of a message.
+const MAX_FIELDS: usize = 96;
+
+/// Why a head can't be used.
+#[derive(Debug, Clone, Copy, Display, Error, PartialEq, Eq)]
+pub enum HeadError {
+    /// Not HTTP/1, or with a body length that is ambiguous.
+    #[display("malformed head")]
+    Malformed,
+    /// Larger than the limit, or with too many fields.
+    #[display("head too large")]
+    TooLarge,
+}
+
+/// Bounds on a head.
+#[derive(Debug, Clone, Copy)]
+pub struct HeadLimits {
+    /// Largest head in bytes.
+    pub bytes: usize,
+}
+
+/// Head of a request.
+#[derive(Debug, Clone, PartialEq)]
+pub struct RequestHead {
+    /// Method.
+    pub method: String,
+    /// Path and query, without scheme and host.
+    pub target: String,
+    /// Host that the request line or the `Host` field names.
+    pub host: Option<String>,
+    /// Fields in order, names in lower case.
+    pub fields: Vec<HeaderField>,
+    /// Length of the body.
+    pub framing: BodyFraming,
+    /// Whether the connection may carry another request.
+    pub is_kept: bool,
+    /// Whether the sender speaks HTTP/1.0.
+    pub is_old: bool,
+}
+
+/// Head of an answer.
+#[derive(Debug, Clone, PartialEq)]
+pub struct StatusHead {
+    /// Status code.
+    pub status: u16,
+    /// Fields in order, names in lower case.
+    pub fields: Vec<HeaderField>,
+    /// Length of the body.
+    pub framing: BodyFraming,
+    /// Whether the connection may carry another exchange.
+    pub is_kept: bool,
+}
+
+impl RequestHead {
+    /// Takes a request's head out of the buffer; `None` until it is whole.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the head is malformed or larger than the limit.
+    pub fn take(buffer: &mut BytesMut, limits: HeadLimits) -> Result<Option<Self>, HeadError> {
+        skip_blank_lines(buffer);
+        let mut slots = [httparse::EMPTY_HEADER; MAX_FIELDS];
+        let mut request = httparse::Request::new(&mut slots);
+        let parsed = request.parse(buffer);
+        let Some(length) = whole_length(parsed, buffer, limits)? else {
+            return Ok(None);
+        };
+        let method = request.method.ok_or(HeadError::Malformed)?.to_string();
+        let (authority, target) = split_target(request.path.ok_or(HeadError::Malformed)?);
+        let is_old = request.version == Some(0);
+        let fields = copy_fields(request.headers);
+        let host = match authority {
+            Some(authority) => Some(authority),
+            None => single_text(&fields, "host")?.map(ToString::to_string),
+        };
+        let head = Self {
+            framing: request_framing(&fields)?,
+            is_kept: is_kept(&fields, is_old),
+            method,
+            target,
+            host,
+            fields,
+            is_old,
+        };
+        buffer.advance(length);
+        Ok(Some(head))
+    }
+
+    /// Whether the sender waits for leave to send the body.
+    pub fn expects_continue(&self) -> bool {
+        let expect = field_text(&self.fields, "expect");
+        expect.is_some_and(|text| text.eq_ignore_ascii_case("100-continue"))
+    }
+}
+
+impl StatusHead {
+    /// Takes an answer's head out of the buffer; `None` until it is whole.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the head is malformed or larger than the limit.
+    pub fn take(
+        buffer: &mut BytesMut,
+        limits: HeadLimits,
+        method: &str,
+    ) -> Result<Option<Self>, HeadError> {
+        let mut slots = [httparse::EMPTY_HEADER; MAX_FIELDS];
+        let mut response = httparse::Response::new(&mut slots);
+        let parsed = response.parse(buffer);
+        let Some(length) = whole_length(parsed, buffer, limits)? else {
+            return Ok(None);
+        };
+        let status = response.code.ok_or(HeadError::Malformed)?;
+        let is_old = response.version == Some(0);
+        let fields = copy_fields(response.headers);
+        let framing = answer_framing(&fields, status, method)?;
+        let head = Self {
+            status,
+            is_kept: is_kept(&fields, is_old) && framing != BodyFraming::UntilClose,
+            fields,
+            framing,
+        };
+        buffer.advance(length);
+        Ok(Some(head))
+    }
+
+    /// Whether another head follows for the same request.
+    pub fn is_interim(&self) -> bool {
+        (100..200).contains(&self.status)
+    }
+}
+
+/// First value of a field, if it is text.
+pub fn field_text<'a>(fields: &'a [HeaderField], name: &str) -> Option<&'a str> {
+    let field = fields.iter().find(|field| field.name == name)?;
+    std::str::from_utf8(&field.value).ok()
+}
+
+/// Value of a field that may occur once only.
+fn single_text<'a>(fields: &'a [HeaderField], name: &str) -> Result<Option<&'a str>, HeadError> {
+    let mut values = fields.iter().filter(|field| field.name == name);
+    let (first, second) = (values.next(), values.next());
+    match (first, second) {
+        (None, _) => Ok(None),
+        (Some(_), Some(_)) => Err(HeadError::Malformed),
+        (Some(field), None) => std::str::from_utf8(&field.value)
+            .map(Some)
+            .map_err(|_| HeadError::Malformed),
+    }
+}
+
+/// An empty line ahead of a request is left over from the one before.
+fn skip_blank_lines(buffer: &mut BytesMut) {
+    while buffer.starts_with(b"\r\n") {
+        buffer.advance(2);
+    }
+}
+
+fn whole_length(
+    parsed: httparse::Result<usize>,
+    buffer: &BytesMut,
+    limits: HeadLimits,
+) -> Result<Option<usize>, HeadError> {
+    match parsed {
+        Ok(httparse::Status::Complete(length)) if length <= limits.bytes => Ok(Some(length)),
+        Ok(httparse::Status::Partial) if buffer.len() <= limits.bytes => Ok(None),
+        Ok(_) | Err(httparse::Error::TooManyHeaders) => Err(HeadError::TooLarge),
+        Err(_) => Err(HeadError::Malformed),
+    }
+}
+
+fn copy_fields(headers: &[httparse::Header<'_>]) -> Vec<HeaderField> {
+    let copied = headers.iter().map(|header| HeaderField {
+        name: header.name.to_ascii_lowercase(),
+        value: Bytes::copy_from_slice(header.value),
+    });
+    copied.collect()
+}
+
+/// Splits `http://host/path` as sent to a proxy; other targets stay whole.
+fn split_target(target: &str) -> (Option<String>, String) {
+    let Some(rest) = target.strip_prefix("http://") else {
+        return (None, target.to_string());
+    };
+    let start = rest.find(['/', '?']).unwrap_or(rest.len());
+    let (authority, path) = rest.split_at(start);
+    let path = if path.starts_with('/') {
+        path.to_string()
+    } else {
+        format!("/{path}")
+    };
+    (Some(authority.to_string()), path)
+}
+
+fn is_kept(fields: &[HeaderField], is_old: bool) -> bool {
+    let mut options = fields
+        .iter()
+        .filter(|field| field.name == "connection")
+        .filter_map(|field| std::str::from_utf8(&field.value).ok())
+        .flat_map(|value| value.split(','))
+        .map(str::trim);
+    let is_closing = options
+        .clone()
+        .any(|option| option.eq_ignore_ascii_case("close"));
+    let asks_to_keep = options.any(|option| option.eq_ignore_ascii_case("keep-alive"));
+    !is_closing && (!is_old || asks_to_keep)
+}
+
+/// Length of a request's body. A head that states two lengths could be read
+/// differently at the other end, so it is rejected.
+fn request_framing(fields: &[HeaderField]) -> Result<BodyFraming, HeadError> {
+    match (is_chunked(fields)?, stated_length(fields)?) {
+        (true, Some(_)) => Err(HeadError::Malformed),
+        (true, None) => Ok(BodyFraming::Chunked),
+        (false, length) => Ok(BodyFraming::Length(length.unwrap_or(0))),
+    }
+}
+
+fn answer_framing(
+    fields: &[HeaderField],
+    status: u16,
+    method: &str,
+) -> Result<BodyFraming, HeadError> {
+    if method == "HEAD" || status < 200 || status == 204 || status == 304 {
+        return Ok(BodyFraming::Length(0));
+    }
+    match (is_chunked(fields)?, stated_length(fields)?) {
+        (true, Some(_)) => Err(HeadError::Malformed),
+        (true, None) => Ok(BodyFraming::Chunked),
+        (false, Some(length)) => Ok(BodyFraming::Length(length)),
+        (false, None) => Ok(BodyFraming::UntilClose),
+    }
+}
+
+fn is_chunked(fields: &[HeaderField]) -> Result<bool, HeadError> {
+    let mut codings = fields
+        .iter()
+        .filter(|field| field.name == "transfer-encoding");
+    match (codings.next(), codings.next()) {
+        (None, _) => Ok(false),
+        (Some(field), None) if field.value.trim_ascii().eq_ignore_ascii_case(b"chunked") => {
+            Ok(true)
+        }
+        _ => Err(HeadError::Malformed),
+    }
+}
+
+/// Length that a head states in `Content-Length`.
+///
+/// # Errors
+///
+/// Fails if it is not a number, or stated twice with different values.
+pub fn stated_length(fields: &[HeaderField]) -> Result<Option<u64>, HeadError> {
+    let mut stated = None;
+    for field in fields.iter().filter(|field| field.name == "content-length") {
+        let length = parse_length(field.value.trim_ascii()).ok_or(HeadError::Malformed)?;
+        if stated.is_some_and(|stated| stated != length) {
+            return Err(HeadError::Malformed);
+        }
+        stated = Some(length);
+    }
+    Ok(stated)
+}
+
+fn parse_length(text: &[u8]) -> Option<u64> {
+    let is_number = !text.is_empty() && text.iter().all(u8::is_ascii_digit);
+    is_number
+        .then(|| std::str::from_utf8(text).ok()?.parse().ok())
+        .flatten()
+}
--- /dev/null
+++ b/src/http1/tests.rs
@@ -0,0 +1,146 @@
+//! Tests of heads and bodies on a byte stream.
+
+use assert_matches::assert_matches;
+use bytes::BytesMut;
+
+use super::body::{BodyDecoder, BodyFraming, BodyStep};
+use super::head::{HeadError, HeadLimits, RequestHead, StatusHead, field_text};
+
+const LIMITS: HeadLimits = HeadLimits { bytes: 1_024 };
+
+fn request(text: &str) -> Result<Option<RequestHead>, HeadError> {
+    RequestHead::take(&mut BytesMut::from(text), LIMITS)
+}
+
+fn answer(text: &str) -> Result<Option<StatusHead>, HeadError> {
+    StatusHead::take(&mut BytesMut::from(text), LIMITS, "GET")
+}
+
+/// Body that the decoder makes of the text, given to it byte by byte.
+fn decode(framing: BodyFraming, text: &str) -> Result<Option<String>, HeadError> {
+    let mut decoder = BodyDecoder::new(framing);
+    let mut buffer = BytesMut::new();
+    let mut body = Vec::new();
+    for byte in text.bytes() {
+        buffer.extend_from_slice(&[byte]);
+        while let BodyStep::Data(data) = decoder.step(&mut buffer)? {
+            body.extend_from_slice(&data);
+        }
+    }
+    Ok(decoder
+        .is_ended()
+        .then(|| String::from_utf8_lossy(&body).into_owned()))
+}
+
+#[test]
+fn a_head_is_taken_once_it_is_whole() {
+    let text = "GET /a?b HTTP/1.1\r\nHost: shop\r\nX-A: 1\r\n\r\nrest";
+    for length in 0..text.len() - 4 {
+        let mut buffer = BytesMut::from(&text[..length]);
+        assert_matches!(RequestHead::take(&mut buffer, LIMITS), Ok(None));
+    }
+    let mut buffer = BytesMut::from(text);
+    let head = RequestHead::take(&mut buffer, LIMITS).unwrap().unwrap();
+    assert_eq!(
+        (head.method.as_str(), head.target.as_str()),
+        ("GET", "/a?b")
+    );
+    assert_eq!(head.host.as_deref(), Some("shop"));
+    assert_eq!(field_text(&head.fields, "x-a"), Some("1"));
+    assert!(head.is_kept && !head.is_old);
+    assert_eq!(&buffer[..], b"rest");
+}
+
+#[test]
+fn a_target_with_host_is_split() {
+    let head = request("GET http://shop:80/a/b?c HTTP/1.1\r\nhost: other\r\n\r\n");
+    let head = head.unwrap().unwrap();
+    assert_eq!(head.host.as_deref(), Some("shop:80"));
+    assert_eq!(head.target, "/a/b?c");
+}
+
+#[test]
+fn ambiguous_lengths_are_rejected() {
+    let cases = [
+        "content-length: 5\r\ncontent-length: 6",
+        "content-length: 5\r\ntransfer-encoding: chunked",
+        "transfer-encoding: chunked\r\ntransfer-encoding: chunked",
+        "transfer-encoding: gzip, chunked",
+        "content-length: +5",
+        "content-length: 5, 5",
+        "host: a\r\nhost: b",
+        "content-length : 5",
+    ];
+    for case in cases {
+        let found = request(&format!("POST / HTTP/1.1\r\n{case}\r\n\r\n"));
+        assert_eq!(found, Err(HeadError::Malformed), "{case}");
+    }
+    let large = format!("GET / HTTP/1.1\r\nx: {}", "y".repeat(1_024));
+    assert_eq!(request(&large), Err(HeadError::TooLarge));
+}
+
+#[test]
+fn an_answers_length_follows_method_and_status() {
+    let framing = |text: &str| answer(text).unwrap().unwrap().framing;
+    assert_eq!(framing("HTTP/1.1 200 OK\r\n\r\n"), BodyFraming::UntilClose);
+    assert_eq!(
+        framing("HTTP/1.1 204 No Content\r\n\r\n"),
+        BodyFraming::Length(0)
+    );
+    assert_eq!(
+        framing("HTTP/1.1 200 OK\r\nContent-Length: 7\r\n\r\n"),
+        BodyFraming::Length(7)
+    );
+    let mut buffer = BytesMut::from("HTTP/1.1 200 OK\r\nContent-Length: 7\r\n\r\n");
+    let head = StatusHead::take(&mut buffer, LIMITS, "HEAD").unwrap();
+    assert_eq!(head.unwrap().framing, BodyFraming::Length(0));
+    assert_eq!(answer("garbage\r\n\r\n"), Err(HeadError::Malformed));
+}
+
+#[test]
+fn a_connection_is_kept_unless_a_side_says_otherwise() {
+    let kept = |text: &str| request(text).unwrap().unwrap().is_kept;
+    assert!(kept("GET / HTTP/1.1\r\n\r\n"));
+    assert!(!kept("GET / HTTP/1.1\r\nConnection: x, Close\r\n\r\n"));
+    assert!(!kept("GET / HTTP/1.0\r\n\r\n"));
+    assert!(kept("GET / HTTP/1.0\r\nConnection: keep-alive\r\n\r\n"));
+}
+
+#[test]
+fn chunks_with_extensions_and_trailers_are_read() {
+    let text = "4;name=\"value\"\r\nwood\r\n3\r\nlot\r\n0;last\r\nTrailer: 1\r\n\r\n";
+    let body = decode(BodyFraming::Chunked, text).unwrap();
+    assert_eq!(body.as_deref(), Some("woodlot"));
+}
+
+#[test]
+fn malformed_chunks_are_rejected() {
+    for text in ["zz\r\n", "4\r\nwoodlot\r\n", "-1\r\n"] {
+        assert_eq!(
+            decode(BodyFraming::Chunked, text),
+            Err(HeadError::Malformed),
+            "{text:?}"
+        );
+    }
+}
+
+#[test]
+fn a_body_ends_where_its_length_says() {
+    let mut decoder = BodyDecoder::new(BodyFraming::Length(4));
+    let mut buffer = BytesMut::from("woodGET /");
+    assert_matches!(decoder.step(&mut buffer), Ok(BodyStep::Data(data)) if data == "wood");
+    assert_matches!(decoder.step(&mut buffer), Ok(BodyStep::End));
+    assert_eq!(&buffer[..], b"GET /");
+}
+
+#[test]
+fn only_a_body_without_length_ends_with_its_connection() {
+    let mut decoder = BodyDecoder::new(BodyFraming::UntilClose);
+    assert!(decoder.end_of_stream().is_ok() && decoder.is_ended());
+    for framing in [BodyFraming::Length(1), BodyFraming::Chunked] {
+        assert_eq!(
+            BodyDecoder::new(framing).end_of_stream(),
+            Err(HeadError::Malformed)
+        );
+    }
+}
--- /dev/null
+++ b/src/http1/write.rs
@@ -0,0 +1,73 @@
+//! Heads and chunks as they go out.
+
+use bytes::{BufMut, Bytes, BytesMut};
+
+use super::body::BodyFraming;
+use crate::link::messages::HeaderField;
+
+/// Chunk that ends a body.
+pub const LAST_CHUNK: &[u8] = b"0\r\n\r\n";
+/// Leave to send a body.
+pub const CONTINUE: &[u8] = b"HTTP/1.1 100 Continue\r\n\r\n";
+
+/// Writes a request line.
+pub fn put_request_line(output: &mut BytesMut, method: &str, target: &str) {
+    output.put_slice(method.as_bytes());
+    output.put_u8(b' ');
+    output.put_slice(target.as_bytes());
+    output.put_slice(b" HTTP/1.1\r\n");
+}
+
+/// Writes a status line.
+pub fn put_status_line(output: &mut BytesMut, status: u16) {
+    let reason = ntex::http::StatusCode::from_u16(status)
+        .ok()
+        .and_then(|status| status.canonical_reason())
+        .unwrap_or("");
+    output.put_slice(format!("HTTP/1.1 {status} {reason}\r\n").as_bytes());
+}
+
+/// Writes a field.
+pub fn put_field(output: &mut BytesMut, name: &str, value: &[u8]) {
+    output.put_slice(name.as_bytes());
+    output.put_slice(b": ");
+    output.put_slice(value);
+    output.put_slice(b"\r\n");
+}
+
+/// Writes fields that were received.
+pub fn put_fields<'a>(output: &mut BytesMut, fields: impl IntoIterator<Item = &'a HeaderField>) {
+    for field in fields {
+        put_field(output, &field.name, &field.value);
+    }
+}
+
+/// Writes the field that states the length of the body.
+pub fn put_framing(output: &mut BytesMut, framing: BodyFraming) {
+    match framing {
+        BodyFraming::Length(length) => {
+            put_field(output, "content-length", length.to_string().as_bytes());
+        }
+        BodyFraming::Chunked => put_field(output, "transfer-encoding", b"chunked"),
+        BodyFraming::UntilClose => {}
+    }
+}
+
+/// Ends a head.
+pub fn end_head(output: &mut BytesMut) {
+    output.put_slice(b"\r\n");
+}
+
+/// Writes a piece of a body in its framing.
+pub fn put_body(output: &mut BytesMut, framing: BodyFraming, data: &Bytes) {
+    if data.is_empty() {
+        return;
+    }
+    if framing == BodyFraming::Chunked {
+        output.put_slice(format!("{:x}\r\n", data.len()).as_bytes());
+        output.put_slice(data);
+        output.put_slice(b"\r\n");
+    } else {
+        output.put_slice(data);
+    }
+}
--- a/src/ingress.rs
+++ b/src/ingress.rs
@@ -8,6 +8,7 @@
 pub mod attempt;
 pub mod body;
 pub mod call;
+pub mod connection;
 pub mod request;
 
 use std::cell::RefCell;
@@ -17,27 +18,41 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
-use ntex::web::types::{Payload, State};
-use ntex::web::{HttpRequest, HttpResponse};
 use rand::rngs::StdRng;
 use tokio::sync::mpsc::UnboundedReceiver;
 use tokio::sync::watch;
 
 use crate::admission::ShareTable;
-use crate::ids::{NodeId, NodeIncarnation};
-use crate::ingress::answer::{CallFailure, failure_response, success_response};
-use crate::ingress::body::discard_body;
+use crate::error::ErrorKind;
+use crate::fields::CallDialect;
+use crate::http1::RequestHead;
+use crate::ids::{NodeId, NodeIncarnation, ServiceName};
+use crate::ingress::answer::CallFailure;
+use crate::ingress::body::BodyPieces;
 use crate::ingress::call::CallDriver;
-use crate::ingress::request::RequestFacts;
+use crate::ingress::connection::CallResult;
+use crate::ingress::request::{RequestCheck, RequestFacts};
 use crate::link::call_link::UpstreamNotice;
 use crate::link::pool::LinkPool;
-use crate::retry::RetryPolicy;
+use crate::retry::{RetryOptions, RetryPolicy};
+use crate::routes::SplitTable;
 use crate::routing::{LoadReport, RouterState};
 use crate::table::RoutingTable;
 
 /// Largest number of attempts whose number fits beside the call's own.
 pub const ATTEMPTS_PER_CALL: u64 = 16;
 
+/// How far a planned stop has come.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum StopPhase {
+    /// No stop is planned.
+    Serving,
+    /// Callers are served on, and told to use another connection next.
+    Leaving,
+    /// New connections and further requests are no longer taken.
+    Closed,
+}
+
 /// State that all traffic threads of a node share.
 pub struct IngressShared {
     /// Incarnation of the node; part of every call id.
@@ -50,30 +65,57 @@
     pub shares: Mutex<ShareTable>,
     /// Table in use.
     pub table: watch::Receiver<Arc<RoutingTable>>,
-    /// Whether a planned stop has begun.
-    pub is_stopping: watch::Receiver<bool>,
+    /// How far a planned stop has come.
+    pub stop_phase: watch::Receiver<StopPhase>,
+    /// Names of the fields that callers and backend servers use.
+    pub dialect: &'static CallDialect,
+    /// Whether requests are served by routes, of which none may be known yet.
+    pub has_routes: bool,
+    /// Weighted splits of routes.
+    pub splits: Mutex<SplitTable>,
+    /// Service of this VM, told to backend servers, if it is set.
+    pub home_service: Option<ServiceName>,
     started: Instant,
     next_call: AtomicU64,
     in_flight: AtomicU64,
 }
 
+/// What an ingress is started with.
+#[derive(Debug, Clone)]
+pub struct IngressSettings {
+    /// Names of the fields that callers and backend servers use.
+    pub dialect: &'static CallDialect,
+    /// Whether requests are served by routes.
+    pub has_routes: bool,
+    /// Service of this VM.
+    pub home_service: Option<ServiceName>,
+    /// Bounds on retries.
+    pub retries: RetryOptions,
+    /// Time at which the node started.
+    pub started: Instant,
+}
+
 impl IngressShared {
     /// New state for a node that has just started.
     pub fn new(
         incarnation: NodeIncarnation,
         router: RouterState,
         table: watch::Receiver<Arc<RoutingTable>>,
-        is_stopping: watch::Receiver<bool>,
-        started: Instant,
+        stop_phase: watch::Receiver<StopPhase>,
+        settings: IngressSettings,
     ) -> Self {
         Self {
             incarnation,
             router: Mutex::new(router),
-            retries: Mutex::new(RetryPolicy::new()),
+            retries: Mutex::new(RetryPolicy::new(settings.retries)),
             shares: Mutex::default(),
             table,
-            is_stopping,
-            started,
+            stop_phase,
+            dialect: settings.dialect,
+            has_routes: settings.has_routes,
+            splits: Mutex::default(),
+            home_service: settings.home_service,
+            started: settings.started,
             next_call: AtomicU64::new(1),
             in_flight: AtomicU64::new(0),
         }
@@ -94,7 +136,15 @@
         self.in_flight.load(Ordering::Relaxed)
     }
 
-    fn enter(self: &Arc<Self>) -> InFlightGuard {
+    /// Waits until no further request is taken.
+    pub async fn closed(&self) {
+        let mut phase = self.stop_phase.clone();
+        // A control thread that has ended takes no more requests either.
+        let _ = phase.wait_for(|phase| *phase == StopPhase::Closed).await;
+    }
+
+    /// Counts a request as in flight while the guard lives.
+    pub fn enter(self: &Arc<Self>) -> InFlightGuard {
         self.in_flight.fetch_add(1, Ordering::Relaxed);
         InFlightGuard {
             shared: Arc::clone(self),
@@ -129,49 +179,54 @@
     pub rng: RefCell<StdRng>,
 }
 
-/// Serves one request.
-pub async fn serve_request(
-    worker: State<Rc<IngressWorker>>,
-    request: HttpRequest,
-    payload: Payload,
-) -> HttpResponse {
-    let worker = Rc::clone(&worker);
-    let guard = worker.shared.enter();
-    let table = Arc::clone(&worker.shared.table.borrow());
-    let is_stopping = *worker.shared.is_stopping.borrow();
-    let mut response = match RequestFacts::check(&request, &table) {
-        Ok(facts) => {
-            let call = CallDriver::new(worker, facts, payload);
-            match call.run().await {
-                Ok(answer) => success_response(&request, answer, guard),
-                Err(failure) => refuse(&failure),
-            }
-        }
-        Err(kind) => {
-            discard_body(payload).await;
-            refuse(&kind.into())
-        }
+/// Serves one request, up to its answer or the reason why it has none.
+///
+/// # Errors
+///
+/// The failure that the caller is told.
+pub async fn serve_call(
+    worker: Rc<IngressWorker>,
+    head: RequestHead,
+    body: Option<BodyPieces>,
+) -> CallResult {
+    let target = head.target.clone();
+    let result = match check_request(&worker, head) {
+        Ok(facts) => CallDriver::new(Rc::clone(&worker), facts, body).run().await,
+        Err(kind) => Err(kind.into()),
     };
-    if is_stopping {
-        // The caller should use another node for its next request.
-        response
-            .head_mut()
-            .set_connection_type(ntex::http::ConnectionType::Close);
+    if let Err(failure) = &result {
+        log_failure(&target, failure);
+    }
+    result
+}
+
+fn check_request(worker: &IngressWorker, head: RequestHead) -> Result<RequestFacts, ErrorKind> {
+    let shared = &worker.shared;
+    let table = Arc::clone(&shared.table.borrow());
+    if table.routes.is_none() && shared.has_routes {
+        return Err(ErrorKind::NoConfig);
+    }
+    RequestCheck {
+        table: &table,
+        dialect: shared.dialect,
+        splits: &mut lock(&shared.splits),
+        rng: &mut *worker.rng.borrow_mut(),
     }
-    response
+    .check(head)
 }
 
-/// Answers a request that got no answer of a backend server.
-fn refuse(failure: &CallFailure) -> HttpResponse {
+fn log_failure(target: &str, failure: &CallFailure) {
     let call = failure.call.map(|call| call.to_string());
     log::info!(
-        target: "routing",
+        target: "ingress",
         call = call.as_deref().unwrap_or("none"),
+        path = target,
         kind = failure.kind.code(),
-        outcome:% = failure.outcome;
+        outcome:% = failure.outcome,
+        status = failure.kind.answer_row_for(failure.outcome).status,
+        retry_after_ms = u64::try_from(failure.retry_after.as_millis()).unwrap_or(u64::MAX);
         "request refused or failed"
     );
-    failure_response(failure)
 }
 
 /// Closes links to gates that no table has any more, until control ends.
--- a/src/ingress/answer.rs
+++ b/src/ingress/answer.rs
@@ -1,27 +1,21 @@
 //! HTTP answers to callers.
 
-use std::error::Error;
-use std::rc::Rc;
 use std::time::Duration;
 
+use bytes::BytesMut;
 use derive_more::Display;
-use futures_util::stream;
-use ntex::http::body::{Body, BoxedBodyStream, SizedStream};
-use ntex::http::header::{CONTENT_LENGTH, CONTENT_TYPE, RETRY_AFTER};
-use ntex::http::{Method, StatusCode};
-use ntex::io::IoRef;
-use ntex::web::{HttpRequest, HttpResponse};
 use serde::Serialize;
 use tokio::sync::mpsc::Receiver;
 
 use crate::error::{ErrorKind, RunOutcome};
-use crate::fields::{CALL_FIELD, OUTCOME_FIELD, library_field};
+use crate::fields::CallDialect;
+use crate::http1::BodyFraming;
+use crate::http1::write::{end_head, put_field, put_fields, put_framing, put_status_line};
 use crate::ids::CallId;
-use crate::ingress::InFlightGuard;
 use crate::link::messages::AnswerHead;
 
 /// Statuses whose answers have no body and no stated length.
-const BODILESS: [u16; 2] = [204, 304];
+const BODILESS: [u32; 2] = [204, 304];
 
 /// The answer's body ended before it was whole.
 #[derive(Debug, Clone, Copy, Display, derive_more::Error)]
@@ -35,6 +29,7 @@
 pub type AnswerReceiver = Receiver<Result<bytes::Bytes, AnswerCut>>;
 
 /// Answer of a backend server.
+#[derive(Debug)]
 pub struct CallAnswer {
     /// Call.
     pub call: CallId,
@@ -69,6 +64,48 @@
     }
 }
 
+impl CallFailure {
+    /// Failure by a fault of this program, after which nothing is certain.
+    pub fn internal() -> Self {
+        Self {
+            outcome: RunOutcome::Unknown,
+            ..Self::from(ErrorKind::Internal)
+        }
+    }
+}
+
+impl CallAnswer {
+    /// Waits for the whole body, for a caller that could not tell an answer
+    /// cut short from a whole one.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the answer is cut short.
+    pub async fn collect(mut self) -> Result<Self, AnswerCut> {
+        let Some(mut rest) = self.rest.take() else {
+            return Ok(self);
+        };
+        let mut body = BytesMut::from(&self.head.body[..]);
+        while let Some(piece) = rest.recv().await {
+            body.extend_from_slice(&piece?);
+        }
+        self.head.body_length = Some(body.len() as u64);
+        self.head.body = body.freeze();
+        Ok(self)
+    }
+}
+
+/// What the head of an answer depends on beside the answer itself.
+#[derive(Debug, Clone, Copy)]
+pub struct AnswerForm {
+    /// Whether the request was a HEAD.
+    pub is_head: bool,
+    /// Whether the caller can't read chunks.
+    pub is_old: bool,
+    /// Whether the connection ends with this answer.
+    pub is_closing: bool,
+}
+
 #[derive(Serialize)]
 struct FailureBody {
     error: &'static str,
@@ -76,105 +113,95 @@
     outcome: String,
 }
 
-/// Answer of the system itself, from the table of error kinds.
-pub fn failure_response(failure: &CallFailure) -> HttpResponse {
-    let row = failure.kind.answer_row();
-    let status = StatusCode::from_u16(row.status).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
+/// Writes an answer of the system itself, from the table of error kinds.
+pub fn put_failure(
+    output: &mut BytesMut,
+    dialect: &CallDialect,
+    failure: &CallFailure,
+    form: AnswerForm,
+) {
+    let row = failure.kind.answer_row_for(failure.outcome);
     let body = FailureBody {
         error: failure.kind.code(),
         message: failure.kind.to_string(),
         outcome: failure.outcome.to_string(),
     };
-    let mut response = HttpResponse::build(status);
-    response.set_header(OUTCOME_FIELD, failure.outcome.to_string());
-    if let Some(call) = failure.call {
-        response.set_header(CALL_FIELD, call.to_string());
+    let body = serde_json::to_vec(&body).unwrap_or_default();
+    put_status_line(output, row.status);
+    if let Some(name) = dialect.outcome {
+        put_field(output, name, failure.outcome.to_string().as_bytes());
+    }
+    if let (Some(name), Some(call)) = (dialect.call, failure.call) {
+        put_field(output, name, call.to_string().as_bytes());
     }
     if row.has_retry_after {
-        response.set_header(RETRY_AFTER, whole_seconds(failure.retry_after).to_string());
+        let value = retry_after_text(failure.retry_after, dialect.has_retry_fractions);
+        put_field(output, "retry-after", value.as_bytes());
+    }
+    put_field(output, "content-type", b"application/json");
+    put_framing(output, BodyFraming::Length(body.len() as u64));
+    put_closing(output, form);
+    end_head(output);
+    if !form.is_head {
+        output.extend_from_slice(&body);
     }
-    response.set_header(CONTENT_TYPE, "application/json");
-    response.body(serde_json::to_vec(&body).unwrap_or_default())
 }
 
-/// `Retry-After` counts whole seconds; too early would be a false promise.
-fn whole_seconds(duration: Duration) -> u64 {
+/// `Retry-After` counts whole seconds unless the callers' dialect says
+/// otherwise; too early would be a false promise.
+fn retry_after_text(duration: Duration, has_fractions: bool) -> String {
+    if has_fractions {
+        return format!("{:.3}", duration.as_secs_f64());
+    }
     let has_fraction = duration.subsec_nanos() > 0;
-    (duration.as_secs() + u64::from(has_fraction)).max(1)
+    let seconds = (duration.as_secs() + u64::from(has_fraction)).max(1);
+    seconds.to_string()
 }
 
-/// Passes a backend server's answer on to the caller.
-pub fn success_response(
-    request: &HttpRequest,
-    answer: CallAnswer,
-    guard: InFlightGuard,
-) -> HttpResponse {
-    let code = u16::try_from(answer.head.status).unwrap_or_default();
-    let status = StatusCode::from_u16(code).unwrap_or(StatusCode::BAD_GATEWAY);
-    let mut response = HttpResponse::build(status);
-    for field in &answer.head.headers {
-        if let Some((name, value)) = library_field(field) {
-            response.header(name, value);
-        }
-    }
-    response.set_header(CALL_FIELD, answer.call.to_string());
-    if BODILESS.contains(&code) {
-        return response.body(Body::None);
-    }
-    if request.method() == Method::HEAD {
-        return head_response(response, answer.head.body_length);
-    }
-    let body_length = answer.head.body_length;
-    let Some(rest) = answer.rest else {
-        let body = ntex::util::Bytes::copy_from_slice(&answer.head.body);
-        return response.body(Body::Bytes(body));
-    };
-    let chunks = answer_stream(answer.head.body, rest, request.io().cloned(), guard);
-    match body_length {
-        Some(length) => response.message_body(Body::from_message(SizedStream::new(length, chunks))),
-        None => response.message_body(Body::from_message(BoxedBodyStream::new(chunks))),
+fn put_closing(output: &mut BytesMut, form: AnswerForm) {
+    if form.is_closing {
+        put_field(output, "connection", b"close");
+    } else if form.is_old {
+        put_field(output, "connection", b"keep-alive");
     }
 }
 
-fn head_response(
-    mut response: ntex::web::HttpResponseBuilder,
-    body_length: Option<u64>,
-) -> HttpResponse {
-    if let Some(length) = body_length {
-        response.set_header(CONTENT_LENGTH, length.to_string());
-        let empty = Box::pin(stream::empty::<Result<ntex::util::Bytes, Rc<dyn Error>>>());
-        return response.message_body(Body::from_message(SizedStream::new(length, empty)));
+/// Writes the head of a backend server's answer; returns the framing of its
+/// body.
+pub fn put_answer_head(
+    output: &mut BytesMut,
+    dialect: &CallDialect,
+    answer: &CallAnswer,
+    form: AnswerForm,
+) -> BodyFraming {
+    let head = &answer.head;
+    let status = u16::try_from(head.status).unwrap_or(502);
+    put_status_line(output, status);
+    put_fields(output, &head.headers);
+    if let Some(name) = dialect.call {
+        put_field(output, name, answer.call.to_string().as_bytes());
+    }
+    let framing = answer_framing(answer, form);
+    if !BODILESS.contains(&head.status) {
+        match head.body_length {
+            Some(length) if form.is_head => put_framing(output, BodyFraming::Length(length)),
+            _ if form.is_head => {}
+            _ => put_framing(output, framing),
+        }
     }
-    response.finish()
+    put_closing(output, form);
+    end_head(output);
+    framing
 }
 
-/// Body of an answer, chunk by chunk.
-///
-/// If it is cut short, the connection is closed and the stream stays pending.
-/// On an error the library would write an answer of its own behind the bytes
-/// sent so far, which could fill the length that the caller was promised.
-fn answer_stream(
-    first: bytes::Bytes,
-    rest: AnswerReceiver,
-    io: Option<IoRef>,
-    guard: InFlightGuard,
-) -> impl stream::Stream<Item = Result<ntex::util::Bytes, Rc<dyn Error>>> + Unpin {
-    let start = (Some(first), rest, io, guard);
-    Box::pin(stream::unfold(
-        start,
-        |(first, mut rest, io, guard)| async move {
-            let chunk = match first {
-                Some(first) if !first.is_empty() => Ok(first),
-                _ => rest.recv().await?,
-            };
-            let Ok(data) = chunk else {
-                if let Some(io) = &io {
-                    io.terminate();
-                }
-                return std::future::pending().await;
-            };
-            let data = ntex::util::Bytes::copy_from_slice(&data);
-            Some((Ok(data), (None, rest, io, guard)))
-        },
-    ))
+fn answer_framing(answer: &CallAnswer, form: AnswerForm) -> BodyFraming {
+    let head = &answer.head;
+    if form.is_head || BODILESS.contains(&head.status) {
+        return BodyFraming::Length(0);
+    }
+    match (head.body_length, &answer.rest) {
+        (Some(length), _) => BodyFraming::Length(length),
+        (None, None) => BodyFraming::Length(head.body.len() as u64),
+        (None, Some(_)) => BodyFraming::Chunked,
+    }
 }
--- a/src/ingress/body.rs
+++ b/src/ingress/body.rs
@@ -1,9 +1,7 @@
 //! A caller's request body, kept replayable while it is short.
 
-use std::time::Duration;
-
 use bytes::{Bytes, BytesMut};
-use ntex::web::types::Payload;
+use tokio::sync::mpsc::Receiver;
 
 use crate::error::ErrorKind;
 use crate::link::window::{CHUNK_BYTES, FIRST_WINDOW_BYTES};
@@ -11,26 +9,9 @@
 /// Bytes of a body that are kept for another attempt.
 const FIRST_BYTES: usize = FIRST_WINDOW_BYTES as usize;
 
-/// Longest time that a refusal waits for the rest of a short body.
-const DISCARD_LIMIT: Duration = Duration::from_millis(100);
-
-/// Reads a short body that is of no use.
-///
-/// An answer ahead of the body would close the connection under a caller that
-/// is still sending, and the caller might never read why.
-pub async fn discard_body(mut payload: Payload) {
-    let reading = async {
-        let mut length = 0;
-        while let Some(Ok(data)) = payload.recv().await {
-            length += data.len();
-            if length > FIRST_BYTES {
-                return;
-            }
-        }
-    };
-    // What has not come by then is cut off with the connection.
-    let _ = tokio::time::timeout(DISCARD_LIMIT, reading).await;
-}
+/// Pieces of a body as the caller's connection reads them; an `Err` says why
+/// there will be no more. The channel closes at the end of a whole body.
+pub type BodyPieces = Receiver<Result<Bytes, ErrorKind>>;
 
 /// Request body as it comes in.
 ///
@@ -38,7 +19,7 @@
 /// be sent to another upstream. It is at most the first window; a gate lets
 /// more of the body come only once it has started the call.
 pub struct RequestBody {
-    payload: Payload,
+    pieces: Option<BodyPieces>,
     first: BytesMut,
     rest: Bytes,
     is_ended: bool,
@@ -55,15 +36,15 @@
     ///
     /// Fails if the body is malformed, cut short, or longer than `limit` bytes.
     pub async fn read_first(
-        payload: Payload,
+        pieces: Option<BodyPieces>,
         stated: Option<u64>,
         limit: u64,
     ) -> Result<Self, ErrorKind> {
         let mut body = Self {
-            payload,
+            is_ended: pieces.is_none(),
+            pieces,
             first: BytesMut::new(),
             rest: Bytes::new(),
-            is_ended: false,
             is_overrun: false,
             received: 0,
             limit,
@@ -125,19 +106,18 @@
     }
 
     async fn read(&mut self) -> Result<Option<Bytes>, ErrorKind> {
-        match self.payload.recv().await {
-            Some(Ok(data)) => {
-                self.received += data.len() as u64;
-                if self.received > self.limit {
-                    return Err(ErrorKind::BodyTooLarge);
-                }
-                Ok(Some(Bytes::copy_from_slice(&data)))
-            }
-            Some(Err(_)) => Err(ErrorKind::BadRequest),
-            None => {
-                self.is_ended = true;
-                Ok(None)
-            }
+        let piece = match &mut self.pieces {
+            Some(pieces) => pieces.recv().await,
+            None => None,
+        };
+        let Some(data) = piece.transpose()? else {
+            self.is_ended = true;
+            return Ok(None);
+        };
+        self.received += data.len() as u64;
+        if self.received > self.limit {
+            return Err(ErrorKind::BodyTooLarge);
         }
+        Ok(Some(data))
     }
 }
--- a/src/ingress/call.rs
+++ b/src/ingress/call.rs
@@ -4,7 +4,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use ntex::web::types::Payload;
+use bytes::Bytes;
 use tokio::time::Instant;
 
 use crate::admission::{ShareKey, WorkShare};
@@ -12,11 +12,11 @@
 use crate::ids::{CallId, NodeId};
 use crate::ingress::answer::{CallAnswer, CallFailure};
 use crate::ingress::attempt::{AttemptEnd, AttemptPlan, CallAttempt, FIRST_SERVER_ERROR};
-use crate::ingress::body::RequestBody;
+use crate::ingress::body::{BodyPieces, RequestBody};
 use crate::ingress::request::RequestFacts;
 use crate::ingress::{IngressWorker, lock};
 use crate::ledger::attempt::CallHistory;
-use crate::link::messages::CallOpen;
+use crate::link::messages::{CallOpen, HeaderField};
 use crate::link::pool::GateTarget;
 use crate::retry::{AttemptFailure, CallFacts, RetryDecision};
 use crate::routing::{ProbeOrder, RouteChoice, RouteRequest};
@@ -28,30 +28,35 @@
 pub struct CallDriver {
     worker: Rc<IngressWorker>,
     facts: RequestFacts,
-    payload: Option<Payload>,
+    pieces: Option<BodyPieces>,
     id: CallId,
+    started: Instant,
     deadline: Instant,
     tried: BTreeSet<NodeId>,
-    attempts: u32,
+    placements: u32,
+    free_refusals: u32,
     last_end: Option<AttemptEnd>,
     history: CallHistory,
 }
 
 impl CallDriver {
     /// Call that begins now.
-    pub fn new(worker: Rc<IngressWorker>, facts: RequestFacts, payload: Payload) -> Self {
+    pub fn new(worker: Rc<IngressWorker>, facts: RequestFacts, pieces: Option<BodyPieces>) -> Self {
         let id = CallId {
             ingress: worker.shared.incarnation.get(),
             sequence: worker.shared.next_sequence(),
         };
+        let started = Instant::now();
         Self {
-            deadline: Instant::now() + facts.timeout,
+            started,
+            deadline: started + facts.timeout,
             worker,
             facts,
-            payload: Some(payload),
+            pieces,
             id,
             tried: BTreeSet::new(),
-            attempts: 0,
+            placements: 0,
+            free_refusals: 0,
             last_end: None,
             history: CallHistory::default(),
         }
@@ -68,7 +73,7 @@
         let service = &self.facts.service;
         lock(&self.worker.shared.retries).on_first_attempt(service);
         loop {
-            self.attempts += 1;
+            self.placements += 1;
             match self.try_once(&mut body).await {
                 Ok(answer) if !self.wants_other(&answer) => return Ok(answer),
                 Ok(answer) => {
@@ -133,13 +138,9 @@
     }
 
     async fn read_first(&mut self) -> Result<RequestBody, CallFailure> {
-        let payload = self
-            .payload
-            .take()
-            .ok_or_else(|| self.failure(ErrorKind::Internal))?;
         let stated = self.facts.body_length;
         let limit = self.facts.rule.body_limit;
-        let reading = RequestBody::read_first(payload, stated, limit);
+        let reading = RequestBody::read_first(self.pieces.take(), stated, limit);
         let first = tokio::time::timeout_at(self.deadline, reading).await;
         first
             .unwrap_or(Err(ErrorKind::TimedOut))
@@ -150,7 +151,7 @@
         let choice = self.choose()?;
         self.tried.insert(choice.node.clone());
         let id = CallId {
-            sequence: self.id.sequence + u64::from(self.attempts),
+            sequence: self.id.sequence + u64::from(self.placements),
             ..self.id
         };
         let open = self.open_message(id, body);
@@ -212,7 +213,7 @@
     }
 
     fn log_choice(&self, choice: &Result<RouteChoice, ErrorKind>) {
-        let (call, service, attempt) = (self.id, &self.facts.service, self.attempts);
+        let (call, service, attempt) = (self.id, &self.facts.service, self.placements);
         match choice {
             Ok(choice) => log::info!(
                 target: "routing",
@@ -238,16 +239,48 @@
             service: self.facts.service.to_string(),
             method: self.facts.method.clone(),
             path: self.facts.path.clone(),
-            headers: self.facts.fields.clone(),
+            headers: self.call_fields(),
             time_left_us: u64::try_from(time_left).unwrap_or(u64::MAX),
-            attempts_left: (self.facts.attempts_limit - self.attempts).max(1),
+            attempts_left: self
+                .facts
+                .attempts_limit
+                .saturating_sub(self.attempts())
+                .max(1),
             is_idempotent: self.facts.is_idempotent,
             body_length: self.facts.body_length,
             body: first,
             is_last,
+            request_id: self.facts.request_id.clone().unwrap_or_default(),
+            rank: self.facts.rank,
+            target_left_us: u64::try_from(self.target_left().as_micros()).unwrap_or(u64::MAX),
+            is_immediate: false,
         }
     }
 
+    /// Fields of the request, with those that this node vouches for.
+    fn call_fields(&self) -> Vec<HeaderField> {
+        let shared = &self.worker.shared;
+        let mut fields = self.facts.fields.clone();
+        if let (Some(name), Some(service)) = (shared.dialect.caller_service, &shared.home_service) {
+            fields.retain(|field| field.name != name);
+            fields.push(HeaderField {
+                name: name.to_string(),
+                value: Bytes::from(service.to_string()),
+            });
+        }
+        fields
+    }
+
+    /// Attempts so far that count against the limit.
+    fn attempts(&self) -> u32 {
+        self.placements - self.free_refusals
+    }
+
+    fn target_left(&self) -> Duration {
+        let end = self.started + self.facts.target_latency;
+        end.saturating_duration_since(Instant::now())
+    }
+
     fn time_left(&self) -> Duration {
         self.deadline.saturating_duration_since(Instant::now())
     }
@@ -262,29 +295,34 @@
         let attempts_limit = if body.is_replayable() {
             self.facts.attempts_limit
         } else {
-            self.attempts
+            self.attempts()
         };
         let facts = CallFacts {
             is_idempotent: self.facts.is_idempotent,
             may_have_run: self.history.may_have_run(),
-            attempt: self.attempts,
+            attempt: self.attempts(),
             attempts_limit,
+            free_refusals: self.free_refusals,
             time_left: self.time_left(),
         };
         let mut retries = lock(&self.worker.shared.retries);
+        let is_free = retries.is_free(&facts, end.failure);
         let decision = retries.decide(&self.facts.service, &facts, end.failure);
         drop(retries);
         log::info!(
             target: "retry",
             call:% = self.id,
             service:% = self.facts.service,
-            attempt = self.attempts,
+            attempt = self.placements,
             failure:? = end.failure,
             decision:?;
             "attempt failed"
         );
         match decision {
-            RetryDecision::Retry => Ok(()),
+            RetryDecision::Retry => {
+                self.free_refusals += u32::from(is_free);
+                Ok(())
+            }
             RetryDecision::GiveUp {
                 kind, retry_after, ..
             } => Err(CallFailure {
--- a/src/ingress/request.rs
+++ b/src/ingress/request.rs
@@ -2,19 +2,21 @@
 
 use std::time::Duration;
 
-use ntex::http::header::{HOST, HeaderMap};
-use ntex::web::HttpRequest;
+use rand::Rng;
 
 use crate::error::ErrorKind;
-use crate::fields::{
-    ATTEMPTS_FIELD, SERVICE_FIELD, TIMEOUT_FIELD, end_to_end_fields, stated_length,
-};
+use crate::fields::{CallDialect, end_to_end_fields};
+use crate::http1::RequestHead;
+use crate::http1::head::field_text;
 use crate::ids::ServiceName;
 use crate::link::messages::HeaderField;
+use crate::routes::{Route, RouteConfig, RouteTarget, SplitTable};
 use crate::table::{RoutingTable, ServiceRule};
 
 /// Longest time limit that a caller may ask for, in milliseconds.
 const MAX_TIMEOUT_MS: u64 = 3_600_000;
+/// Part of the time limit that counts as the target, where none is stated.
+const TARGET_SHARE: u32 = 2;
 
 /// What the system needs to know about a request.
 #[derive(Debug)]
@@ -23,14 +25,22 @@
     pub service: ServiceName,
     /// Its rule in force.
     pub rule: ServiceRule,
+    /// Route that was chosen, with the version of the configuration.
+    pub route: Option<RouteFacts>,
     /// HTTP method.
     pub method: String,
     /// Path and query.
     pub path: String,
     /// Header fields that travel on.
     pub fields: Vec<HeaderField>,
+    /// Caller's identifier of the request.
+    pub request_id: Option<String>,
     /// Time limit.
     pub timeout: Duration,
+    /// Time within which an answer is worth most.
+    pub target_latency: Duration,
+    /// Rank among the requests of the service; 0 goes first.
+    pub rank: u32,
     /// Most attempts.
     pub attempts_limit: u32,
     /// Whether a second run does no harm.
@@ -39,81 +49,184 @@
     pub body_length: Option<u64>,
 }
 
-impl RequestFacts {
-    /// Checks a request against the services in force.
+/// Route of a request, for log lines.
+#[derive(Debug, Clone)]
+pub struct RouteFacts {
+    /// Name of the route.
+    pub name: String,
+    /// Version of the configuration that it is from.
+    pub version: u64,
+}
+
+/// What a request is checked against.
+pub struct RequestCheck<'a, R> {
+    /// Table in force.
+    pub table: &'a RoutingTable,
+    /// Names of the fields.
+    pub dialect: &'a CallDialect,
+    /// State of the weighted splits.
+    pub splits: &'a mut SplitTable,
+    /// Generator for new splits.
+    pub rng: &'a mut R,
+}
+
+/// Service and rules that a request falls under.
+struct RequestRules {
+    service: ServiceName,
+    route: Option<RouteFacts>,
+    rule: ServiceRule,
+    timeout: Duration,
+    target_latency: Duration,
+    rank: u32,
+    is_idempotent: bool,
+    body_limit: u64,
+}
+
+impl<R: Rng> RequestCheck<'_, R> {
+    /// Checks a request against the services and routes in force.
     ///
     /// # Errors
     ///
     /// The error kind of the refusal; nothing was run.
-    pub fn check(request: &HttpRequest, table: &RoutingTable) -> Result<Self, ErrorKind> {
-        let headers = request.headers();
-        let service = service_name(headers)?;
-        let entry = table
-            .services
-            .get(&service)
-            .ok_or(ErrorKind::UnknownService)?;
-        let method = request.method().as_str().to_string();
-        if method == "CONNECT" {
+    pub fn check(&mut self, head: RequestHead) -> Result<RequestFacts, ErrorKind> {
+        if head.method == "CONNECT" || !head.target.starts_with(['/', '*']) {
             return Err(ErrorKind::BadRequest);
         }
-        let uri = request.uri();
-        let path = uri
-            .path_and_query()
-            .map_or_else(|| "/".to_string(), ToString::to_string);
-        let rule = entry.rule.clone();
-        let body_length = stated_length(headers);
-        if body_length.is_some_and(|length| length > rule.body_limit) {
+        let rules = match self.table.routes.clone() {
+            Some(config) => self.rules_of_route(&head, &config)?,
+            None => self.rules_of_service(&head)?,
+        };
+        let body_length = head.framing.length().filter(|length| *length > 0);
+        let body_length = body_length.or_else(|| stated_zero(&head));
+        if body_length.is_some_and(|length| length > rules.body_limit) {
             return Err(ErrorKind::BodyTooLarge);
         }
-        let own_timeout = rule.timeout(&method, uri.path());
-        let asked_timeout = asked_timeout(headers)?;
-        Ok(Self {
-            service,
-            timeout: asked_timeout.unwrap_or(own_timeout),
-            attempts_limit: attempts_limit(headers, rule.attempts)?,
-            is_idempotent: rule.is_idempotent(&method, uri.path()),
-            method,
-            path,
-            fields: end_to_end_fields(headers),
+        let asked = self.asked_timeout(&head)?;
+        let id = self.dialect.request_id;
+        let request_id = id.and_then(|name| field_text(&head.fields, name));
+        Ok(RequestFacts {
+            timeout: match (&rules.route, asked) {
+                // An operator's limit holds also for a caller that would wait longer.
+                (Some(_), Some(asked)) => asked.min(rules.timeout),
+                (None, Some(asked)) => asked,
+                (_, None) => rules.timeout,
+            },
+            target_latency: rules.target_latency,
+            attempts_limit: self.attempts_limit(&head, rules.rule.attempts)?,
+            request_id: request_id.map(ToString::to_string),
+            service: rules.service,
+            route: rules.route,
+            rank: rules.rank,
+            is_idempotent: rules.is_idempotent,
+            rule: rules.rule,
+            method: head.method,
+            path: head.target,
+            fields: end_to_end_fields(head.fields),
             body_length,
+        })
+    }
+
+    fn rules_of_service(&mut self, head: &RequestHead) -> Result<RequestRules, ErrorKind> {
+        let service = self.service_name(head)?;
+        let entry = self.table.services.get(&service);
+        let rule = entry.ok_or(ErrorKind::UnknownService)?.rule.clone();
+        let path = head.target.split('?').next().unwrap_or_default();
+        let timeout = rule.timeout(&head.method, path);
+        Ok(RequestRules {
+            service,
+            route: None,
+            timeout,
+            target_latency: timeout / TARGET_SHARE,
+            rank: 0,
+            is_idempotent: rule.is_idempotent(&head.method, path),
+            body_limit: rule.body_limit,
             rule,
         })
     }
-}
 
-fn service_name(headers: &HeaderMap) -> Result<ServiceName, ErrorKind> {
-    let text = match headers.get(SERVICE_FIELD) {
-        Some(value) => value.to_str().map_err(|_| ErrorKind::BadRequest)?,
-        None => host_name(headers)?,
-    };
-    text.parse().map_err(|_| ErrorKind::UnknownService)
-}
+    fn rules_of_route(
+        &mut self,
+        head: &RequestHead,
+        config: &RouteConfig,
+    ) -> Result<RequestRules, ErrorKind> {
+        let host = head.host.as_deref().ok_or(ErrorKind::BadRequest)?;
+        let route = config.find(host, &head.target);
+        let route = route.ok_or(ErrorKind::UnknownRoute)?;
+        let service = self.target_service(route)?;
+        let rule = match self.table.services.get(&service) {
+            Some(entry) => entry.rule.clone(),
+            None => ServiceRule::default(),
+        };
+        Ok(RequestRules {
+            route: Some(RouteFacts {
+                name: route.name.clone(),
+                version: config.version.0,
+            }),
+            timeout: route.timeout(),
+            target_latency: route.target_latency(),
+            rank: route.rank,
+            is_idempotent: route.kind.is_idempotent(),
+            body_limit: config.limits.body_bytes,
+            rule: ServiceRule {
+                attempts: route.attempts,
+                ..rule
+            },
+            service,
+        })
+    }
 
-fn host_name(headers: &HeaderMap) -> Result<&str, ErrorKind> {
-    let host = headers.get(HOST).ok_or(ErrorKind::BadRequest)?;
-    let host = host.to_str().map_err(|_| ErrorKind::BadRequest)?;
-    Ok(host.split(':').next().unwrap_or(host))
-}
+    fn target_service(&mut self, route: &Route) -> Result<ServiceName, ErrorKind> {
+        match &route.target {
+            RouteTarget::Service(service) => Ok(service.clone()),
+            RouteTarget::Split(parts) => {
+                let chosen = self.splits.choose(&route.name, parts, self.rng);
+                chosen.ok_or(ErrorKind::NoUpstream)
+            }
+        }
+    }
+
+    fn service_name(&self, head: &RequestHead) -> Result<ServiceName, ErrorKind> {
+        let name = self.dialect.service;
+        let named = name.and_then(|name| field_text(&head.fields, name));
+        let text = match named {
+            Some(text) => text,
+            None => {
+                let host = head.host.as_deref().ok_or(ErrorKind::BadRequest)?;
+                host.split(':').next().unwrap_or(host)
+            }
+        };
+        text.parse().map_err(|_| ErrorKind::UnknownService)
+    }
+
+    fn asked_timeout(&self, head: &RequestHead) -> Result<Option<Duration>, ErrorKind> {
+        let field = head
+            .fields
+            .iter()
+            .find(|field| field.name == self.dialect.time_left);
+        let Some(field) = field else {
+            return Ok(None);
+        };
+        let text = std::str::from_utf8(&field.value).map_err(|_| ErrorKind::BadTimeout)?;
+        let timeout_ms: u64 = text.trim().parse().map_err(|_| ErrorKind::BadTimeout)?;
+        if !(1..=MAX_TIMEOUT_MS).contains(&timeout_ms) {
+            return Err(ErrorKind::BadTimeout);
+        }
+        Ok(Some(Duration::from_millis(timeout_ms)))
+    }
 
-fn asked_timeout(headers: &HeaderMap) -> Result<Option<Duration>, ErrorKind> {
-    let Some(value) = headers.get(TIMEOUT_FIELD) else {
-        return Ok(None);
-    };
-    let text = value.to_str().map_err(|_| ErrorKind::BadTimeout)?;
-    let timeout_ms: u64 = text.parse().map_err(|_| ErrorKind::BadTimeout)?;
-    if !(1..=MAX_TIMEOUT_MS).contains(&timeout_ms) {
-        return Err(ErrorKind::BadTimeout);
+    /// Attempts that this call may use: a nested call can't use more than its
+    /// caller has left.
+    fn attempts_limit(&self, head: &RequestHead, own_limit: u32) -> Result<u32, ErrorKind> {
+        let name = self.dialect.attempts;
+        let Some(text) = name.and_then(|name| field_text(&head.fields, name)) else {
+            return Ok(own_limit);
+        };
+        let left: u32 = text.parse().map_err(|_| ErrorKind::BadRequest)?;
+        Ok(left.clamp(1, own_limit.max(1)))
     }
-    Ok(Some(Duration::from_millis(timeout_ms)))
 }
 
-/// Attempts that this call may use: a nested call can't use more than its
-/// caller has left.
-fn attempts_limit(headers: &HeaderMap, own_limit: u32) -> Result<u32, ErrorKind> {
-    let Some(value) = headers.get(ATTEMPTS_FIELD) else {
-        return Ok(own_limit);
-    };
-    let text = value.to_str().map_err(|_| ErrorKind::BadRequest)?;
-    let left: u32 = text.parse().map_err(|_| ErrorKind::BadRequest)?;
-    Ok(left.clamp(1, own_limit.max(1)))
+/// A stated length of zero is repeated to the backend server.
+fn stated_zero(head: &RequestHead) -> Option<u64> {
+    field_text(&head.fields, "content-length").map(|_| 0)
 }
--- a/src/ledger/tests/model.rs
+++ b/src/ledger/tests/model.rs
@@ -11,7 +11,7 @@
 use crate::error::RunOutcome;
 use crate::ids::{CallId, NodeIncarnation, ServiceName};
 use crate::ledger::attempt::{AttemptState, CallHistory};
-use crate::retry::RetryPolicy;
+use crate::retry::{RetryOptions, RetryPolicy};
 
 #[derive(Debug)]
 pub(super) struct LinkModel {
@@ -84,7 +84,7 @@
             ingress: 1,
             sequence: 0,
             calls: Vec::new(),
-            retries: RetryPolicy::new(),
+            retries: RetryPolicy::new(RetryOptions::default()),
             service: "tillpost".parse().expect("name"),
             links: Vec::new(),
             gates: (0..GATE_COUNT).map(|_| GateModel::new()).collect(),
--- a/src/link/messages.rs
+++ b/src/link/messages.rs
@@ -93,6 +93,18 @@
     /// Whether the body ends here.
     #[prost(bool, tag = "11")]
     pub is_last: bool,
+    /// Caller's identifier of the request; empty without one.
+    #[prost(string, tag = "12")]
+    pub request_id: String,
+    /// Rank among the calls of the service; 0 goes first.
+    #[prost(uint32, tag = "13")]
+    pub rank: u32,
+    /// Time left until the target latency, in microseconds; 0 if it has passed.
+    #[prost(uint64, tag = "14")]
+    pub target_left_us: u64,
+    /// Whether the gate is to refuse the call unless it can start at once.
+    #[prost(bool, tag = "15")]
+    pub is_immediate: bool,
 }
 
 /// Part of a body, in either direction.
--- a/src/membership/sync.rs
+++ b/src/membership/sync.rs
@@ -42,6 +42,8 @@
 const SETTLING_TIME: Duration = Duration::from_secs(60);
 /// Delay and time between comparisons while settling.
 const SETTLING_INTERVAL: Duration = Duration::from_secs(2);
+/// Seeds that are remembered.
+const MAX_SEEDS: usize = 64;
 /// Seeds that are pinged at once on joining.
 const JOIN_PINGS: usize = 3;
 
@@ -95,10 +97,13 @@
     pub fn join(&mut self, now: Duration, addresses: &[SocketAddr]) -> Vec<MembershipAction> {
         let own_address = self.own_record().peer_address;
         for address in addresses {
-            if *address != own_address && !self.seeds.contains(address) {
-                self.seeds.push(*address);
+            if *address != own_address {
+                // The latest ones are the likeliest to answer.
+                self.seeds.retain(|seed| seed != address);
+                self.seeds.insert(0, *address);
             }
         }
+        self.seeds.truncate(MAX_SEEDS);
         let first: Vec<SocketAddr> = self.seeds.iter().copied().take(JOIN_PINGS).collect();
         for seed in first {
             self.ping_seed(now, seed);
--- a/src/node.rs
+++ b/src/node.rs
@@ -7,6 +7,7 @@
 mod listener;
 
 use std::cell::RefCell;
+use std::collections::BTreeSet;
 use std::io::{self, Write};
 use std::net::{SocketAddr, TcpListener as StdTcpListener};
 use std::process::ExitCode;
@@ -15,30 +16,37 @@
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use ntex::rt::{Arbiter, DefaultRuntime, System};
-use ntex::server::Server;
 use ntex::server::create_tcp_listener;
 use rand::Rng;
 use serde::Serialize;
 use tokio::net::{TcpListener, UdpSocket};
+use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::mpsc::{UnboundedSender, channel, unbounded_channel};
 use tokio::sync::watch;
 
-use crate::admin::{AdminAccess, AdminCall, start_admin_server};
+use crate::admin::{
+    AdminAccess, AdminCall, OWN_ANNOUNCEMENTS, start_admin_server, start_health_server,
+};
 use crate::control::admin::{counters, serve_admin};
 use crate::control::peers::accept_peers;
 use crate::control::state::{
-    ControlState, NodeIdentity, follow_config, follow_membership, publish_tables,
+    ControlParts, ControlState, NodeIdentity, follow_config, follow_membership, follow_routes,
+    publish_tables,
 };
+use crate::discovery::{DiscoverySettings, follow_entries};
 use crate::exchange::PeerHello;
+use crate::fields::{CallDialect, OWN_DIALECT};
 use crate::gate::{GateCommand, GateStatus, run_gate};
 use crate::ids::NodeIncarnation;
-use crate::ingress::IngressShared;
+use crate::ingress::{IngressSettings, IngressShared, StopPhase};
 use crate::logs::start_logs;
 use crate::membership::driver::spawn_membership;
 use crate::membership::{MemberIdentity, MembershipState};
 use crate::metrics::publish_metrics;
-use crate::node::listener::start_ingress;
+use crate::node::listener::{TrafficSettings, start_ingress};
 use crate::options::{NODE_COMMAND, NodeOptions, options_from_process};
+use crate::platform::{PLATFORM, PlatformStore};
+use crate::routes::{RoutesHandle, RoutesSettings};
 use crate::routing::{HomePlace, RouterState, RoutingOptions};
 use crate::shutdown::wait_for_stop;
 use crate::store::absent::AbsentStore;
@@ -52,9 +60,6 @@
 const EVENT_QUEUE: usize = 1_024;
 /// Random bits in an incarnation, below the milliseconds of its start.
 const INCARNATION_RANDOM_BITS: u32 = 16;
-/// Least time between a planned stop's announcement and the exit, so that a
-/// call that was on its way is still refused rather than cut.
-const STOP_LINGER: Duration = Duration::from_secs(1);
 /// Callers' connections that may wait to be accepted. With too few, the kernel
 /// resets connections in a burst whose callers believe them open.
 const CALLER_BACKLOG: i32 = 4_096;
@@ -103,6 +108,7 @@
     admin: StdTcpListener,
     peers: TcpListener,
     datagrams: UdpSocket,
+    ready: Option<StdTcpListener>,
 }
 
 impl NodeSockets {
@@ -113,6 +119,7 @@
             admin: StdTcpListener::bind(options.admin_listen)?,
             peers,
             datagrams,
+            ready: options.ready_listen.map(StdTcpListener::bind).transpose()?,
         })
     }
 
@@ -164,14 +171,23 @@
         started: Instant::now(),
     };
     let (table_sender, table) = watch::channel(Arc::new(RoutingTable::default()));
-    let (stop_sender, is_stopping) = watch::channel(false);
-    let (gate_sender, gate_status) = start_gate(identity.incarnation);
+    let (stop_sender, stop_phase) = watch::channel(StopPhase::Serving);
+    let threads = start_threads(&options);
+    let adapter = options.platform.map(|_| &PLATFORM);
+    let dialect = adapter.map_or(&OWN_DIALECT, |adapter| adapter.dialect);
+    let (gate_sender, gate_status) = start_gate(identity.incarnation, dialect, &threads[0]);
     let shared = Arc::new(IngressShared::new(
         identity.incarnation,
         new_router(&identity),
         table,
-        is_stopping,
-        identity.started,
+        stop_phase,
+        IngressSettings {
+            dialect,
+            has_routes: adapter.is_some(),
+            home_service: options.service.clone(),
+            retries: options.retries,
+            started: identity.started,
+        },
     ));
 
     let advertised = options.advertised_address(addresses.peer_listen);
@@ -181,22 +197,28 @@
     let clock = move || started.elapsed();
     let membership = spawn_membership(state, sockets.datagrams, clock, events_sender);
     let config = start_config(&options, &identity, advertised).await?;
+    let (routes, found) = start_platform(&options, &identity, advertised).await?;
 
-    let control = Rc::new(ControlState::new(
-        identity.clone(),
+    let control = Rc::new(ControlState::new(ControlParts {
+        identity: identity.clone(),
         membership,
         config,
-        gate_sender.clone(),
+        routes,
+        gate: gate_sender.clone(),
         gate_status,
-        Arc::clone(&shared),
-        table_sender,
-        stop_sender,
-    ));
+        ingress: Arc::clone(&shared),
+        table: table_sender,
+        stop_phase: stop_sender,
+        backend_ttl: options.backend_ttl,
+    }));
     ntex::rt::spawn(follow_membership(Rc::clone(&control), events));
     ntex::rt::spawn(follow_config(Rc::clone(&control)));
     ntex::rt::spawn(publish_tables(Rc::clone(&control)));
     ntex::rt::spawn(accept_peers(Rc::clone(&control), sockets.peers));
+    ntex::rt::spawn(follow_routes(Rc::clone(&control)));
     ntex::rt::spawn(join_fleet(Rc::clone(&control), options.peers.clone()));
+    ntex::rt::spawn(join_found(Rc::clone(&control), found));
+    ntex::rt::spawn(note_reloads());
     if let Some(receiver) = options.statsd {
         ntex::rt::spawn(publish_metrics(Rc::clone(&control), receiver));
     }
@@ -206,9 +228,21 @@
     let access = AdminAccess {
         control: admin_sender,
         token: options.admin_token.clone(),
+        announcements: adapter.map_or(OWN_ANNOUNCEMENTS, |adapter| adapter.announcements),
+    };
+    let ready = match sockets.ready {
+        Some(listener) => Some(start_health_server(listener, access.clone())?),
+        None => None,
     };
     let admin = start_admin_server(sockets.admin, access)?;
-    let callers = start_ingress(&options, &identity, sockets.callers, &shared, &gate_sender)?;
+    let traffic = TrafficSettings {
+        node: identity.node.clone(),
+        incarnation: identity.incarnation,
+        listener: sockets.callers,
+        shared: Arc::clone(&shared),
+        gate: gate_sender.clone(),
+    };
+    start_ingress(&traffic, &threads)?;
 
     print_addresses(&addresses)?;
     log::info!(target: "node", incarnation:% = identity.incarnation; "node started");
@@ -216,7 +250,11 @@
         stopped = wait_for_stop() => stopped?,
         () = control.stop.notified() => {}
     }
-    stop_node(&control, options.drain_limit, callers, admin).await;
+    stop_node(&control, &options).await;
+    admin.stop(false).await;
+    if let Some(ready) = ready {
+        ready.stop(false).await;
+    }
     log::info!(target: "node", "node stopped");
     Ok(())
 }
@@ -275,15 +313,77 @@
     Ok(ConfigHandle::start(settings, store))
 }
 
-/// Starts the gate on a thread of its own.
+/// Starts what a node on the users' platform learns from its store: routes
+/// and the addresses of other nodes.
+async fn start_platform(
+    options: &NodeOptions,
+    identity: &NodeIdentity,
+    peer_address: SocketAddr,
+) -> io::Result<(RoutesHandle, watch::Receiver<BTreeSet<SocketAddr>>)> {
+    let (sender, found) = watch::channel(BTreeSet::new());
+    let Some(address) = options.platform else {
+        return Ok((RoutesHandle::absent(), found));
+    };
+    let store = PlatformStore::connect(&format!("http://{address}")).await;
+    let store = Rc::new(store.map_err(io::Error::other)?);
+    let settings = RoutesSettings {
+        hello: PeerHello {
+            node: identity.node.to_string(),
+            incarnation: identity.incarnation.get(),
+            is_call_link: false,
+        },
+        source: PLATFORM.config,
+    };
+    let routes = RoutesHandle::start(settings, Rc::clone(&store));
+    let settings = DiscoverySettings {
+        node: identity.node.clone(),
+        address: peer_address,
+    };
+    ntex::rt::spawn(follow_entries(settings, store, sender));
+    Ok((routes, found))
+}
+
+/// Joins through the nodes that were found, as long as they aren't known.
+async fn join_found(control: Rc<ControlState>, mut found: watch::Receiver<BTreeSet<SocketAddr>>) {
+    while found.changed().await.is_ok() {
+        let addresses: Vec<SocketAddr> = found.borrow_and_update().iter().copied().collect();
+        let missing = unknown_addresses(&control, addresses);
+        if !missing.is_empty() {
+            control.membership.join(&missing);
+        }
+    }
+}
+
+/// Says that a reload has nothing to do: settings are flags and variables.
+async fn note_reloads() {
+    let Ok(mut hangups) = signal(SignalKind::hangup()) else {
+        log::error!(target: "node", "hang-up signal can't be listened to");
+        return;
+    };
+    while hangups.recv().await.is_some() {
+        log::info!(target: "node", "reload asked for; settings are those of the start");
+    }
+}
+
+/// Starts the traffic threads, of which there is at least one.
+fn start_threads(options: &NodeOptions) -> Vec<Arbiter> {
+    let count = options.threads.get();
+    (0..count)
+        .map(|number| Arbiter::with_name(format!("traffic-{number}")))
+        .collect()
+}
+
+/// Starts the gate on a traffic thread: it then shares the thread with the
+/// callers of this node, whose calls to its own backend server cross none.
 fn start_gate(
     incarnation: NodeIncarnation,
+    dialect: &'static CallDialect,
+    thread: &Arbiter,
 ) -> (UnboundedSender<GateCommand>, watch::Receiver<GateStatus>) {
     let (sender, commands) = unbounded_channel();
     let (status, receiver) = watch::channel(GateStatus::default());
-    let arbiter = Arbiter::with_name("gate".to_string());
-    arbiter.handle().spawn(async move {
-        ntex::rt::spawn(run_gate(incarnation, commands, status));
+    thread.handle().spawn(async move {
+        ntex::rt::spawn(run_gate(incarnation, dialect, commands, status));
     });
     (sender, receiver)
 }
@@ -315,33 +415,38 @@
 }
 
 async fn join_through_store(control: &ControlState) {
-    let Ok(mut seeds) = control.config.read_seeds().await else {
+    let Ok(seeds) = control.config.read_seeds().await else {
         return;
     };
+    let missing = unknown_addresses(control, seeds);
+    if !missing.is_empty() {
+        control.membership.join(&missing);
+    }
+}
+
+/// Those of the addresses at which no live member is known.
+fn unknown_addresses(control: &ControlState, mut addresses: Vec<SocketAddr>) -> Vec<SocketAddr> {
     let state = control.membership.state().borrow();
-    seeds.retain(|seed| {
+    addresses.retain(|address| {
         let mut members = state.members().values();
-        !members.any(|member| member.is_live() && member.peer_address == *seed)
+        !members.any(|member| member.is_live() && member.peer_address == *address)
     });
-    drop(state);
-    if !seeds.is_empty() {
-        control.membership.join(&seeds);
-    }
+    addresses
 }
 
 /// A planned stop: told to everyone first, then nothing new, then the end of
 /// what is under way.
-async fn stop_node(control: &ControlState, limit: Duration, callers: Server, admin: Server) {
+async fn stop_node(control: &ControlState, options: &NodeOptions) {
     control.begin_stop();
-    tokio::time::sleep(STOP_LINGER).await;
+    tokio::time::sleep(options.leave_time).await;
+    control.close_ingress();
     let draining = async {
-        callers.stop(true).await;
         while !control.is_idle() {
             tokio::time::sleep(STOP_POLL).await;
         }
     };
+    let limit = options.drain_limit.saturating_sub(options.leave_time);
     if tokio::time::timeout(limit, draining).await.is_err() {
         log::error!(target: "node", counters:? = counters(control); "stop limit passed");
     }
-    admin.stop(false).await;
 }
--- a/src/options/node.rs
+++ b/src/options/node.rs
@@ -8,8 +8,11 @@
 use super::error::SettingError;
 use super::reader::RawOptions;
 use super::spec::{CommandSpec, FlagArity, FlagSpec};
-use super::values::{BaseUrl, DrainSeconds, ReachableAddress, SecretToken, ThreadCount};
-use crate::ids::{NodeId, RegionName, ZoneName};
+use super::values::{
+    BaseUrl, BoundedNumber, DrainSeconds, ReachableAddress, SecretToken, ThreadCount,
+};
+use crate::ids::{NodeId, RegionName, ServiceName, ZoneName};
+use crate::retry::RetryOptions;
 
 const NAME_RULE: &str = "1 to 64 letters, digits, '-', '_' or '.'";
 const ADDRESS_RULE: &str = "IP:PORT";
@@ -54,6 +57,30 @@
         "http://HOST:PORT",
         "platform's key-value service; without it change tickets are refused",
     ),
+    FlagSpec::single(
+        "platform",
+        "IP:PORT",
+        REACHABLE_RULE,
+        "store of the users' platform, whose routes, heartbeats and header fields then hold",
+    ),
+    FlagSpec::single(
+        "service",
+        "NAME",
+        NAME_RULE,
+        "service on this VM, told to backend servers as the caller's",
+    ),
+    FlagSpec::single(
+        "ready-listen",
+        "IP:PORT",
+        ADDRESS_RULE,
+        "address that only answers GET /v1/health",
+    ),
+    FlagSpec::single(
+        "metrics-listen",
+        "IP:PORT",
+        ADDRESS_RULE,
+        "address that serves GET /metrics as text",
+    ),
     FlagSpec::single(
         "peer",
         "IP:PORT",
@@ -88,6 +115,34 @@
         "upper bound of a planned stop, in seconds",
     )
     .with_default("30"),
+    FlagSpec::single(
+        "leave-seconds",
+        "N",
+        "1 to 600",
+        "time for which a stopping node still takes requests, in seconds",
+    )
+    .with_default("1"),
+    FlagSpec::single(
+        "backend-ttl-seconds",
+        "N",
+        "1 to 600",
+        "time after its last heartbeat at which a backend server counts as gone",
+    )
+    .with_default("3"),
+    FlagSpec::single(
+        "free-placements",
+        "N",
+        "0 to 10",
+        "refusals by gates after which a call is placed again at no cost in retries",
+    )
+    .with_default("0"),
+    FlagSpec::single(
+        "retry-burst",
+        "N",
+        "1 to 1000",
+        "retries that a service saves up at this node",
+    )
+    .with_default("10"),
 ];
 
 /// Command line of `currantlift-node`.
@@ -132,6 +187,20 @@
     pub statsd: Option<SocketAddr>,
     /// Upper bound of a planned stop.
     pub drain_limit: Duration,
+    /// Store of the users' platform.
+    pub platform: Option<SocketAddr>,
+    /// Service on this VM.
+    pub service: Option<ServiceName>,
+    /// Address that only says whether this node takes work.
+    pub ready_listen: Option<SocketAddr>,
+    /// Address of the metrics.
+    pub metrics_listen: Option<SocketAddr>,
+    /// Time for which a stopping node still takes requests.
+    pub leave_time: Duration,
+    /// Time after its last heartbeat at which a backend server counts as gone.
+    pub backend_ttl: Duration,
+    /// Bounds on retries.
+    pub retries: RetryOptions,
 }
 
 impl NodeOptions {
@@ -146,6 +215,10 @@
 
     fn try_from(raw: RawOptions) -> Result<Self, SettingError> {
         let drain_seconds: DrainSeconds = raw.required("drain-seconds")?;
+        let leave_seconds: DrainSeconds = raw.required("leave-seconds")?;
+        let ttl_seconds: DrainSeconds = raw.required("backend-ttl-seconds")?;
+        let free_placements: BoundedNumber<0, 10> = raw.required("free-placements")?;
+        let retry_burst: BoundedNumber<1, 1_000> = raw.required("retry-burst")?;
         let peers = raw.list("peer")?;
         let options = Self {
             node_id: raw.required("node-id")?,
@@ -162,6 +235,17 @@
             log_level: raw.required("log-level")?,
             statsd: raw.optional("statsd")?.map(ReachableAddress::get),
             drain_limit: Duration::from_secs(drain_seconds.get()),
+            platform: raw.optional("platform")?.map(ReachableAddress::get),
+            service: raw.optional("service")?,
+            ready_listen: raw.optional("ready-listen")?,
+            metrics_listen: raw.optional("metrics-listen")?,
+            leave_time: Duration::from_secs(leave_seconds.get()),
+            backend_ttl: Duration::from_secs(ttl_seconds.get()),
+            retries: RetryOptions {
+                free_placements: u32::try_from(free_placements.get()).unwrap_or_default(),
+                max_tokens: retry_burst.get() as f64,
+                ..RetryOptions::default()
+            },
         };
         check_listener(&raw, &options)?;
         Ok(options)
--- /dev/null
+++ b/src/platform/config.rs
@@ -0,0 +1,169 @@
+//! The operator's configuration on the platform.
+//!
+//! Routes and services are tables: names of columns, then rows of values in
+//! that order, `null` for a value that is left out. All times are in seconds.
+
+use std::collections::BTreeMap;
+
+use serde::Deserialize;
+use serde::de::DeserializeOwned;
+use serde_json::{Map, Value};
+
+use crate::ids::{ConnectionCount, ServiceName};
+use crate::routes::driver::ConfigError;
+use crate::routes::{
+    CallerLimits, ConfigVersion, RequestKind, Route, RouteConfig, RouteTarget, SplitPart,
+};
+
+/// Key of the newest configuration.
+pub(super) const CONFIG_KEY: &str = "op/config";
+
+#[derive(Debug, Deserialize)]
+struct RawConfig {
+    /// Eight hexadecimal digits.
+    version: String,
+    routes: RawTable,
+    services: RawTable,
+    limits: RawLimits,
+}
+
+#[derive(Debug, Deserialize)]
+struct RawTable {
+    columns: Vec<String>,
+    rows: Vec<Vec<Value>>,
+}
+
+#[derive(Debug, Deserialize)]
+#[serde(rename_all = "camelCase")]
+struct RawRoute {
+    name: String,
+    hostname: String,
+    prefix: String,
+    kind: RawKind,
+    /// Longest time that a request is kept waiting.
+    timeout_s: f64,
+    /// Time within which an answer earns its full credit.
+    target_latency_s: f64,
+    /// Rank; 0 is the highest.
+    #[serde(default)]
+    priority: u32,
+    /// Most upstreams that one attempt of the caller may be sent to.
+    max_attempts: u32,
+    service: Option<ServiceName>,
+    traffic_split: Option<Vec<SplitPart>>,
+}
+
+#[derive(Debug, Deserialize)]
+#[serde(rename_all = "snake_case")]
+enum RawKind {
+    Idempotent,
+    NonIdempotent,
+    Upload,
+}
+
+#[derive(Debug, Deserialize)]
+#[serde(rename_all = "camelCase")]
+struct RawService {
+    name: ServiceName,
+    max_connections: ConnectionCount,
+}
+
+#[derive(Debug, Deserialize)]
+#[serde(rename_all = "camelCase")]
+struct RawLimits {
+    max_header_bytes: u64,
+    max_body_bytes: u64,
+    header_timeout_s: f64,
+    idle_timeout_s: f64,
+}
+
+fn config_error(reason: impl ToString) -> ConfigError {
+    ConfigError {
+        reason: reason.to_string(),
+    }
+}
+
+/// Whole milliseconds of a time in seconds.
+fn millis(seconds: f64) -> Result<u64, ConfigError> {
+    if (0.0..=1e9).contains(&seconds) {
+        Ok((seconds * 1_000.0).round() as u64)
+    } else {
+        Err(config_error(format!("{seconds} s is out of range")))
+    }
+}
+
+impl RawTable {
+    fn read<T: DeserializeOwned>(self) -> Result<Vec<T>, ConfigError> {
+        let columns = self.columns;
+        let rows = self.rows.into_iter().map(|row| {
+            let cells = columns.iter().cloned().zip(row);
+            let fields: Map<String, Value> = cells.filter(|(_, cell)| !cell.is_null()).collect();
+            serde_json::from_value(Value::Object(fields)).map_err(config_error)
+        });
+        rows.collect()
+    }
+}
+
+impl TryFrom<RawRoute> for Route {
+    type Error = ConfigError;
+
+    fn try_from(raw: RawRoute) -> Result<Self, ConfigError> {
+        let target = match (raw.service, raw.traffic_split) {
+            (Some(service), None) => RouteTarget::Service(service),
+            (None, Some(parts)) if !parts.is_empty() => RouteTarget::Split(parts),
+            _ => {
+                let reason = format!("route {} needs a service or a split", raw.name);
+                return Err(config_error(reason));
+            }
+        };
+        Ok(Self {
+            timeout_ms: millis(raw.timeout_s)?,
+            target_ms: millis(raw.target_latency_s)?,
+            name: raw.name,
+            host: raw.hostname,
+            prefix: raw.prefix,
+            kind: match raw.kind {
+                RawKind::Idempotent => RequestKind::Idempotent,
+                RawKind::NonIdempotent => RequestKind::NonIdempotent,
+                RawKind::Upload => RequestKind::Upload,
+            },
+            rank: raw.priority,
+            attempts: raw.max_attempts.max(1),
+            target,
+        })
+    }
+}
+
+impl TryFrom<RawLimits> for CallerLimits {
+    type Error = ConfigError;
+
+    fn try_from(raw: RawLimits) -> Result<Self, ConfigError> {
+        Ok(Self {
+            head_bytes: raw.max_header_bytes,
+            body_bytes: raw.max_body_bytes,
+            head_timeout_ms: millis(raw.header_timeout_s)?,
+            idle_timeout_ms: millis(raw.idle_timeout_s)?,
+        })
+    }
+}
+
+/// Reads a version of the configuration.
+pub(super) fn decode_config(bytes: &[u8]) -> Result<RouteConfig, ConfigError> {
+    let raw: RawConfig = serde_json::from_slice(bytes).map_err(config_error)?;
+    let version = u64::from_str_radix(&raw.version, 16).map_err(config_error)?;
+    let routes = raw.routes.read::<RawRoute>()?.into_iter();
+    let routes: Result<Vec<Route>, ConfigError> = routes.map(Route::try_from).collect();
+    let services: BTreeMap<ServiceName, ConnectionCount> = raw
+        .services
+        .read::<RawService>()?
+        .into_iter()
+        .map(|service| (service.name, service.max_connections))
+        .collect();
+    let limits = CallerLimits::try_from(raw.limits)?;
+    Ok(RouteConfig::new(
+        ConfigVersion(version),
+        routes?,
+        services,
+        limits,
+    ))
+}
--- /dev/null
+++ b/src/platform/dialect.rs
@@ -0,0 +1,42 @@
+//! Header fields of calls on the platform.
+
+use crate::backend::BackendLoad;
+use crate::fields::CallDialect;
+
+/// Value of a load field that stands for the usual speed of work.
+const USUAL_SPEED: f64 = 100.0;
+
+/// Names of the platform's header fields, in lower case.
+pub(super) const PLATFORM_DIALECT: CallDialect = CallDialect {
+    // A duration, not a time of day: how long the caller goes on waiting.
+    time_left: "deadline-ms",
+    service: None,
+    attempts: None,
+    outcome: None,
+    call: None,
+    // Names one attempt of the caller; when it tries again, it takes another.
+    request_id: Some("attempt-id"),
+    signature: Some("response-signature"),
+    not_executed: Some("not-executed"),
+    // The identifier under which the backend server sends its heartbeats.
+    expected_backend: Some("expect-instance"),
+    caller_service: Some("caller-service"),
+    load: Some("server-load"),
+    parse_load,
+    has_retry_fractions: true,
+};
+
+/// Reads `running,waiting,slots` and, where it is given, the time that work
+/// takes in percent of the usual.
+fn parse_load(text: &str) -> Option<BackendLoad> {
+    let mut figures = text.split(',').map(str::trim);
+    let mut next = || figures.next()?.parse::<u32>().ok();
+    let (running, waiting, slots) = (next()?, next()?, next()?);
+    let percent = next().map_or(USUAL_SPEED, f64::from);
+    Some(BackendLoad {
+        running,
+        waiting,
+        slots,
+        slowness: percent / USUAL_SPEED,
+    })
+}
--- a/src/retry.rs
+++ b/src/retry.rs
@@ -25,19 +25,44 @@
 /// Time after which a caller told of a lost upstream should come back.
 const UPSTREAM_RETRY_AFTER: Duration = Duration::from_secs(2);
 
+/// Bounds on retries.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct RetryOptions {
+    /// Retries earned by one first attempt.
+    pub ratio: f64,
+    /// Most retries that a service saves up.
+    pub max_tokens: f64,
+    /// Refusals by gates after which a call is placed again at no cost: none
+    /// of them reached a backend server.
+    pub free_placements: u32,
+}
+
+impl Default for RetryOptions {
+    fn default() -> Self {
+        Self {
+            ratio: RETRY_RATIO,
+            max_tokens: MAX_TOKENS,
+            free_placements: 0,
+        }
+    }
+}
+
 /// Token bucket of one service's retries.
 ///
-/// Over its first `n` first attempts it grants at most `1 + n / 10` retries,
-/// and over any later `n` at most `10 + n / 10`.
+/// With the default options it grants over its first `n` first attempts at
+/// most `1 + n / 10` retries, and over any later `n` at most `10 + n / 10`.
 #[derive(Debug, Clone)]
 pub struct RetryBudget {
+    options: RetryOptions,
     tokens: f64,
 }
 
-impl Default for RetryBudget {
-    fn default() -> Self {
+impl RetryBudget {
+    /// Budget before the first attempt.
+    pub fn new(options: RetryOptions) -> Self {
         Self {
-            tokens: START_TOKENS,
+            options,
+            tokens: START_TOKENS.min(options.max_tokens),
         }
     }
 }
@@ -45,7 +70,7 @@
 impl RetryBudget {
     /// Earns a share of a retry for a first attempt.
     pub fn on_first_attempt(&mut self) {
-        self.tokens = (self.tokens + RETRY_RATIO).min(MAX_TOKENS);
+        self.tokens = (self.tokens + self.options.ratio).min(self.options.max_tokens);
     }
 
     /// Spends one retry if there is one.
@@ -74,6 +99,8 @@
     pub attempt: u32,
     /// Most attempts of the call.
     pub attempts_limit: u32,
+    /// Refusals by gates so far, at the cost of nothing.
+    pub free_refusals: u32,
     /// Time left of the call's limit.
     pub time_left: Duration,
 }
@@ -135,15 +162,28 @@
 }
 
 /// Retry decisions and budgets of one node.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct RetryPolicy {
+    options: RetryOptions,
     budgets: BTreeMap<ServiceName, RetryBudget>,
 }
 
 impl RetryPolicy {
     /// Policy without history.
-    pub fn new() -> Self {
-        Self::default()
+    pub fn new(options: RetryOptions) -> Self {
+        Self {
+            options,
+            budgets: BTreeMap::new(),
+        }
+    }
+
+    /// Whether the call may be placed again without a retry being spent.
+    pub fn is_free(&self, facts: &CallFacts, failure: AttemptFailure) -> bool {
+        let is_refusal =
+            matches!(failure, AttemptFailure::NotRun(kind) if is_refused_by_gate(kind));
+        is_refusal
+            && facts.free_refusals < self.options.free_placements
+            && facts.time_left >= MIN_TIME_LEFT
     }
 
     /// Counts the first attempt of a call.
@@ -158,6 +198,9 @@
         facts: &CallFacts,
         failure: AttemptFailure,
     ) -> RetryDecision {
+        if self.is_free(facts, failure) {
+            return RetryDecision::Retry;
+        }
         let is_unknown = matches!(failure, AttemptFailure::Unknown(_)) || facts.may_have_run;
         let Some(reason) = self.give_up_reason(service, facts, failure.kind(), is_unknown) else {
             return RetryDecision::Retry;
@@ -206,10 +249,27 @@
     }
 
     fn budget(&mut self, service: &ServiceName) -> &mut RetryBudget {
-        self.budgets.entry(service.clone()).or_default()
+        let options = self.options;
+        self.budgets
+            .entry(service.clone())
+            .or_insert_with(|| RetryBudget::new(options))
     }
 }
 
+/// Whether a refusal with this kind says that nothing reached the backend
+/// server.
+fn is_refused_by_gate(kind: ErrorKind) -> bool {
+    matches!(
+        kind,
+        ErrorKind::Overloaded
+            | ErrorKind::WaitTooLong
+            | ErrorKind::Draining
+            | ErrorKind::UnknownService
+            | ErrorKind::BackendUnreachable
+            | ErrorKind::LinkLost
+    )
+}
+
 /// Whether another upstream may do better.
 fn is_retryable(kind: ErrorKind) -> bool {
     matches!(
@@ -218,6 +278,7 @@
             | ErrorKind::WaitTooLong
             | ErrorKind::Draining
             | ErrorKind::BackendUnreachable
+            | ErrorKind::BackendRefused
             | ErrorKind::BackendFailed
             | ErrorKind::LinkLost
             | ErrorKind::GateRestarted
--- a/src/retry/tests.rs
+++ b/src/retry/tests.rs
@@ -31,6 +31,7 @@
             may_have_run,
             attempt,
             attempts_limit: 3,
+            free_refusals: 0,
             time_left: Duration::from_millis(left_ms),
         },
     )
@@ -58,7 +59,7 @@
     fn retries_stay_within_budget_attempts_and_what_may_run_twice(
         steps in proptest::collection::vec(any_step(), 1..MAX_STEPS),
     ) {
-        let mut policy = RetryPolicy::new();
+        let mut policy = RetryPolicy::new(RetryOptions::default());
         let (mut firsts, mut retries) = (0_u32, 0_u32);
         for step in steps {
             let RetryStep::Failure(facts, failure) = step else {
@@ -87,12 +88,13 @@
 
 #[test]
 fn refused_call_is_sent_again_until_the_budget_is_spent() {
-    let mut policy = RetryPolicy::new();
+    let mut policy = RetryPolicy::new(RetryOptions::default());
     let facts = CallFacts {
         is_idempotent: false,
         may_have_run: false,
         attempt: 1,
         attempts_limit: 3,
+        free_refusals: 0,
         time_left: Duration::from_secs(1),
     };
     for _ in 0..30 {
--- /dev/null
+++ b/src/routes/driver.rs
@@ -0,0 +1,212 @@
+//! Tasks that keep a node's configuration at the highest version it can learn.
+//!
+//! Two ways lead to a new version: a watch on the store's key, and a peer that
+//! names a higher version. Either alone is enough, so a node that the store
+//! turns away still follows its peers, and a watch that has fallen silent is
+//! made up for by another node's.
+
+use std::cell::Cell;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use derive_more::{Display, Error};
+use rand::Rng;
+use tokio::sync::{mpsc, watch};
+
+use super::config::{ConfigVersion, RouteConfig};
+use crate::exchange::{ControlRequest, ControlTopic, PeerHello, send_request};
+use crate::store::{ConfigStore, WatchPosition};
+
+/// Longest wait of one watch. A connection to the store that has fallen silent
+/// ends with it; until then peers tell of new versions.
+const WATCH_LIMIT: Duration = Duration::from_secs(6);
+/// Pause after a failed call, drawn between half of it and all of it. A node
+/// whose store is back is to know within two seconds.
+const FAILURE_PAUSE: Duration = Duration::from_millis(800);
+/// Reports of peers that wait for a fetch.
+const PEER_QUEUE: usize = 64;
+
+/// The bytes of a configuration can't be used.
+#[derive(Debug, Clone, Display, Error, PartialEq, Eq)]
+#[display("configuration can't be read: {reason}")]
+pub struct ConfigError {
+    /// What is wrong, and where.
+    pub reason: String,
+}
+
+/// Where the configuration lies in the store, and how it is read.
+#[derive(Debug, Clone, Copy)]
+pub struct ConfigSource {
+    /// Key.
+    pub key: &'static str,
+    /// Reads the value of the key.
+    pub decode: fn(&[u8]) -> Result<RouteConfig, ConfigError>,
+}
+
+/// What the tasks need to know.
+#[derive(Debug, Clone)]
+pub struct RoutesSettings {
+    /// First frame of exchanges with peers.
+    pub hello: PeerHello,
+    /// Where the configuration lies.
+    pub source: ConfigSource,
+}
+
+/// Access to the configuration in force.
+#[derive(Debug, Clone)]
+pub struct RoutesHandle {
+    config: watch::Receiver<Option<Arc<RouteConfig>>>,
+    peers: mpsc::Sender<(SocketAddr, ConfigVersion)>,
+}
+
+type ConfigSender = watch::Sender<Option<Arc<RouteConfig>>>;
+
+impl RoutesHandle {
+    /// Handle of a node that gets its rules from change tickets alone.
+    pub fn absent() -> Self {
+        let (_, config) = watch::channel(None);
+        let (peers, _) = mpsc::channel(1);
+        Self { config, peers }
+    }
+
+    /// Starts the tasks on the present thread's ntex runtime; they end when
+    /// no handle is left.
+    pub fn start<S: ConfigStore + 'static>(settings: RoutesSettings, store: Rc<S>) -> Self {
+        let (sender, config) = watch::channel(None);
+        let (peers, reports) = mpsc::channel(PEER_QUEUE);
+        let sender = Rc::new(sender);
+        let source = settings.source;
+        ntex::rt::spawn(follow_peers(Rc::clone(&sender), settings.hello, reports));
+        ntex::rt::spawn(async move {
+            tokio::select! {
+                () = sender.closed() => {}
+                () = follow_store(&sender, source, &*store) => {}
+            }
+        });
+        Self { config, peers }
+    }
+
+    /// Configuration in force, and every later one.
+    pub fn subscribe(&self) -> watch::Receiver<Option<Arc<RouteConfig>>> {
+        self.config.clone()
+    }
+
+    /// Version in force; 0 before the first.
+    pub fn version(&self) -> ConfigVersion {
+        version_of(self.config.borrow().as_ref())
+    }
+
+    /// Tells that a peer has this version in force.
+    pub fn on_peer_version(&self, peer: SocketAddr, version: ConfigVersion) {
+        if version > self.version() {
+            // A full queue loses the report; gossip repeats it.
+            let _ = self.peers.try_send((peer, version));
+        }
+    }
+
+    /// Answers a peer that asks for the configuration in force; empty for none.
+    pub fn handle_fetch(&self) -> Bytes {
+        let config = self.config.borrow();
+        let Some(config) = config.as_ref() else {
+            return Bytes::new();
+        };
+        match serde_json::to_vec(&**config) {
+            Ok(bytes) => Bytes::from(bytes),
+            Err(error) => {
+                log::error!(target: "routes", "configuration not encoded for a peer: {error}");
+                Bytes::new()
+            }
+        }
+    }
+}
+
+fn version_of(config: Option<&Arc<RouteConfig>>) -> ConfigVersion {
+    config.map(|config| config.version).unwrap_or_default()
+}
+
+/// Puts a configuration in force if it is newer than the present one.
+fn apply(sender: &ConfigSender, config: RouteConfig, origin: &str) {
+    let (version, routes) = (config.version, config.route_count());
+    let mut previous = ConfigVersion::default();
+    let is_newer = sender.send_if_modified(|present| {
+        previous = version_of(present.as_ref());
+        let is_newer = version > previous;
+        if is_newer {
+            *present = Some(Arc::new(config));
+        }
+        is_newer
+    });
+    if is_newer {
+        log::info!(
+            target: "routes",
+            version = version.0, previous = previous.0, routes, origin;
+            "configuration in force"
+        );
+    }
+}
+
+/// Applies what the store shows; never ends by itself.
+async fn follow_store<S: ConfigStore>(sender: &ConfigSender, source: ConfigSource, store: &S) {
+    let mut position = WatchPosition::default();
+    let is_away = Cell::new(false);
+    loop {
+        let answer = store.watch(source.key, position, WATCH_LIMIT).await;
+        let result = answer
+            .map_err(|error| error.to_string())
+            .and_then(|answer| {
+                if let Some(stored) = &answer.value {
+                    let config =
+                        (source.decode)(&stored.bytes).map_err(|error| error.to_string())?;
+                    apply(sender, config, "store");
+                }
+                Ok(answer.position)
+            });
+        match result {
+            Ok(next) => {
+                position = next;
+                if is_away.replace(false) {
+                    log::info!(target: "routes", dependency = "store"; "dependency regained");
+                }
+            }
+            Err(reason) => {
+                position = WatchPosition::default();
+                if !is_away.replace(true) {
+                    log::warn!(target: "routes", dependency = "store", reason = reason.as_str(); "dependency lost");
+                }
+                let pause = rand::rng().random_range(FAILURE_PAUSE / 2..FAILURE_PAUSE);
+                tokio::time::sleep(pause).await;
+            }
+        }
+    }
+}
+
+/// Fetches from each peer that names a higher version.
+async fn follow_peers(
+    sender: Rc<ConfigSender>,
+    hello: PeerHello,
+    mut reports: mpsc::Receiver<(SocketAddr, ConfigVersion)>,
+) {
+    while let Some((peer, version)) = reports.recv().await {
+        if version <= version_of(sender.borrow().as_ref()) {
+            continue;
+        }
+        let request = ControlRequest {
+            payload: Bytes::new(),
+            topic: ControlTopic::Routes.into(),
+        };
+        match send_request(peer, &hello, &request).await {
+            Ok(reply) if reply.payload.is_empty() => {}
+            Ok(reply) => match serde_json::from_slice(&reply.payload) {
+                Ok(config) => apply(&sender, config, "peer"),
+                Err(error) => {
+                    log::warn!(target: "routes", peer:%; "peer's configuration can't be read: {error}");
+                }
+            },
+            // Gossip names the version again, at this peer and at others.
+            Err(error) => log::info!(target: "routes", peer:%; "peer not reached: {error}"),
+        }
+    }
+}
--- /dev/null
+++ b/src/routes/tests.rs
@@ -0,0 +1,84 @@
+//! Tests of route choice and splits.
+
+use std::collections::BTreeMap;
+
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+
+use super::*;
+
+fn route(name: &str, host: &str, prefix: &str) -> Route {
+    Route {
+        name: name.to_string(),
+        host: host.to_string(),
+        prefix: prefix.to_string(),
+        kind: RequestKind::Idempotent,
+        timeout_ms: 500,
+        target_ms: 200,
+        rank: 1,
+        attempts: 2,
+        target: RouteTarget::Service("slotbook".parse().unwrap()),
+    }
+}
+
+fn config(routes: Vec<Route>) -> RouteConfig {
+    let limits = CallerLimits::default();
+    RouteConfig::new(ConfigVersion(1), routes, BTreeMap::new(), limits)
+}
+
+#[test]
+fn the_longest_prefix_of_the_host_wins() {
+    let config = config(vec![
+        route("all", "shop", "/"),
+        route("slots", "shop", "/slots/"),
+        route("other", "yard", "/slots/open/"),
+    ]);
+    let find = |host, target| config.find(host, target).map(|route| route.name.as_str());
+    assert_eq!(find("shop", "/slots/open/1"), Some("slots"));
+    assert_eq!(find("shop:8300", "/slots/?a=/b/"), Some("slots"));
+    // The slash that ends a prefix is part of it.
+    assert_eq!(find("shop", "/slotsandmore"), Some("all"));
+    assert_eq!(find("yard", "/slots/?next=/slots/open/"), None);
+    assert_eq!(find("nobody", "/slots/"), None);
+}
+
+fn part(service: &str, weight: u32) -> SplitPart {
+    SplitPart {
+        service: service.parse().unwrap(),
+        weight,
+    }
+}
+
+/// Counts of the choices that many nodes make, each a few.
+fn counts(parts: &[SplitPart], nodes: u64, requests: u32) -> Vec<u32> {
+    let mut counts = vec![0; parts.len()];
+    for node in 0..nodes {
+        let mut rng = StdRng::seed_from_u64(node);
+        let mut splits = SplitTable::default();
+        for _ in 0..requests {
+            let service = splits.choose("r", parts, &mut rng).unwrap();
+            let index = parts.iter().position(|part| part.service == service);
+            counts[index.unwrap()] += 1;
+        }
+    }
+    counts
+}
+
+#[test]
+fn a_split_is_never_more_than_one_request_off_at_one_node() {
+    let parts = [part("a", 90), part("b", 10)];
+    for requests in [1, 7, 30, 100] {
+        let found = counts(&parts, 1, requests);
+        let expected = f64::from(requests) * 0.1;
+        assert!((f64::from(found[1]) - expected).abs() <= 1.0, "{found:?}");
+    }
+}
+
+#[test]
+fn many_nodes_with_few_requests_hold_the_split_together() {
+    let found = counts(&[part("a", 75), part("b", 25)], 200, 3);
+    let share = f64::from(found[1]) / 600.0;
+    assert!((share - 0.25).abs() < 0.05, "{found:?}");
+    let found = counts(&[part("a", 5), part("b", 0)], 20, 3);
+    assert_eq!(found, [60, 0]);
+}
--- a/src/routing/tests.rs
+++ b/src/routing/tests.rs
@@ -55,6 +55,7 @@
             .into_iter()
             .map(|(name, upstreams)| (name, entry_of(upstreams)))
             .collect(),
+        routes: None,
     })
 }
 
--- a/src/standin/backend/announce.rs
+++ b/src/standin/backend/announce.rs
@@ -54,6 +54,8 @@
                 slots: options.slots,
                 connections: options.connections,
                 state: UpstreamState::Ready,
+                order: None,
+                warmup_left_ms: 0,
             },
         })
     }
--- a/src/store.rs
+++ b/src/store.rs
@@ -8,6 +8,7 @@
 
 pub mod absent;
 pub mod consul;
+pub mod http;
 pub mod memory;
 pub mod seeds;
 
@@ -41,6 +42,15 @@
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord)]
 pub struct WatchPosition(pub u64);
 
+/// Key with its value, as a listing shows it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ListedValue {
+    /// Key.
+    pub key: String,
+    /// Value.
+    pub stored: StoredValue,
+}
+
 /// Answer of a watch: the present value and where to continue.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct WatchAnswer {
@@ -48,6 +58,8 @@
     pub value: Option<StoredValue>,
     /// Position to pass to the next watch.
     pub position: WatchPosition,
+    /// Whether nothing has changed, in which case the value may be left out.
+    pub is_unchanged: bool,
 }
 
 /// Result of a compare-and-swap that was answered.
@@ -91,6 +103,9 @@
     /// Reads a key.
     async fn get(&self, key: &str) -> Result<Option<StoredValue>, StoreError>;
 
+    /// Reads all keys that begin with `prefix`; the answer may be seconds old.
+    async fn list(&self, prefix: &str) -> Result<Vec<ListedValue>, StoreError>;
+
     /// Writes a key if it still has the expected revision.
     async fn compare_and_swap(
         &self,
--- a/src/store/absent.rs
+++ b/src/store/absent.rs
@@ -6,8 +6,8 @@
 use bytes::Bytes;
 
 use super::{
-    ConfigStore, KeyRevision, LeaseId, StoreError, StoredValue, SwapOutcome, WatchAnswer,
-    WatchPosition,
+    ConfigStore, KeyRevision, LeaseId, ListedValue, StoreError, StoredValue, SwapOutcome,
+    WatchAnswer, WatchPosition,
 };
 
 /// Store that refuses every call; its watches never end.
@@ -25,6 +25,10 @@
         Err(no_store())
     }
 
+    async fn list(&self, _prefix: &str) -> Result<Vec<ListedValue>, StoreError> {
+        Err(no_store())
+    }
+
     async fn compare_and_swap(
         &self,
         _key: &str,
--- a/src/store/consul.rs
+++ b/src/store/consul.rs
@@ -1,25 +1,19 @@
 //! Adapter for the published HTTP key-value protocol of Consul.
 //!
 //! Keys under `/v1/kv/` with `?cas=`, blocking queries with `?index=&wait=`,
-//! and sessions with a time to live as leases. The client never resends a
-//! request by itself. Every call opens a connection of its own: calls are few,
-//! and a kept connection may have gone silent for good while new ones work.
+//! and sessions with a time to live as leases.
 
 use std::time::Duration;
 
 use base64::Engine;
 use base64::engine::general_purpose::STANDARD;
 use bytes::Bytes;
-use ntex::SharedCfg;
-use ntex::client::error::{ClientError, ConnectError};
-use ntex::client::{Client, ClientRequest, ClientResponse, Connector};
 use ntex::http::{Method, StatusCode};
-use ntex::io::IoConfig;
-use ntex::time::Millis;
 use serde::Deserialize;
 
+use super::http::{HttpAnswer, HttpCall, StoreHttp, not_done, unknown};
 use super::{
-    ConfigStore, KeyRevision, LeaseId, MAX_VALUE_BYTES, StoreError, StoredValue, SwapOutcome,
+    ConfigStore, KeyRevision, LeaseId, ListedValue, StoreError, StoredValue, SwapOutcome,
     WatchAnswer, WatchPosition,
 };
 
@@ -27,23 +21,19 @@
 const CALL_TIMEOUT: Duration = Duration::from_secs(3);
 /// Time that a watch may take beyond its own limit.
 const WATCH_SLACK: Duration = Duration::from_secs(5);
-/// Largest answer: a value of the largest size in base64 with its envelope.
-const MAX_ANSWER_BYTES: usize = MAX_VALUE_BYTES * 2;
-/// Connections to the store at one time.
-const MAX_CONNECTIONS: usize = 16;
-/// Time limit for opening a connection.
-const CONNECT_TIMEOUT: Millis = Millis(1_000);
+/// Field of an answer with the position of a watch.
+const INDEX_FIELD: &str = "x-consul-index";
 
 /// Store client that speaks Consul's HTTP protocol.
 #[derive(Debug, Clone)]
 pub struct ConsulStore {
-    client: Client,
-    base_url: String,
+    http: StoreHttp,
 }
 
 #[derive(Deserialize)]
 #[serde(rename_all = "PascalCase")]
 struct KvEntry {
+    key: String,
     value: Option<String>,
     modify_index: u64,
 }
@@ -55,12 +45,6 @@
     id: String,
 }
 
-struct HttpAnswer {
-    status: StatusCode,
-    index: u64,
-    body: Bytes,
-}
-
 impl ConsulStore {
     /// Makes a client for the service at `base_url`, such as `http://10.0.0.1:8500`.
     ///
@@ -68,24 +52,8 @@
     ///
     /// Fails if the HTTP client can't be built.
     pub async fn connect(base_url: &str) -> Result<Self, StoreError> {
-        let connector = Connector::default().limit(MAX_CONNECTIONS);
-        let io_config = IoConfig::new().set_connect_timeout(CONNECT_TIMEOUT);
-        let client = Client::builder()
-            .connector::<()>(connector)
-            .disable_timeout()
-            .disable_redirects()
-            .response_payload_limit(MAX_ANSWER_BYTES)
-            .build(SharedCfg::new("STORE").add(io_config))
-            .await
-            .map_err(|error| not_done(&error))?;
-        let base_url = base_url.trim_end_matches('/').to_string();
-        Ok(Self { client, base_url })
-    }
-
-    fn request(&self, method: Method, path: &str) -> ClientRequest {
-        let url = format!("{}{path}", self.base_url);
-        let request = self.client.request(method, url);
-        request.force_close()
+        let http = StoreHttp::connect(base_url).await?;
+        Ok(Self { http })
     }
 
     async fn call(
@@ -95,18 +63,16 @@
         body: Bytes,
         limit: Duration,
     ) -> Result<HttpAnswer, StoreError> {
-        let request = self.request(method, path);
-        let body = ntex::util::Bytes::copy_from_slice(&body);
-        let exchange = async {
-            let response = request
-                .send_body(body)
-                .await
-                .map_err(|e| client_error(&e))?;
-            read_answer(&response).await
+        let call = HttpCall {
+            method,
+            path,
+            body,
+            limit,
+            index_field: Some(INDEX_FIELD),
         };
-        tokio::time::timeout(limit, exchange)
-            .await
-            .map_err(|_| unknown(&"time limit passed"))?
+        let answer = self.http.call(call).await?;
+        check_status(answer.status, &answer.body)?;
+        Ok(answer)
     }
 
     async fn put(&self, path: &str, body: Bytes) -> Result<HttpAnswer, StoreError> {
@@ -114,23 +80,6 @@
     }
 }
 
-async fn read_answer(response: &ClientResponse) -> Result<HttpAnswer, StoreError> {
-    let status = response.status();
-    let index = response
-        .header("x-consul-index")
-        .and_then(|value| value.to_str().ok())
-        .and_then(|text| text.parse().ok())
-        .unwrap_or(0);
-    let body = response.body().await.map_err(|error| unknown(&error))?;
-    let body = Bytes::copy_from_slice(&body);
-    check_status(status, &body)?;
-    Ok(HttpAnswer {
-        status,
-        index,
-        body,
-    })
-}
-
 fn check_status(status: StatusCode, body: &[u8]) -> Result<(), StoreError> {
     if status.is_success() || status == StatusCode::NOT_FOUND {
         return Ok(());
@@ -143,26 +92,6 @@
     Err(StoreError::Unknown { reason })
 }
 
-fn not_done(reason: &impl ToString) -> StoreError {
-    let reason = reason.to_string();
-    StoreError::NotDone { reason }
-}
-
-fn unknown(reason: &impl ToString) -> StoreError {
-    let reason = reason.to_string();
-    StoreError::Unknown { reason }
-}
-
-fn client_error(error: &ClientError) -> StoreError {
-    match error {
-        // The client reports a connection that closed before the answer under
-        // the connect errors too; only a failure to connect has a source.
-        ClientError::Connect(ConnectError::Disconnected(None)) => unknown(error),
-        ClientError::Connect(_) | ClientError::Url(_) | ClientError::Http(_) => not_done(error),
-        _ => unknown(error),
-    }
-}
-
 fn parse_flag(answer: &HttpAnswer) -> Result<bool, StoreError> {
     match answer.body.trim_ascii() {
         b"true" => Ok(true),
@@ -171,22 +100,30 @@
     }
 }
 
-fn parse_value(answer: &HttpAnswer) -> Result<Option<StoredValue>, StoreError> {
+fn parse_entries(answer: &HttpAnswer) -> Result<Vec<ListedValue>, StoreError> {
     if answer.status == StatusCode::NOT_FOUND {
-        return Ok(None);
+        return Ok(Vec::new());
     }
     let entries: Vec<KvEntry> =
         serde_json::from_slice(&answer.body).map_err(|error| not_done(&error))?;
-    let Some(entry) = entries.into_iter().next() else {
-        return Ok(None);
+    let parse = |entry: KvEntry| {
+        let bytes = STANDARD
+            .decode(entry.value.unwrap_or_default())
+            .map_err(|error| not_done(&error))?;
+        Ok(ListedValue {
+            key: entry.key,
+            stored: StoredValue {
+                revision: KeyRevision(entry.modify_index),
+                bytes: Bytes::from(bytes),
+            },
+        })
     };
-    let bytes = STANDARD
-        .decode(entry.value.unwrap_or_default())
-        .map_err(|error| not_done(&error))?;
-    Ok(Some(StoredValue {
-        revision: KeyRevision(entry.modify_index),
-        bytes: Bytes::from(bytes),
-    }))
+    entries.into_iter().map(parse).collect()
+}
+
+fn parse_value(answer: &HttpAnswer) -> Result<Option<StoredValue>, StoreError> {
+    let entry = parse_entries(answer)?.into_iter().next();
+    Ok(entry.map(|entry| entry.stored))
 }
 
 impl ConfigStore for ConsulStore {
@@ -198,6 +135,14 @@
         parse_value(&answer)
     }
 
+    async fn list(&self, prefix: &str) -> Result<Vec<ListedValue>, StoreError> {
+        let path = format!("/v1/kv/{prefix}?recurse=true&stale=true");
+        let answer = self
+            .call(Method::GET, &path, Bytes::new(), CALL_TIMEOUT)
+            .await?;
+        parse_entries(&answer)
+    }
+
     async fn compare_and_swap(
         &self,
         key: &str,
@@ -238,7 +183,11 @@
             index if index < position.0 => WatchPosition(0),
             index => WatchPosition(index),
         };
-        Ok(WatchAnswer { value, position })
+        Ok(WatchAnswer {
+            value,
+            position,
+            is_unchanged: false,
+        })
     }
 
     async fn grant_lease(&self, ttl: Duration) -> Result<LeaseId, StoreError> {
--- a/src/store/memory.rs
+++ b/src/store/memory.rs
@@ -12,8 +12,8 @@
 use bytes::Bytes;
 
 use super::{
-    ConfigStore, KeyRevision, LeaseId, StoreError, StoredValue, SwapOutcome, WatchAnswer,
-    WatchPosition,
+    ConfigStore, KeyRevision, LeaseId, ListedValue, StoreError, StoredValue, SwapOutcome,
+    WatchAnswer, WatchPosition,
 };
 
 #[derive(Debug, Clone)]
@@ -65,6 +65,18 @@
         self.entries.get(key).map(|entry| entry.value.clone())
     }
 
+    /// Keys that begin with `prefix`, with their values.
+    pub fn list(&self, prefix: &str) -> Vec<ListedValue> {
+        let found = self.entries.range(prefix.to_string()..);
+        found
+            .take_while(|(key, _)| key.starts_with(prefix))
+            .map(|(key, entry)| ListedValue {
+                key: key.clone(),
+                stored: entry.value.clone(),
+            })
+            .collect()
+    }
+
     /// Keys that exist.
     pub fn keys(&self) -> impl Iterator<Item = &String> {
         self.entries.keys()
@@ -287,6 +299,10 @@
         self.run(|table| table.get(key)).await
     }
 
+    async fn list(&self, prefix: &str) -> Result<Vec<ListedValue>, StoreError> {
+        self.run(|table| table.list(prefix)).await
+    }
+
     async fn compare_and_swap(
         &self,
         key: &str,
@@ -321,6 +337,7 @@
         self.run(|table| WatchAnswer {
             value: table.get(key),
             position: WatchPosition(table.index()),
+            is_unchanged: false,
         })
         .await
     }
--- a/src/table.rs
+++ b/src/table.rs
@@ -7,6 +7,7 @@
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
@@ -14,6 +15,7 @@
 use crate::ids::{
     NodeId, NodeIncarnation, RegionName, ServiceName, SlotCount, TeamName, TicketNumber, ZoneName,
 };
+use crate::routes::RouteConfig;
 
 /// Time limit of a call whose service names none, in milliseconds.
 const DEFAULT_TIMEOUT_MS: u64 = 2_000;
@@ -176,4 +178,6 @@
     pub version: u64,
     /// Services in force.
     pub services: BTreeMap<ServiceName, ServiceEntry>,
+    /// Routes in force, where services are chosen by host and path.
+    pub routes: Option<Arc<RouteConfig>>,
 }
--- a/src/tickets/watcher.rs
+++ b/src/tickets/watcher.rs
@@ -94,7 +94,7 @@
     let mut position = WatchPosition::default();
     loop {
         let answer = store.watch(&key, position, WATCH_LIMIT).await?;
-        if answer.value.is_none() {
+        if answer.value.is_none() && !answer.is_unchanged {
             break;
         }
         if *rank.borrow() >= WATCH_CANDIDATES {
