Ask gates for a free slot, then join the best queue or refuse at once

Ruled out: order of arrival with any bound (it serves nobody in time under overload). A free slot goes to the highest rank that can still meet its target, the most urgent first.

--- a/src/admission.rs
+++ b/src/admission.rs
@@ -1,20 +1,28 @@
 //! Admission at the gate: how much runs at once, what waits, what is refused.
 //!
 //! The limit on work in flight follows the capacity that other users of the
-//! host leave ([`CapacityLimit`]). What doesn't fit waits in a short queue in
-//! order of arrival. A call is refused at once, and never runs, when the queue
-//! is full, when its service or team has used up its share, or when the
-//! estimated wait and the shortest known run don't fit into its time left.
+//! host leave ([`CapacityLimit`]). What doesn't fit waits in a short queue. A
+//! call is refused at once, and never runs, when the queue is full, when its
+//! service or team has used up its share, or when the estimated wait and the
+//! time of a run don't fit into its time left.
+//!
+//! Load at its worst is more than the slots can do in time. Serving in order
+//! of arrival then serves nobody in time, so a free slot goes to the call of
+//! the highest rank that can still meet its target latency, the most urgent
+//! first. Calls that can't meet it any more get what is left over, and are
+//! refused as soon as a slot has gone to another: they are told while there is
+//! time to come back.
 //!
 //! The wait is estimated from the mean latency of completed calls or, if that
 //! is longer, the mean age of the calls at work: after a sudden stall no call
-//! completes, and only the ages tell.
+//! completes, and only the ages tell. The time of a run is estimated for each
+//! class of calls, and is longer while the VM says that it is slow.
 
 mod latency;
 mod limit;
 mod share;
 
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use crate::error::ErrorKind;
@@ -33,6 +41,15 @@
 /// Wait that a refusal names while the gate drains.
 const DRAIN_RETRY: Duration = Duration::from_secs(1);
 
+/// Stated slowness from which the VM counts as slow.
+const SLOW_RATIO: f64 = 2.0;
+/// Age up to which a stated slowness counts. Neighbours' bursts last about as
+/// long on the users' hosts.
+const SLOW_MEMORY: Duration = Duration::from_millis(150);
+/// Time that a run loses on a slow VM: the rest of a burst, on average half of
+/// it, in which little is done.
+const SLOW_COST: Duration = Duration::from_millis(60);
+
 /// Settings of an [`AdmissionQueue`].
 #[derive(Debug, Clone, Copy)]
 pub struct AdmissionOptions {
@@ -42,6 +59,9 @@
     pub longest_wait: Duration,
     /// Whether the limit follows the latency; otherwise it is the slots.
     pub is_adaptive: bool,
+    /// Share of the slots that is used; backend servers slow down when nearly
+    /// full.
+    pub slot_share: f64,
 }
 
 impl Default for AdmissionOptions {
@@ -50,6 +70,7 @@
             queue_per_running: QUEUE_PER_RUNNING,
             longest_wait: LONGEST_WAIT,
             is_adaptive: true,
+            slot_share: 1.0,
         }
     }
 }
@@ -63,6 +84,30 @@
     pub shares: Vec<WorkShare>,
     /// Time left until the call's time limit.
     pub time_left: Duration,
+    /// Time left until the call's target latency.
+    pub target_left: Duration,
+    /// Rank among the calls; 0 goes first.
+    pub rank: u32,
+    /// Class of calls that take about the same time.
+    pub class: String,
+    /// Whether the call is to be refused unless it can start now, at the usual
+    /// speed: its ingress then asks elsewhere.
+    pub is_immediate: bool,
+}
+
+impl CallOffer {
+    /// Call of no special class or rank.
+    pub fn plain(call: CallId, time_left: Duration) -> Self {
+        Self {
+            call,
+            shares: Vec::new(),
+            time_left,
+            target_left: time_left,
+            rank: 0,
+            class: String::new(),
+            is_immediate: false,
+        }
+    }
 }
 
 /// Decision on a [`CallOffer`].
@@ -82,6 +127,8 @@
         kind: ErrorKind,
         /// Time after which the present backlog is expected to be gone.
         retry_after: Duration,
+        /// Time in which the call would be expected to be answered here.
+        estimated_finish: Duration,
     },
 }
 
@@ -108,12 +155,18 @@
     pub queued: u32,
     /// Present limit on calls at work.
     pub limit: u32,
+    /// Whether the VM is slow at present.
+    pub is_slow: bool,
 }
 
 #[derive(Debug)]
 struct WaitingCall {
     call: CallId,
     shares: Vec<WorkShare>,
+    rank: u32,
+    class: String,
+    /// Moment of the target latency.
+    target_at: Duration,
     /// Last moment at which a start can still be answered in time.
     expires_at: Duration,
 }
@@ -121,6 +174,7 @@
 #[derive(Debug)]
 struct RunningCall {
     shares: Vec<WorkShare>,
+    class: String,
     started_at: Duration,
 }
 
@@ -131,8 +185,11 @@
     limit: CapacityLimit,
     shares: ShareTable,
     running: BTreeMap<CallId, RunningCall>,
-    waiting: VecDeque<WaitingCall>,
+    waiting: Vec<WaitingCall>,
+    /// Calls that had to leave the queue for others.
+    evicted: Vec<CallId>,
     latency: LatencyEstimate,
+    classes: BTreeMap<String, LatencyEstimate>,
     /// Sum of the start times of the calls at work.
     start_sum: Duration,
     /// Slowness of the VM as last stated, and when.
@@ -145,10 +202,12 @@
     pub fn new(slots: SlotCount, options: AdmissionOptions) -> Self {
         Self {
             options,
-            limit: CapacityLimit::new(slots, options.is_adaptive),
+            limit: CapacityLimit::new(used_slots(slots, options), options.is_adaptive),
             shares: ShareTable::default(),
             running: BTreeMap::new(),
-            waiting: VecDeque::new(),
+            waiting: Vec::new(),
+            evicted: Vec::new(),
+            classes: BTreeMap::new(),
             latency: LatencyEstimate::default(),
             start_sum: Duration::ZERO,
             slowness: None,
@@ -159,33 +218,46 @@
     /// Decides on a call.
     pub fn offer(&mut self, now: Duration, offer: CallOffer) -> Admission {
         if self.is_draining {
-            return refusal(ErrorKind::Draining, DRAIN_RETRY);
+            return refusal(ErrorKind::Draining, DRAIN_RETRY, DRAIN_RETRY);
         }
         if !self.shares.has_room(&offer.shares, self.room()) {
             let retry_after = self.latency_estimate(now);
-            return refusal(ErrorKind::ShareExceeded, retry_after);
+            return refusal(ErrorKind::ShareExceeded, retry_after, retry_after);
         }
         if self.waiting.is_empty() && self.in_flight() < self.limit.get() {
+            if offer.is_immediate && self.is_slow(now) {
+                let finish = self.run_estimate(now, &offer.class);
+                return refusal(ErrorKind::Overloaded, SHORTEST_RETRY, finish);
+            }
             self.shares.take(&offer.shares);
-            self.run(now, offer.call, offer.shares);
+            self.run(now, offer.call, offer.shares, offer.class);
             return Admission::Start;
         }
         self.enqueue(now, offer)
     }
 
     fn enqueue(&mut self, now: Duration, offer: CallOffer) -> Admission {
-        let wait = self.estimated_wait(now);
-        if self.queued() >= self.queue_room() {
-            return refusal(ErrorKind::Overloaded, wait);
+        self.evict_late(now);
+        let wait = self.estimated_wait(now, offer.rank);
+        let finish = wait + self.run_estimate(now, &offer.class);
+        if offer.is_immediate {
+            return refusal(ErrorKind::Overloaded, wait, finish);
         }
         let time_to_wait = offer.time_left.saturating_sub(self.latency.shortest());
-        if wait > time_to_wait.min(self.options.longest_wait) {
-            return refusal(ErrorKind::WaitTooLong, wait);
+        let is_late = finish > offer.target_left && offer.target_left < offer.time_left;
+        if wait > time_to_wait.min(self.options.longest_wait) || is_late {
+            return refusal(ErrorKind::WaitTooLong, wait, finish);
+        }
+        if self.queued() >= self.queue_room() && !self.evict_below(offer.rank) {
+            return refusal(ErrorKind::Overloaded, wait, finish);
         }
         self.shares.take(&offer.shares);
-        self.waiting.push_back(WaitingCall {
+        self.waiting.push(WaitingCall {
             call: offer.call,
             shares: offer.shares,
+            rank: offer.rank,
+            class: offer.class,
+            target_at: now + offer.target_left,
             expires_at: now + time_to_wait,
         });
         Admission::Queued {
@@ -193,6 +265,28 @@
         }
     }
 
+    /// Makes room in the queue at the cost of a call of lower rank.
+    fn evict_below(&mut self, rank: u32) -> bool {
+        let lowest = (0..self.waiting.len()).max_by_key(|index| self.waiting[*index].rank);
+        let Some(index) = lowest.filter(|index| self.waiting[*index].rank > rank) else {
+            return false;
+        };
+        self.evict(index);
+        true
+    }
+
+    fn evict(&mut self, index: usize) {
+        let entry = self.waiting.remove(index);
+        self.shares.give_back(&entry.shares);
+        self.evicted.push(entry.call);
+    }
+
+    /// Takes the calls that had to leave the queue; they never ran and are to
+    /// be refused with [`ErrorKind::Overloaded`].
+    pub fn take_evicted(&mut self) -> Vec<CallId> {
+        std::mem::take(&mut self.evicted)
+    }
+
     /// Takes note that a call at work ended; returns the queued calls that
     /// start now.
     pub fn finish(&mut self, now: Duration, call: CallId, result: WorkResult) -> Vec<CallId> {
@@ -204,6 +298,7 @@
         self.shares.give_back(&ended.shares);
         if let WorkResult::Completed { latency } = result {
             self.latency.note(latency);
+            self.classes.entry(ended.class).or_default().note(latency);
             self.limit.note_completed(now, latency, in_flight);
         }
         self.start_waiting(now)
@@ -214,9 +309,8 @@
         let Some(index) = self.waiting.iter().position(|entry| entry.call == call) else {
             return false;
         };
-        if let Some(entry) = self.waiting.remove(index) {
-            self.shares.give_back(&entry.shares);
-        }
+        let entry = self.waiting.remove(index);
+        self.shares.give_back(&entry.shares);
         true
     }
 
@@ -231,7 +325,7 @@
                 self.shares.give_back(&entry.shares);
                 expired.push(entry.call);
             } else {
-                self.waiting.push_back(entry);
+                self.waiting.push(entry);
             }
         }
         expired
@@ -259,19 +353,43 @@
 
     /// Takes new slots; returns the queued calls that start now.
     pub fn set_slots(&mut self, now: Duration, slots: SlotCount) -> Vec<CallId> {
-        self.limit.set_slots(slots);
+        self.limit.set_slots(used_slots(slots, self.options));
         self.start_waiting(now)
     }
 
     /// Present load.
-    pub fn load(&self) -> GateLoad {
+    pub fn load(&self, now: Duration) -> GateLoad {
         GateLoad {
             in_flight: self.in_flight(),
             queued: self.queued(),
             limit: self.limit.get(),
+            is_slow: self.is_slow(now),
         }
     }
 
+    /// Whether the VM has just said that work takes much longer than usual.
+    fn is_slow(&self, now: Duration) -> bool {
+        self.slowness.is_some_and(|(at, slowness)| {
+            slowness >= SLOW_RATIO && now.saturating_sub(at) < SLOW_MEMORY
+        })
+    }
+
+    /// Time that a run of the class is expected to take if it starts now.
+    fn run_estimate(&self, now: Duration, class: &str) -> Duration {
+        let known = self.classes.get(class).map(LatencyEstimate::mean);
+        let mean = known.unwrap_or_else(|| self.latency.mean());
+        if self.is_slow(now) {
+            mean + SLOW_COST
+        } else {
+            mean
+        }
+    }
+
+    /// Time until a call of the rank would be expected to start.
+    pub fn wait_estimate(&self, now: Duration, rank: u32) -> Duration {
+        self.estimated_wait(now, rank).max(SHORTEST_RETRY)
+    }
+
     fn in_flight(&self) -> u32 {
         u32::try_from(self.running.len()).unwrap_or(u32::MAX)
     }
@@ -290,9 +408,10 @@
         self.limit.get().saturating_add(self.queue_room())
     }
 
-    fn run(&mut self, now: Duration, call: CallId, shares: Vec<WorkShare>) {
+    fn run(&mut self, now: Duration, call: CallId, shares: Vec<WorkShare>, class: String) {
         let entry = RunningCall {
             shares,
+            class,
             started_at: now,
         };
         self.start_sum += now;
@@ -301,20 +420,44 @@
 
     fn start_waiting(&mut self, now: Duration) -> Vec<CallId> {
         let mut started = Vec::new();
-        let mut index = 0;
-        while self.in_flight() < self.limit.get() && index < self.waiting.len() {
-            if self.waiting[index].expires_at <= now {
-                index += 1;
-                continue;
-            }
-            if let Some(entry) = self.waiting.remove(index) {
-                self.run(now, entry.call, entry.shares);
-                started.push(entry.call);
-            }
+        while self.in_flight() < self.limit.get() {
+            let Some(index) = self.next_to_start(now) else {
+                break;
+            };
+            let entry = self.waiting.remove(index);
+            self.run(now, entry.call, entry.shares, entry.class);
+            started.push(entry.call);
+        }
+        if !started.is_empty() && self.in_flight() >= self.limit.get() {
+            self.evict_late(now);
         }
         started
     }
 
+    /// The most urgent call of the highest rank that can meet its target;
+    /// without one, the most urgent of the others.
+    fn next_to_start(&self, now: Duration) -> Option<usize> {
+        let open = (0..self.waiting.len()).filter(|index| self.waiting[*index].expires_at > now);
+        open.min_by_key(|index| {
+            let entry = &self.waiting[*index];
+            (self.is_late(now, entry), entry.rank, entry.target_at)
+        })
+    }
+
+    fn is_late(&self, now: Duration, entry: &WaitingCall) -> bool {
+        let has_target = entry.target_at < entry.expires_at + self.latency.shortest();
+        has_target && now + self.run_estimate(now, &entry.class) > entry.target_at
+    }
+
+    /// Turns away what can't meet its target after a slot has gone to another.
+    fn evict_late(&mut self, now: Duration) {
+        for index in (0..self.waiting.len()).rev() {
+            if self.is_late(now, &self.waiting[index]) {
+                self.evict(index);
+            }
+        }
+    }
+
     fn latency_estimate(&self, now: Duration) -> Duration {
         let mean = self.latency.mean();
         let Some(mean_start) = self.start_sum.checked_div(self.in_flight()) else {
@@ -323,20 +466,32 @@
         mean.max(now.saturating_sub(mean_start))
     }
 
-    /// Time until a call that joins the queue now is expected to start.
-    fn estimated_wait(&self, now: Duration) -> Duration {
+    /// Time until a call of the rank that joins the queue now is expected to
+    /// start.
+    fn estimated_wait(&self, now: Duration, rank: u32) -> Duration {
         let limit = self.limit.get();
         let excess = self.in_flight().saturating_sub(limit);
-        let ahead = self.queued() + excess + 1;
+        let before = self.waiting.iter().filter(|entry| entry.rank <= rank);
+        let before = u32::try_from(before.count()).unwrap_or(u32::MAX);
+        let ahead = before + excess + 1;
         self.latency_estimate(now)
             .mul_f64(f64::from(ahead) / f64::from(limit))
     }
 }
 
-fn refusal(kind: ErrorKind, retry_after: Duration) -> Admission {
+/// Slots that are used, at least one.
+fn used_slots(slots: SlotCount, options: AdmissionOptions) -> SlotCount {
+    let used = (f64::from(slots.get()) * options.slot_share)
+        .ceil()
+        .max(1.0);
+    SlotCount::try_from(used as u64).unwrap_or(slots)
+}
+
+fn refusal(kind: ErrorKind, retry_after: Duration, finish: Duration) -> Admission {
     Admission::Refused {
         kind,
         retry_after: retry_after.max(SHORTEST_RETRY),
+        estimated_finish: finish,
     }
 }
 
--- a/src/admission/tests.rs
+++ b/src/admission/tests.rs
@@ -19,11 +19,7 @@
 }
 
 fn offer(sequence: u64, time_left: Duration) -> CallOffer {
-    CallOffer {
-        call: call(sequence),
-        shares: Vec::new(),
-        time_left,
-    }
+    CallOffer::plain(call(sequence), time_left)
 }
 
 fn queue_of(slots: u64) -> AdmissionQueue {
@@ -46,6 +42,7 @@
         Admission::Refused {
             kind: ErrorKind::WaitTooLong,
             retry_after: latency,
+            estimated_finish: latency * 2,
         }
     );
     assert_matches!(queue.offer(now, offer(4, second)), Admission::Queued { .. });
@@ -71,7 +68,7 @@
     let late = queue.finish(expiry, call(2), WorkResult::Failed);
     assert!(late.is_empty(), "a call past its time was started");
     assert_eq!(queue.expire(expiry), [call(3)]);
-    assert_eq!(queue.load().queued, 0);
+    assert_eq!(queue.load(expiry).queued, 0);
 }
 
 #[test]
@@ -129,7 +126,7 @@
     while now < until {
         let time_left = Duration::from_secs(600);
         while queue.offer(now, offer(sequence, time_left)) == Admission::Start {
-            let calls = queue.load().in_flight;
+            let calls = queue.load(now).in_flight;
             let latency = Duration::from_secs_f64(latency_ms(calls) / 1e3);
             ends.insert((now + latency, sequence), latency);
             sequence += 1;
@@ -139,7 +136,7 @@
         let ((end, ended), latency) = ends.pop_first().expect("work");
         now = end;
         if now > late_from {
-            limit_time += f64::from(queue.load().limit) * (now - late_from).as_secs_f64();
+            limit_time += f64::from(queue.load(now).limit) * (now - late_from).as_secs_f64();
             late_from = now;
         }
         queue.finish(now, call(ended), WorkResult::Completed { latency });
--- a/src/decisions/replay.rs
+++ b/src/decisions/replay.rs
@@ -258,7 +258,7 @@
     fn on_probe_reply(&mut self, ingress: &NodeId, node: &NodeId) {
         let upstream = &self.upstreams[node];
         let is_silent = upstream.condition == BackendCondition::Silent;
-        let report = upstream.report();
+        let report = upstream.report(self.now);
         if let Some(state) = self.ingresses.get_mut(ingress).filter(|_| !is_silent) {
             state.policy.on_report(self.now, node, report);
         }
--- a/src/decisions/replay/attempts.rs
+++ b/src/decisions/replay/attempts.rs
@@ -46,11 +46,8 @@
             }
             BackendCondition::Serving => {}
         }
-        let offer = CallOffer {
-            call: call_id(index),
-            shares: Vec::new(),
-            time_left: call.deadline.saturating_sub(self.now),
-        };
+        let time_left = call.deadline.saturating_sub(self.now);
+        let offer = CallOffer::plain(call_id(index), time_left);
         match upstream.admission.offer(self.now, offer) {
             Admission::Start => self.begin(index),
             Admission::Queued { .. } => {}
@@ -147,7 +144,7 @@
         let Some((node, _)) = &call.place else {
             return;
         };
-        let report = Some(self.upstreams[node].report());
+        let report = Some(self.upstreams[node].report(self.now));
         let at = self.now + self.delay(node, &call.ingress);
         let event = ReplayEvent::Reply(index, call.attempt, result, report);
         self.queue.schedule(at, event);
@@ -215,7 +212,6 @@
             may_have_run: call.may_have_run,
             attempt: call.attempt,
             attempts_limit: call.attempts_limit,
-            free_refusals: 0,
             time_left: call.deadline.saturating_sub(self.now),
         };
         call.may_have_run |= matches!(failure, AttemptFailure::Unknown(_));
--- a/src/decisions/timing.rs
+++ b/src/decisions/timing.rs
@@ -78,6 +78,7 @@
         in_flight: (decision % 7) as u32,
         queued: 0,
         limit: 6,
+        is_slow: false,
     };
     let result = match decision % 8 {
         0 => AttemptResult::Refused(ErrorKind::Overloaded),
--- a/src/decisions/upstream.rs
+++ b/src/decisions/upstream.rs
@@ -54,8 +54,8 @@
         Duration::from_micros(work_us).mul_f64(self.factor)
     }
 
-    pub(super) fn report(&self) -> LoadReport {
-        LoadReport::from(self.admission.load())
+    pub(super) fn report(&self, now: Duration) -> LoadReport {
+        LoadReport::from(self.admission.load(now))
     }
 
     /// Row of the routing table; the address only has to be well formed.
--- a/src/gate.rs
+++ b/src/gate.rs
@@ -34,6 +34,9 @@
 
 /// Interval at which lapsed entries of the ledger are removed.
 const SWEEP_INTERVAL: Duration = Duration::from_secs(1);
+/// Time that a refusal names which has nothing to do with load: a failed
+/// upstream is known to the ingresses by then.
+const UNLOADED_RETRY: Duration = Duration::from_millis(100);
 
 /// Order from control or from an ingress of this node to the gate.
 pub enum GateCommand {
@@ -74,6 +77,28 @@
     pub limit: u32,
 }
 
+/// Refusal of a call that was not run and never will be.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct GateRefusal {
+    /// Reason.
+    pub kind: ErrorKind,
+    /// When to come back.
+    pub retry_after: Duration,
+    /// Time in which the call would be expected to be answered here.
+    pub estimated_finish: Option<Duration>,
+}
+
+impl From<ErrorKind> for GateRefusal {
+    /// Refusal that says nothing of this gate's load.
+    fn from(kind: ErrorKind) -> Self {
+        Self {
+            kind,
+            retry_after: UNLOADED_RETRY,
+            estimated_finish: None,
+        }
+    }
+}
+
 /// State of the gate, shared by its tasks on one thread.
 pub struct Gate {
     incarnation: NodeIncarnation,
@@ -192,11 +217,12 @@
     /// Load as it rides on answers.
     pub fn load(&self) -> LoadStamp {
         let admission = self.admission.borrow();
-        let load = admission.as_ref().map(AdmissionQueue::load);
+        let load = admission.as_ref().map(|it| it.load(self.now()));
         load.map_or_else(LoadStamp::default, |load| LoadStamp {
             in_flight: load.in_flight,
             queued: load.queued,
             limit: load.limit,
+            is_slow: load.is_slow,
         })
     }
 
@@ -226,14 +252,15 @@
     ///
     /// # Errors
     ///
-    /// The error kind of the refusal, and when to come back.
+    /// Why the call is refused, and when to come back.
     pub fn offer(
         &self,
         id: CallId,
         open: &CallOpen,
         time_left: Duration,
-    ) -> Result<Option<oneshot::Receiver<()>>, (ErrorKind, Duration)> {
+    ) -> Result<Option<oneshot::Receiver<()>>, GateRefusal> {
         let decision = self.decide(id, open, time_left);
+        self.drop_evicted();
         self.publish_status();
         log_admission(id, open, &decision, self.load());
         match decision {
@@ -243,14 +270,23 @@
                 self.turns.borrow_mut().insert(id, sender);
                 Ok(Some(turn))
             }
-            Admission::Refused { kind, retry_after } => Err((kind, retry_after)),
+            Admission::Refused {
+                kind,
+                retry_after,
+                estimated_finish,
+            } => Err(GateRefusal {
+                kind,
+                retry_after,
+                estimated_finish: Some(estimated_finish).filter(|finish| !finish.is_zero()),
+            }),
         }
     }
 
     fn decide(&self, id: CallId, open: &CallOpen, time_left: Duration) -> Admission {
         let refuse = |kind| Admission::Refused {
             kind,
-            retry_after: Duration::from_secs(1),
+            retry_after: UNLOADED_RETRY,
+            estimated_finish: Duration::ZERO,
         };
         if self.is_draining.get() {
             return refuse(ErrorKind::Draining);
@@ -266,6 +302,10 @@
             call: id,
             shares: Vec::new(),
             time_left,
+            target_left: Duration::from_micros(open.target_left_us).min(time_left),
+            rank: open.rank,
+            class: open.class.clone(),
+            is_immediate: open.is_immediate,
         };
         let mut admission = self.admission.borrow_mut();
         match admission.as_mut() {
@@ -287,9 +327,33 @@
             self.turns.borrow_mut().remove(&call);
         }
         self.start_turns(started);
+        self.drop_evicted();
         self.publish_status();
     }
 
+    /// Tells calls that had to leave the queue, by dropping their turns.
+    fn drop_evicted(&self) {
+        let evicted = match self.admission.borrow_mut().as_mut() {
+            Some(admission) => admission.take_evicted(),
+            None => Vec::new(),
+        };
+        for call in evicted {
+            self.turns.borrow_mut().remove(&call);
+        }
+    }
+
+    /// Refusal of a call that has waited in vain.
+    pub fn late_refusal(&self, open: &CallOpen) -> GateRefusal {
+        let admission = self.admission.borrow();
+        let wait = admission
+            .as_ref()
+            .map(|it| it.wait_estimate(self.now(), open.rank));
+        GateRefusal {
+            retry_after: wait.unwrap_or(UNLOADED_RETRY),
+            ..GateRefusal::from(ErrorKind::WaitTooLong)
+        }
+    }
+
     fn start_turns(&self, started: Vec<CallId>) {
         for id in started {
             let turn = self.turns.borrow_mut().remove(&id);
--- a/src/gate/answer.rs
+++ b/src/gate/answer.rs
@@ -7,6 +7,7 @@
 use prost::Message;
 
 use crate::error::ErrorKind;
+use crate::gate::GateRefusal;
 use crate::ledger::KeptAnswer;
 use crate::link::endpoint::LinkSender;
 use crate::link::messages::{
@@ -96,12 +97,14 @@
     }
 
     /// Tells that the call was not run and never will be.
-    pub fn refuse(&mut self, kind: ErrorKind, retry_after_ms: u64, load: Option<LoadStamp>) {
+    pub fn refuse(&mut self, refusal: &GateRefusal, load: Option<LoadStamp>) {
+        let finish = refusal.estimated_finish.unwrap_or_default();
         let refusal = CallRefusal {
             sequence: self.sequence,
-            kind: kind.code().to_string(),
-            retry_after_ms,
+            kind: refusal.kind.code().to_string(),
+            retry_after_ms: u64::try_from(refusal.retry_after.as_millis()).unwrap_or(u64::MAX),
             load,
+            finish_us: u64::try_from(finish.as_micros()).unwrap_or(u64::MAX),
         };
         self.link.send(LinkMessage::Refusal(refusal));
     }
--- a/src/gate/call.rs
+++ b/src/gate/call.rs
@@ -13,9 +13,9 @@
 use crate::admission::WorkResult;
 use crate::backend::{BackendAnswer, BackendClient, BackendError, BodySource};
 use crate::error::ErrorKind;
-use crate::gate::Gate;
 use crate::gate::answer::AnswerOutput;
 use crate::gate::feed::RequestFeed;
+use crate::gate::{Gate, GateRefusal};
 use crate::ids::CallId;
 use crate::ledger::RunPermit;
 use crate::link::endpoint::LinkSender;
@@ -96,8 +96,8 @@
         let is_kept = match started {
             Ok(None) => call.work(body).await,
             Ok(Some(turn)) => call.wait_then_work(turn, body).await,
-            Err((kind, retry_after)) => {
-                call.refuse(kind, retry_after);
+            Err(refusal) => {
+                call.refuse(&refusal);
                 false
             }
         };
@@ -127,11 +127,9 @@
         self.deadline.saturating_duration_since(Instant::now())
     }
 
-    fn refuse(&mut self, kind: ErrorKind, retry_after: Duration) {
+    fn refuse(&mut self, refusal: &GateRefusal) {
         self.gate.note_refused(self.id);
-        let retry_after_ms = u64::try_from(retry_after.as_millis()).unwrap_or(u64::MAX);
-        self.output
-            .refuse(kind, retry_after_ms, Some(self.gate.load()));
+        self.output.refuse(refusal, Some(self.gate.load()));
     }
 
     /// Waits for a slot. Returns whether there is an answer to keep beside the
@@ -157,7 +155,7 @@
                 turn = &mut turn => match turn {
                     Ok(()) => return self.work(body).await,
                     Err(_) => {
-                        self.refuse(ErrorKind::WaitTooLong, Duration::ZERO);
+                        self.refuse(&self.gate.late_refusal(&self.open));
                         return false;
                     }
                 },
@@ -165,7 +163,7 @@
                     if !self.gate.withdraw(self.id) {
                         self.gate.finish(self.id, WorkResult::Cancelled);
                     }
-                    self.refuse(ErrorKind::TimedOut, Duration::ZERO);
+                    self.refuse(&ErrorKind::TimedOut.into());
                     return false;
                 }
             }
@@ -207,7 +205,7 @@
     async fn work(&mut self, body: BodySource) -> bool {
         let Some(client) = self.gate.backend_client() else {
             self.gate.finish(self.id, WorkResult::Cancelled);
-            self.refuse(ErrorKind::BackendUnreachable, Duration::ZERO);
+            self.refuse(&ErrorKind::BackendUnreachable.into());
             return false;
         };
         let Some(permit) = self.gate.permit(self.id) else {
@@ -246,7 +244,7 @@
                 kind @ (ErrorKind::BackendUnreachable | ErrorKind::BackendRefused),
             )) => {
                 self.gate.return_permit(permit);
-                self.refuse(*kind, Duration::ZERO);
+                self.refuse(&GateRefusal::from(*kind));
             }
             Err(WorkEnd::Failed(kind)) => {
                 self.gate.end_unanswered(permit);
--- a/src/gate/dispatch.rs
+++ b/src/gate/dispatch.rs
@@ -138,6 +138,7 @@
             kind: ErrorKind::Cancelled.code().to_string(),
             retry_after_ms: 0,
             load: None,
+            finish_us: 0,
         }),
         OpenOutcome::Forgotten => LinkMessage::Abort(CallAbort {
             sequence,
--- a/src/ingress.rs
+++ b/src/ingress.rs
@@ -9,6 +9,7 @@
 pub mod body;
 pub mod call;
 pub mod connection;
+pub mod placing;
 pub mod request;
 
 use std::cell::RefCell;
@@ -75,6 +76,8 @@
     pub splits: Mutex<SplitTable>,
     /// Service of this VM, told to backend servers, if it is set.
     pub home_service: Option<ServiceName>,
+    /// Gates that a call asks for a free slot before it joins a queue.
+    pub asks: u32,
     started: Instant,
     next_call: AtomicU64,
     in_flight: AtomicU64,
@@ -89,6 +92,8 @@
     pub has_routes: bool,
     /// Service of this VM.
     pub home_service: Option<ServiceName>,
+    /// Gates that a call asks for a free slot before it joins a queue.
+    pub asks: u32,
     /// Bounds on retries.
     pub retries: RetryOptions,
     /// Time at which the node started.
@@ -115,6 +120,7 @@
             has_routes: settings.has_routes,
             splits: Mutex::default(),
             home_service: settings.home_service,
+            asks: settings.asks,
             started: settings.started,
             next_call: AtomicU64::new(1),
             in_flight: AtomicU64::new(0),
@@ -259,6 +265,7 @@
                     in_flight: load.in_flight,
                     queued: load.queued,
                     limit: load.limit,
+                    is_slow: load.is_slow,
                 };
                 router.on_report(now, &node, report);
             }
--- a/src/ingress/attempt.rs
+++ b/src/ingress/attempt.rs
@@ -18,6 +18,7 @@
 use crate::error::ErrorKind;
 use crate::ids::{CallId, ServiceName};
 use crate::ingress::body::RequestBody;
+use crate::ingress::placing::GateOutlook;
 use crate::ingress::{IngressWorker, lock};
 use crate::ledger::attempt::{AlarmAction, AttemptState};
 use crate::link::call_link::{CallEvent, CallLink};
@@ -43,13 +44,28 @@
     pub failure: AttemptFailure,
     /// When the gate said to come back.
     pub retry_after: Option<Duration>,
+    /// Time in which the gate would have expected to answer.
+    pub estimated_finish: Option<Duration>,
 }
 
 impl AttemptEnd {
-    fn not_run(kind: ErrorKind) -> Self {
+    /// End of an attempt that was not run and never will be.
+    pub fn not_run(kind: ErrorKind) -> Self {
         AttemptFailure::NotRun(kind).into()
     }
 
+    /// What the gate expected of its load when it refused, if that was why.
+    pub fn outlook(&self) -> Option<GateOutlook> {
+        let is_load = matches!(
+            self.failure,
+            AttemptFailure::NotRun(ErrorKind::Overloaded | ErrorKind::WaitTooLong)
+        );
+        Some(GateOutlook {
+            wait: self.retry_after.filter(|_| is_load)?,
+            finish: self.estimated_finish?,
+        })
+    }
+
     /// End of an attempt whose answer says that the backend server failed.
     pub fn backend_failed() -> Self {
         Self::unknown(ErrorKind::BackendFailed)
@@ -65,6 +81,7 @@
         Self {
             failure,
             retry_after: None,
+            estimated_finish: None,
         }
     }
 }
@@ -273,6 +290,8 @@
             LinkMessage::Refusal(refusal) => Err(AttemptEnd {
                 failure: self.state.on_refused(kind_of(&refusal.kind)),
                 retry_after: Some(Duration::from_millis(refusal.retry_after_ms)),
+                estimated_finish: Some(Duration::from_micros(refusal.finish_us))
+                    .filter(|finish| !finish.is_zero()),
             }),
             LinkMessage::Abort(abort) => Err(self.state.on_aborted(kind_of(&abort.kind)).into()),
             LinkMessage::CancelReply(reply) => {
--- a/src/ingress/call.rs
+++ b/src/ingress/call.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use rand::Rng;
 use tokio::time::Instant;
 
 use crate::admission::{ShareKey, WorkShare};
@@ -13,10 +14,11 @@
 use crate::ingress::answer::{CallAnswer, CallFailure};
 use crate::ingress::attempt::{AttemptEnd, AttemptPlan, CallAttempt, FIRST_SERVER_ERROR};
 use crate::ingress::body::{BodyPieces, RequestBody};
+use crate::ingress::placing::{CallTimes, PlacementSearch, PlacementStep};
 use crate::ingress::request::RequestFacts;
 use crate::ingress::{IngressWorker, lock};
 use crate::ledger::attempt::CallHistory;
-use crate::link::messages::{CallOpen, HeaderField};
+use crate::link::messages::{AnswerHead, CallOpen, HeaderField};
 use crate::link::pool::GateTarget;
 use crate::retry::{AttemptFailure, CallFacts, RetryDecision};
 use crate::routing::{ProbeOrder, RouteChoice, RouteRequest};
@@ -24,6 +26,21 @@
 /// Requests in flight at one ingress that count as 100 percent of its shares.
 const INGRESS_CAPACITY: u32 = 1_000;
 
+/// Placements whose number fits beside the call's own.
+const MAX_PLACEMENTS: u32 = 15;
+/// Shortest `Retry-After` under load.
+const SHORTEST_RETRY: Duration = Duration::from_millis(10);
+/// `Retry-After` of a call for which there is no upstream at all.
+const UNPLACED_RETRY: Duration = Duration::from_secs(1);
+/// Factor up to which the return of refused calls is spread.
+const RETRY_SPREAD: f64 = 1.5;
+
+/// A call with the gate that it is offered to.
+struct PlacedCall {
+    choice: RouteChoice,
+    is_immediate: bool,
+}
+
 /// Drives one call.
 pub struct CallDriver {
     worker: Rc<IngressWorker>,
@@ -37,6 +54,7 @@
     free_refusals: u32,
     last_end: Option<AttemptEnd>,
     history: CallHistory,
+    search: PlacementSearch,
 }
 
 impl CallDriver {
@@ -47,6 +65,7 @@
             sequence: worker.shared.next_sequence(),
         };
         let started = Instant::now();
+        let search = PlacementSearch::new(worker.shared.asks);
         Self {
             started,
             deadline: started + facts.timeout,
@@ -59,6 +78,7 @@
             free_refusals: 0,
             last_end: None,
             history: CallHistory::default(),
+            search,
         }
     }
 
@@ -73,8 +93,11 @@
         let service = &self.facts.service;
         lock(&self.worker.shared.retries).on_first_attempt(service);
         loop {
-            self.placements += 1;
-            match self.try_once(&mut body).await {
+            let choice = match self.place() {
+                Ok(choice) => choice,
+                Err(end) => return Err(self.give_up(end)),
+            };
+            match self.try_once(choice, &mut body).await {
                 Ok(answer) if !self.wants_other(&answer) => return Ok(answer),
                 Ok(answer) => {
                     let end = AttemptEnd::backend_failed();
@@ -88,6 +111,66 @@
         }
     }
 
+    /// Failure of a call that is placed nowhere any more.
+    fn give_up(&self, end: AttemptEnd) -> CallFailure {
+        self.earlier_failure(end).unwrap_or(CallFailure {
+            outcome: self.history.outcome(),
+            retry_after: end.retry_after.unwrap_or(UNPLACED_RETRY),
+            ..self.failure(end.failure.kind())
+        })
+    }
+
+    /// Takes the next step of the search for a gate.
+    fn place(&mut self) -> Result<PlacedCall, AttemptEnd> {
+        if self.placements + 1 >= MAX_PLACEMENTS {
+            return Err(AttemptEnd::not_run(ErrorKind::Overloaded));
+        }
+        loop {
+            let times = CallTimes {
+                target_left: self.target_left(),
+                time_left: self.time_left(),
+            };
+            let (choice, is_immediate) = match self.search.next(times) {
+                PlacementStep::Ask => match self.choose() {
+                    Ok(choice) => (choice, true),
+                    Err(ErrorKind::NoUpstream) if !self.tried.is_empty() => {
+                        self.search.on_exhausted();
+                        continue;
+                    }
+                    Err(kind) => return Err(AttemptEnd::not_run(kind)),
+                },
+                PlacementStep::Offer => {
+                    let choice = self.choose().map_err(AttemptEnd::not_run)?;
+                    (choice, false)
+                }
+                PlacementStep::Join(node) => match self.choose_node(&node) {
+                    Ok(choice) => (choice, false),
+                    Err(kind) => return Err(AttemptEnd::not_run(kind)),
+                },
+                PlacementStep::Refuse { retry_after } => {
+                    return Err(self.refusal(retry_after));
+                }
+            };
+            self.placements += 1;
+            self.tried.insert(choice.node.clone());
+            return Ok(PlacedCall {
+                choice,
+                is_immediate,
+            });
+        }
+    }
+
+    /// Refusal of a call that no gate can serve in time. Calls that are
+    /// refused together come back spread over a while.
+    fn refusal(&self, retry_after: Duration) -> AttemptEnd {
+        let retry_after = retry_after.max(SHORTEST_RETRY);
+        let spread = self.worker.rng.borrow_mut().random_range(1.0..RETRY_SPREAD);
+        AttemptEnd {
+            retry_after: Some(retry_after.mul_f64(spread)),
+            ..AttemptEnd::not_run(ErrorKind::WaitTooLong)
+        }
+    }
+
     /// Failure to tell when there is no upstream left to try: that of the
     /// attempt before, which says more than that none is left.
     fn earlier_failure(&self, end: AttemptEnd) -> Option<CallFailure> {
@@ -147,14 +230,21 @@
             .map_err(|kind| self.failure(kind))
     }
 
-    async fn try_once(&mut self, body: &mut RequestBody) -> Result<CallAnswer, AttemptEnd> {
-        let choice = self.choose()?;
-        self.tried.insert(choice.node.clone());
+    async fn try_once(
+        &mut self,
+        placed: PlacedCall,
+        body: &mut RequestBody,
+    ) -> Result<CallAnswer, AttemptEnd> {
+        let choice = placed.choice;
+        let node = choice.node.clone();
         let id = CallId {
             sequence: self.id.sequence + u64::from(self.placements),
             ..self.id
         };
-        let open = self.open_message(id, body);
+        let open = CallOpen {
+            is_immediate: placed.is_immediate,
+            ..self.open_message(id, body)
+        };
         let plan = AttemptPlan {
             service: self.facts.service.clone(),
             target: GateTarget {
@@ -167,8 +257,14 @@
             timeout: self.facts.timeout,
             deadline: self.deadline,
         };
-        let mut attempt = CallAttempt::open(Rc::clone(&self.worker), plan, open).await?;
-        let head = attempt.wait_head(body).await?;
+        let result = self.run_attempt(plan, open, body).await;
+        let (attempt, head) = match result {
+            Ok(answered) => answered,
+            Err(end) => {
+                self.search.on_refused(&node, end.outlook());
+                return Err(end);
+            }
+        };
         let rest = (!head.is_last).then(|| attempt.relay_rest());
         Ok(CallAnswer {
             call: self.id,
@@ -177,7 +273,27 @@
         })
     }
 
-    fn choose(&self) -> Result<RouteChoice, AttemptEnd> {
+    async fn run_attempt(
+        &self,
+        plan: AttemptPlan,
+        open: CallOpen,
+        body: &mut RequestBody,
+    ) -> Result<(CallAttempt, AnswerHead), AttemptEnd> {
+        let mut attempt = CallAttempt::open(Rc::clone(&self.worker), plan, open).await?;
+        let head = attempt.wait_head(body).await?;
+        Ok((attempt, head))
+    }
+
+    fn choose_node(&self, node: &NodeId) -> Result<RouteChoice, ErrorKind> {
+        let now = self.worker.shared.now();
+        let mut router = lock(&self.worker.shared.router);
+        let choice = router.choose_node(now, &self.facts.service, node);
+        drop(router);
+        self.log_choice(&choice);
+        choice
+    }
+
+    fn choose(&self) -> Result<RouteChoice, ErrorKind> {
         let now = self.worker.shared.now();
         let mut rng = self.worker.rng.borrow_mut();
         let mut router = lock(&self.worker.shared.router);
@@ -193,10 +309,7 @@
         for order in probes {
             self.send_probe(order);
         }
-        choice.map_err(|kind| AttemptEnd {
-            failure: AttemptFailure::NotRun(kind),
-            retry_after: None,
-        })
+        choice
     }
 
     fn send_probe(&self, order: ProbeOrder) {
@@ -254,6 +367,7 @@
             rank: self.facts.rank,
             target_left_us: u64::try_from(self.target_left().as_micros()).unwrap_or(u64::MAX),
             is_immediate: false,
+            class: self.facts.class(),
         }
     }
 
@@ -302,7 +416,6 @@
             may_have_run: self.history.may_have_run(),
             attempt: self.attempts(),
             attempts_limit,
-            free_refusals: self.free_refusals,
             time_left: self.time_left(),
         };
         let mut retries = lock(&self.worker.shared.retries);
@@ -320,7 +433,11 @@
         );
         match decision {
             RetryDecision::Retry => {
-                self.free_refusals += u32::from(is_free);
+                if is_free {
+                    self.free_refusals += 1;
+                } else {
+                    self.search.restart(self.worker.shared.asks);
+                }
                 Ok(())
             }
             RetryDecision::GiveUp {
--- /dev/null
+++ b/src/ingress/placing/tests.rs
@@ -0,0 +1,73 @@
+//! Tests of the search for a gate.
+
+use super::*;
+
+fn node(name: &str) -> NodeId {
+    name.parse().unwrap()
+}
+
+fn outlook(wait_ms: u64, finish_ms: u64) -> Option<GateOutlook> {
+    Some(GateOutlook {
+        wait: Duration::from_millis(wait_ms),
+        finish: Duration::from_millis(finish_ms),
+    })
+}
+
+const TIMES: CallTimes = CallTimes {
+    target_left: Duration::from_millis(200),
+    time_left: Duration::from_millis(500),
+};
+
+#[test]
+fn a_call_joins_the_queue_that_answers_first() {
+    let mut search = PlacementSearch::new(2);
+    assert_eq!(search.next(TIMES), PlacementStep::Ask);
+    search.on_refused(&node("a"), outlook(80, 160));
+    assert_eq!(search.next(TIMES), PlacementStep::Ask);
+    search.on_refused(&node("b"), outlook(20, 100));
+    assert_eq!(search.next(TIMES), PlacementStep::Join(node("b")));
+    search.on_refused(&node("b"), outlook(150, 230));
+    assert_eq!(search.next(TIMES), PlacementStep::Join(node("a")));
+    search.on_refused(&node("a"), outlook(150, 230));
+    let retry_after = Duration::from_millis(150);
+    assert_eq!(search.next(TIMES), PlacementStep::Refuse { retry_after });
+}
+
+#[test]
+fn a_call_that_would_be_late_everywhere_is_refused_at_once() {
+    let mut search = PlacementSearch::new(2);
+    search.on_refused(&node("a"), outlook(180, 260));
+    search.on_refused(&node("b"), outlook(150, 230));
+    search.on_exhausted();
+    let retry_after = Duration::from_millis(150);
+    assert_eq!(search.next(TIMES), PlacementStep::Refuse { retry_after });
+}
+
+#[test]
+fn a_free_slot_on_a_slow_vm_is_better_than_none() {
+    let mut search = PlacementSearch::new(1);
+    search.on_refused(&node("a"), outlook(1, 300));
+    search.on_exhausted();
+    assert_eq!(search.next(TIMES), PlacementStep::Join(node("a")));
+}
+
+#[test]
+fn a_gate_that_drains_is_out_of_the_search() {
+    let mut search = PlacementSearch::new(1);
+    search.on_refused(&node("a"), None);
+    search.on_exhausted();
+    assert_eq!(
+        search.next(TIMES),
+        PlacementStep::Refuse {
+            retry_after: Duration::ZERO
+        }
+    );
+}
+
+#[test]
+fn without_asking_every_offer_may_wait() {
+    let mut search = PlacementSearch::new(0);
+    assert_eq!(search.next(TIMES), PlacementStep::Offer);
+    search.on_refused(&node("a"), outlook(1, 2));
+    assert_eq!(search.next(TIMES), PlacementStep::Offer);
+}
--- a/src/ingress/request.rs
+++ b/src/ingress/request.rs
@@ -15,8 +15,6 @@
 
 /// Longest time limit that a caller may ask for, in milliseconds.
 const MAX_TIMEOUT_MS: u64 = 3_600_000;
-/// Part of the time limit that counts as the target, where none is stated.
-const TARGET_SHARE: u32 = 2;
 
 /// What the system needs to know about a request.
 #[derive(Debug)]
@@ -136,7 +134,7 @@
             service,
             route: None,
             timeout,
-            target_latency: timeout / TARGET_SHARE,
+            target_latency: timeout,
             rank: 0,
             is_idempotent: rule.is_idempotent(&head.method, path),
             body_limit: rule.body_limit,
@@ -230,3 +228,13 @@
 fn stated_zero(head: &RequestHead) -> Option<u64> {
     field_text(&head.fields, "content-length").map(|_| 0)
 }
+
+impl RequestFacts {
+    /// Class of requests that take about the same time.
+    pub fn class(&self) -> String {
+        self.route
+            .as_ref()
+            .map(|route| route.name.clone())
+            .unwrap_or_default()
+    }
+}
--- a/src/ledger/tests/gate.rs
+++ b/src/ledger/tests/gate.rs
@@ -143,11 +143,7 @@
 
     fn offer(&mut self, now: Duration, call: CallId) -> Vec<Outgoing> {
         let was_draining = self.admission.is_draining();
-        let offer = CallOffer {
-            call,
-            shares: Vec::new(),
-            time_left: TIME_LEFT,
-        };
+        let offer = CallOffer::plain(call, TIME_LEFT);
         match self.admission.offer(now, offer) {
             Admission::Start => {
                 assert!(!was_draining, "a draining gate started new work");
@@ -172,7 +168,7 @@
             has_begun: false,
         };
         self.work.insert(call, work);
-        let load = self.admission.load();
+        let load = self.admission.load(Duration::ZERO);
         assert!(u64::from(load.in_flight) <= SLOTS, "more work than slots");
         assert_eq!(self.work.len(), load.in_flight as usize);
     }
--- a/src/ledger/tests/ingress.rs
+++ b/src/ledger/tests/ingress.rs
@@ -111,7 +111,6 @@
             may_have_run: entry.history.may_have_run(),
             attempt: entry.attempts,
             attempts_limit: ATTEMPTS_LIMIT,
-            free_refusals: 0,
             time_left: Duration::from_secs(1),
         };
         let decision = self.retries.decide(&self.service, &facts, failure);
--- a/src/link/messages.rs
+++ b/src/link/messages.rs
@@ -55,6 +55,9 @@
     /// Present limit on calls at the backend server.
     #[prost(uint32, tag = "3")]
     pub limit: u32,
+    /// Whether the VM is slow at present.
+    #[prost(bool, tag = "4")]
+    pub is_slow: bool,
 }
 
 /// Starts a call.
@@ -105,6 +108,9 @@
     /// Whether the gate is to refuse the call unless it can start at once.
     #[prost(bool, tag = "15")]
     pub is_immediate: bool,
+    /// Class of calls that take about the same time.
+    #[prost(string, tag = "16")]
+    pub class: String,
 }
 
 /// Part of a body, in either direction.
@@ -156,6 +162,10 @@
     /// Load.
     #[prost(message, optional, tag = "4")]
     pub load: Option<LoadStamp>,
+    /// Time in which the call would be expected to be answered here, in
+    /// microseconds; 0 if that isn't known.
+    #[prost(uint64, tag = "5")]
+    pub finish_us: u64,
 }
 
 /// Head of an answer, with the first bytes of its body.
--- a/src/node.rs
+++ b/src/node.rs
@@ -46,6 +46,7 @@
 use crate::node::listener::{TrafficSettings, start_ingress};
 use crate::options::{NODE_COMMAND, NodeOptions, options_from_process};
 use crate::platform::{PLATFORM, PlatformStore};
+use crate::retry::RetryOptions;
 use crate::routes::{RoutesHandle, RoutesSettings};
 use crate::routing::{HomePlace, RouterState, RoutingOptions};
 use crate::shutdown::wait_for_stop;
@@ -185,7 +186,11 @@
             dialect,
             has_routes: adapter.is_some(),
             home_service: options.service.clone(),
-            retries: options.retries,
+            asks: options.asks,
+            retries: RetryOptions {
+                has_free_refusals: options.asks > 0,
+                ..options.retries
+            },
             started: identity.started,
         },
     ));
--- a/src/options/node.rs
+++ b/src/options/node.rs
@@ -130,10 +130,10 @@
     )
     .with_default("3"),
     FlagSpec::single(
-        "free-placements",
+        "asks",
         "N",
-        "0 to 10",
-        "refusals by gates after which a call is placed again at no cost in retries",
+        "0 to 8",
+        "gates that a call asks for a free slot before it joins the best queue",
     )
     .with_default("0"),
     FlagSpec::single(
@@ -199,6 +199,8 @@
     pub leave_time: Duration,
     /// Time after its last heartbeat at which a backend server counts as gone.
     pub backend_ttl: Duration,
+    /// Gates that a call asks for a free slot before it joins a queue.
+    pub asks: u32,
     /// Bounds on retries.
     pub retries: RetryOptions,
 }
@@ -217,7 +219,7 @@
         let drain_seconds: DrainSeconds = raw.required("drain-seconds")?;
         let leave_seconds: DrainSeconds = raw.required("leave-seconds")?;
         let ttl_seconds: DrainSeconds = raw.required("backend-ttl-seconds")?;
-        let free_placements: BoundedNumber<0, 10> = raw.required("free-placements")?;
+        let asks: BoundedNumber<0, 8> = raw.required("asks")?;
         let retry_burst: BoundedNumber<1, 1_000> = raw.required("retry-burst")?;
         let peers = raw.list("peer")?;
         let options = Self {
@@ -241,8 +243,8 @@
             metrics_listen: raw.optional("metrics-listen")?,
             leave_time: Duration::from_secs(leave_seconds.get()),
             backend_ttl: Duration::from_secs(ttl_seconds.get()),
+            asks: u32::try_from(asks.get()).unwrap_or_default(),
             retries: RetryOptions {
-                free_placements: u32::try_from(free_placements.get()).unwrap_or_default(),
                 max_tokens: retry_burst.get() as f64,
                 ..RetryOptions::default()
             },
--- a/src/retry.rs
+++ b/src/retry.rs
@@ -32,9 +32,9 @@
     pub ratio: f64,
     /// Most retries that a service saves up.
     pub max_tokens: f64,
-    /// Refusals by gates after which a call is placed again at no cost: none
-    /// of them reached a backend server.
-    pub free_placements: u32,
+    /// Whether a call is placed again at no cost after a refusal by a gate,
+    /// which reached no backend server. Its placement bounds how often.
+    pub has_free_refusals: bool,
 }
 
 impl Default for RetryOptions {
@@ -42,7 +42,7 @@
         Self {
             ratio: RETRY_RATIO,
             max_tokens: MAX_TOKENS,
-            free_placements: 0,
+            has_free_refusals: false,
         }
     }
 }
@@ -99,8 +99,6 @@
     pub attempt: u32,
     /// Most attempts of the call.
     pub attempts_limit: u32,
-    /// Refusals by gates so far, at the cost of nothing.
-    pub free_refusals: u32,
     /// Time left of the call's limit.
     pub time_left: Duration,
 }
@@ -181,9 +179,7 @@
     pub fn is_free(&self, facts: &CallFacts, failure: AttemptFailure) -> bool {
         let is_refusal =
             matches!(failure, AttemptFailure::NotRun(kind) if is_refused_by_gate(kind));
-        is_refusal
-            && facts.free_refusals < self.options.free_placements
-            && facts.time_left >= MIN_TIME_LEFT
+        self.options.has_free_refusals && is_refusal && facts.time_left >= MIN_TIME_LEFT
     }
 
     /// Counts the first attempt of a call.
--- a/src/retry/tests.rs
+++ b/src/retry/tests.rs
@@ -31,7 +31,6 @@
             may_have_run,
             attempt,
             attempts_limit: 3,
-            free_refusals: 0,
             time_left: Duration::from_millis(left_ms),
         },
     )
@@ -94,7 +93,6 @@
         may_have_run: false,
         attempt: 1,
         attempts_limit: 3,
-        free_refusals: 0,
         time_left: Duration::from_secs(1),
     };
     for _ in 0..30 {
--- a/src/routing.rs
+++ b/src/routing.rs
@@ -41,6 +41,8 @@
     pub queued: u32,
     /// Calls that the gate lets the backend server work on at once.
     pub limit: u32,
+    /// Whether the VM is slow at present.
+    pub is_slow: bool,
 }
 
 impl From<GateLoad> for LoadReport {
@@ -49,6 +51,7 @@
             in_flight: load.in_flight,
             queued: load.queued,
             limit: load.limit,
+            is_slow: load.is_slow,
         }
     }
 }
@@ -172,6 +175,9 @@
     /// No candidate left in the own region.
     #[display("spill-to-other-region")]
     SpillToOtherRegion,
+    /// No gate that was asked had a free slot; this one expects to answer first.
+    #[display("shortest-queue")]
+    ShortestQueue,
     /// Every candidate recently refused or failed; the least bad one was taken.
     #[display("last-resort")]
     LastResort,
--- a/src/routing/router.rs
+++ b/src/routing/router.rs
@@ -144,6 +144,31 @@
         })
     }
 
+    /// Counts an attempt at a given upstream as outstanding there.
+    ///
+    /// # Errors
+    ///
+    /// `NoUpstream` if the service has no such upstream any more.
+    pub fn choose_node(
+        &mut self,
+        now: Duration,
+        service: &ServiceName,
+        node: &NodeId,
+    ) -> Result<RouteChoice, ErrorKind> {
+        let table = Arc::clone(&self.table);
+        let entry = table.services.get(service);
+        let upstream = entry.and_then(|entry| entry.upstreams.get(node));
+        let upstream = upstream.ok_or(ErrorKind::NoUpstream)?;
+        Ok(RouteChoice {
+            attempt: self.start(now, node),
+            node: node.clone(),
+            incarnation: upstream.incarnation,
+            peer_address: upstream.peer_address,
+            candidates: Vec::new(),
+            reason: RouteReason::ShortestQueue,
+        })
+    }
+
     /// Takes in the load that rode on an answer, a refusal or a probe's reply.
     pub fn on_report(&mut self, now: Duration, node: &NodeId, report: LoadReport) {
         let Some(load) = self.loads.get_mut(node) else {
--- a/src/routing/tests.rs
+++ b/src/routing/tests.rs
@@ -78,6 +78,7 @@
     in_flight: 6,
     queued: 6,
     limit: 6,
+    is_slow: false,
 };
 
 #[derive(Debug, Clone)]
