Remember a withdrawal also at a node that has just started

Ruled out: the gate's drain and its queue (arrivals came through a fresh start). Change: the order of announcements is kept apart from the backend server that is known (control/presence), with withdrawals of unknown ones; they are acknowledged. A stop no longer waits for the administration API beyond 200 ms.

--- a/src/admin/announcement.rs
+++ b/src/admin/announcement.rs
@@ -20,6 +20,7 @@
 pub const OWN_ANNOUNCEMENTS: AnnouncementDecoder = AnnouncementDecoder {
     announcement: |text| BackendAnnouncement::try_from(RawAnnouncement::parse(text)?),
     withdrawal: |_| Withdrawal {
+        is_ordered: false,
         started_at_ms: None,
     },
 };
--- a/src/admin/messages.rs
+++ b/src/admin/messages.rs
@@ -146,6 +146,9 @@
 /// What a withdrawal says beside the identifier.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct Withdrawal {
+    /// Whether backend servers state the order of what they say, so that a
+    /// withdrawal counts also of one that is not known yet.
+    pub is_ordered: bool,
     /// Start of the backend server that leaves, if it is stated.
     pub started_at_ms: Option<u64>,
 }
--- a/src/control.rs
+++ b/src/control.rs
@@ -8,4 +8,5 @@
 pub mod admin;
 pub mod peers;
 pub mod placement;
+pub mod presence;
 pub mod state;
--- /dev/null
+++ b/src/control/presence.rs
@@ -0,0 +1,67 @@
+//! Which announcements of backend servers still count.
+//!
+//! A heartbeat can be seconds late, and arrive after the backend server has
+//! withdrawn, crashed or started again, also at a node that was started in
+//! between and has heard nothing before. What has been acknowledged as gone
+//! must not come back by it.
+
+use std::collections::BTreeMap;
+
+use crate::admin::AnnouncementOrder;
+use crate::ids::BackendId;
+
+/// Withdrawals that are remembered.
+const MAX_WITHDRAWALS: usize = 64;
+
+/// Announcements and withdrawals that a node has acknowledged.
+#[derive(Debug, Default)]
+pub struct BackendPresence {
+    latest: Option<AnnouncementOrder>,
+    /// Latest start that has withdrawn, by backend server.
+    withdrawn: BTreeMap<BackendId, u64>,
+}
+
+impl BackendPresence {
+    /// Takes note of an announcement; false if a later one is known, or the
+    /// withdrawal of this start.
+    pub fn accept(&mut self, id: &BackendId, order: AnnouncementOrder) -> bool {
+        let gone = self.withdrawn.get(id);
+        let is_withdrawn = gone.is_some_and(|started_at_ms| order.started_at_ms <= *started_at_ms);
+        let is_late = self.latest.is_some_and(|latest| order < latest);
+        if is_withdrawn || is_late {
+            return false;
+        }
+        self.latest = Some(order);
+        true
+    }
+
+    /// Takes note of a withdrawal, whether or not the backend server is known.
+    ///
+    /// Without a stated start all starts up to the given present time are gone.
+    /// Returns false if a later start is known.
+    pub fn withdraw(&mut self, id: &BackendId, started_at_ms: Option<u64>, now_ms: u64) -> bool {
+        let started_at_ms = started_at_ms.unwrap_or(now_ms);
+        let is_older = self
+            .latest
+            .is_some_and(|latest| started_at_ms < latest.started_at_ms);
+        if is_older {
+            return false;
+        }
+        let gone = self.withdrawn.entry(id.clone()).or_default();
+        *gone = started_at_ms.max(*gone);
+        if self.withdrawn.len() > MAX_WITHDRAWALS {
+            self.forget_oldest();
+        }
+        true
+    }
+
+    fn forget_oldest(&mut self) {
+        let oldest = self.withdrawn.iter().min_by_key(|(_, started)| **started);
+        if let Some(id) = oldest.map(|(id, _)| id.clone()) {
+            self.withdrawn.remove(&id);
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- a/src/control/state.rs
+++ b/src/control/state.rs
@@ -3,14 +3,15 @@
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use tokio::sync::mpsc::{Receiver, UnboundedSender};
 use tokio::sync::{Notify, watch};
 
-use crate::admin::{AnnouncementOrder, BackendAnnouncement, Withdrawal};
+use crate::admin::{BackendAnnouncement, Withdrawal};
 use crate::backend::BackendTarget;
 use crate::control::placement::{build_table, log_changes};
+use crate::control::presence::BackendPresence;
 use crate::gate::{GateCommand, GateStatus};
 use crate::ids::{BackendId, NodeId, NodeIncarnation, RegionName, ZoneName};
 use crate::ingress::{IngressShared, StopPhase, lock};
@@ -83,20 +84,12 @@
     /// Raised when this process must stop.
     pub stop: Notify,
     backend_ttl: Duration,
-    withdrawn: RefCell<Option<WithdrawnBackend>>,
+    presence: RefCell<BackendPresence>,
     table: watch::Sender<Arc<RoutingTable>>,
     version: Cell<u64>,
     changed: Notify,
 }
 
-/// Backend server that has withdrawn; a late announcement must not bring it
-/// back.
-#[derive(Debug)]
-struct WithdrawnBackend {
-    id: BackendId,
-    order: AnnouncementOrder,
-}
-
 /// What a [`ControlState`] is put together from.
 pub struct ControlParts {
     /// This node.
@@ -136,7 +129,7 @@
             stop_phase: parts.stop_phase,
             stop: Notify::new(),
             backend_ttl: parts.backend_ttl,
-            withdrawn: RefCell::new(None),
+            presence: RefCell::default(),
             table: parts.table,
             version: Cell::new(0),
             changed: Notify::new(),
@@ -152,7 +145,8 @@
     ///
     /// One that is older than what is known has no effect.
     pub fn announce(&self, id: BackendId, announcement: BackendAnnouncement) -> AnnounceOutcome {
-        if self.is_outdated(&id, &announcement) {
+        let order = announcement.order;
+        if order.is_some_and(|order| !self.presence.borrow_mut().accept(&id, order)) {
             log::info!(
                 target: "control",
                 backend:% = id, order:? = announcement.order;
@@ -197,21 +191,6 @@
         AnnounceOutcome::Accepted
     }
 
-    /// Whether a later announcement is known, of this or a later start.
-    fn is_outdated(&self, id: &BackendId, announcement: &BackendAnnouncement) -> bool {
-        let Some(order) = announcement.order else {
-            return false;
-        };
-        let backend = self.backend.borrow();
-        let known = backend.as_ref().and_then(|known| known.announcement.order);
-        let withdrawn = self.withdrawn.borrow();
-        let is_withdrawn = withdrawn.as_ref().is_some_and(|gone| {
-            gone.id == *id && order.started_at_ms <= gone.order.started_at_ms
-                || order.started_at_ms < gone.order.started_at_ms
-        });
-        is_withdrawn || known.is_some_and(|known| order < known)
-    }
-
     fn command_gate(&self, id: &BackendId, announcement: &BackendAnnouncement) {
         self.order(GateCommand::SetBackend(BackendTarget {
             id: id.clone(),
@@ -237,28 +216,29 @@
         }
     }
 
-    /// Takes in the withdrawal of the backend server; false if it isn't here.
+    /// Takes in the withdrawal of a backend server; false if it isn't here.
     ///
-    /// What it is working on ends normally.
+    /// What it is working on ends normally. A backend server whose
+    /// announcements are in order may be unknown to a node that has just
+    /// started; its withdrawal is remembered all the same.
     pub fn withdraw(&self, id: &BackendId, withdrawal: Withdrawal) -> bool {
         let mut backend = self.backend.borrow_mut();
-        let Some(known) = backend.as_ref().filter(|known| known.id == *id) else {
-            return false;
-        };
-        let order = known.announcement.order;
-        let is_older = withdrawal.started_at_ms.is_some()
-            && withdrawal.started_at_ms < order.map(|order| order.started_at_ms);
-        if is_older {
-            log::info!(target: "control", backend:% = id; "outdated withdrawal ignored");
-            return true;
+        let known = backend.as_ref().filter(|known| known.id == *id);
+        let is_ordered =
+            withdrawal.is_ordered || known.is_some_and(|known| known.announcement.order.is_some());
+        if is_ordered {
+            let mut presence = self.presence.borrow_mut();
+            let started = withdrawal.started_at_ms;
+            if !presence.withdraw(id, started, unix_millis()) {
+                log::info!(target: "control", backend:% = id; "outdated withdrawal ignored");
+                return true;
+            }
         }
-        log::info!(target: "control", backend:% = id, order:?; "backend server withdrew");
-        if let Some(order) = order {
-            *self.withdrawn.borrow_mut() = Some(WithdrawnBackend {
-                id: id.clone(),
-                order,
-            });
+        if known.is_none() {
+            log::info!(target: "control", backend:% = id, is_ordered; "unknown backend server withdrew");
+            return is_ordered;
         }
+        log::info!(target: "control", backend:% = id; "backend server withdrew");
         *backend = None;
         drop(backend);
         self.order(GateCommand::ClearBackend);
@@ -317,6 +297,13 @@
     }
 }
 
+/// Present Unix time in milliseconds.
+fn unix_millis() -> u64 {
+    let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH);
+    let millis = since_epoch.unwrap_or_default().as_millis();
+    u64::try_from(millis).unwrap_or(u64::MAX)
+}
+
 /// Live nodes of the own availability zone with a lower name.
 fn zone_rank(
     members: &std::collections::BTreeMap<NodeId, crate::membership::MemberRecord>,
--- a/src/node.rs
+++ b/src/node.rs
@@ -64,6 +64,8 @@
 /// Callers' connections that may wait to be accepted. With too few, the kernel
 /// resets connections in a burst whose callers believe them open.
 const CALLER_BACKLOG: i32 = 4_096;
+/// Longest wait for the administration API to end.
+const SERVER_STOP_LIMIT: Duration = Duration::from_millis(200);
 /// Interval at which a planned stop looks whether all calls have ended.
 const STOP_POLL: Duration = Duration::from_millis(50);
 /// Free ports that are tried for the peer listener.
@@ -256,9 +258,18 @@
         () = control.stop.notified() => {}
     }
     stop_node(&control, &options).await;
-    admin.stop(false).await;
-    if let Some(ready) = ready {
-        ready.stop(false).await;
+    // Answers of the administration API that are still on their way get out.
+    let stopping = async {
+        admin.stop(false).await;
+        if let Some(ready) = ready {
+            ready.stop(false).await;
+        }
+    };
+    if tokio::time::timeout(SERVER_STOP_LIMIT, stopping)
+        .await
+        .is_err()
+    {
+        log::warn!(target: "node", "administration API cut off");
     }
     log::info!(target: "node", "node stopped");
     Ok(())
--- a/src/platform/announcement.rs
+++ b/src/platform/announcement.rs
@@ -82,6 +82,7 @@
 pub(super) fn decode_withdrawal(text: &str) -> Withdrawal {
     let raw: RawWithdrawal = serde_json::from_str(text).unwrap_or_default();
     Withdrawal {
+        is_ordered: true,
         started_at_ms: raw.born,
     }
 }
