Use all slots of a backend server at all times on the platform

Cause: the limit that follows latency takes the noise of neighbours for congestion and leaves slots unused.

--- a/src/admission.rs
+++ b/src/admission.rs
@@ -59,9 +59,6 @@
     pub longest_wait: Duration,
     /// Whether the limit follows the latency; otherwise it is the slots.
     pub is_adaptive: bool,
-    /// Share of the slots that is used; backend servers slow down when nearly
-    /// full.
-    pub slot_share: f64,
 }
 
 impl Default for AdmissionOptions {
@@ -70,7 +67,6 @@
             queue_per_running: QUEUE_PER_RUNNING,
             longest_wait: LONGEST_WAIT,
             is_adaptive: true,
-            slot_share: 1.0,
         }
     }
 }
@@ -202,7 +198,7 @@
     pub fn new(slots: SlotCount, options: AdmissionOptions) -> Self {
         Self {
             options,
-            limit: CapacityLimit::new(used_slots(slots, options), options.is_adaptive),
+            limit: CapacityLimit::new(slots, options.is_adaptive),
             shares: ShareTable::default(),
             running: BTreeMap::new(),
             waiting: Vec::new(),
@@ -353,7 +349,7 @@
 
     /// Takes new slots; returns the queued calls that start now.
     pub fn set_slots(&mut self, now: Duration, slots: SlotCount) -> Vec<CallId> {
-        self.limit.set_slots(used_slots(slots, self.options));
+        self.limit.set_slots(slots);
         self.start_waiting(now)
     }
 
@@ -479,14 +475,6 @@
     }
 }
 
-/// Slots that are used, at least one.
-fn used_slots(slots: SlotCount, options: AdmissionOptions) -> SlotCount {
-    let used = (f64::from(slots.get()) * options.slot_share)
-        .ceil()
-        .max(1.0);
-    SlotCount::try_from(used as u64).unwrap_or(slots)
-}
-
 fn refusal(kind: ErrorKind, retry_after: Duration, finish: Duration) -> Admission {
     Admission::Refused {
         kind,
--- a/src/gate.rs
+++ b/src/gate.rs
@@ -77,6 +77,15 @@
     pub limit: u32,
 }
 
+/// What a gate is started with.
+#[derive(Debug, Clone, Copy)]
+pub struct GateSettings {
+    /// Names of the fields of calls.
+    pub dialect: &'static CallDialect,
+    /// Settings of admission.
+    pub admission: AdmissionOptions,
+}
+
 /// Refusal of a call that was not run and never will be.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct GateRefusal {
@@ -103,6 +112,7 @@
 pub struct Gate {
     incarnation: NodeIncarnation,
     dialect: &'static CallDialect,
+    options: AdmissionOptions,
     started: Instant,
     admission: RefCell<Option<AdmissionQueue>>,
     ledger: RefCell<CallLedger>,
@@ -119,13 +129,14 @@
 /// Runs the gate until its command channel closes.
 pub async fn run_gate(
     incarnation: NodeIncarnation,
-    dialect: &'static CallDialect,
+    settings: GateSettings,
     mut commands: UnboundedReceiver<GateCommand>,
     status: tokio::sync::watch::Sender<GateStatus>,
 ) {
     let gate = Rc::new(Gate {
         incarnation,
-        dialect,
+        dialect: settings.dialect,
+        options: settings.admission,
         started: Instant::now(),
         admission: RefCell::new(None),
         ledger: RefCell::new(CallLedger::new(LedgerLimits::default())),
@@ -192,7 +203,7 @@
         let mut admission = self.admission.borrow_mut();
         match admission.as_mut() {
             Some(admission) => started = admission.set_slots(self.now(), slots),
-            None => *admission = Some(AdmissionQueue::new(slots, AdmissionOptions::default())),
+            None => *admission = Some(AdmissionQueue::new(slots, self.options)),
         }
         drop(admission);
         self.start_turns(started);
--- a/src/gate/tests.rs
+++ b/src/gate/tests.rs
@@ -42,7 +42,11 @@
         let (commands, receiver) = unbounded_channel();
         let (status, _) = tokio::sync::watch::channel(GateStatus::default());
         let incarnation = NodeIncarnation::try_from(7).unwrap();
-        ntex::rt::spawn(run_gate(incarnation, &OWN_DIALECT, receiver, status));
+        let settings = GateSettings {
+            dialect: &OWN_DIALECT,
+            admission: AdmissionOptions::default(),
+        };
+        ntex::rt::spawn(run_gate(incarnation, settings, receiver, status));
         commands
             .send(GateCommand::SetBackend(BackendTarget {
                 id: "b1".parse().unwrap(),
--- a/src/node.rs
+++ b/src/node.rs
@@ -35,8 +35,8 @@
 };
 use crate::discovery::{DiscoverySettings, follow_entries};
 use crate::exchange::PeerHello;
-use crate::fields::{CallDialect, OWN_DIALECT};
-use crate::gate::{GateCommand, GateStatus, run_gate};
+use crate::fields::OWN_DIALECT;
+use crate::gate::{GateCommand, GateSettings, GateStatus, run_gate};
 use crate::ids::NodeIncarnation;
 use crate::ingress::{IngressSettings, IngressShared, StopPhase};
 use crate::logs::start_logs;
@@ -178,7 +178,11 @@
     let threads = start_threads(&options);
     let adapter = options.platform.map(|_| &PLATFORM);
     let dialect = adapter.map_or(&OWN_DIALECT, |adapter| adapter.dialect);
-    let (gate_sender, gate_status) = start_gate(identity.incarnation, dialect, &threads[0]);
+    let gate_settings = GateSettings {
+        dialect,
+        admission: options.admission,
+    };
+    let (gate_sender, gate_status) = start_gate(identity.incarnation, gate_settings, &threads[0]);
     let shared = Arc::new(IngressShared::new(
         identity.incarnation,
         new_router(&identity),
@@ -393,13 +397,13 @@
 /// callers of this node, whose calls to its own backend server cross none.
 fn start_gate(
     incarnation: NodeIncarnation,
-    dialect: &'static CallDialect,
+    settings: GateSettings,
     thread: &Arbiter,
 ) -> (UnboundedSender<GateCommand>, watch::Receiver<GateStatus>) {
     let (sender, commands) = unbounded_channel();
     let (status, receiver) = watch::channel(GateStatus::default());
     thread.handle().spawn(async move {
-        ntex::rt::spawn(run_gate(incarnation, dialect, commands, status));
+        ntex::rt::spawn(run_gate(incarnation, settings, commands, status));
     });
     (sender, receiver)
 }
--- a/src/options/node.rs
+++ b/src/options/node.rs
@@ -9,8 +9,9 @@
 use super::reader::RawOptions;
 use super::spec::{CommandSpec, FlagArity, FlagSpec};
 use super::values::{
-    BaseUrl, BoundedNumber, DrainSeconds, ReachableAddress, SecretToken, ThreadCount,
+    BaseUrl, BoundedNumber, DrainSeconds, LimitMode, ReachableAddress, SecretToken, ThreadCount,
 };
+use crate::admission::AdmissionOptions;
 use crate::ids::{NodeId, RegionName, ServiceName, ZoneName};
 use crate::retry::RetryOptions;
 
@@ -136,6 +137,13 @@
         "gates that a call asks for a free slot before it joins the best queue",
     )
     .with_default("0"),
+    FlagSpec::single(
+        "slot-limit",
+        "MODE",
+        "adaptive or fixed",
+        "whether a gate uses fewer slots when latencies rise",
+    )
+    .with_default("adaptive"),
     FlagSpec::single(
         "retry-burst",
         "N",
@@ -201,6 +209,8 @@
     pub backend_ttl: Duration,
     /// Gates that a call asks for a free slot before it joins a queue.
     pub asks: u32,
+    /// Settings of the gate's admission.
+    pub admission: AdmissionOptions,
     /// Bounds on retries.
     pub retries: RetryOptions,
 }
@@ -220,6 +230,7 @@
         let leave_seconds: DrainSeconds = raw.required("leave-seconds")?;
         let ttl_seconds: DrainSeconds = raw.required("backend-ttl-seconds")?;
         let asks: BoundedNumber<0, 8> = raw.required("asks")?;
+        let slot_limit: LimitMode = raw.required("slot-limit")?;
         let retry_burst: BoundedNumber<1, 1_000> = raw.required("retry-burst")?;
         let peers = raw.list("peer")?;
         let options = Self {
@@ -244,6 +255,10 @@
             leave_time: Duration::from_secs(leave_seconds.get()),
             backend_ttl: Duration::from_secs(ttl_seconds.get()),
             asks: u32::try_from(asks.get()).unwrap_or_default(),
+            admission: AdmissionOptions {
+                is_adaptive: slot_limit == LimitMode::Adaptive,
+                ..AdmissionOptions::default()
+            },
             retries: RetryOptions {
                 max_tokens: retry_burst.get() as f64,
                 ..RetryOptions::default()
--- a/src/options/values.rs
+++ b/src/options/values.rs
@@ -22,6 +22,28 @@
 /// Upper bound of a planned stop, in seconds.
 pub type DrainSeconds = BoundedNumber<1, 600>;
 
+/// Whether a gate's limit on work follows the latency.
+#[derive(Debug, Clone, Copy, Display, PartialEq, Eq)]
+pub enum LimitMode {
+    /// Fewer slots are used when latencies rise.
+    #[display("adaptive")]
+    Adaptive,
+    /// The same share of slots is always used.
+    #[display("fixed")]
+    Fixed,
+}
+
+impl FromStr for LimitMode {
+    type Err = ParseValueError;
+
+    fn from_str(text: &str) -> Result<Self, ParseValueError> {
+        [Self::Adaptive, Self::Fixed]
+            .into_iter()
+            .find(|mode| mode.to_string() == text)
+            .ok_or(ParseValueError)
+    }
+}
+
 impl<const MIN: u64, const MAX: u64> BoundedNumber<MIN, MAX> {
     /// Plain number.
     pub fn get(self) -> u64 {
