Ask the own zone first, below four fifths of the slots, and hold bodies back

Change: the own zone is asked first whatever was heard of it, a gate says yes to an ask only below four fifths of its slots, a body over 1 KiB follows once a gate has let the call in.

--- a/src/admission.rs
+++ b/src/admission.rs
@@ -41,6 +41,9 @@
 /// Wait that a refusal names while the gate drains.
 const DRAIN_RETRY: Duration = Duration::from_secs(1);
 
+/// Share of the slots up to which work goes on at the usual speed. Backend
+/// servers of the users slow down above four fifths.
+const EASY_SHARE: f64 = 0.8;
 /// Stated slowness from which the VM counts as slow.
 const SLOW_RATIO: f64 = 2.0;
 /// Age up to which a stated slowness counts. Neighbours' bursts last about as
@@ -221,7 +224,7 @@
             return refusal(ErrorKind::ShareExceeded, retry_after, retry_after);
         }
         if self.waiting.is_empty() && self.in_flight() < self.limit.get() {
-            if offer.is_immediate && self.is_slow(now) {
+            if offer.is_immediate && (self.is_slow(now) || !self.has_easy_slot()) {
                 let finish = self.run_estimate(now, &offer.class);
                 return refusal(ErrorKind::Overloaded, SHORTEST_RETRY, finish);
             }
@@ -363,6 +366,13 @@
         }
     }
 
+    /// Whether one more call leaves the backend server below the occupancy at
+    /// which many slow down.
+    fn has_easy_slot(&self) -> bool {
+        let limit = f64::from(self.limit.get());
+        f64::from(self.in_flight() + 1) <= (limit * EASY_SHARE).max(1.0)
+    }
+
     /// Whether the VM has just said that work takes much longer than usual.
     fn is_slow(&self, now: Duration) -> bool {
         self.slowness.is_some_and(|(at, slowness)| {
--- a/src/ingress/attempt.rs
+++ b/src/ingress/attempt.rs
@@ -24,7 +24,7 @@
 use crate::link::call_link::{CallEvent, CallLink};
 use crate::link::messages::{AnswerHead, BodyChunk, CallName, CallOpen, LinkMessage};
 use crate::link::pool::GateTarget;
-use crate::link::window::{FIRST_WINDOW_BYTES, ReceiveWindow, SendWindow};
+use crate::link::window::{CHUNK_BYTES, FIRST_WINDOW_BYTES, ReceiveWindow, SendWindow};
 use crate::retry::AttemptFailure;
 use crate::routing::{AttemptNumber, AttemptResult};
 
@@ -104,6 +104,15 @@
     pub deadline: Instant,
 }
 
+/// Start of a request's body that goes out once the gate has let the call in.
+#[derive(Debug)]
+pub struct HeldBody {
+    /// Bytes.
+    pub data: Bytes,
+    /// Whether the body ends with them.
+    pub is_last: bool,
+}
+
 /// One attempt under way.
 pub struct CallAttempt {
     worker: Rc<IngressWorker>,
@@ -111,6 +120,7 @@
     link: Rc<CallLink>,
     state: AttemptState,
     events: UnboundedReceiver<CallEvent>,
+    held: Option<HeldBody>,
     outgoing: SendWindow,
     incoming: ReceiveWindow,
     has_head: bool,
@@ -135,6 +145,7 @@
         worker: Rc<IngressWorker>,
         plan: AttemptPlan,
         open: CallOpen,
+        held: Option<HeldBody>,
     ) -> Result<Self, AttemptEnd> {
         let linking = worker.pool.link(&plan.target);
         let linked = tokio::time::timeout_at(plan.deadline, linking).await;
@@ -148,7 +159,12 @@
             }
         };
         let events = link.attach(open.sequence);
-        let mut outgoing = SendWindow::new(FIRST_WINDOW_BYTES);
+        let first_window = if held.is_some() {
+            0
+        } else {
+            FIRST_WINDOW_BYTES
+        };
+        let mut outgoing = SendWindow::new(first_window);
         outgoing.push(open.body.clone(), open.is_last);
         link.send(LinkMessage::Open(open));
         let margin = (plan.timeout / CANCEL_MARGIN_SHARE).min(MAX_CANCEL_MARGIN);
@@ -159,6 +175,7 @@
             plan,
             link,
             events,
+            held,
             outgoing,
             incoming: ReceiveWindow::default(),
             has_head: false,
@@ -210,6 +227,7 @@
 
     async fn exchange(&mut self, body: &mut RequestBody) -> Result<AnswerHead, AttemptEnd> {
         loop {
+            self.send_held();
             let room = self.outgoing.room();
             let has_body = !self.outgoing.is_ended() && room > 0 && !self.state.is_cancelled();
             let alarm = if self.state.is_cancelled() {
@@ -246,6 +264,11 @@
                 return Err(AttemptEnd::unknown(kind));
             }
         };
+        self.push_chunk(data, is_last);
+        Ok(())
+    }
+
+    fn push_chunk(&mut self, data: Bytes, is_last: bool) {
         self.link.send(LinkMessage::RequestChunk(BodyChunk {
             sequence: self.sequence(),
             offset: self.outgoing.sent(),
@@ -254,7 +277,21 @@
             load: None,
         }));
         self.outgoing.push(data, is_last);
-        Ok(())
+    }
+
+    /// Sends what was held back, once the gate has given credit for it.
+    fn send_held(&mut self) {
+        if self.outgoing.room() == 0 || self.state.is_cancelled() {
+            return;
+        }
+        let Some(mut held) = self.held.take() else {
+            return;
+        };
+        while !held.data.is_empty() {
+            let piece = held.data.split_to(held.data.len().min(CHUNK_BYTES));
+            let is_end = held.is_last && held.data.is_empty();
+            self.push_chunk(piece, is_end);
+        }
     }
 
     /// Cancels shortly before the deadline, and gives up at it.
--- a/src/ingress/call.rs
+++ b/src/ingress/call.rs
@@ -12,7 +12,7 @@
 use crate::error::ErrorKind;
 use crate::ids::{CallId, NodeId};
 use crate::ingress::answer::{CallAnswer, CallFailure};
-use crate::ingress::attempt::{AttemptEnd, AttemptPlan, CallAttempt, FIRST_SERVER_ERROR};
+use crate::ingress::attempt::{AttemptEnd, AttemptPlan, CallAttempt, FIRST_SERVER_ERROR, HeldBody};
 use crate::ingress::body::{BodyPieces, RequestBody};
 use crate::ingress::placing::{CallTimes, PlacementSearch, PlacementStep};
 use crate::ingress::request::RequestFacts;
@@ -28,6 +28,8 @@
 
 /// Placements whose number fits beside the call's own.
 const MAX_PLACEMENTS: u32 = 15;
+/// Largest body that goes along when a gate is asked for a free slot, in bytes.
+const MAX_ASK_BYTES: usize = 1_024;
 /// Shortest `Retry-After` under load.
 const SHORTEST_RETRY: Duration = Duration::from_millis(10);
 /// `Retry-After` of a call for which there is no upstream at all.
@@ -241,10 +243,15 @@
             sequence: self.id.sequence + u64::from(self.placements),
             ..self.id
         };
-        let open = CallOpen {
+        let mut open = CallOpen {
             is_immediate: placed.is_immediate,
             ..self.open_message(id, body)
         };
+        let is_held = placed.is_immediate && open.body.len() > MAX_ASK_BYTES;
+        let held = is_held.then(|| HeldBody {
+            data: std::mem::take(&mut open.body),
+            is_last: std::mem::take(&mut open.is_last),
+        });
         let plan = AttemptPlan {
             service: self.facts.service.clone(),
             target: GateTarget {
@@ -257,7 +264,7 @@
             timeout: self.facts.timeout,
             deadline: self.deadline,
         };
-        let result = self.run_attempt(plan, open, body).await;
+        let result = self.run_attempt(plan, (open, held), body).await;
         let (attempt, head) = match result {
             Ok(answered) => answered,
             Err(end) => {
@@ -276,10 +283,11 @@
     async fn run_attempt(
         &self,
         plan: AttemptPlan,
-        open: CallOpen,
+        (open, held): (CallOpen, Option<HeldBody>),
         body: &mut RequestBody,
     ) -> Result<(CallAttempt, AnswerHead), AttemptEnd> {
-        let mut attempt = CallAttempt::open(Rc::clone(&self.worker), plan, open).await?;
+        let worker = Rc::clone(&self.worker);
+        let mut attempt = CallAttempt::open(worker, plan, open, held).await?;
         let head = attempt.wait_head(body).await?;
         Ok((attempt, head))
     }
--- a/src/node.rs
+++ b/src/node.rs
@@ -185,7 +185,7 @@
     let (gate_sender, gate_status) = start_gate(identity.incarnation, gate_settings, &threads[0]);
     let shared = Arc::new(IngressShared::new(
         identity.incarnation,
-        new_router(&identity),
+        new_router(&identity, &options),
         table,
         stop_phase,
         IngressSettings {
@@ -286,13 +286,18 @@
     output.flush()
 }
 
-fn new_router(identity: &NodeIdentity) -> RouterState {
+fn new_router(identity: &NodeIdentity, options: &NodeOptions) -> RouterState {
     let home = HomePlace {
         node: identity.node.clone(),
         region: identity.region.clone(),
         zone: identity.zone.clone(),
     };
-    RouterState::new(home, RoutingOptions::default())
+    let routing = if options.asks > 0 {
+        RoutingOptions::ASKING
+    } else {
+        RoutingOptions::default()
+    };
+    RouterState::new(home, routing)
 }
 
 fn new_membership(
--- a/src/routing.rs
+++ b/src/routing.rs
@@ -108,21 +108,34 @@
     pub zone_preference: f64,
 }
 
+impl RoutingOptions {
+    /// Policy of ingresses that push each call to the gate they choose.
+    const PUSHING: Self = Self {
+        own_zone_links: 6,
+        own_region_links: 6,
+        other_region_links: 3,
+        draws: 3,
+        report_half_life: Duration::from_millis(100),
+        latency_half_life: Duration::from_millis(500),
+        failure_half_life: Duration::from_secs(1),
+        ramp_time: Duration::from_secs(10),
+        probe_age: Duration::from_secs(2),
+        spill_pressure: 0.2,
+        zone_preference: 1.2,
+    };
+
+    /// Policy of ingresses that ask gates for a free slot: whether the own
+    /// availability zone has room is then known a message later, so it is
+    /// always asked first.
+    pub const ASKING: Self = Self {
+        spill_pressure: 10.0,
+        ..Self::PUSHING
+    };
+}
+
 impl Default for RoutingOptions {
     fn default() -> Self {
-        Self {
-            own_zone_links: 6,
-            own_region_links: 6,
-            other_region_links: 3,
-            draws: 3,
-            report_half_life: Duration::from_millis(100),
-            latency_half_life: Duration::from_millis(500),
-            failure_half_life: Duration::from_secs(1),
-            ramp_time: Duration::from_secs(10),
-            probe_age: Duration::from_secs(2),
-            spill_pressure: 0.2,
-            zone_preference: 1.2,
-        }
+        Self::PUSHING
     }
 }
 
