Send a second copy of a slow idempotent call where half of the slots are free

Change: an idempotent call goes out again at the last moment at which a usual run meets its target, out of the retry budget, to a gate with half of its slots free.

--- a/src/admission.rs
+++ b/src/admission.rs
@@ -27,9 +27,9 @@
 
 use crate::error::ErrorKind;
 use crate::ids::{CallId, SlotCount};
-use latency::LatencyEstimate;
 use limit::CapacityLimit;
 
+pub use latency::LatencyEstimate;
 pub use share::{ShareKey, ShareTable, WorkShare};
 
 /// Queued calls for each call that the limit lets run.
@@ -41,9 +41,6 @@
 /// Wait that a refusal names while the gate drains.
 const DRAIN_RETRY: Duration = Duration::from_secs(1);
 
-/// Share of the slots up to which work goes on at the usual speed. Backend
-/// servers of the users slow down above four fifths.
-const EASY_SHARE: f64 = 0.8;
 /// Stated slowness from which the VM counts as slow.
 const SLOW_RATIO: f64 = 2.0;
 /// Age up to which a stated slowness counts. Neighbours' bursts last about as
@@ -89,9 +86,10 @@
     pub rank: u32,
     /// Class of calls that take about the same time.
     pub class: String,
-    /// Whether the call is to be refused unless it can start now, at the usual
-    /// speed: its ingress then asks elsewhere.
-    pub is_immediate: bool,
+    /// Share of the slots up to which the call may start now, at the usual
+    /// speed; beyond it the call is refused, and its ingress asks elsewhere.
+    /// `None` for a call that may wait.
+    pub ask_share: Option<f64>,
 }
 
 impl CallOffer {
@@ -104,7 +102,7 @@
             target_left: time_left,
             rank: 0,
             class: String::new(),
-            is_immediate: false,
+            ask_share: None,
         }
     }
 }
@@ -224,7 +222,7 @@
             return refusal(ErrorKind::ShareExceeded, retry_after, retry_after);
         }
         if self.waiting.is_empty() && self.in_flight() < self.limit.get() {
-            if offer.is_immediate && (self.is_slow(now) || !self.has_easy_slot()) {
+            if !self.is_easy(now, offer.ask_share) {
                 let finish = self.run_estimate(now, &offer.class);
                 return refusal(ErrorKind::Overloaded, SHORTEST_RETRY, finish);
             }
@@ -239,7 +237,7 @@
         self.evict_late(now);
         let wait = self.estimated_wait(now, offer.rank);
         let finish = wait + self.run_estimate(now, &offer.class);
-        if offer.is_immediate {
+        if offer.ask_share.is_some() {
             return refusal(ErrorKind::Overloaded, wait, finish);
         }
         let time_to_wait = offer.time_left.saturating_sub(self.latency.shortest());
@@ -366,11 +364,14 @@
         }
     }
 
-    /// Whether one more call leaves the backend server below the occupancy at
-    /// which many slow down.
-    fn has_easy_slot(&self) -> bool {
-        let limit = f64::from(self.limit.get());
-        f64::from(self.in_flight() + 1) <= (limit * EASY_SHARE).max(1.0)
+    /// Whether a call that asks may start at the usual speed: on a VM that is
+    /// not slow, with one more call within the share of the slots.
+    fn is_easy(&self, now: Duration, ask_share: Option<f64>) -> bool {
+        let Some(share) = ask_share else {
+            return true;
+        };
+        let room = (f64::from(self.limit.get()) * share).max(1.0);
+        !self.is_slow(now) && f64::from(self.in_flight() + 1) <= room
     }
 
     /// Whether the VM has just said that work takes much longer than usual.
--- a/src/admission/latency.rs
+++ b/src/admission/latency.rs
@@ -6,23 +6,27 @@
 const LATENCY_WEIGHT: f64 = 1.0 / 16.0;
 /// Rise of the shortest known latency towards the mean, by completed call.
 const SHORTEST_RISE: f64 = 1.0 / 256.0;
+
 /// Running estimate; zero until the first call completes.
 #[derive(Debug, Default)]
-pub(super) struct LatencyEstimate {
+pub struct LatencyEstimate {
     mean: Option<Duration>,
     shortest: Duration,
 }
 
 impl LatencyEstimate {
-    pub(super) fn mean(&self) -> Duration {
+    /// Mean; zero before the first call.
+    pub fn mean(&self) -> Duration {
         self.mean.unwrap_or_default()
     }
 
-    pub(super) fn shortest(&self) -> Duration {
+    /// Shortest known.
+    pub fn shortest(&self) -> Duration {
         self.shortest
     }
 
-    pub(super) fn note(&mut self, latency: Duration) {
+    /// Takes note of a completed call.
+    pub fn note(&mut self, latency: Duration) {
         let Some(mean) = self.mean else {
             self.mean = Some(latency);
             self.shortest = latency;
--- a/src/gate.rs
+++ b/src/gate.rs
@@ -316,7 +316,7 @@
             target_left: Duration::from_micros(open.target_left_us).min(time_left),
             rank: open.rank,
             class: open.class.clone(),
-            is_immediate: open.is_immediate,
+            ask_share: (open.ask_percent > 0).then(|| f64::from(open.ask_percent) / 100.0),
         };
         let mut admission = self.admission.borrow_mut();
         match admission.as_mut() {
--- a/src/ingress.rs
+++ b/src/ingress.rs
@@ -9,6 +9,7 @@
 pub mod body;
 pub mod call;
 pub mod connection;
+pub mod hedge;
 pub mod placing;
 pub mod request;
 
@@ -32,6 +33,7 @@
 use crate::ingress::body::BodyPieces;
 use crate::ingress::call::CallDriver;
 use crate::ingress::connection::CallResult;
+use crate::ingress::hedge::AnswerTimes;
 use crate::ingress::request::{RequestCheck, RequestFacts};
 use crate::link::call_link::UpstreamNotice;
 use crate::link::pool::LinkPool;
@@ -62,6 +64,8 @@
     pub router: Mutex<RouterState>,
     /// Retry decisions.
     pub retries: Mutex<RetryPolicy>,
+    /// Usual times of answers.
+    pub times: Mutex<AnswerTimes>,
     /// In-flight work per service and team.
     pub shares: Mutex<ShareTable>,
     /// Table in use.
@@ -113,6 +117,7 @@
             incarnation,
             router: Mutex::new(router),
             retries: Mutex::new(RetryPolicy::new(settings.retries)),
+            times: Mutex::default(),
             shares: Mutex::default(),
             table,
             stop_phase,
--- a/src/ingress/body.rs
+++ b/src/ingress/body.rs
@@ -65,6 +65,20 @@
         Ok(body)
     }
 
+    /// Copy of a body that has been read to its end and is kept whole.
+    pub fn whole_copy(&self) -> Option<Self> {
+        let (first, is_all) = self.first();
+        is_all.then(|| Self {
+            pieces: None,
+            first: BytesMut::from(&first[..]),
+            rest: Bytes::new(),
+            is_ended: true,
+            is_overrun: false,
+            received: self.received,
+            limit: self.limit,
+        })
+    }
+
     /// Bytes for the start of an attempt, and whether the body ends with them.
     pub fn first(&self) -> (Bytes, bool) {
         let is_all = self.is_ended && self.rest.is_empty() && !self.is_overrun;
--- a/src/ingress/call.rs
+++ b/src/ingress/call.rs
@@ -30,6 +30,14 @@
 const MAX_PLACEMENTS: u32 = 15;
 /// Largest body that goes along when a gate is asked for a free slot, in bytes.
 const MAX_ASK_BYTES: usize = 1_024;
+/// Occupancy up to which a gate that is asked starts a call. Backend servers of
+/// the users slow down above four fifths of their slots.
+const EASY_PERCENT: u32 = 80;
+/// Occupancy up to which a gate starts a second copy: it may take room that is
+/// left over, but none that first copies need.
+const HEDGE_PERCENT: u32 = 50;
+/// Gates that are asked to start a second copy.
+const HEDGE_ASKS: u32 = 2;
 /// Shortest `Retry-After` under load.
 const SHORTEST_RETRY: Duration = Duration::from_millis(10);
 /// `Retry-After` of a call for which there is no upstream at all.
@@ -40,7 +48,42 @@
 /// A call with the gate that it is offered to.
 struct PlacedCall {
     choice: RouteChoice,
-    is_immediate: bool,
+    ask_percent: u32,
+}
+
+/// Answer whose head has arrived.
+struct Answered {
+    attempt: CallAttempt,
+    head: AnswerHead,
+    latency: Duration,
+}
+
+impl Answered {
+    fn is_good(&self) -> bool {
+        self.head.status < FIRST_SERVER_ERROR
+    }
+}
+
+/// Waits for a good answer of two attempts; without one, for how the first
+/// ended.
+async fn first_answer(
+    mut first: impl Future<Output = Result<Answered, AttemptEnd>> + Unpin,
+    mut second: impl Future<Output = Result<Answered, AttemptEnd>> + Unpin,
+) -> Result<Answered, AttemptEnd> {
+    let is_good =
+        |result: &Result<Answered, AttemptEnd>| result.as_ref().is_ok_and(Answered::is_good);
+    tokio::select! {
+        result = &mut first => {
+            if is_good(&result) {
+                return result;
+            }
+            let other = second.await;
+            if is_good(&other) { other } else { result }
+        }
+        result = &mut second => {
+            if is_good(&result) { result } else { first.await }
+        }
+    }
 }
 
 /// Drives one call.
@@ -132,9 +175,9 @@
                 target_left: self.target_left(),
                 time_left: self.time_left(),
             };
-            let (choice, is_immediate) = match self.search.next(times) {
+            let (choice, ask_percent) = match self.search.next(times) {
                 PlacementStep::Ask => match self.choose() {
-                    Ok(choice) => (choice, true),
+                    Ok(choice) => (choice, EASY_PERCENT),
                     Err(ErrorKind::NoUpstream) if !self.tried.is_empty() => {
                         self.search.on_exhausted();
                         continue;
@@ -143,10 +186,10 @@
                 },
                 PlacementStep::Offer => {
                     let choice = self.choose().map_err(AttemptEnd::not_run)?;
-                    (choice, false)
+                    (choice, 0)
                 }
                 PlacementStep::Join(node) => match self.choose_node(&node) {
-                    Ok(choice) => (choice, false),
+                    Ok(choice) => (choice, 0),
                     Err(kind) => return Err(AttemptEnd::not_run(kind)),
                 },
                 PlacementStep::Refuse { retry_after } => {
@@ -157,7 +200,7 @@
             self.tried.insert(choice.node.clone());
             return Ok(PlacedCall {
                 choice,
-                is_immediate,
+                ask_percent,
             });
         }
     }
@@ -232,22 +275,121 @@
             .map_err(|kind| self.failure(kind))
     }
 
+    /// Makes one attempt, with a second copy beside it if it takes too long.
     async fn try_once(
         &mut self,
         placed: PlacedCall,
         body: &mut RequestBody,
     ) -> Result<CallAnswer, AttemptEnd> {
+        let copy = self.hedge_copy(body);
+        let delay = self.hedge_delay().filter(|_| copy.is_some());
+        let node = placed.choice.node.clone();
+        let first = self.run_attempt(placed, body);
+        let Some((delay, mut copy)) = delay.zip(copy) else {
+            let result = first.await;
+            return self.take_result(&node, result);
+        };
+        tokio::pin!(first);
+        let early = tokio::select! {
+            biased;
+            result = &mut first => Some(result),
+            () = tokio::time::sleep(delay) => None,
+        };
+        let result = match early {
+            Some(result) => result,
+            None if self.takes_hedge() => {
+                let second = self.run_hedge(&mut copy);
+                tokio::pin!(second);
+                first_answer(first, second).await
+            }
+            None => first.await,
+        };
+        self.take_result(&node, result)
+    }
+
+    fn take_result(
+        &mut self,
+        node: &NodeId,
+        result: Result<Answered, AttemptEnd>,
+    ) -> Result<CallAnswer, AttemptEnd> {
+        let answered = result.inspect_err(|end| self.search.on_refused(node, end.outlook()))?;
+        let head = answered.head;
+        if head.status < FIRST_SERVER_ERROR {
+            let mut times = lock(&self.worker.shared.times);
+            times.note(&self.facts.class(), answered.latency);
+        }
+        let rest = (!head.is_last).then(|| answered.attempt.relay_rest());
+        Ok(CallAnswer {
+            call: self.id,
+            head,
+            rest,
+        })
+    }
+
+    /// Copy of the body for a second attempt, if the call may have one.
+    fn hedge_copy(&self, body: &RequestBody) -> Option<RequestBody> {
+        let may_repeat = self.worker.shared.asks > 0
+            && self.facts.is_idempotent
+            && self.attempts() < self.facts.attempts_limit;
+        body.whole_copy().filter(|_| may_repeat)
+    }
+
+    fn hedge_delay(&self) -> Option<Duration> {
+        let times = lock(&self.worker.shared.times);
+        times.hedge_delay(&self.facts.class(), self.target_left())
+    }
+
+    /// Takes a second copy out of the service's retry budget.
+    fn takes_hedge(&self) -> bool {
+        lock(&self.worker.shared.retries).try_hedge(&self.facts.service)
+    }
+
+    /// Finds a gate that starts a second copy at once, and has it answer.
+    async fn run_hedge(&mut self, body: &mut RequestBody) -> Result<Answered, AttemptEnd> {
+        for _ in 0..HEDGE_ASKS {
+            if self.placements + 1 >= MAX_PLACEMENTS {
+                break;
+            }
+            let choice = self.choose().map_err(AttemptEnd::not_run)?;
+            self.placements += 1;
+            self.free_refusals += 1;
+            self.tried.insert(choice.node.clone());
+            let placed = PlacedCall {
+                choice,
+                ask_percent: HEDGE_PERCENT,
+            };
+            let result = self.run_attempt(placed, body).await;
+            match &result {
+                Err(end) if end.outlook().is_some() => continue,
+                Err(end) => self.history.on_failed(end.failure),
+                Ok(_) => {}
+            }
+            // This one reached a backend server, so it counts as an attempt.
+            self.free_refusals -= 1;
+            return result;
+        }
+        Err(AttemptEnd::not_run(ErrorKind::Overloaded))
+    }
+
+    /// Offers the call to the gate that was chosen and waits for its answer.
+    ///
+    /// What is needed of the call is taken before the first wait, so that the
+    /// search can go on beside it.
+    fn run_attempt<'a>(
+        &self,
+        placed: PlacedCall,
+        body: &'a mut RequestBody,
+    ) -> impl Future<Output = Result<Answered, AttemptEnd>> + use<'a> {
         let choice = placed.choice;
-        let node = choice.node.clone();
         let id = CallId {
             sequence: self.id.sequence + u64::from(self.placements),
             ..self.id
         };
         let mut open = CallOpen {
-            is_immediate: placed.is_immediate,
+            ask_percent: placed.ask_percent,
             ..self.open_message(id, body)
         };
-        let is_held = placed.is_immediate && open.body.len() > MAX_ASK_BYTES;
+        let is_held = placed.ask_percent > 0 && open.body.len() > MAX_ASK_BYTES;
         let held = is_held.then(|| HeldBody {
             data: std::mem::take(&mut open.body),
             is_last: std::mem::take(&mut open.is_last),
@@ -264,32 +406,17 @@
             timeout: self.facts.timeout,
             deadline: self.deadline,
         };
-        let result = self.run_attempt(plan, (open, held), body).await;
-        let (attempt, head) = match result {
-            Ok(answered) => answered,
-            Err(end) => {
-                self.search.on_refused(&node, end.outlook());
-                return Err(end);
-            }
-        };
-        let rest = (!head.is_last).then(|| attempt.relay_rest());
-        Ok(CallAnswer {
-            call: self.id,
-            head,
-            rest,
-        })
-    }
-
-    async fn run_attempt(
-        &self,
-        plan: AttemptPlan,
-        (open, held): (CallOpen, Option<HeldBody>),
-        body: &mut RequestBody,
-    ) -> Result<(CallAttempt, AnswerHead), AttemptEnd> {
         let worker = Rc::clone(&self.worker);
-        let mut attempt = CallAttempt::open(worker, plan, open, held).await?;
-        let head = attempt.wait_head(body).await?;
-        Ok((attempt, head))
+        async move {
+            let started = Instant::now();
+            let mut attempt = CallAttempt::open(worker, plan, open, held).await?;
+            let head = attempt.wait_head(body).await?;
+            Ok(Answered {
+                attempt,
+                head,
+                latency: started.elapsed(),
+            })
+        }
     }
 
     fn choose_node(&self, node: &NodeId) -> Result<RouteChoice, ErrorKind> {
@@ -374,7 +501,7 @@
             request_id: self.facts.request_id.clone().unwrap_or_default(),
             rank: self.facts.rank,
             target_left_us: u64::try_from(self.target_left().as_micros()).unwrap_or(u64::MAX),
-            is_immediate: false,
+            ask_percent: 0,
             class: self.facts.class(),
         }
     }
--- a/src/link/messages.rs
+++ b/src/link/messages.rs
@@ -105,9 +105,10 @@
     /// Time left until the target latency, in microseconds; 0 if it has passed.
     #[prost(uint64, tag = "14")]
     pub target_left_us: u64,
-    /// Whether the gate is to refuse the call unless it can start at once.
-    #[prost(bool, tag = "15")]
-    pub is_immediate: bool,
+    /// Occupancy in percent up to which the gate may start the call at once; it
+    /// refuses the call otherwise. 0 for a call that may wait.
+    #[prost(uint32, tag = "15")]
+    pub ask_percent: u32,
     /// Class of calls that take about the same time.
     #[prost(string, tag = "16")]
     pub class: String,
--- a/src/retry.rs
+++ b/src/retry.rs
@@ -214,6 +214,11 @@
         }
     }
 
+    /// Takes a second copy of a call out of the budget, if there is one left.
+    pub fn try_hedge(&mut self, service: &ServiceName) -> bool {
+        self.budget(service).try_spend()
+    }
+
     /// Retries that a service can make now, for status and metrics.
     pub fn tokens(&self, service: &ServiceName) -> f64 {
         self.budgets
