Speak to the store once for each availability zone

Change: the first node of each zone, and a node that knows no other, watches and keeps an entry; the others hear from peers and look at a stale answer every 5 s.

--- a/src/control/state.rs
+++ b/src/control/state.rs
@@ -12,6 +12,7 @@
 use crate::backend::BackendTarget;
 use crate::control::placement::{build_table, log_changes};
 use crate::control::presence::BackendPresence;
+use crate::discovery::FleetRole;
 use crate::gate::{GateCommand, GateStatus};
 use crate::ids::{BackendId, NodeId, NodeIncarnation, RegionName, ZoneName};
 use crate::ingress::{IngressShared, StopPhase, lock};
@@ -83,6 +84,7 @@
     pub stop_phase: watch::Sender<StopPhase>,
     /// Raised when this process must stop.
     pub stop: Notify,
+    role: watch::Sender<FleetRole>,
     backend_ttl: Duration,
     presence: RefCell<BackendPresence>,
     table: watch::Sender<Arc<RoutingTable>>,
@@ -110,6 +112,8 @@
     pub table: watch::Sender<Arc<RoutingTable>>,
     /// How far a planned stop has come.
     pub stop_phase: watch::Sender<StopPhase>,
+    /// Where this node's part in the fleet is told.
+    pub role: watch::Sender<FleetRole>,
     /// Time after its last heartbeat at which a backend server counts as gone.
     pub backend_ttl: Duration,
 }
@@ -128,6 +132,7 @@
             backend: RefCell::new(None),
             stop_phase: parts.stop_phase,
             stop: Notify::new(),
+            role: parts.role,
             backend_ttl: parts.backend_ttl,
             presence: RefCell::default(),
             table: parts.table,
@@ -275,6 +280,17 @@
         zone_rank(self.membership.state().borrow().members(), &self.identity) == 0
     }
 
+    fn set_role(&self, role: FleetRole) {
+        self.role.send_if_modified(|present| {
+            let is_changed = *present != role;
+            if is_changed {
+                log::info!(target: "control", role:?; "part in the fleet changed");
+                *present = role;
+            }
+            is_changed
+        });
+    }
+
     fn publish(&self) {
         let version = self.version.get() + 1;
         let tickets = self.config.subscribe().borrow().clone();
@@ -282,8 +298,15 @@
         let routes = self.routes.subscribe().borrow().clone();
         let table = build_table(version, state.members(), &tickets, routes);
         let rank = zone_rank(state.members(), &self.identity);
+        let alive = state.members().values().filter(|member| member.is_live());
+        let role = match (alive.count(), rank) {
+            (0 | 1, _) => FleetRole::Alone,
+            (_, 0) => FleetRole::ZoneFirst,
+            _ => FleetRole::Follower,
+        };
         drop(state);
         self.config.set_zone_rank(rank);
+        self.set_role(role);
         let old = self.table();
         if old.services == table.services && old.routes == table.routes {
             return;
--- a/src/discovery/driver.rs
+++ b/src/discovery/driver.rs
@@ -9,7 +9,7 @@
 use rand::Rng;
 use tokio::sync::watch;
 
-use super::state::{DiscoveryAction, DiscoveryEvent, DiscoveryState, FoundEntry};
+use super::state::{DiscoveryAction, DiscoveryEvent, DiscoveryState, FleetRole, FoundEntry};
 use crate::ids::NodeId;
 use crate::store::{ConfigStore, ListedValue, StoreError};
 
@@ -31,6 +31,7 @@
 pub async fn follow_entries<S: ConfigStore>(
     settings: DiscoverySettings,
     store: Rc<S>,
+    role: watch::Receiver<FleetRole>,
     found: watch::Sender<BTreeSet<SocketAddr>>,
 ) {
     let own = FoundEntry {
@@ -40,13 +41,14 @@
     let mut state = DiscoveryState::new(own);
     tokio::select! {
         () = found.closed() => {}
-        () = run_steps(&mut state, &*store, &found) => {}
+        () = run_steps(&mut state, &*store, &role, &found) => {}
     }
 }
 
 async fn run_steps<S: ConfigStore>(
     state: &mut DiscoveryState,
     store: &S,
+    role: &watch::Receiver<FleetRole>,
     found: &watch::Sender<BTreeSet<SocketAddr>>,
 ) {
     let mut is_away = false;
@@ -75,7 +77,7 @@
         if event == DiscoveryEvent::Renewed(false) {
             log::info!(target: "discovery", key = state.own().key.as_str(); "lease has lapsed");
         }
-        action = state.next(event);
+        action = state.next(event, *role.borrow());
         let others = state.others();
         found.send_if_modified(|present| {
             let is_changed = present != others;
@@ -106,7 +108,7 @@
         }
         DiscoveryAction::Wait(pause) => {
             // Nodes that start together don't ask together.
-            let pause = rand::rng().random_range(*pause / 2..*pause);
+            let pause = rand::rng().random_range(*pause / 2..=*pause);
             tokio::time::sleep(pause).await;
             DiscoveryEvent::Waited
         }
--- a/src/discovery/state.rs
+++ b/src/discovery/state.rs
@@ -8,12 +8,33 @@
 
 /// Time between two rounds. An entry that was lost is back within two seconds.
 const ROUND_INTERVAL: Duration = Duration::from_millis(1_500);
-/// Time between the first rounds, in which nodes that start together meet.
-const FIRST_INTERVAL: Duration = Duration::from_millis(400);
-/// Rounds that count as the first.
-const FIRST_ROUNDS: u32 = 5;
+/// The same while no other node is known: nodes that start together after an
+/// outage are to meet at once.
+const ALONE_INTERVAL: Duration = Duration::from_millis(400);
 /// Pause after a failed call.
 const FAILURE_PAUSE: Duration = Duration::from_millis(700);
+/// Longest wait before the first look, drawn by chance: of nodes that start
+/// together, the first ones leave an entry and the others find it.
+const START_SPREAD: Duration = Duration::from_millis(200);
+
+/// Part of a node in the fleet, as membership shows it.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub enum FleetRole {
+    /// No other live node is known.
+    #[default]
+    Alone,
+    /// Lowest name among the live nodes of its availability zone.
+    ZoneFirst,
+    /// Any other.
+    Follower,
+}
+
+impl FleetRole {
+    /// Whether the node speaks to the store for others too.
+    pub fn is_leading(self) -> bool {
+        self != Self::Follower
+    }
+}
 
 /// Entry of a node.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -35,7 +56,7 @@
     Renew(LeaseId),
     /// Read the entries.
     List,
-    /// Wait.
+    /// Wait between half of this time and all of it.
     Wait(Duration),
 }
 
@@ -60,9 +81,10 @@
 #[derive(Debug)]
 pub struct DiscoveryState {
     own: FoundEntry,
+    role: FleetRole,
     lease: Option<LeaseId>,
     is_registered: bool,
-    rounds: u32,
+    has_looked: bool,
     others: BTreeSet<SocketAddr>,
 }
 
@@ -71,9 +93,10 @@
     pub fn new(own: FoundEntry) -> Self {
         Self {
             own,
+            role: FleetRole::Alone,
             lease: None,
             is_registered: false,
-            rounds: 0,
+            has_looked: false,
             others: BTreeSet::new(),
         }
     }
@@ -90,11 +113,12 @@
 
     /// First step.
     pub fn start(&self) -> DiscoveryAction {
-        DiscoveryAction::Grant
+        DiscoveryAction::Wait(START_SPREAD)
     }
 
-    /// Takes the result of a step; returns the next.
-    pub fn next(&mut self, event: DiscoveryEvent) -> DiscoveryAction {
+    /// Takes the result of a step and the present role; returns the next step.
+    pub fn next(&mut self, event: DiscoveryEvent, role: FleetRole) -> DiscoveryAction {
+        self.role = role;
         match event {
             DiscoveryEvent::Granted(lease) => {
                 self.lease = Some(lease.clone());
@@ -107,34 +131,51 @@
             }
             DiscoveryEvent::Renewed(true) => DiscoveryAction::List,
             DiscoveryEvent::Renewed(false) => {
-                self.lease = None;
-                self.is_registered = false;
+                self.drop_lease();
                 DiscoveryAction::Grant
             }
             DiscoveryEvent::Listed(entries) => self.take_entries(&entries),
             DiscoveryEvent::Failed => DiscoveryAction::Wait(FAILURE_PAUSE),
-            DiscoveryEvent::Waited => match &self.lease {
-                Some(lease) if self.is_registered => DiscoveryAction::Renew(lease.clone()),
-                Some(lease) => DiscoveryAction::Register(lease.clone()),
-                None => DiscoveryAction::Grant,
-            },
+            DiscoveryEvent::Waited => self.begin_round(),
         }
     }
 
+    fn begin_round(&mut self) -> DiscoveryAction {
+        if !self.has_looked {
+            return DiscoveryAction::List;
+        }
+        if !self.role.is_leading() {
+            // The entry lapses with its lease.
+            self.drop_lease();
+            return DiscoveryAction::Wait(ROUND_INTERVAL);
+        }
+        match &self.lease {
+            Some(lease) if self.is_registered => DiscoveryAction::Renew(lease.clone()),
+            Some(lease) => DiscoveryAction::Register(lease.clone()),
+            None => DiscoveryAction::Grant,
+        }
+    }
+
+    fn drop_lease(&mut self) {
+        self.lease = None;
+        self.is_registered = false;
+    }
+
     fn take_entries(&mut self, entries: &[FoundEntry]) -> DiscoveryAction {
-        let is_listed = entries.contains(&self.own);
         self.others = entries
             .iter()
             .filter(|entry| entry.key != self.own.key)
             .map(|entry| entry.address)
             .collect();
-        self.rounds = self.rounds.saturating_add(1);
         // A listing may be older than the entry; writing it again does no harm.
-        self.is_registered = is_listed;
-        DiscoveryAction::Wait(if self.rounds < FIRST_ROUNDS {
-            FIRST_INTERVAL
-        } else {
-            ROUND_INTERVAL
+        self.is_registered = entries.contains(&self.own);
+        let is_first_look = !std::mem::replace(&mut self.has_looked, true);
+        if is_first_look && self.others.is_empty() {
+            return DiscoveryAction::Grant;
+        }
+        DiscoveryAction::Wait(match self.role {
+            FleetRole::Alone => ALONE_INTERVAL,
+            FleetRole::ZoneFirst | FleetRole::Follower => ROUND_INTERVAL,
         })
     }
 }
--- a/src/node.rs
+++ b/src/node.rs
@@ -33,7 +33,7 @@
     ControlParts, ControlState, NodeIdentity, follow_config, follow_membership, follow_routes,
     publish_tables,
 };
-use crate::discovery::{DiscoverySettings, follow_entries};
+use crate::discovery::{DiscoverySettings, FleetRole, follow_entries};
 use crate::exchange::PeerHello;
 use crate::fields::OWN_DIALECT;
 use crate::gate::{GateCommand, GateSettings, GateStatus, run_gate};
@@ -208,7 +208,8 @@
     let clock = move || started.elapsed();
     let membership = spawn_membership(state, sockets.datagrams, clock, events_sender);
     let config = start_config(&options, &identity, advertised).await?;
-    let (routes, found) = start_platform(&options, &identity, advertised).await?;
+    let (role_sender, role) = watch::channel(FleetRole::Alone);
+    let (routes, found) = start_platform(&options, &identity, advertised, role).await?;
 
     let control = Rc::new(ControlState::new(ControlParts {
         identity: identity.clone(),
@@ -220,6 +221,7 @@
         ingress: Arc::clone(&shared),
         table: table_sender,
         stop_phase: stop_sender,
+        role: role_sender,
         backend_ttl: options.backend_ttl,
     }));
     ntex::rt::spawn(follow_membership(Rc::clone(&control), events));
@@ -344,6 +346,7 @@
     options: &NodeOptions,
     identity: &NodeIdentity,
     peer_address: SocketAddr,
+    role: watch::Receiver<FleetRole>,
 ) -> io::Result<(RoutesHandle, watch::Receiver<BTreeSet<SocketAddr>>)> {
     let (sender, found) = watch::channel(BTreeSet::new());
     let Some(address) = options.platform else {
@@ -359,12 +362,12 @@
         },
         source: PLATFORM.config,
     };
-    let routes = RoutesHandle::start(settings, Rc::clone(&store));
+    let routes = RoutesHandle::start(settings, Rc::clone(&store), role.clone());
     let settings = DiscoverySettings {
         node: identity.node.clone(),
         address: peer_address,
     };
-    ntex::rt::spawn(follow_entries(settings, store, sender));
+    ntex::rt::spawn(follow_entries(settings, store, role, sender));
     Ok((routes, found))
 }
 
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -25,6 +25,8 @@
 const CALL_TIMEOUT: Duration = Duration::from_secs(2);
 /// Time that a watch may take beyond its own limit.
 const WATCH_SLACK: Duration = Duration::from_secs(1);
+/// Lets a read be answered with what was true some seconds ago.
+const STALE_OPTION: &str = "&serializable=1";
 /// Status of a watch whose history is no longer kept.
 const HISTORY_GONE: u16 = 410;
 /// Status of a change whose condition does not hold.
@@ -171,8 +173,8 @@
         Ok(answer.status.is_success())
     }
 
-    async fn read_now(&self, key: &str) -> Result<WatchAnswer, StoreError> {
-        let path = format!("/api/kv-key?key={}", escaped(key));
+    async fn read_key(&self, key: &str, option: &str) -> Result<WatchAnswer, StoreError> {
+        let path = format!("/api/kv-key?key={}{option}", escaped(key));
         let answer = self.get_path(&path, CALL_TIMEOUT).await?;
         if answer.status == StatusCode::NOT_FOUND {
             let found: Option<RawPosition> = serde_json::from_slice(&answer.body).ok();
@@ -205,7 +207,7 @@
         );
         let answer = self.get_path(&path, limit + WATCH_SLACK).await?;
         if answer.status.as_u16() == HISTORY_GONE {
-            return self.read_now(key).await;
+            return self.read_key(key, "").await;
         }
         let found: RawEvents = parse(&answer)?;
         let own = found.events.into_iter().filter(|event| event.key == key);
@@ -260,7 +262,11 @@
 
 impl ConfigStore for PlatformStore {
     async fn get(&self, key: &str) -> Result<Option<StoredValue>, StoreError> {
-        Ok(self.read_now(key).await?.value)
+        Ok(self.read_key(key, "").await?.value)
+    }
+
+    async fn get_stale(&self, key: &str) -> Result<Option<StoredValue>, StoreError> {
+        Ok(self.read_key(key, STALE_OPTION).await?.value)
     }
 
     async fn list(&self, prefix: &str) -> Result<Vec<ListedValue>, StoreError> {
@@ -268,7 +274,7 @@
         let mut last_key = String::new();
         loop {
             let path = format!(
-                "/api/kv-range?prefix={}&after={}&serializable=1",
+                "/api/kv-range?prefix={}&after={}{STALE_OPTION}",
                 escaped(prefix),
                 escaped(&last_key)
             );
@@ -328,7 +334,7 @@
         limit: Duration,
     ) -> Result<WatchAnswer, StoreError> {
         if position == WatchPosition::default() {
-            return self.read_now(key).await;
+            return self.read_key(key, "").await;
         }
         self.wait_for_change(key, position, limit).await
     }
--- a/src/routes/driver.rs
+++ b/src/routes/driver.rs
@@ -1,11 +1,12 @@
 //! Tasks that keep a node's configuration at the highest version it can learn.
 //!
-//! Two ways lead to a new version: a watch on the store's key, and a peer that
-//! names a higher version. Either alone is enough, so a node that the store
-//! turns away still follows its peers, and a watch that has fallen silent is
-//! made up for by another node's.
+//! Two ways lead to a new version: the store, and a peer that names a higher
+//! version. The first node of each availability zone watches the store's key;
+//! the others hear of new versions from peers and only look now and then, at
+//! an answer that may be seconds old. Any one watch is enough for the whole
+//! fleet, so a node that the store turns away still follows its peers, and a
+//! watch that has fallen silent is made up for by another zone's.
 
-use std::cell::Cell;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -17,6 +18,7 @@
 use tokio::sync::{mpsc, watch};
 
 use super::config::{ConfigVersion, RouteConfig};
+use crate::discovery::FleetRole;
 use crate::exchange::{ControlRequest, ControlTopic, PeerHello, send_request};
 use crate::store::{ConfigStore, WatchPosition};
 
@@ -26,6 +28,8 @@
 /// Pause after a failed call, drawn between half of it and all of it. A node
 /// whose store is back is to know within two seconds.
 const FAILURE_PAUSE: Duration = Duration::from_millis(800);
+/// Time between two looks of a node that does not watch.
+const LOOK_INTERVAL: Duration = Duration::from_secs(5);
 /// Reports of peers that wait for a fetch.
 const PEER_QUEUE: usize = 64;
 
@@ -74,7 +78,11 @@
 
     /// Starts the tasks on the present thread's ntex runtime; they end when
     /// no handle is left.
-    pub fn start<S: ConfigStore + 'static>(settings: RoutesSettings, store: Rc<S>) -> Self {
+    pub fn start<S: ConfigStore + 'static>(
+        settings: RoutesSettings,
+        store: Rc<S>,
+        role: watch::Receiver<FleetRole>,
+    ) -> Self {
         let (sender, config) = watch::channel(None);
         let (peers, reports) = mpsc::channel(PEER_QUEUE);
         let sender = Rc::new(sender);
@@ -83,7 +91,7 @@
         ntex::rt::spawn(async move {
             tokio::select! {
                 () = sender.closed() => {}
-                () = follow_store(&sender, source, &*store) => {}
+                () = follow_store(&sender, source, &*store, role) => {}
             }
         });
         Self { config, peers }
@@ -149,38 +157,80 @@
 }
 
 /// Applies what the store shows; never ends by itself.
-async fn follow_store<S: ConfigStore>(sender: &ConfigSender, source: ConfigSource, store: &S) {
+async fn follow_store<S: ConfigStore>(
+    sender: &ConfigSender,
+    source: ConfigSource,
+    store: &S,
+    mut role: watch::Receiver<FleetRole>,
+) {
     let mut position = WatchPosition::default();
-    let is_away = Cell::new(false);
+    let mut is_away = false;
     loop {
-        let answer = store.watch(source.key, position, WATCH_LIMIT).await;
-        let result = answer
-            .map_err(|error| error.to_string())
-            .and_then(|answer| {
-                if let Some(stored) = &answer.value {
-                    let config =
-                        (source.decode)(&stored.bytes).map_err(|error| error.to_string())?;
-                    apply(sender, config, "store");
-                }
-                Ok(answer.position)
-            });
+        let is_leading = role.borrow_and_update().is_leading();
+        let result = if is_leading {
+            watch_once(sender, source, store, position).await
+        } else {
+            look_once(sender, source, store).await
+        };
         match result {
             Ok(next) => {
                 position = next;
-                if is_away.replace(false) {
+                if std::mem::replace(&mut is_away, false) {
                     log::info!(target: "routes", dependency = "store"; "dependency regained");
                 }
             }
             Err(reason) => {
                 position = WatchPosition::default();
-                if !is_away.replace(true) {
+                if !std::mem::replace(&mut is_away, true) {
                     log::warn!(target: "routes", dependency = "store", reason = reason.as_str(); "dependency lost");
                 }
-                let pause = rand::rng().random_range(FAILURE_PAUSE / 2..FAILURE_PAUSE);
-                tokio::time::sleep(pause).await;
+                pause(FAILURE_PAUSE).await;
             }
         }
+        if !is_leading {
+            tokio::select! {
+                () = pause(LOOK_INTERVAL) => {}
+                // A control thread that has ended changes no role.
+                _ = role.changed() => {}
+            }
+        }
+    }
+}
+
+/// Waits between half of the time and all of it, so that nodes don't ask
+/// together.
+async fn pause(time: Duration) {
+    let pause = rand::rng().random_range(time / 2..time);
+    tokio::time::sleep(pause).await;
+}
+
+async fn watch_once<S: ConfigStore>(
+    sender: &ConfigSender,
+    source: ConfigSource,
+    store: &S,
+    position: WatchPosition,
+) -> Result<WatchPosition, String> {
+    let answer = store.watch(source.key, position, WATCH_LIMIT).await;
+    let answer = answer.map_err(|error| error.to_string())?;
+    if let Some(stored) = &answer.value {
+        let config = (source.decode)(&stored.bytes).map_err(|error| error.to_string())?;
+        apply(sender, config, "store");
+    }
+    Ok(answer.position)
+}
+
+/// Reads the key as it was some seconds ago; a later watch starts over.
+async fn look_once<S: ConfigStore>(
+    sender: &ConfigSender,
+    source: ConfigSource,
+    store: &S,
+) -> Result<WatchPosition, String> {
+    let found = store.get_stale(source.key).await;
+    if let Some(stored) = found.map_err(|error| error.to_string())? {
+        let config = (source.decode)(&stored.bytes).map_err(|error| error.to_string())?;
+        apply(sender, config, "store, stale");
     }
+    Ok(WatchPosition::default())
 }
 
 /// Fetches from each peer that names a higher version.
--- a/src/store.rs
+++ b/src/store.rs
@@ -103,6 +103,11 @@
     /// Reads a key.
     async fn get(&self, key: &str) -> Result<Option<StoredValue>, StoreError>;
 
+    /// Reads a key; the answer may be seconds old, and costs less.
+    async fn get_stale(&self, key: &str) -> Result<Option<StoredValue>, StoreError> {
+        self.get(key).await
+    }
+
     /// Reads all keys that begin with `prefix`; the answer may be seconds old.
     async fn list(&self, prefix: &str) -> Result<Vec<ListedValue>, StoreError>;
 
