Log to standard output, one line for the end of each call, values as JSON

Cause: the on-call engineer has logs and metrics alone; candidates were Debug text in a string, lines went to standard error, and no line told how a call ended. Change: lines on standard output behind the line of bound addresses; the end of each call with request id, route, configuration version, upstream, elapsed time and attempts; a quarter of the buffer is kept for refusals, failures and errors.

--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -70,7 +70,7 @@
 $bin/currantlift-replay --target "$target" --service "$service" \
     --rate "$rate" --seconds "$seconds" --body-bytes 1024
 echo "one of the decisions on the way:"
-grep -h -m 1 '"target":"routing"' "$logs/$last.log"
+grep -h -m 1 '"target":"routing"' "$logs/$last.out"
 
 stop_all TERM
 trap - EXIT
--- a/scripts/processes.sh
+++ b/scripts/processes.sh
@@ -1,5 +1,6 @@
 # Functions for scripts that run several processes; meant to be sourced.
-# Outputs of process NAME are in $logs/NAME.out and $logs/NAME.log.
+# The output of process NAME, log lines included, is in $logs/NAME.out; what it
+# wrote to standard error is in $logs/NAME.err.
 
 logs=$(mktemp -d)
 pids=()
@@ -17,14 +18,14 @@
     local name=$1
     shift
     rm -f "$logs/$name.out"
-    "$@" >"$logs/$name.out" 2>"$logs/$name.log" &
+    "$@" >"$logs/$name.out" 2>"$logs/$name.err" &
     pids+=($!)
     for _ in $(seq 500); do
         [ -s "$logs/$name.out" ] && return
         sleep 0.02
     done
     echo "$name did not start:" >&2
-    cat "$logs/$name.log" >&2
+    cat "$logs/$name.err" >&2
     exit 1
 }
 
--- a/src/control/placement.rs
+++ b/src/control/placement.rs
@@ -97,8 +97,8 @@
                 log::info!(
                     target: "placement",
                     service:%, upstream:% = node,
-                    state:? = upstream.state,
-                    suspect:? = upstream.is_suspect,
+                    state:serde = upstream.state,
+                    suspect = upstream.is_suspect,
                     table = new.version;
                     "upstream placed"
                 );
--- a/src/control/state.rs
+++ b/src/control/state.rs
@@ -154,7 +154,7 @@
         if order.is_some_and(|order| !self.presence.borrow_mut().accept(&id, order)) {
             log::info!(
                 target: "control",
-                backend:% = id, order:? = announcement.order;
+                backend:% = id, order:serde = announcement.order;
                 "outdated announcement ignored"
             );
             return AnnounceOutcome::Outdated;
@@ -174,7 +174,7 @@
             log::info!(
                 target: "control",
                 backend:% = id, service:% = announcement.service,
-                state:? = announcement.state, order:? = announcement.order;
+                state:serde = announcement.state, order:serde = announcement.order;
                 "backend server announced"
             );
         }
--- a/src/gate.rs
+++ b/src/gate.rs
@@ -426,14 +426,33 @@
 }
 
 fn log_admission(id: CallId, open: &CallOpen, decision: &Admission, load: LoadStamp) {
+    let (name, wait_ms, finish_ms) = match decision {
+        Admission::Start => ("start", 0, None),
+        Admission::Queued { estimated_wait } => ("queue", estimated_wait.as_millis() as u64, None),
+        Admission::Refused {
+            retry_after,
+            estimated_finish,
+            ..
+        } => (
+            "refuse",
+            retry_after.as_millis() as u64,
+            Some(estimated_finish.as_millis() as u64),
+        ),
+    };
     log::info!(
         target: "admission",
         call:% = id,
+        request_id = open.request_id.as_str(),
         service = open.service.as_str(),
-        decision:?,
+        rank = open.rank,
+        ask_percent = open.ask_percent,
+        target_left_ms = open.target_left_us / 1_000,
+        time_left_ms = open.time_left_us / 1_000,
+        decision = name, wait_ms, finish_ms,
         in_flight = load.in_flight,
         queued = load.queued,
-        limit = load.limit;
+        limit = load.limit,
+        is_slow = load.is_slow;
         "call offered"
     );
 }
--- a/src/ingress.rs
+++ b/src/ingress.rs
@@ -25,11 +25,10 @@
 use tokio::sync::watch;
 
 use crate::admission::ShareTable;
-use crate::error::ErrorKind;
+use crate::error::{ErrorKind, RunOutcome};
 use crate::fields::CallDialect;
 use crate::http1::RequestHead;
 use crate::ids::{NodeId, NodeIncarnation, ServiceName};
-use crate::ingress::answer::CallFailure;
 use crate::ingress::body::BodyPieces;
 use crate::ingress::call::CallDriver;
 use crate::ingress::connection::CallResult;
@@ -201,14 +200,20 @@
     body: Option<BodyPieces>,
 ) -> CallResult {
     let target = head.target.clone();
-    let result = match check_request(&worker, head) {
-        Ok(facts) => CallDriver::new(Rc::clone(&worker), facts, body).run().await,
-        Err(kind) => Err(kind.into()),
-    };
-    if let Err(failure) = &result {
-        log_failure(&target, failure);
+    match check_request(&worker, head) {
+        Ok(facts) => CallDriver::new(worker, facts, body).run().await,
+        Err(kind) => {
+            log::warn!(
+                target: "ingress",
+                path = target.as_str(),
+                kind = kind.code(), outcome:% = RunOutcome::NotRun,
+                status = kind.answer_row().status,
+                table = worker.shared.table.borrow().version;
+                "request rejected"
+            );
+            Err(kind.into())
+        }
     }
-    result
 }
 
 fn check_request(worker: &IngressWorker, head: RequestHead) -> Result<RequestFacts, ErrorKind> {
@@ -226,20 +231,6 @@
     .check(head)
 }
 
-fn log_failure(target: &str, failure: &CallFailure) {
-    let call = failure.call.map(|call| call.to_string());
-    log::info!(
-        target: "ingress",
-        call = call.as_deref().unwrap_or("none"),
-        path = target,
-        kind = failure.kind.code(),
-        outcome:% = failure.outcome,
-        status = failure.kind.answer_row_for(failure.outcome).status,
-        retry_after_ms = u64::try_from(failure.retry_after.as_millis()).unwrap_or(u64::MAX);
-        "request refused or failed"
-    );
-}
-
 /// Closes links to gates that no table has any more, until control ends.
 pub async fn close_unused_links(shared: Arc<IngressShared>, pool: Rc<LinkPool>) {
     let mut table = shared.table.clone();
--- a/src/ingress/answer.rs
+++ b/src/ingress/answer.rs
@@ -11,7 +11,7 @@
 use crate::fields::CallDialect;
 use crate::http1::BodyFraming;
 use crate::http1::write::{end_head, put_field, put_fields, put_framing, put_status_line};
-use crate::ids::CallId;
+use crate::ids::{CallId, NodeId};
 use crate::link::messages::AnswerHead;
 
 /// Statuses whose answers have no body and no stated length.
@@ -33,6 +33,8 @@
 pub struct CallAnswer {
     /// Call.
     pub call: CallId,
+    /// Node of the upstream.
+    pub upstream: NodeId,
     /// Head, with the first bytes of the body.
     pub head: AnswerHead,
     /// Rest of the body, unless the head has it all.
--- a/src/ingress/attempt.rs
+++ b/src/ingress/attempt.rs
@@ -16,7 +16,7 @@
 use tokio::time::Instant;
 
 use crate::error::ErrorKind;
-use crate::ids::{CallId, ServiceName};
+use crate::ids::{CallId, NodeId, ServiceName};
 use crate::ingress::body::RequestBody;
 use crate::ingress::placing::GateOutlook;
 use crate::ingress::{IngressWorker, lock};
@@ -184,6 +184,11 @@
         })
     }
 
+    /// Node of the gate that has the call.
+    pub fn gate(&self) -> &NodeId {
+        &self.plan.target.node
+    }
+
     fn sequence(&self) -> u64 {
         self.plan.id.sequence
     }
--- a/src/ingress/call.rs
+++ b/src/ingress/call.rs
@@ -133,6 +133,12 @@
     ///
     /// The failure that the caller is told.
     pub async fn run(mut self) -> Result<CallAnswer, CallFailure> {
+        let result = self.run_attempts().await;
+        self.log_end(&result);
+        result
+    }
+
+    async fn run_attempts(&mut self) -> Result<CallAnswer, CallFailure> {
         let mut body = self.read_first().await?;
         let _share = self.enter_share()?;
         let service = &self.facts.service;
@@ -318,9 +324,11 @@
             let mut times = lock(&self.worker.shared.times);
             times.note(&self.facts.class(), answered.latency);
         }
+        let upstream = answered.attempt.gate().clone();
         let rest = (!head.is_last).then(|| answered.attempt.relay_rest());
         Ok(CallAnswer {
             call: self.id,
+            upstream,
             head,
             rest,
         })
@@ -461,24 +469,59 @@
     }
 
     fn log_choice(&self, choice: &Result<RouteChoice, ErrorKind>) {
-        let (call, service, attempt) = (self.id, &self.facts.service, self.placements);
+        let (call, service, attempt) = (self.id, &self.facts.service, self.placements + 1);
+        let request_id = self.request_id();
+        let target_left_ms = self.target_left().as_millis() as u64;
         match choice {
             Ok(choice) => log::info!(
                 target: "routing",
-                call:%, service:%, attempt,
+                call:%, request_id, service:%, attempt, target_left_ms,
                 chosen:% = choice.node,
                 reason:% = choice.reason,
-                candidates:? = choice.candidates;
+                candidates:serde = choice.candidates;
                 "upstream chosen"
             ),
             Err(kind) => log::info!(
                 target: "routing",
-                call:%, service:%, attempt, reason:% = kind;
+                call:%, request_id, service:%, attempt, target_left_ms, reason:% = kind;
                 "no upstream chosen"
             ),
         }
     }
 
+    fn request_id(&self) -> &str {
+        self.facts.request_id.as_deref().unwrap_or_default()
+    }
+
+    /// One line for the end of each call.
+    fn log_end(&self, result: &Result<CallAnswer, CallFailure>) {
+        let route = self.facts.route.as_ref();
+        let route_name = route.map_or("", |route| route.name.as_str());
+        let config_version = route.map_or(0, |route| route.version);
+        let (call, service) = (self.id, &self.facts.service);
+        let (request_id, path) = (self.request_id(), self.facts.path.as_str());
+        let elapsed_ms = self.started.elapsed().as_millis() as u64;
+        let (placements, attempts) = (self.placements, self.attempts());
+        match result {
+            Ok(answer) => log::info!(
+                target: "ingress",
+                call:%, request_id, path, route = route_name, config_version, service:%,
+                status = answer.head.status, upstream:% = answer.upstream,
+                elapsed_ms, placements, attempts;
+                "call answered"
+            ),
+            Err(failure) => log::warn!(
+                target: "ingress",
+                call:%, request_id, path, route = route_name, config_version, service:%,
+                kind = failure.kind.code(), outcome:% = failure.outcome,
+                status = failure.kind.answer_row_for(failure.outcome).status,
+                retry_after_ms = failure.retry_after.as_millis() as u64,
+                elapsed_ms, placements, attempts;
+                "call refused or failed"
+            ),
+        }
+    }
+
     fn open_message(&self, id: CallId, body: &RequestBody) -> CallOpen {
         let (first, is_last) = body.first();
         let time_left = self.time_left().as_micros();
@@ -560,10 +603,13 @@
         log::info!(
             target: "retry",
             call:% = self.id,
+            request_id = self.request_id(),
             service:% = self.facts.service,
             attempt = self.placements,
-            failure:? = end.failure,
-            decision:?;
+            kind = end.failure.kind().code(),
+            outcome:% = end.failure.outcome(),
+            is_free,
+            decision:% = decision.name();
             "attempt failed"
         );
         match decision {
--- a/src/logs.rs
+++ b/src/logs.rs
@@ -1,8 +1,12 @@
-//! Logs: one JSON object a line on standard error.
+//! Logs: one JSON object a line on standard output.
 //!
 //! Each line has `at` (UTC), `level`, `target`, `node` and `message`, and the
-//! fields of the event. Decisions use the targets `routing`, `admission`,
-//! `retry` and `placement` and name the call they are about.
+//! fields of the event. Decisions use the targets `ingress`, `routing`,
+//! `admission`, `retry` and `placement` and name the call they are about.
+//!
+//! Lines wait in a buffer of bounded size. Lines of calls that went well leave
+//! part of it to warnings and errors, among them every refused or failed call,
+//! so that those are the last to go when the reader is too slow.
 
 mod writer;
 
@@ -11,7 +15,7 @@
 
 use fern::Dispatch;
 use log::kv::{Key, Value, VisitSource};
-use log::{LevelFilter, Record};
+use log::{Level, LevelFilter, Record};
 use serde::ser::{Serialize, SerializeMap, Serializer};
 
 use crate::logs::writer::BufferWriter;
@@ -36,11 +40,20 @@
 /// Fails if logging was started before or its thread can't be started.
 pub fn start_logs(node: &str, level: LevelFilter) -> io::Result<LogFlusher> {
     let node = node.to_string();
-    let (writer, flusher) = BufferWriter::start(io::stderr())?;
+    let (writer, flusher) = BufferWriter::start(io::stdout())?;
+    let urgent = writer.with_whole_buffer();
+    let is_urgent = |level: Level| level <= Level::Warn;
+    let common = Dispatch::new()
+        .filter(move |metadata| !is_urgent(metadata.level()))
+        .chain(Box::new(writer) as Box<dyn Write + Send>);
+    let urgent = Dispatch::new()
+        .filter(move |metadata| is_urgent(metadata.level()))
+        .chain(Box::new(urgent) as Box<dyn Write + Send>);
     let mut dispatch = Dispatch::new()
         .level(level)
         .format(move |out, _message, record| out.finish(format_args!("{}", line_of(&node, record))))
-        .chain(Box::new(writer) as Box<dyn Write + Send>);
+        .chain(common)
+        .chain(urgent);
     for target in LIBRARY_TARGETS {
         dispatch = dispatch.level_for(target, LevelFilter::Warn.min(level));
     }
@@ -86,12 +99,7 @@
 impl<'kvs, M: SerializeMap> VisitSource<'kvs> for FieldVisitor<'_, M> {
     fn visit_pair(&mut self, key: Key<'kvs>, value: Value<'kvs>) -> Result<(), log::kv::Error> {
         if self.result.is_ok() {
-            self.result = match value.to_u64() {
-                Some(number) => self.map.serialize_entry(key.as_str(), &number),
-                None => self
-                    .map
-                    .serialize_entry(key.as_str(), &format_args!("{value}")),
-            };
+            self.result = self.map.serialize_entry(key.as_str(), &value);
         }
         Ok(())
     }
--- a/src/logs/tests.rs
+++ b/src/logs/tests.rs
@@ -51,3 +51,24 @@
     assert!(text.ends_with("last\n"));
     assert!(text.len() < 10_000 * 1_001);
 }
+
+#[test]
+fn urgent_lines_are_the_last_to_go() {
+    let (open, gate) = channel();
+    let (written, output) = channel();
+    let (mut common, flusher) = BufferWriter::start(StalledOutput { gate, written }).unwrap();
+    let mut urgent = common.with_whole_buffer();
+    write_line(&mut common, "first");
+    let long = "x".repeat(1_000);
+    for _ in 0..10_000 {
+        write_line(&mut common, &long);
+    }
+    write_line(&mut common, "common");
+    write_line(&mut urgent, "urgent");
+    drop(open);
+    flusher.flush(Duration::from_secs(10));
+    drop((common, urgent, flusher));
+    let text: String = output.iter().collect();
+    assert!(text.contains("urgent\n"));
+    assert!(!text.contains("common\n"));
+}
--- a/src/logs/writer.rs
+++ b/src/logs/writer.rs
@@ -1,6 +1,6 @@
 //! Writes log lines from a thread of its own.
 //!
-//! A reader of standard error that stalls must not stall traffic, and a line
+//! A reader of standard output that stalls must not stall traffic, and a line
 //! must not cost traffic a system call or the wake-up of another thread. Lines
 //! are collected in a buffer of bounded size, which the writing thread takes
 //! whole at a fixed interval. What does not fit is dropped and counted, and the
@@ -12,7 +12,9 @@
 use std::time::{Duration, Instant};
 
 /// Bytes that wait to be written, at most.
-const BUFFER_BYTES: usize = 4 * 1024 * 1024;
+const BUFFER_BYTES: usize = 2 * 1024 * 1024;
+/// Part of them that common lines may take; the rest is for urgent ones.
+const COMMON_BYTES: usize = BUFFER_BYTES / 4 * 3;
 /// Interval between two writes.
 const WRITE_INTERVAL: Duration = Duration::from_millis(50);
 
@@ -54,6 +56,7 @@
 pub struct BufferWriter {
     line: Vec<u8>,
     buffer: SharedBuffer,
+    limit: usize,
 }
 
 impl BufferWriter {
@@ -74,9 +77,19 @@
         let writer = Self {
             line: Vec::new(),
             buffer,
+            limit: COMMON_BYTES,
         };
         Ok((writer, flusher))
     }
+
+    /// Writer to the same output whose lines may take the whole buffer.
+    pub fn with_whole_buffer(&self) -> Self {
+        Self {
+            line: Vec::new(),
+            buffer: Arc::clone(&self.buffer),
+            limit: BUFFER_BYTES,
+        }
+    }
 }
 
 impl Write for BufferWriter {
@@ -88,7 +101,7 @@
     /// Ends the line; the logging library flushes after each.
     fn flush(&mut self) -> io::Result<()> {
         let mut buffer = lock(&self.buffer);
-        if buffer.bytes.len() + self.line.len() <= BUFFER_BYTES {
+        if buffer.bytes.len() + self.line.len() <= self.limit {
             buffer.bytes.extend_from_slice(&self.line);
         } else {
             buffer.dropped += 1;
--- a/src/node.rs
+++ b/src/node.rs
@@ -166,6 +166,8 @@
 async fn run_node(options: NodeOptions) -> io::Result<()> {
     let sockets = NodeSockets::bind(&options).await?;
     let addresses = sockets.addresses()?;
+    // The first line of the output; log lines follow.
+    print_addresses(&addresses)?;
     let identity = NodeIdentity {
         node: options.node_id.clone(),
         incarnation: new_incarnation(),
@@ -257,8 +259,11 @@
     };
     start_ingress(&traffic, &threads)?;
 
-    print_addresses(&addresses)?;
-    log::info!(target: "node", incarnation:% = identity.incarnation; "node started");
+    log::info!(
+        target: "node",
+        incarnation:% = identity.incarnation, version = env!("CARGO_PKG_VERSION");
+        "node started"
+    );
     tokio::select! {
         stopped = wait_for_stop() => stopped?,
         () = control.stop.notified() => {}
--- a/src/retry.rs
+++ b/src/retry.rs
@@ -119,6 +119,14 @@
             Self::NotRun(kind) | Self::Unknown(kind) => kind,
         }
     }
+
+    /// What is known about the run.
+    pub fn outcome(self) -> RunOutcome {
+        match self {
+            Self::NotRun(_) => RunOutcome::NotRun,
+            Self::Unknown(_) => RunOutcome::Unknown,
+        }
+    }
 }
 
 /// What follows a failed attempt.
@@ -139,6 +147,16 @@
     },
 }
 
+impl RetryDecision {
+    /// Short name for log lines.
+    pub fn name(&self) -> String {
+        match self {
+            Self::Retry => "retry".to_string(),
+            Self::GiveUp { reason, .. } => format!("give-up: {reason}"),
+        }
+    }
+}
+
 /// Why a call gets no further attempt.
 #[derive(Debug, Clone, Copy, derive_more::Display, PartialEq, Eq)]
 pub enum GiveUpReason {
--- a/src/routing.rs
+++ b/src/routing.rs
@@ -24,6 +24,7 @@
 use std::time::Duration;
 
 use derive_more::Display;
+use serde::{Serialize, Serializer};
 
 use crate::admission::GateLoad;
 use crate::error::ErrorKind;
@@ -161,18 +162,25 @@
 }
 
 /// One candidate that a choice looked at.
-#[derive(Debug, Clone, PartialEq)]
+#[derive(Debug, Clone, PartialEq, Serialize)]
 pub struct CandidateScore {
     /// Node of the upstream.
     pub node: NodeId,
     /// Score; the lowest wins.
     pub score: f64,
     /// Age of the last load report.
+    #[serde(rename = "report_age_ms", serialize_with = "serialize_age")]
     pub report_age: Option<Duration>,
     /// Own attempts outstanding there, before this one.
     pub outstanding: u32,
 }
 
+/// Writes an age in whole milliseconds.
+#[expect(clippy::ref_option, reason = "the signature is the library's")]
+fn serialize_age<S: Serializer>(age: &Option<Duration>, serializer: S) -> Result<S::Ok, S::Error> {
+    age.map(|age| age.as_millis() as u64).serialize(serializer)
+}
+
 /// Why an upstream was chosen.
 #[derive(Debug, Clone, Copy, Display, PartialEq, Eq, PartialOrd, Ord)]
 pub enum RouteReason {
--- a/tests/support/process.rs
+++ b/tests/support/process.rs
@@ -20,6 +20,9 @@
 /// Variable that names a directory for the processes' logs.
 const LOGS_VARIABLE: &str = "FAULTS_LOGS";
 
+/// Start of a log line of a node.
+const LOG_LINE_START: &str = "{\"at\":";
+
 /// Runs by request id, over all backend servers and their restarts.
 pub type RunTally = Arc<Mutex<BTreeMap<String, u32>>>;
 
@@ -37,14 +40,15 @@
         let mut child = command
             .stdin(Stdio::piped())
             .stdout(Stdio::piped())
-            .stderr(log_output(name))
+            .stderr(Stdio::null())
             .spawn()
             .unwrap();
         let output = child.stdout.take().unwrap();
         let stdin = child.stdin.take();
         let (sender, lines) = channel();
         let tally = Arc::clone(tally);
-        let reader = std::thread::spawn(move || read_lines(output, &sender, &tally));
+        let logs = log_file(name);
+        let reader = std::thread::spawn(move || read_lines(output, &sender, &tally, logs));
         Self {
             child,
             stdin,
@@ -101,13 +105,11 @@
     }
 }
 
-fn log_output(name: &str) -> Stdio {
-    let Ok(folder) = env::var(LOGS_VARIABLE) else {
-        return Stdio::null();
-    };
+fn log_file(name: &str) -> Option<File> {
+    let folder = env::var(LOGS_VARIABLE).ok()?;
     let path = Path::new(&folder).join(format!("{name}.log"));
     let file = File::options().append(true).create(true).open(path);
-    Stdio::from(file.unwrap())
+    Some(file.unwrap())
 }
 
 /// Whether logs are kept.
@@ -115,8 +117,19 @@
     env::var(LOGS_VARIABLE).is_ok()
 }
 
-fn read_lines(output: ChildStdout, lines: &Sender<String>, tally: &RunTally) {
+fn read_lines(
+    output: ChildStdout,
+    lines: &Sender<String>,
+    tally: &RunTally,
+    mut logs: Option<File>,
+) {
     for line in BufReader::new(output).lines().map_while(Result::ok) {
+        if line.starts_with(LOG_LINE_START) {
+            if let Some(file) = &mut logs {
+                writeln!(file, "{line}").unwrap();
+            }
+            continue;
+        }
         match line.strip_prefix("run ") {
             Some(id) => *tally.lock().unwrap().entry(id.to_string()).or_default() += 1,
             // Nobody may be waiting for the line.
