Take slowness that lasts longer than a burst as it is

Cause: a VM that is slow for seconds (srv_slow) held its queue in vain. Change: after 500 ms of slow readings calls may start there, with the stated slowness in the estimate; asks still go elsewhere.

--- a/src/admission.rs
+++ b/src/admission.rs
@@ -52,6 +52,9 @@
 /// Age up to which a reading of the VM's speed counts. Bursts of neighbours on
 /// the users' hosts begin and end about every 150 ms.
 const READING_MEMORY: Duration = Duration::from_millis(30);
+/// Time after which slowness is no burst any more: it may last for long, and
+/// waiting for its end would be in vain.
+const LASTING_TIME: Duration = Duration::from_millis(500);
 /// Time that the rest of a burst is expected to take.
 const BURST_REST: Duration = Duration::from_millis(75);
 
@@ -60,8 +63,10 @@
 enum VmSpeed {
     /// Work takes about as long as usual.
     Usual,
-    /// Work that starts now takes much longer.
+    /// Work that starts now takes much longer; work that starts soon may not.
     Slow,
+    /// Slow for longer than bursts of neighbours last.
+    Lasting,
     /// The last reading is too old to tell.
     Unknown,
 }
@@ -210,6 +215,8 @@
     /// Slowness of the VM as last stated, and when; `None` where backend
     /// servers don't state it.
     reading: Option<(Duration, f64)>,
+    /// Moment since which every reading has said slow.
+    slow_since: Option<Duration>,
     is_draining: bool,
 }
 
@@ -227,6 +234,7 @@
             latency: LatencyEstimate::default(),
             start_sum: Duration::ZERO,
             reading: None,
+            slow_since: None,
             is_draining: false,
         }
     }
@@ -242,13 +250,13 @@
         }
         if self.waiting.is_empty() && self.in_flight() < self.limit.get() {
             match self.speed(now) {
-                VmSpeed::Usual if self.is_easy(offer.ask_share) => {
+                VmSpeed::Usual | VmSpeed::Lasting if self.may_start(now, offer.ask_share) => {
                     self.shares.take(&offer.shares);
                     self.run(now, offer.call, offer.shares, offer.class);
                     return Admission::Start;
                 }
-                VmSpeed::Usual => {
-                    let finish = self.run_estimate(&offer.class);
+                VmSpeed::Usual | VmSpeed::Lasting => {
+                    let finish = self.run_estimate(now, &offer.class);
                     return refusal(ErrorKind::Overloaded, SHORTEST_RETRY, finish);
                 }
                 VmSpeed::Slow | VmSpeed::Unknown => {}
@@ -260,7 +268,7 @@
     fn enqueue(&mut self, now: Duration, offer: CallOffer) -> Admission {
         self.evict_late(now);
         let wait = self.estimated_wait(now, offer.rank);
-        let finish = wait + self.run_estimate(&offer.class);
+        let finish = wait + self.run_estimate(now, &offer.class);
         let is_unread = self.in_flight() < self.limit.get() && self.speed(now) == VmSpeed::Unknown;
         if offer.ask_share.is_some() && !is_unread {
             return refusal(ErrorKind::Overloaded, wait, finish);
@@ -363,6 +371,11 @@
     /// the queued calls that start now.
     pub fn note_slowness(&mut self, now: Duration, slowness: f64) -> Vec<CallId> {
         self.reading = Some((now, slowness));
+        self.slow_since = if slowness >= SLOW_RATIO {
+            self.slow_since.or(Some(now))
+        } else {
+            None
+        };
         self.start_waiting(now)
     }
 
@@ -372,7 +385,7 @@
         let is_held = !self.waiting.is_empty() && self.in_flight() < self.limit.get();
         let (at, _) = self.reading.filter(|_| is_held)?;
         match self.speed(now) {
-            VmSpeed::Usual => None,
+            VmSpeed::Usual | VmSpeed::Lasting => None,
             VmSpeed::Unknown => Some(now),
             VmSpeed::Slow => Some(at + READING_MEMORY),
         }
@@ -410,12 +423,15 @@
         }
     }
 
-    /// Whether a call that asks may start: with one more, the work stays
-    /// within the share of the slots.
-    fn is_easy(&self, ask_share: Option<f64>) -> bool {
+    /// Whether a call may start: one that asks only at the usual speed and, with
+    /// it, within its share of the slots.
+    fn may_start(&self, now: Duration, ask_share: Option<f64>) -> bool {
         let Some(share) = ask_share else {
             return true;
         };
+        if self.speed(now) == VmSpeed::Lasting {
+            return false;
+        }
         let room = (f64::from(self.limit.get()) * share).max(1.0);
         f64::from(self.in_flight() + 1) <= room
     }
@@ -427,17 +443,26 @@
         };
         if now.saturating_sub(at) >= READING_MEMORY {
             VmSpeed::Unknown
-        } else if slowness >= SLOW_RATIO {
-            VmSpeed::Slow
-        } else {
+        } else if slowness < SLOW_RATIO {
             VmSpeed::Usual
+        } else if self
+            .slow_since
+            .is_some_and(|since| at.saturating_sub(since) >= LASTING_TIME)
+        {
+            VmSpeed::Lasting
+        } else {
+            VmSpeed::Slow
         }
     }
 
     /// Time that a run of the class is expected to take.
-    fn run_estimate(&self, class: &str) -> Duration {
+    fn run_estimate(&self, now: Duration, class: &str) -> Duration {
         let known = self.classes.get(class).map(LatencyEstimate::mean);
-        known.unwrap_or_else(|| self.latency.mean())
+        let usual = known.unwrap_or_else(|| self.latency.mean());
+        match (self.speed(now), self.reading) {
+            (VmSpeed::Lasting, Some((_, slowness))) => usual.mul_f64(slowness),
+            _ => usual,
+        }
     }
 
     /// Time until a call of the rank would be expected to start.
@@ -476,11 +501,12 @@
     fn start_waiting(&mut self, now: Duration) -> Vec<CallId> {
         let mut started = Vec::new();
         let speed = self.speed(now);
-        while speed == VmSpeed::Usual && self.in_flight() < self.limit.get() {
+        let is_open = matches!(speed, VmSpeed::Usual | VmSpeed::Lasting);
+        while is_open && self.in_flight() < self.limit.get() {
             let Some(index) = self.next_to_start(now) else {
                 break;
             };
-            if !self.is_easy(self.waiting[index].ask_share) {
+            if !self.may_start(now, self.waiting[index].ask_share) {
                 self.evict(index);
                 continue;
             }
@@ -488,7 +514,8 @@
             self.run(now, entry.call, entry.shares, entry.class);
             started.push(entry.call);
         }
-        if speed == VmSpeed::Slow || self.in_flight() >= self.limit.get() {
+        if matches!(speed, VmSpeed::Slow | VmSpeed::Lasting) || self.in_flight() >= self.limit.get()
+        {
             self.evict_asking();
         }
         if !started.is_empty() && self.in_flight() >= self.limit.get() {
@@ -518,7 +545,7 @@
 
     fn is_late(&self, now: Duration, entry: &WaitingCall) -> bool {
         let has_target = entry.target_at < entry.expires_at + self.latency.shortest();
-        has_target && now + self.run_estimate(&entry.class) > entry.target_at
+        has_target && now + self.run_estimate(now, &entry.class) > entry.target_at
     }
 
     /// Turns away what can't meet its target after a slot has gone to another.
@@ -549,7 +576,7 @@
         let ahead = if is_free { 0 } else { before + excess + 1 };
         let burst = match self.speed(now) {
             VmSpeed::Slow => BURST_REST,
-            VmSpeed::Usual | VmSpeed::Unknown => Duration::ZERO,
+            VmSpeed::Usual | VmSpeed::Lasting | VmSpeed::Unknown => Duration::ZERO,
         };
         let turn = f64::from(ahead) / f64::from(limit);
         burst + self.latency_estimate(now).mul_f64(turn)
