Tell bursts from slowness that lasts by the lowest of the last while

Change: the lowest slowness of the last 800 ms counts as the VM's usual speed; twice that is a burst; run times are estimated for the usual speed and scaled; a reading that can't be had lets the last one count on.

--- a/src/admission.rs
+++ b/src/admission.rs
@@ -27,6 +27,7 @@
 mod latency;
 mod limit;
 mod share;
+mod speed;
 
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -34,6 +35,7 @@
 use crate::error::ErrorKind;
 use crate::ids::{CallId, SlotCount};
 use limit::CapacityLimit;
+use speed::{SpeedHistory, VmSpeed};
 
 pub use latency::LatencyEstimate;
 pub use share::{ShareKey, ShareTable, WorkShare};
@@ -47,30 +49,9 @@
 /// Wait that a refusal names while the gate drains.
 const DRAIN_RETRY: Duration = Duration::from_secs(1);
 
-/// Stated slowness from which the VM counts as slow.
-const SLOW_RATIO: f64 = 2.0;
-/// Age up to which a reading of the VM's speed counts. Bursts of neighbours on
-/// the users' hosts begin and end about every 150 ms.
-const READING_MEMORY: Duration = Duration::from_millis(30);
-/// Time after which slowness is no burst any more: it may last for long, and
-/// waiting for its end would be in vain.
-const LASTING_TIME: Duration = Duration::from_millis(500);
 /// Time that the rest of a burst is expected to take.
 const BURST_REST: Duration = Duration::from_millis(75);
 
-/// What is known of the speed of the VM.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum VmSpeed {
-    /// Work takes about as long as usual.
-    Usual,
-    /// Work that starts now takes much longer; work that starts soon may not.
-    Slow,
-    /// Slow for longer than bursts of neighbours last.
-    Lasting,
-    /// The last reading is too old to tell.
-    Unknown,
-}
-
 /// Settings of an [`AdmissionQueue`].
 #[derive(Debug, Clone, Copy)]
 pub struct AdmissionOptions {
@@ -212,11 +193,8 @@
     classes: BTreeMap<String, LatencyEstimate>,
     /// Sum of the start times of the calls at work.
     start_sum: Duration,
-    /// Slowness of the VM as last stated, and when; `None` where backend
-    /// servers don't state it.
-    reading: Option<(Duration, f64)>,
-    /// Moment since which every reading has said slow.
-    slow_since: Option<Duration>,
+    /// What the backend server has stated of its speed.
+    speed: SpeedHistory,
     is_draining: bool,
 }
 
@@ -233,8 +211,7 @@
             classes: BTreeMap::new(),
             latency: LatencyEstimate::default(),
             start_sum: Duration::ZERO,
-            reading: None,
-            slow_since: None,
+            speed: SpeedHistory::default(),
             is_draining: false,
         }
     }
@@ -249,17 +226,17 @@
             return refusal(ErrorKind::ShareExceeded, retry_after, retry_after);
         }
         if self.waiting.is_empty() && self.in_flight() < self.limit.get() {
-            match self.speed(now) {
+            match self.speed.speed(now) {
                 VmSpeed::Usual | VmSpeed::Lasting if self.may_start(now, offer.ask_share) => {
                     self.shares.take(&offer.shares);
                     self.run(now, offer.call, offer.shares, offer.class);
                     return Admission::Start;
                 }
                 VmSpeed::Usual | VmSpeed::Lasting => {
-                    let finish = self.run_estimate(now, &offer.class);
+                    let finish = self.run_estimate(&offer.class);
                     return refusal(ErrorKind::Overloaded, SHORTEST_RETRY, finish);
                 }
-                VmSpeed::Slow | VmSpeed::Unknown => {}
+                VmSpeed::Burst | VmSpeed::Unknown => {}
             }
         }
         self.enqueue(now, offer)
@@ -268,8 +245,9 @@
     fn enqueue(&mut self, now: Duration, offer: CallOffer) -> Admission {
         self.evict_late(now);
         let wait = self.estimated_wait(now, offer.rank);
-        let finish = wait + self.run_estimate(now, &offer.class);
-        let is_unread = self.in_flight() < self.limit.get() && self.speed(now) == VmSpeed::Unknown;
+        let finish = wait + self.run_estimate(&offer.class);
+        let is_unread =
+            self.in_flight() < self.limit.get() && self.speed.speed(now) == VmSpeed::Unknown;
         if offer.ask_share.is_some() && !is_unread {
             return refusal(ErrorKind::Overloaded, wait, finish);
         }
@@ -329,7 +307,9 @@
         self.shares.give_back(&ended.shares);
         if let WorkResult::Completed { latency } = result {
             self.latency.note(latency);
-            self.classes.entry(ended.class).or_default().note(latency);
+            // Estimates are for the usual speed, and scaled when it is another.
+            let usual = latency.div_f64(self.speed.base());
+            self.classes.entry(ended.class).or_default().note(usual);
             self.limit.note_completed(now, latency, in_flight);
         }
         self.start_waiting(now)
@@ -370,12 +350,7 @@
     /// Takes note of how slow the VM is at present, against the usual; returns
     /// the queued calls that start now.
     pub fn note_slowness(&mut self, now: Duration, slowness: f64) -> Vec<CallId> {
-        self.reading = Some((now, slowness));
-        self.slow_since = if slowness >= SLOW_RATIO {
-            self.slow_since.or(Some(now))
-        } else {
-            None
-        };
+        self.speed.note(now, slowness);
         self.start_waiting(now)
     }
 
@@ -383,18 +358,14 @@
     /// start or be refused; `None` if nothing waits for one.
     pub fn reading_due(&self, now: Duration) -> Option<Duration> {
         let is_held = !self.waiting.is_empty() && self.in_flight() < self.limit.get();
-        let (at, _) = self.reading.filter(|_| is_held)?;
-        match self.speed(now) {
-            VmSpeed::Usual | VmSpeed::Lasting => None,
-            VmSpeed::Unknown => Some(now),
-            VmSpeed::Slow => Some(at + READING_MEMORY),
-        }
+        self.speed.reading_due(now).filter(|_| is_held)
     }
 
     /// Goes on without a reading that can't be had; returns the queued calls
     /// that start now.
     pub fn start_unread(&mut self, now: Duration) -> Vec<CallId> {
-        self.note_slowness(now, 1.0)
+        self.speed.stretch(now);
+        self.start_waiting(now)
     }
 
     /// Refuses everything from now on; what waits or runs ends normally.
@@ -419,7 +390,7 @@
             in_flight: self.in_flight(),
             queued: self.queued(),
             limit: self.limit.get(),
-            is_slow: self.speed(now) == VmSpeed::Slow,
+            is_slow: self.speed.speed(now) == VmSpeed::Burst,
         }
     }
 
@@ -429,40 +400,18 @@
         let Some(share) = ask_share else {
             return true;
         };
-        if self.speed(now) == VmSpeed::Lasting {
+        if self.speed.speed(now) == VmSpeed::Lasting {
             return false;
         }
         let room = (f64::from(self.limit.get()) * share).max(1.0);
         f64::from(self.in_flight() + 1) <= room
     }
 
-    /// Speed of the VM as far as the last reading tells.
-    fn speed(&self, now: Duration) -> VmSpeed {
-        let Some((at, slowness)) = self.reading else {
-            return VmSpeed::Usual;
-        };
-        if now.saturating_sub(at) >= READING_MEMORY {
-            VmSpeed::Unknown
-        } else if slowness < SLOW_RATIO {
-            VmSpeed::Usual
-        } else if self
-            .slow_since
-            .is_some_and(|since| at.saturating_sub(since) >= LASTING_TIME)
-        {
-            VmSpeed::Lasting
-        } else {
-            VmSpeed::Slow
-        }
-    }
-
     /// Time that a run of the class is expected to take.
-    fn run_estimate(&self, now: Duration, class: &str) -> Duration {
+    fn run_estimate(&self, class: &str) -> Duration {
         let known = self.classes.get(class).map(LatencyEstimate::mean);
         let usual = known.unwrap_or_else(|| self.latency.mean());
-        match (self.speed(now), self.reading) {
-            (VmSpeed::Lasting, Some((_, slowness))) => usual.mul_f64(slowness),
-            _ => usual,
-        }
+        usual.mul_f64(self.speed.base())
     }
 
     /// Time until a call of the rank would be expected to start.
@@ -500,7 +449,7 @@
 
     fn start_waiting(&mut self, now: Duration) -> Vec<CallId> {
         let mut started = Vec::new();
-        let speed = self.speed(now);
+        let speed = self.speed.speed(now);
         let is_open = matches!(speed, VmSpeed::Usual | VmSpeed::Lasting);
         while is_open && self.in_flight() < self.limit.get() {
             let Some(index) = self.next_to_start(now) else {
@@ -514,7 +463,8 @@
             self.run(now, entry.call, entry.shares, entry.class);
             started.push(entry.call);
         }
-        if matches!(speed, VmSpeed::Slow | VmSpeed::Lasting) || self.in_flight() >= self.limit.get()
+        if matches!(speed, VmSpeed::Burst | VmSpeed::Lasting)
+            || self.in_flight() >= self.limit.get()
         {
             self.evict_asking();
         }
@@ -545,7 +495,7 @@
 
     fn is_late(&self, now: Duration, entry: &WaitingCall) -> bool {
         let has_target = entry.target_at < entry.expires_at + self.latency.shortest();
-        has_target && now + self.run_estimate(now, &entry.class) > entry.target_at
+        has_target && now + self.run_estimate(&entry.class) > entry.target_at
     }
 
     /// Turns away what can't meet its target after a slot has gone to another.
@@ -574,8 +524,8 @@
         let before = u32::try_from(before.count()).unwrap_or(u32::MAX);
         let is_free = self.in_flight() + before < limit;
         let ahead = if is_free { 0 } else { before + excess + 1 };
-        let burst = match self.speed(now) {
-            VmSpeed::Slow => BURST_REST,
+        let burst = match self.speed.speed(now) {
+            VmSpeed::Burst => BURST_REST,
             VmSpeed::Usual | VmSpeed::Lasting | VmSpeed::Unknown => Duration::ZERO,
         };
         let turn = f64::from(ahead) / f64::from(limit);
--- /dev/null
+++ b/src/admission/speed/tests.rs
@@ -0,0 +1,52 @@
+//! Tests of bursts and lasting slowness.
+
+use super::*;
+
+const fn ms(millis: u64) -> Duration {
+    Duration::from_millis(millis)
+}
+
+fn history(readings: impl IntoIterator<Item = (u64, f64)>) -> SpeedHistory {
+    let mut history = SpeedHistory::default();
+    for (at, slowness) in readings {
+        history.note(ms(at), slowness);
+    }
+    history
+}
+
+#[test]
+fn a_burst_is_told_from_the_usual_speed() {
+    let mut history = history((0..1_000).step_by(20).map(|at| (at, 1.0)));
+    assert_eq!(history.speed(ms(990)), VmSpeed::Usual);
+    history.note(ms(1_000), 5.0);
+    assert_eq!(history.speed(ms(1_001)), VmSpeed::Burst);
+    assert_eq!(history.reading_due(ms(1_001)), Some(ms(1_030)));
+    history.note(ms(1_030), 1.0);
+    assert_eq!(history.speed(ms(1_031)), VmSpeed::Usual);
+}
+
+#[test]
+fn an_old_reading_tells_nothing() {
+    let mut history = history([(0, 1.0)]);
+    assert_eq!(history.speed(ms(30)), VmSpeed::Unknown);
+    assert_eq!(history.reading_due(ms(30)), Some(ms(30)));
+    // No reading can be had: the last one has to do.
+    history.stretch(ms(30));
+    assert_eq!(history.speed(ms(31)), VmSpeed::Usual);
+}
+
+#[test]
+fn a_cold_vm_is_slow_for_good_and_still_has_bursts() {
+    let cold = (0..1_000).step_by(20).map(|at| (at, 2.0));
+    let mut history = history(cold);
+    assert_eq!(history.speed(ms(990)), VmSpeed::Lasting);
+    history.note(ms(1_000), 10.0);
+    assert_eq!(history.speed(ms(1_001)), VmSpeed::Burst);
+}
+
+#[test]
+fn without_readings_the_speed_is_the_usual_one() {
+    let history = SpeedHistory::default();
+    assert_eq!(history.speed(ms(1)), VmSpeed::Usual);
+    assert_eq!(history.reading_due(ms(1)), None);
+}
