--- a/src/admission.rs
+++ b/src/admission.rs
@@ -131,6 +131,17 @@
     },
 }
 
+impl Admission {
+    /// Short name for log lines and metrics.
+    pub fn name(&self) -> &'static str {
+        match self {
+            Self::Start => "start",
+            Self::Queued { .. } => "queue",
+            Self::Refused { .. } => "refuse",
+        }
+    }
+}
+
 /// How a call left the backend server.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum WorkResult {
--- a/src/gate.rs
+++ b/src/gate.rs
@@ -16,6 +16,7 @@
 use std::collections::BTreeMap;
 use std::net::TcpStream as StdTcpStream;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use bytes::BytesMut;
@@ -33,6 +34,7 @@
 use crate::ledger::{CallLedger, KeptAnswer, LedgerLimits, RunPermit};
 use crate::link::endpoint::{LinkReceiver, LinkSender};
 use crate::link::messages::{CallOpen, LinkHello, LinkMessage, LinkPing, LoadStamp};
+use crate::metrics::NodeMetrics;
 
 /// Interval at which lapsed entries of the ledger are removed.
 const SWEEP_INTERVAL: Duration = Duration::from_secs(1);
@@ -80,7 +82,7 @@
 }
 
 /// What a gate is started with.
-#[derive(Debug, Clone, Copy)]
+#[derive(Debug, Clone)]
 pub struct GateSettings {
     /// Names of the fields of calls.
     pub dialect: &'static CallDialect,
@@ -89,6 +91,8 @@
     /// Readings of the VM's speed that the gate may take beside those on
     /// answers, by second.
     pub readings_per_second: f64,
+    /// Counters and histograms.
+    pub metrics: Arc<NodeMetrics>,
 }
 
 /// Refusal of a call that was not run and never will be.
@@ -118,6 +122,7 @@
     incarnation: NodeIncarnation,
     dialect: &'static CallDialect,
     options: AdmissionOptions,
+    metrics: Arc<NodeMetrics>,
     started: Instant,
     admission: RefCell<Option<AdmissionQueue>>,
     ledger: RefCell<CallLedger>,
@@ -143,6 +148,7 @@
         incarnation,
         dialect: settings.dialect,
         options: settings.admission,
+        metrics: settings.metrics,
         started: Instant::now(),
         admission: RefCell::new(None),
         ledger: RefCell::new(CallLedger::new(LedgerLimits::default())),
@@ -285,6 +291,7 @@
         self.drop_evicted();
         self.publish_status();
         self.take_reading();
+        self.metrics.count_admission(decision.name());
         log_admission(id, open, &decision, self.load());
         match decision {
             Admission::Start => Ok(None),
@@ -439,15 +446,14 @@
 }
 
 fn log_admission(id: CallId, open: &CallOpen, decision: &Admission, load: LoadStamp) {
-    let (name, wait_ms, finish_ms) = match decision {
-        Admission::Start => ("start", 0, None),
-        Admission::Queued { estimated_wait } => ("queue", estimated_wait.as_millis() as u64, None),
+    let (wait_ms, finish_ms) = match decision {
+        Admission::Start => (0, None),
+        Admission::Queued { estimated_wait } => (estimated_wait.as_millis() as u64, None),
         Admission::Refused {
             retry_after,
             estimated_finish,
             ..
         } => (
-            "refuse",
             retry_after.as_millis() as u64,
             Some(estimated_finish.as_millis() as u64),
         ),
@@ -461,7 +467,7 @@
         ask_percent = open.ask_percent,
         target_left_ms = open.target_left_us / 1_000,
         time_left_ms = open.time_left_us / 1_000,
-        decision = name, wait_ms, finish_ms,
+        decision = decision.name(), wait_ms, finish_ms,
         in_flight = load.in_flight,
         queued = load.queued,
         limit = load.limit,
--- a/src/gate/call.rs
+++ b/src/gate/call.rs
@@ -221,6 +221,12 @@
             Err(WorkEnd::Cancelled) => WorkResult::Cancelled,
             Err(WorkEnd::Failed(_)) => WorkResult::Failed,
         };
+        let (name, elapsed) = match &result {
+            Ok(()) => ("answered", Some(begun.elapsed())),
+            Err(WorkEnd::Cancelled) => ("cancelled", None),
+            Err(WorkEnd::Failed(kind)) => (kind.code(), None),
+        };
+        self.gate.metrics.count_run(name, elapsed);
         self.gate.finish(self.id, work_result);
         self.end_run(permit, &result)
     }
--- a/src/gate/meter.rs
+++ b/src/gate/meter.rs
@@ -64,8 +64,15 @@
         let reading = async { client.filter(|_| has_budget)?.read_load().await };
         let reading = tokio::time::timeout(READING_TIMEOUT, reading).await;
         match reading.ok().flatten() {
-            Some(load) => self.note_load(load),
-            None => self.go_on_unread(),
+            Some(load) => {
+                self.metrics.count_reading("taken");
+                self.note_load(load);
+            }
+            None => {
+                self.metrics
+                    .count_reading(if has_budget { "failed" } else { "no-budget" });
+                self.go_on_unread();
+            }
         }
     }
 
--- a/src/gate/tests.rs
+++ b/src/gate/tests.rs
@@ -46,6 +46,7 @@
             dialect: &OWN_DIALECT,
             admission: AdmissionOptions::default(),
             readings_per_second: 0.0,
+            metrics: Arc::default(),
         };
         ntex::rt::spawn(run_gate(incarnation, settings, receiver, status));
         commands
--- a/src/ingress.rs
+++ b/src/ingress.rs
@@ -36,6 +36,7 @@
 use crate::ingress::request::{RequestCheck, RequestFacts};
 use crate::link::call_link::UpstreamNotice;
 use crate::link::pool::LinkPool;
+use crate::metrics::NodeMetrics;
 use crate::retry::{RetryOptions, RetryPolicy};
 use crate::routes::SplitTable;
 use crate::routing::{LoadReport, RouterState};
@@ -81,6 +82,8 @@
     pub home_service: Option<ServiceName>,
     /// Gates that a call asks for a free slot before it joins a queue.
     pub asks: u32,
+    /// Counters and histograms.
+    pub metrics: Arc<NodeMetrics>,
     started: Instant,
     next_call: AtomicU64,
     in_flight: AtomicU64,
@@ -99,6 +102,8 @@
     pub asks: u32,
     /// Bounds on retries.
     pub retries: RetryOptions,
+    /// Counters and histograms.
+    pub metrics: Arc<NodeMetrics>,
     /// Time at which the node started.
     pub started: Instant,
 }
@@ -125,6 +130,7 @@
             splits: Mutex::default(),
             home_service: settings.home_service,
             asks: settings.asks,
+            metrics: settings.metrics,
             started: settings.started,
             next_call: AtomicU64::new(1),
             in_flight: AtomicU64::new(0),
@@ -203,6 +209,9 @@
     match check_request(&worker, head) {
         Ok(facts) => CallDriver::new(worker, facts, body).run().await,
         Err(kind) => {
+            let outcome = RunOutcome::NotRun.to_string();
+            let metrics = &worker.shared.metrics;
+            metrics.count_call("", kind.code(), &outcome, Duration::ZERO);
             log::warn!(
                 target: "ingress",
                 path = target.as_str(),
--- a/src/ingress/call.rs
+++ b/src/ingress/call.rs
@@ -318,6 +318,12 @@
         node: &NodeId,
         result: Result<Answered, AttemptEnd>,
     ) -> Result<CallAnswer, AttemptEnd> {
+        let name = match &result {
+            Ok(_) => "answered",
+            Err(end) => end.failure.kind().code(),
+        };
+        let metrics = &self.worker.shared.metrics;
+        metrics.count_attempt(self.facts.service.as_str(), name);
         let answered = result.inspect_err(|end| self.search.on_refused(node, end.outlook()))?;
         let head = answered.head;
         if head.status < FIRST_SERVER_ERROR {
@@ -502,6 +508,12 @@
         let (request_id, path) = (self.request_id(), self.facts.path.as_str());
         let elapsed_ms = self.started.elapsed().as_millis() as u64;
         let (placements, attempts) = (self.placements, self.attempts());
+        let (kind, outcome) = match result {
+            Ok(_) => ("none", "answered".to_string()),
+            Err(failure) => (failure.kind.code(), failure.outcome.to_string()),
+        };
+        let metrics = &self.worker.shared.metrics;
+        metrics.count_call(service.as_str(), kind, &outcome, self.started.elapsed());
         match result {
             Ok(answer) => log::info!(
                 target: "ingress",
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -1,46 +1,167 @@
-//! Metrics over statsd.
+//! Counters and latency histograms of a node.
+//!
+//! [`NodeMetrics`] is shared by all threads and costs an atomic step for each
+//! event. It is served as text in the OpenMetrics format on the address of the
+//! settings; the counters of the status page can also be sent over statsd.
+
+mod serve;
+mod statsd;
 
-use std::net::{SocketAddr, UdpSocket};
-use std::rc::Rc;
 use std::time::Duration;
 
-use cadence::{Gauged, StatsdClient, UdpMetricSink};
+use prometheus_client::encoding::text::encode;
+use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::histogram::Histogram;
+use prometheus_client::registry::{Registry, Unit};
 
-use crate::control::admin::counters;
-use crate::control::state::ControlState;
+pub use serve::start_metrics_server;
+pub use statsd::publish_metrics;
 
-/// Interval between two reports.
-const REPORT_INTERVAL: Duration = Duration::from_secs(10);
-/// Prefix of the names.
+/// Start of all names.
 const PREFIX: &str = "currantlift";
+/// Upper bounds of the latency buckets, in seconds: fine where the users'
+/// targets lie (0.08 to 2.5 s), coarse elsewhere.
+const LATENCY_BUCKETS: [f64; 14] = [
+    0.002, 0.01, 0.03, 0.08, 0.12, 0.2, 0.3, 0.4, 0.6, 1.0, 1.5, 2.5, 4.0, 8.0,
+];
 
-/// Sends the node's counters until the process ends.
-pub async fn publish_metrics(control: Rc<ControlState>, receiver: SocketAddr) {
-    let client = match connect(&control, receiver) {
-        Ok(client) => client,
-        Err(error) => {
-            log::error!(target: "metrics", "no metrics: {error}");
-            return;
-        }
-    };
-    loop {
-        tokio::time::sleep(REPORT_INTERVAL).await;
-        for (name, value) in counters(&control) {
-            // A lost report is replaced by the next.
-            let _ = client.gauge(&name, value);
+/// Labels of a counter: names with their values.
+type LabelSet = Vec<(&'static str, String)>;
+type CounterFamily = Family<LabelSet, Counter>;
+type HistogramFamily = Family<LabelSet, Histogram, fn() -> Histogram>;
+
+/// Counters and histograms of one node.
+#[derive(Debug)]
+pub struct NodeMetrics {
+    registry: Registry,
+    calls: CounterFamily,
+    call_seconds: HistogramFamily,
+    attempts: CounterFamily,
+    admissions: CounterFamily,
+    runs: CounterFamily,
+    run_seconds: HistogramFamily,
+    readings: CounterFamily,
+}
+
+fn latency_histogram() -> Histogram {
+    Histogram::new(LATENCY_BUCKETS)
+}
+
+impl Default for NodeMetrics {
+    fn default() -> Self {
+        let mut registry = Registry::with_prefix(PREFIX);
+        let histogram: fn() -> Histogram = latency_histogram;
+        let metrics = Self {
+            calls: Family::default(),
+            call_seconds: Family::new_with_constructor(histogram),
+            attempts: Family::default(),
+            admissions: Family::default(),
+            runs: Family::default(),
+            run_seconds: Family::new_with_constructor(histogram),
+            readings: Family::default(),
+            registry: Registry::default(),
+        };
+        registry.register(
+            "calls",
+            "Callers' requests by service, error kind (none for an answer) and outcome",
+            metrics.calls.clone(),
+        );
+        registry.register_with_unit(
+            "call",
+            "Time from a caller's request to the head of its answer",
+            Unit::Seconds,
+            metrics.call_seconds.clone(),
+        );
+        registry.register(
+            "attempts",
+            "Offers of calls to gates by service and result",
+            metrics.attempts.clone(),
+        );
+        registry.register(
+            "admissions",
+            "Decisions of the gate by decision",
+            metrics.admissions.clone(),
+        );
+        registry.register(
+            "runs",
+            "Requests handed to the backend server by result",
+            metrics.runs.clone(),
+        );
+        registry.register_with_unit(
+            "run",
+            "Time of whole runs at the backend server",
+            Unit::Seconds,
+            metrics.run_seconds.clone(),
+        );
+        registry.register(
+            "readings",
+            "Readings of the speed that the gate took by itself, by result",
+            metrics.readings.clone(),
+        );
+        Self {
+            registry,
+            ..metrics
         }
     }
 }
 
-fn connect(
-    control: &ControlState,
-    receiver: SocketAddr,
-) -> Result<StatsdClient, cadence::MetricError> {
-    let socket = UdpSocket::bind("0.0.0.0:0")?;
-    socket.set_nonblocking(true)?;
-    let sink = UdpMetricSink::from(receiver, socket)?;
-    let client = StatsdClient::builder(PREFIX, sink)
-        .with_tag("node", control.identity.node.as_str())
-        .build();
-    Ok(client)
+impl NodeMetrics {
+    /// Counts the end of a caller's request.
+    pub fn count_call(&self, service: &str, kind: &str, outcome: &str, elapsed: Duration) {
+        let service = ("service", service.to_string());
+        let labels = vec![
+            service.clone(),
+            ("kind", kind.to_string()),
+            ("outcome", outcome.to_string()),
+        ];
+        self.calls.get_or_create(&labels).inc();
+        let seconds = elapsed.as_secs_f64();
+        self.call_seconds
+            .get_or_create(&vec![service])
+            .observe(seconds);
+    }
+
+    /// Counts an offer of a call to a gate.
+    pub fn count_attempt(&self, service: &str, result: &str) {
+        let labels = vec![
+            ("service", service.to_string()),
+            ("result", result.to_string()),
+        ];
+        self.attempts.get_or_create(&labels).inc();
+    }
+
+    /// Counts a decision of the gate.
+    pub fn count_admission(&self, decision: &str) {
+        let labels = vec![("decision", decision.to_string())];
+        self.admissions.get_or_create(&labels).inc();
+    }
+
+    /// Counts a run at the backend server; only whole ones have a time.
+    pub fn count_run(&self, result: &str, elapsed: Option<Duration>) {
+        let labels = vec![("result", result.to_string())];
+        self.runs.get_or_create(&labels).inc();
+        if let Some(elapsed) = elapsed {
+            let seconds = elapsed.as_secs_f64();
+            self.run_seconds.get_or_create(&Vec::new()).observe(seconds);
+        }
+    }
+
+    /// Counts a reading that the gate took by itself.
+    pub fn count_reading(&self, result: &str) {
+        let labels = vec![("result", result.to_string())];
+        self.readings.get_or_create(&labels).inc();
+    }
+
+    /// All of them as text.
+    pub fn to_text(&self) -> String {
+        let mut text = String::new();
+        if let Err(error) = encode(&mut text, &self.registry) {
+            log::error!(target: "metrics", "metrics not written out: {error}");
+        }
+        text
+    }
 }
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/src/metrics/serve.rs
@@ -0,0 +1,37 @@
+//! The address that serves the metrics.
+
+use std::io;
+use std::net::TcpListener;
+use std::sync::Arc;
+
+use ntex::server::Server;
+use ntex::web::types::State;
+use ntex::web::{self, App, HttpResponse, HttpServer};
+
+use super::NodeMetrics;
+
+/// Type of the text, as its format prescribes.
+const CONTENT_TYPE: &str = "application/openmetrics-text; version=1.0.0; charset=utf-8";
+
+/// Starts a server for `GET /metrics` on one thread of its own.
+///
+/// # Errors
+///
+/// Fails if the listener can't be used.
+pub fn start_metrics_server(
+    listener: TcpListener,
+    metrics: Arc<NodeMetrics>,
+) -> io::Result<Server> {
+    let server = HttpServer::new(async move || {
+        App::new()
+            .state(Arc::clone(&metrics))
+            .service(web::resource("/metrics").route(web::get().to(show_metrics)))
+    });
+    Ok(server.workers(1).disable_signals().listen(listener)?.run())
+}
+
+async fn show_metrics(metrics: State<Arc<NodeMetrics>>) -> HttpResponse {
+    HttpResponse::Ok()
+        .content_type(CONTENT_TYPE)
+        .body(metrics.to_text())
+}
--- /dev/null
+++ b/src/metrics/tests.rs
@@ -0,0 +1,49 @@
+//! Tests of the metrics as text and over HTTP.
+
+use std::net::TcpListener;
+use std::sync::Arc;
+
+use ntex::client::Client;
+
+use super::*;
+
+fn used_metrics() -> NodeMetrics {
+    let metrics = NodeMetrics::default();
+    metrics.count_call("slotbook", "none", "answered", Duration::from_millis(70));
+    metrics.count_call(
+        "slotbook",
+        "overloaded",
+        "not-run",
+        Duration::from_millis(1),
+    );
+    metrics.count_admission("start");
+    metrics.count_run("answered", Some(Duration::from_millis(60)));
+    metrics
+}
+
+#[test]
+fn calls_are_counted_and_timed_by_service() {
+    let text = used_metrics().to_text();
+    for line in [
+        r#"currantlift_calls_total{service="slotbook",kind="none",outcome="answered"} 1"#,
+        r#"currantlift_calls_total{service="slotbook",kind="overloaded",outcome="not-run"} 1"#,
+        r#"currantlift_call_seconds_bucket{le="0.08",service="slotbook"} 2"#,
+        r#"currantlift_admissions_total{decision="start"} 1"#,
+        r#"currantlift_run_seconds_count 1"#,
+    ] {
+        assert!(text.contains(line), "{line} in {text}");
+    }
+    assert!(text.ends_with("# EOF\n"));
+}
+
+#[ntex::test]
+async fn the_address_serves_them_as_text() {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let url = format!("http://{}/metrics", listener.local_addr().unwrap());
+    let _server = start_metrics_server(listener, Arc::new(used_metrics())).unwrap();
+    let client = Client::new().await;
+    let response = client.get(url).send().await.unwrap();
+    assert_eq!(response.status().as_u16(), 200);
+    let body = response.body().await.unwrap();
+    assert!(body.ends_with(b"# EOF\n"));
+}
--- a/src/node.rs
+++ b/src/node.rs
@@ -42,7 +42,7 @@
 use crate::logs::start_logs;
 use crate::membership::driver::spawn_membership;
 use crate::membership::{MemberIdentity, MembershipState};
-use crate::metrics::publish_metrics;
+use crate::metrics::{NodeMetrics, publish_metrics, start_metrics_server};
 use crate::node::listener::{TrafficSettings, start_ingress};
 use crate::options::{NODE_COMMAND, NodeOptions, options_from_process};
 use crate::platform::{PLATFORM, PlatformStore};
@@ -112,6 +112,7 @@
     peers: TcpListener,
     datagrams: UdpSocket,
     ready: Option<StdTcpListener>,
+    metrics: Option<StdTcpListener>,
 }
 
 impl NodeSockets {
@@ -123,6 +124,10 @@
             peers,
             datagrams,
             ready: options.ready_listen.map(StdTcpListener::bind).transpose()?,
+            metrics: options
+                .metrics_listen
+                .map(StdTcpListener::bind)
+                .transpose()?,
         })
     }
 
@@ -180,7 +185,9 @@
     let threads = start_threads(&options);
     let adapter = options.platform.map(|_| &PLATFORM);
     let dialect = adapter.map_or(&OWN_DIALECT, |adapter| adapter.dialect);
+    let metrics = Arc::new(NodeMetrics::default());
     let gate_settings = GateSettings {
+        metrics: Arc::clone(&metrics),
         dialect,
         admission: options.admission,
         readings_per_second: options.readings_per_second,
@@ -196,6 +203,7 @@
             has_routes: adapter.is_some(),
             home_service: options.service.clone(),
             asks: options.asks,
+            metrics: Arc::clone(&metrics),
             retries: RetryOptions {
                 has_free_refusals: options.asks > 0,
                 ..options.retries
@@ -250,6 +258,9 @@
         Some(listener) => Some(start_health_server(listener, access.clone())?),
         None => None,
     };
+    if let Some(listener) = sockets.metrics {
+        start_metrics_server(listener, metrics)?;
+    }
     let admin = start_admin_server(sockets.admin, access)?;
     let traffic = TrafficSettings {
         node: identity.node.clone(),
--- a/src/platform/tests.rs
+++ b/src/platform/tests.rs
@@ -1,1 +1,261 @@
+//! Tests of the adapter against what the platform's pages show.
 
+use std::collections::VecDeque;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use assert_matches::assert_matches;
+use bytes::Bytes;
+use ntex::web::types::State;
+use ntex::web::{self, App, HttpRequest, HttpResponse, test};
+
+use super::*;
+use crate::backend::BackendLoad;
+use crate::routes::{ConfigVersion, RequestKind, RouteTarget};
+use crate::store::{ConfigStore, KeyRevision, LeaseId, StoreError, SwapOutcome, WatchPosition};
+use crate::table::UpstreamState;
+
+const CONFIG: &str = r#"{"version":"0000000c","routes":{"columns":["name","hostname","prefix",
+"kind","timeoutS","targetLatencyS","priority","trafficSplit","maxAttempts","service"],
+"rows":[["r-1","shop.example","/slots/","idempotent",0.5,0.2,2,
+[{"service":"a","weight":90},{"service":"b","weight":10}],2,null],
+["r-2","shop.example","/pay/","non_idempotent",0.6,0.25,1,null,3,"c"]]},
+"services":{"columns":["name","healthCheckPath","maxConnections","protocol","tls"],
+"rows":[["a","/healthz",260,"h1",false],["c",null,240,"h1",false]]},
+"limits":{"maxHeaderBytes":16384,"maxBodyBytes":67108864,"headerTimeoutS":3,
+"idleTimeoutS":15.5}}"#;
+
+#[test]
+fn a_configuration_is_read_into_routes_services_and_limits() {
+    let config = (PLATFORM.config.decode)(CONFIG.as_bytes()).unwrap();
+    assert_eq!(config.version, ConfigVersion(12));
+    let slots = config.find("shop.example", "/slots/1").unwrap();
+    assert_eq!((slots.timeout_ms, slots.target_ms), (500, 200));
+    assert_eq!((slots.rank, slots.attempts), (2, 2));
+    assert_matches!(&slots.target, RouteTarget::Split(parts) if parts[0].weight == 90);
+    let pay = config.find("shop.example", "/pay/1").unwrap();
+    assert_eq!(pay.kind, RequestKind::NonIdempotent);
+    assert_matches!(&pay.target, RouteTarget::Service(service) if service.as_str() == "c");
+    let service = &config.services[&"a".parse().unwrap()];
+    assert_eq!(service.health_path.as_deref(), Some("/healthz"));
+    assert_eq!(config.limits.idle_timeout_ms, 15_500);
+    assert_eq!(config.limits.head_bytes, 16_384);
+}
+
+#[test]
+fn a_configuration_that_lacks_something_is_not_used() {
+    for (from, to) in [
+        ("\"0000000c\"", "\"soon\""),
+        ("\"c\"]]},\n\"services\"", "null]]},\n\"services\""),
+        ("\"idempotent\"", "\"sometimes\""),
+        ("0.5,0.2", "-1,0.2"),
+        ("\"limits\"", "\"bounds\""),
+    ] {
+        let changed = CONFIG.replacen(from, to, 1);
+        assert_ne!(changed, CONFIG, "{from}");
+        assert!(
+            (PLATFORM.config.decode)(changed.as_bytes()).is_err(),
+            "{from}"
+        );
+    }
+}
+
+const HEARTBEAT: &str = r#"{"address":"10.128.0.9:8080","born":1700000000123,
+"info":{"service":"huvo11a","version":"v1","zone":"qc-est-a","slots":18},
+"status":{"state":"ready","sequence":4,"warmupLeftS":1.5},"extra":true}"#;
+
+#[test]
+fn a_heartbeat_is_read_with_its_order() {
+    let announcement = (PLATFORM.announcements.announcement)(HEARTBEAT).unwrap();
+    assert_eq!(announcement.service.as_str(), "huvo11a");
+    assert_eq!(announcement.slots.get(), 18);
+    assert_eq!(announcement.state, UpstreamState::Ready);
+    assert_eq!(announcement.warmup_left_ms, 1_500);
+    let order = announcement.order.unwrap();
+    assert_eq!(
+        (order.started_at_ms, order.sequence),
+        (1_700_000_000_123, 4)
+    );
+}
+
+#[test]
+fn a_heartbeat_of_another_writer_names_no_backend_server() {
+    for (from, to) in [
+        ("\"ready\"", "\"resting\""),
+        ("18", "\"many\""),
+        ("\"sequence\":4,", ""),
+        ("10.128.0.9:8080", "somewhere"),
+        ("{\"address\"", "[\"address\""),
+    ] {
+        let changed = HEARTBEAT.replacen(from, to, 1);
+        assert!(
+            (PLATFORM.announcements.announcement)(&changed).is_err(),
+            "{changed}"
+        );
+    }
+}
+
+#[test]
+fn a_withdrawal_may_say_whose_start_it_means() {
+    let stated = (PLATFORM.announcements.withdrawal)(r#"{"born":5}"#);
+    assert_eq!((stated.is_ordered, stated.started_at_ms), (true, Some(5)));
+    assert_eq!((PLATFORM.announcements.withdrawal)("").started_at_ms, None);
+}
+
+#[test]
+fn a_load_field_may_state_the_slowness() {
+    let parse = PLATFORM.dialect.parse_load;
+    let load = |running, waiting, slots, slowness| BackendLoad {
+        running,
+        waiting,
+        slots,
+        slowness,
+    };
+    assert_eq!(parse("3,0,8"), Some(load(3, 0, 8, 1.0)));
+    assert_eq!(parse("3, 1, 8, 500"), Some(load(3, 1, 8, 5.0)));
+    assert_eq!(parse("3,0"), None);
+    assert_eq!(parse("busy"), None);
+}
+
+/// Answers of a store in the order in which they are given, and what was asked.
+#[derive(Clone, Default)]
+struct ScriptedStore {
+    answers: Arc<Mutex<VecDeque<(u16, &'static str)>>>,
+    asked: Arc<Mutex<Vec<String>>>,
+}
+
+impl ScriptedStore {
+    async fn start(
+        answers: impl IntoIterator<Item = (u16, &'static str)>,
+    ) -> (Self, PlatformStore, test::TestServer) {
+        let script = Self::default();
+        script.answers.lock().unwrap().extend(answers);
+        let state = script.clone();
+        let server = test::server(async move || {
+            let service = web::to(answer_scripted);
+            App::new().state(state.clone()).default_service(service)
+        })
+        .await;
+        let address: SocketAddr = server.addr();
+        let store = PlatformStore::connect(&format!("http://{address}")).await;
+        (script, store.unwrap(), server)
+    }
+
+    fn asked(&self) -> Vec<String> {
+        self.asked.lock().unwrap().clone()
+    }
+}
+
+async fn answer_scripted(
+    request: HttpRequest,
+    body: String,
+    script: State<ScriptedStore>,
+) -> HttpResponse {
+    let line = format!("{} {} {body}", request.method(), request.uri());
+    script.asked.lock().unwrap().push(line);
+    let (status, body) = script.answers.lock().unwrap().pop_front().unwrap();
+    HttpResponse::build(ntex::http::StatusCode::from_u16(status).unwrap()).body(body)
+}
+
+const ITEM: &str = r#"{"key":"op/config","value":"bm9kZS0x","revision":412,"createdAt":3,
+"lease":0,"asOf":530}"#;
+
+#[ntex::test]
+async fn a_watch_reads_first_and_then_waits_from_where_it_was() {
+    let events = r#"{"events":[{"key":"op/config","value":"bm9kZS0y","revision":540,
+        "createdAt":3,"lease":0},{"key":"op/configs","revision":541,"tombstone":true}],"asOf":541}"#;
+    let quiet = r#"{"events":[],"asOf":550}"#;
+    let answers = [
+        (200, ITEM),
+        (200, events),
+        (200, quiet),
+        (410, ""),
+        (200, ITEM),
+    ];
+    let (script, store, _server) = ScriptedStore::start(answers).await;
+    let limit = Duration::from_millis(700);
+    let first = store
+        .watch("op/config", WatchPosition(0), limit)
+        .await
+        .unwrap();
+    assert_eq!(first.position, WatchPosition(530));
+    assert_eq!(first.value.unwrap().bytes, Bytes::from("node-1"));
+    let second = store
+        .watch("op/config", first.position, limit)
+        .await
+        .unwrap();
+    assert_eq!(second.value.unwrap().bytes, Bytes::from("node-2"));
+    let third = store
+        .watch("op/config", second.position, limit)
+        .await
+        .unwrap();
+    assert!(third.is_unchanged && third.value.is_none());
+    // The history is gone: the present value is read again.
+    let fourth = store
+        .watch("op/config", third.position, limit)
+        .await
+        .unwrap();
+    assert_eq!(fourth.position, WatchPosition(530));
+    let asked = script.asked();
+    assert_eq!(asked[0], "GET /api/kv-key?key=op/config ");
+    assert_eq!(
+        asked[1],
+        "GET /api/kv-watch?prefix=op/config&after=530&waitMs=700 "
+    );
+}
+
+#[ntex::test]
+async fn an_entry_is_kept_under_a_lease() {
+    let answers = [
+        (200, r#"{"lease":77120,"ttlS":10}"#),
+        (200, r#"{"revision":412}"#),
+        (412, r#"{"items":[]}"#),
+        (200, r#"{"ttlS":10}"#),
+        (404, ""),
+    ];
+    let (script, store, _server) = ScriptedStore::start(answers).await;
+    let lease = store.grant_lease(Duration::from_secs(10)).await.unwrap();
+    assert_eq!(lease, LeaseId("77120".to_string()));
+    let value = Bytes::from("node-1");
+    assert!(store.acquire("n/a", value.clone(), &lease).await.unwrap());
+    assert!(!store.acquire("n/a", value, &lease).await.unwrap());
+    assert!(store.renew_lease(&lease).await.unwrap());
+    assert!(!store.renew_lease(&lease).await.unwrap());
+    let asked = script.asked();
+    assert_eq!(asked[0], r#"POST /api/kv-lease {"ttlS":10.0}"#);
+    assert_eq!(
+        asked[1],
+        r#"POST /api/kv-txn {"expected":[{"key":"n/a","revision":0}],"puts":[{"key":"n/a","value":"bm9kZS0x","lease":77120}],"deletes":[]}"#
+    );
+    assert_eq!(asked[3], "POST /api/kv-keep/77120 ");
+}
+
+#[ntex::test]
+async fn a_listing_goes_on_to_the_next_page() {
+    let first =
+        r#"{"items":[{"key":"n/a b","value":"YQ==","revision":1}],"hasMore":true,"asOf":9}"#;
+    let second =
+        r#"{"items":[{"key":"n/c","value":"Yw==","revision":2}],"hasMore":false,"asOf":9}"#;
+    let (script, store, _server) = ScriptedStore::start([(200, first), (200, second)]).await;
+    let listed = store.list("n/").await.unwrap();
+    assert_eq!(listed.len(), 2);
+    let asked = script.asked();
+    assert_eq!(asked[0], "GET /api/kv-range?prefix=n/&serializable=1 ");
+    assert_eq!(
+        asked[1],
+        "GET /api/kv-range?prefix=n/&after=n/a%20b&serializable=1 "
+    );
+}
+
+#[ntex::test]
+async fn an_error_says_whether_the_call_had_an_effect() {
+    let answers = [(503, ""), (429, ""), (500, ""), (200, "garbage"), (412, "")];
+    let (_script, store, _server) = ScriptedStore::start(answers).await;
+    let swap = || store.compare_and_swap("k", KeyRevision(3), Bytes::new());
+    assert_matches!(swap().await, Err(StoreError::NotDone { .. }));
+    assert_matches!(swap().await, Err(StoreError::NotDone { .. }));
+    assert_matches!(swap().await, Err(StoreError::Unknown { .. }));
+    assert_matches!(swap().await, Ok(SwapOutcome::Swapped));
+    assert_matches!(swap().await, Ok(SwapOutcome::Mismatch));
+}
