--- a/tests/http.rs
+++ b/tests/http.rs
@@ -344,3 +344,80 @@
     let left = seen["headers"]["currantlift-timeout-ms"][0].as_str();
     assert!(left.unwrap().parse::<u64>().unwrap() <= 5000);
 }
+
+#[ntex::test]
+async fn requests_sent_ahead_are_worked_on_side_by_side_and_answered_in_order() {
+    let path = CallPath::start(&["--slots", "8"]).await;
+    let mut caller = RawCaller::connect(path.listen).await;
+    let begun = std::time::Instant::now();
+    // The first takes longest, so its answer is ready last.
+    for (number, work_us) in [(1, 300_000), (2, 200_000), (3, 100_000)] {
+        let body = format!("order {number}");
+        let length = body.len();
+        caller
+            .send(&format!(
+                "POST / HTTP/1.1\r\nhost: slotbook\r\ncontent-length: {length}\r\n\
+                 standin-work-us: {work_us}\r\n\r\n{body}"
+            ))
+            .await;
+    }
+    for number in 1..=3 {
+        let answer = caller.answer().await.unwrap();
+        assert_eq!(answer.status, 200);
+        assert_eq!(answer.body, format!("order {number}").into_bytes());
+    }
+    // One after the other they would take 600 ms.
+    assert!(
+        begun.elapsed() < Duration::from_millis(550),
+        "{:?}",
+        begun.elapsed()
+    );
+}
+
+#[ntex::test]
+async fn chunks_with_extensions_and_trailers_are_passed_on_as_one_body() {
+    let path = CallPath::start(&[]).await;
+    let mut caller = RawCaller::connect(path.listen).await;
+    caller
+        .send(
+            "POST / HTTP/1.1\r\nhost: slotbook\r\ntransfer-encoding: chunked\r\n\r\n\
+             4;note=\"a\"\r\nwood\r\n3\r\nlot\r\n0\r\nChecked: yes\r\n\r\n",
+        )
+        .await;
+    let answer = caller.answer().await.unwrap();
+    assert_eq!((answer.status, &answer.body[..]), (200, &b"woodlot"[..]));
+    // The connection goes on behind them.
+    caller
+        .send("GET / HTTP/1.1\r\nhost: slotbook\r\n\r\n")
+        .await;
+    assert_eq!(caller.answer().await.unwrap().status, 200);
+}
+
+#[ntex::test]
+async fn a_refused_request_leaves_its_connection_to_the_next() {
+    let path = CallPath::start(&[]).await;
+    let mut caller = RawCaller::connect(path.listen).await;
+    caller
+        .send(
+            "POST / HTTP/1.1\r\nhost: nothing\r\ncontent-length: 5\r\n\r\norder\
+             GET / HTTP/1.1\r\nhost: slotbook\r\n\r\n",
+        )
+        .await;
+    assert_eq!(caller.answer().await.unwrap().status, 404);
+    assert_eq!(caller.answer().await.unwrap().status, 200);
+}
+
+#[ntex::test]
+async fn an_answer_to_a_last_request_closes_the_connection() {
+    let path = CallPath::start(&[]).await;
+    let mut caller = RawCaller::connect(path.listen).await;
+    caller
+        .send(
+            "POST / HTTP/1.1\r\nhost: slotbook\r\nconnection: close\r\ncontent-length: 5\r\n\
+             standin-work-us: 100000\r\n\r\norder",
+        )
+        .await;
+    let answer = caller.answer().await.unwrap();
+    assert_eq!((answer.status, &answer.body[..]), (200, &b"order"[..]));
+    assert_eq!(answer.headers["connection"], "close");
+}
