--- a/src/admission.rs
+++ b/src/admission.rs
@@ -425,9 +425,10 @@
         usual.mul_f64(self.speed.base())
     }
 
-    /// Time until a call of the rank would be expected to start.
-    pub fn wait_estimate(&self, now: Duration, rank: u32) -> Duration {
-        self.estimated_wait(now, rank).max(SHORTEST_RETRY)
+    /// Times in which a call would be expected to start and to be answered.
+    pub fn estimate(&self, now: Duration, rank: u32, class: &str) -> (Duration, Duration) {
+        let wait = self.estimated_wait(now, rank).max(SHORTEST_RETRY);
+        (wait, wait + self.run_estimate(class))
     }
 
     fn in_flight(&self) -> u32 {
--- a/src/ctl.rs
+++ b/src/ctl.rs
@@ -20,7 +20,7 @@
 use crate::options::{EXIT_USAGE, options_from_process};
 use options::{CTL_COMMAND, CtlCommand, CtlOptions};
 
-pub use explain::explain_call;
+pub use explain::{ExplainSubject, explain};
 
 /// Exit code for a refusal: nothing was changed.
 const EXIT_REFUSED: u8 = 1;
@@ -144,13 +144,13 @@
         CtlCommand::Members => get("/v1/members"),
         CtlCommand::Status => get("/v1/status"),
         CtlCommand::Health => get("/v1/health"),
-        CtlCommand::Explain { call, logs } => {
+        CtlCommand::Explain { subject, logs } => {
             let mut text = String::new();
             for file in logs {
                 text.push_str(&read_text(file)?);
                 text.push('\n');
             }
-            CommandSource::Logs(explain_call(*call, &text))
+            CommandSource::Logs(explain(subject, &text))
         }
     })
 }
--- a/src/ctl/explain.rs
+++ b/src/ctl/explain.rs
@@ -1,7 +1,7 @@
-//! Explanation of one call from the log lines of nodes.
+//! Explanation of one request from the log lines of nodes.
 
-use std::collections::BTreeMap;
-use std::fmt::Write as _;
+use std::collections::{BTreeMap, BTreeSet};
+use std::fmt::{self, Write as _};
 
 use serde_json::{Map, Value};
 
@@ -12,33 +12,72 @@
 const LEADING_FIELDS: [&str; 5] = ["at", "node", "target", "message", "call"];
 /// Field that names the call.
 const CALL_FIELD: &str = "call";
+/// Field that names the caller's request.
+const REQUEST_FIELD: &str = "request_id";
 
-/// Log lines about a call and its attempts, in order of time, for a reader.
+/// What is to be explained.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum ExplainSubject {
+    /// A call, with its attempts.
+    Call(CallId),
+    /// All calls that carry this identifier of the caller.
+    Request(String),
+}
+
+impl fmt::Display for ExplainSubject {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Call(call) => write!(formatter, "call {call}"),
+            Self::Request(id) => write!(formatter, "request {id}"),
+        }
+    }
+}
+
+/// Log lines about a request, its calls and their attempts, in order of time,
+/// for a reader.
 ///
 /// `logs` holds JSON lines of any number of nodes; other lines are skipped.
 /// The clocks of the nodes decide the order between nodes.
-pub fn explain_call(call: CallId, logs: &str) -> String {
+pub fn explain(subject: &ExplainSubject, logs: &str) -> String {
+    let parsed = logs.lines().filter_map(|line| {
+        let start = line.find('{')?;
+        serde_json::from_str::<Map<String, Value>>(&line[start..]).ok()
+    });
+    let parsed: Vec<Map<String, Value>> = parsed.collect();
+    let calls = calls_of(subject, &parsed);
     let mut lines: BTreeMap<(String, usize), String> = BTreeMap::new();
-    for (index, line) in logs.lines().enumerate() {
-        let Ok(fields) = serde_json::from_str::<Map<String, Value>>(line) else {
-            continue;
-        };
-        if is_about(&fields, call) {
-            lines.insert((text(&fields, "at"), index), explain_line(&fields));
+    for (index, fields) in parsed.iter().enumerate() {
+        if call_of(fields).is_some_and(|call| calls.contains(&call)) {
+            lines.insert((text(fields, "at"), index), explain_line(fields));
         }
     }
     if lines.is_empty() {
-        return format!("no log line names call {call}\n");
+        return format!("no log line names {subject}\n");
     }
     lines.into_values().collect()
 }
 
-fn is_about(fields: &Map<String, Value>, call: CallId) -> bool {
-    let named: Option<CallId> = text(fields, CALL_FIELD).parse().ok();
-    named.is_some_and(|named| {
-        let same_sequence = named.sequence / ATTEMPTS_PER_CALL == call.sequence / ATTEMPTS_PER_CALL;
-        named.ingress == call.ingress && same_sequence
-    })
+fn calls_of(subject: &ExplainSubject, lines: &[Map<String, Value>]) -> BTreeSet<CallId> {
+    match subject {
+        ExplainSubject::Call(call) => BTreeSet::from([first_of(*call)]),
+        ExplainSubject::Request(id) => lines
+            .iter()
+            .filter(|fields| text(fields, REQUEST_FIELD) == *id)
+            .filter_map(call_of)
+            .collect(),
+    }
+}
+
+/// Call that a line is about; attempts count as their call.
+fn call_of(fields: &Map<String, Value>) -> Option<CallId> {
+    text(fields, CALL_FIELD).parse().ok().map(first_of)
+}
+
+fn first_of(attempt: CallId) -> CallId {
+    CallId {
+        sequence: attempt.sequence / ATTEMPTS_PER_CALL * ATTEMPTS_PER_CALL,
+        ..attempt
+    }
 }
 
 fn text(fields: &Map<String, Value>, name: &str) -> String {
--- a/src/ctl/options.rs
+++ b/src/ctl/options.rs
@@ -2,7 +2,8 @@
 
 use std::str::FromStr;
 
-use crate::ids::{CallId, TicketNumber};
+use super::explain::ExplainSubject;
+use crate::ids::TicketNumber;
 use crate::options::{
     BaseUrl, CommandSpec, FlagArity, FlagSpec, RawOptions, SecretToken, SettingError,
 };
@@ -49,6 +50,7 @@
             \x20 status                        state of the asked node\n\
             \x20 health                        whether the asked node takes work\n\
             \x20 explain CALL_ID --log FILE    decisions about one call, from nodes' log lines\n\
+            \x20 explain request ID --log FILE  the same by the caller's own id of the request\n\
             \n\
             Exit codes:\n\
             \x20 0  done or accepted\n\
@@ -89,10 +91,10 @@
     Status,
     /// Show whether the node takes work.
     Health,
-    /// Explain a call.
+    /// Explain a request.
     Explain {
-        /// Call.
-        call: CallId,
+        /// Call or request.
+        subject: ExplainSubject,
         /// Files with log lines.
         logs: Vec<String>,
     },
@@ -148,7 +150,11 @@
             ["status"] => Ok(Self::Status),
             ["health"] => Ok(Self::Health),
             ["explain", call] => Ok(Self::Explain {
-                call: parse_argument("CALL_ID", CALL_RULE, call)?,
+                subject: ExplainSubject::Call(parse_argument("CALL_ID", CALL_RULE, call)?),
+                logs: raw.required_list("log")?,
+            }),
+            ["explain", "request", id] => Ok(Self::Explain {
+                subject: ExplainSubject::Request((*id).to_string()),
                 logs: raw.required_list("log")?,
             }),
             _ => Err(SettingError::BadValue {
--- a/src/ctl/tests.rs
+++ b/src/ctl/tests.rs
@@ -1,4 +1,4 @@
-use super::{CtlResult, explain_call, show_answer};
+use super::{CtlResult, ExplainSubject, explain, show_answer};
 use crate::admin::AdminAnswer;
 
 const LOGS: &str = r#"
@@ -9,9 +9,13 @@
 not a JSON line
 "#;
 
+fn call(text: &str) -> ExplainSubject {
+    ExplainSubject::Call(text.parse().unwrap())
+}
+
 #[test]
 fn a_call_is_explained_with_its_attempts_in_order_of_time() {
-    let text = explain_call("00000000000000ff-20".parse().unwrap(), LOGS);
+    let text = explain(&call("00000000000000ff-20"), LOGS);
     let lines: Vec<&str> = text.lines().collect();
     assert_eq!(
         lines,
@@ -22,7 +26,7 @@
             "    slots: 6",
         ]
     );
-    let text = explain_call("00000000000000aa-20".parse().unwrap(), LOGS);
+    let text = explain(&call("00000000000000aa-20"), LOGS);
     assert!(text.starts_with("no log line names call"));
 }
 
@@ -56,3 +60,20 @@
         assert_eq!(show_answer(&AdminAnswer { status, body }), expected);
     }
 }
+
+#[test]
+fn a_request_is_explained_over_the_nodes_that_its_id_names() {
+    let logs = r#"
+{"at":"1","node":"a","target":"routing","message":"upstream chosen","call":"00000000000000ff-20","request_id":"r1","chosen":"b"}
+{"at":"2","node":"b","target":"gate","message":"failed","call":"00000000000000ff-21"}
+{"at":"3","node":"a","target":"routing","message":"upstream chosen","call":"00000000000000ff-30","request_id":"r2"}
+"#;
+    let text = explain(&ExplainSubject::Request("r1".to_string()), logs);
+    assert!(
+        text.contains("chosen: b") && text.contains("failed"),
+        "{text}"
+    );
+    assert!(!text.contains("r2"), "{text}");
+    let text = explain(&ExplainSubject::Request("r9".to_string()), logs);
+    assert_eq!(text, "no log line names request r9\n");
+}
--- a/src/gate.rs
+++ b/src/gate.rs
@@ -376,12 +376,16 @@
     /// Refusal of a call that has waited in vain.
     pub fn late_refusal(&self, open: &CallOpen) -> GateRefusal {
         let admission = self.admission.borrow();
-        let wait = admission
+        let estimate = admission
             .as_ref()
-            .map(|it| it.wait_estimate(self.now(), open.rank));
+            .map(|it| it.estimate(self.now(), open.rank, &open.class));
+        let Some((wait, finish)) = estimate else {
+            return ErrorKind::WaitTooLong.into();
+        };
         GateRefusal {
-            retry_after: wait.unwrap_or(UNLOADED_RETRY),
-            ..GateRefusal::from(ErrorKind::WaitTooLong)
+            kind: ErrorKind::WaitTooLong,
+            retry_after: wait,
+            estimated_finish: Some(finish),
         }
     }
 
--- a/src/gate/call.rs
+++ b/src/gate/call.rs
@@ -43,7 +43,7 @@
 
 /// Step of a call's work that ended.
 enum WorkStep {
-    Head(Result<BackendAnswer, BackendError>),
+    Head(Result<Box<BackendAnswer>, BackendError>),
     Body(Result<Option<Bytes>, ErrorKind>),
 }
 
@@ -282,7 +282,10 @@
         let id = self.id;
         let head = async move { sender.send(id, &open, time_left_ms, body).await };
         tokio::pin!(head);
-        let response = match self.step(async { WorkStep::Head(head.await) }).await? {
+        let response = match self
+            .step(async { WorkStep::Head(head.await.map(Box::new)) })
+            .await?
+        {
             WorkStep::Head(Ok(response)) => response,
             WorkStep::Head(Err(error)) => {
                 return Err(WorkEnd::Failed(self.backend_failure(&error)));
@@ -292,7 +295,7 @@
         if let Some(load) = response.load() {
             self.gate.note_load(load);
         }
-        self.relay_answer(response).await
+        self.relay_answer(*response).await
     }
 
     fn backend_failure(&self, error: &BackendError) -> ErrorKind {
--- a/src/ingress/attempt.rs
+++ b/src/ingress/attempt.rs
@@ -317,7 +317,7 @@
 
     async fn take_event(&mut self, event: Option<CallEvent>) -> Result<Progress, AttemptEnd> {
         let message = match event {
-            Some(CallEvent::Message(message)) => message,
+            Some(CallEvent::Message(message)) => *message,
             Some(CallEvent::LinkLost) | None => {
                 self.resume().await?;
                 return Ok(Progress::Continue);
--- a/src/ingress/attempt/relay.rs
+++ b/src/ingress/attempt/relay.rs
@@ -55,7 +55,7 @@
         event: Option<CallEvent>,
     ) -> Result<Option<Bytes>, ErrorKind> {
         let message = match event {
-            Some(CallEvent::Message(message)) => message,
+            Some(CallEvent::Message(message)) => *message,
             Some(CallEvent::LinkLost) | None => {
                 self.resume().await.map_err(|end| end.failure.kind())?;
                 return Ok(None);
--- a/src/ingress/placing.rs
+++ b/src/ingress/placing.rs
@@ -101,10 +101,13 @@
             self.asks_left -= 1;
             return PlacementStep::Ask;
         }
-        let best = self.outlooks.iter().min_by_key(|(_, it)| it.finish);
-        if let Some((node, outlook)) = best
+        let worth_joining = self
+            .outlooks
+            .iter()
+            .filter(|(_, outlook)| is_in_time(**outlook, times));
+        let best = worth_joining.min_by_key(|(_, outlook)| outlook.finish);
+        if let Some((node, _)) = best
             && self.joins < MAX_JOINS
-            && is_in_time(*outlook, times)
         {
             let node = node.clone();
             self.joins += 1;
--- a/src/ingress/placing/tests.rs
+++ b/src/ingress/placing/tests.rs
@@ -51,6 +51,15 @@
     assert_eq!(search.next(TIMES), PlacementStep::Join(node("a")));
 }
 
+#[test]
+fn a_free_slot_is_found_behind_a_queue_that_is_too_long() {
+    let mut search = PlacementSearch::new(2);
+    search.on_refused(&node("a"), outlook(75, 210));
+    search.on_refused(&node("b"), outlook(1, 220));
+    search.on_exhausted();
+    assert_eq!(search.next(TIMES), PlacementStep::Join(node("b")));
+}
+
 #[test]
 fn a_gate_that_drains_is_out_of_the_search() {
     let mut search = PlacementSearch::new(1);
--- a/src/link/call_link.rs
+++ b/src/link/call_link.rs
@@ -23,7 +23,7 @@
 #[derive(Debug)]
 pub enum CallEvent {
     /// A message for the call.
-    Message(LinkMessage),
+    Message(Box<LinkMessage>),
     /// The link is lost; the call may be resumed on another.
     LinkLost,
 }
@@ -127,7 +127,7 @@
     fn deliver(&self, sequence: u64, message: LinkMessage) {
         if let Some(call) = self.calls.borrow().get(&sequence) {
             // A call that ended meanwhile needs the message no more.
-            let _ = call.send(CallEvent::Message(message));
+            let _ = call.send(CallEvent::Message(Box::new(message)));
         }
     }
 
--- a/src/platform/config.rs
+++ b/src/platform/config.rs
@@ -79,7 +79,7 @@
     idle_timeout_s: f64,
 }
 
-fn config_error(reason: impl ToString) -> ConfigError {
+fn config_error(reason: &impl ToString) -> ConfigError {
     ConfigError {
         reason: reason.to_string(),
     }
@@ -90,7 +90,7 @@
     if (0.0..=1e9).contains(&seconds) {
         Ok((seconds * 1_000.0).round() as u64)
     } else {
-        Err(config_error(format!("{seconds} s is out of range")))
+        Err(config_error(&format!("{seconds} s is out of range")))
     }
 }
 
@@ -100,7 +100,7 @@
         let rows = self.rows.into_iter().map(|row| {
             let cells = columns.iter().cloned().zip(row);
             let fields: Map<String, Value> = cells.filter(|(_, cell)| !cell.is_null()).collect();
-            serde_json::from_value(Value::Object(fields)).map_err(config_error)
+            serde_json::from_value(Value::Object(fields)).map_err(|error| config_error(&error))
         });
         rows.collect()
     }
@@ -115,7 +115,7 @@
             (None, Some(parts)) if !parts.is_empty() => RouteTarget::Split(parts),
             _ => {
                 let reason = format!("route {} needs a service or a split", raw.name);
-                return Err(config_error(reason));
+                return Err(config_error(&reason));
             }
         };
         Ok(Self {
@@ -151,8 +151,8 @@
 
 /// Reads a version of the configuration.
 pub(super) fn decode_config(bytes: &[u8]) -> Result<RouteConfig, ConfigError> {
-    let raw: RawConfig = serde_json::from_slice(bytes).map_err(config_error)?;
-    let version = u64::from_str_radix(&raw.version, 16).map_err(config_error)?;
+    let raw: RawConfig = serde_json::from_slice(bytes).map_err(|error| config_error(&error))?;
+    let version = u64::from_str_radix(&raw.version, 16).map_err(|error| config_error(&error))?;
     let routes = raw.routes.read::<RawRoute>()?.into_iter();
     let routes: Result<Vec<Route>, ConfigError> = routes.map(Route::try_from).collect();
     let services: BTreeMap<ServiceName, ServiceSettings> = raw
--- a/src/routing/upstream.rs
+++ b/src/routing/upstream.rs
@@ -18,6 +18,11 @@
 const DRAIN_HOLD: Duration = Duration::from_secs(30);
 /// Factor by which one fresh failure worsens a score.
 const FAILURE_WEIGHT: f64 = 4.0;
+/// Factor by which a burst that was just reported worsens a score.
+const BURST_WEIGHT: f64 = 4.0;
+/// Age at which a reported burst is over as likely as not; they last about
+/// 150 ms on the users' hosts.
+const BURST_HALF_LIFE: Duration = Duration::from_millis(75);
 /// Share of its places that an upstream gets in the moment it joins.
 const RAMP_START: f64 = 0.1;
 /// Weight of an own outstanding attempt against one that a report tells of: it
@@ -307,6 +312,17 @@
         let wait = pressure + (pressure - 1.0).max(0.0);
         let slowness = self.latency_us(now, means, options) / means.latency_us.max(1.0);
         let failures = 1.0 + FAILURE_WEIGHT * self.failure_weight(now, options);
-        slowness.sqrt() * (IDLE_SCORE + wait) * failures
+        let burst = 1.0 + BURST_WEIGHT * self.burst_trust(now);
+        slowness.sqrt() * (IDLE_SCORE + wait) * failures * burst
+    }
+
+    /// How likely a burst is still on that the last report told of.
+    fn burst_trust(&self, now: Duration) -> f64 {
+        match self.report {
+            Some(record) if record.report.is_slow => {
+                decay(now.saturating_sub(record.at), BURST_HALF_LIFE)
+            }
+            _ => 0.0,
+        }
     }
 }
