Tell a call without a target from one whose target has passed

Cause: gate::tests::cancelled_call_that_waited_never_starts failed: a call that names no target counted as late and was refused instead of queued. Change: the target's time on the link is optional.

--- a/src/gate.rs
+++ b/src/gate.rs
@@ -332,7 +332,10 @@
             call: id,
             shares: Vec::new(),
             time_left,
-            target_left: Duration::from_micros(open.target_left_us).min(time_left),
+            target_left: open
+                .target_left_us
+                .map_or(time_left, Duration::from_micros)
+                .min(time_left),
             rank: open.rank,
             class: open.class.clone(),
             ask_share: (open.ask_percent > 0).then(|| f64::from(open.ask_percent) / 100.0),
@@ -469,7 +472,7 @@
         service = open.service.as_str(),
         rank = open.rank,
         ask_percent = open.ask_percent,
-        target_left_ms = open.target_left_us / 1_000,
+        target_left_ms = open.target_left_us.map(|left| left / 1_000),
         time_left_ms = open.time_left_us / 1_000,
         decision = decision.name(), wait_ms, finish_ms,
         in_flight = load.in_flight,
--- a/src/ingress/call.rs
+++ b/src/ingress/call.rs
@@ -555,7 +555,7 @@
             is_last,
             request_id: self.facts.request_id.clone().unwrap_or_default(),
             rank: self.facts.rank,
-            target_left_us: u64::try_from(self.target_left().as_micros()).unwrap_or(u64::MAX),
+            target_left_us: u64::try_from(self.target_left().as_micros()).ok(),
             ask_percent: 0,
             class: self.facts.class(),
         }
--- a/src/link/messages.rs
+++ b/src/link/messages.rs
@@ -102,9 +102,10 @@
     /// Rank among the calls of the service; 0 goes first.
     #[prost(uint32, tag = "13")]
     pub rank: u32,
-    /// Time left until the target latency, in microseconds; 0 if it has passed.
-    #[prost(uint64, tag = "14")]
-    pub target_left_us: u64,
+    /// Time left until the target latency, in microseconds: 0 if it has passed,
+    /// none for a call without a target of its own.
+    #[prost(uint64, optional, tag = "14")]
+    pub target_left_us: Option<u64>,
     /// Occupancy in percent up to which the gate may start the call at once; it
     /// refuses the call otherwise. 0 for a call that may wait.
     #[prost(uint32, tag = "15")]
