--- a/tests/faults/script.rs
+++ b/tests/faults/script.rs
@@ -15,7 +15,7 @@
 const CALM_TIME: Duration = Duration::from_millis(200);
 
 /// One fault of one upstream.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Fault {
     /// The node is killed and started again.
     KillNode,
@@ -57,7 +57,8 @@
     sleep(CALM_TIME).await;
 }
 
-async fn put_in(fleet: &mut Fleet, index: usize, fault: Fault) {
+/// Puts a fault in.
+pub async fn put_in(fleet: &mut Fleet, index: usize, fault: Fault) {
     let client = fleet.client.clone();
     let upstream = &mut fleet.upstreams[index];
     match fault {
@@ -84,7 +85,8 @@
     }
 }
 
-async fn take_out(fleet: &mut Fleet, index: usize, fault: Fault) {
+/// Takes a fault out.
+pub async fn take_out(fleet: &mut Fleet, index: usize, fault: Fault) {
     let client = fleet.client.clone();
     let upstream = &mut fleet.upstreams[index];
     match fault {
--- a/tests/support/fleet.rs
+++ b/tests/support/fleet.rs
@@ -40,6 +40,7 @@
     name: String,
     join: SocketAddr,
     store: String,
+    flags: &'static [&'static str],
     tally: RunTally,
     relay_address: String,
     addresses: NodeAddresses,
@@ -50,14 +51,20 @@
 }
 
 impl Upstream {
-    fn start(number: usize, join: SocketAddr, store: &str, tally: &RunTally) -> Self {
+    fn start(
+        number: usize,
+        join: SocketAddr,
+        store: &str,
+        flags: &'static [&'static str],
+        tally: &RunTally,
+    ) -> Self {
         let name = format!("{SERVICE}-{number}");
         let mut command = Command::new(env!("CARGO_BIN_EXE_standin-relay"));
         let mut relay = Process::start(&format!("{name}-relay"), &mut command, tally);
         let relay_address = relay.line();
         let extra = ["--peer-advertise", &relay_address];
         let mut command = node_command(&name, store, &[ANY_PORT; 3], &extra);
-        command.args(["--peer", &join.to_string()]);
+        command.args(["--peer", &join.to_string()]).args(flags);
         let node = Process::start(&name, &mut command, tally);
         let addresses: NodeAddresses = serde_json::from_str(&node.line()).unwrap();
         relay.steer(&format!("target {}", addresses.peer_listen));
@@ -65,6 +72,7 @@
             name,
             join,
             store: store.to_string(),
+            flags,
             tally: tally.clone(),
             relay_address,
             addresses,
@@ -85,7 +93,9 @@
         let listen = [&*listen[0], &*listen[1], &*listen[2]];
         let extra = ["--peer-advertise", &self.relay_address];
         let mut command = node_command(&self.name, &self.store, &listen, &extra);
-        command.args(["--peer", &self.join.to_string()]);
+        command
+            .args(["--peer", &self.join.to_string()])
+            .args(self.flags);
         let node = Process::start(&self.name, &mut command, &self.tally);
         node.line();
         self.node = Some(node);
@@ -154,22 +164,28 @@
     pub ingress_url: String,
     ingress: Process,
     ingress_admin: SocketAddr,
+    store_url: String,
     _store: Process,
 }
 
 impl Fleet {
     /// Starts a fleet whose service is ready at the ingress.
     pub async fn start(count: usize) -> Self {
+        Self::start_with(count, &[]).await
+    }
+
+    /// Starts a fleet whose nodes have these flags beside the usual ones.
+    pub async fn start_with(count: usize, flags: &'static [&'static str]) -> Self {
         let tally = RunTally::default();
         let mut command = Command::new(env!("CARGO_BIN_EXE_standin-store"));
         command.args(["--listen", ANY_PORT]);
         let store = Process::start("store", &mut command, &tally);
         let store_url = format!("http://{}", store.line());
-        let mut command = node_command("edge-1", &store_url, &[ANY_PORT; 3], &[]);
+        let mut command = node_command("edge-1", &store_url, &[ANY_PORT; 3], flags);
         let ingress = Process::start("edge-1", &mut command, &tally);
         let bound: NodeAddresses = serde_json::from_str(&ingress.line()).unwrap();
         let upstreams = (1..=count)
-            .map(|number| Upstream::start(number, bound.peer_listen, &store_url, &tally))
+            .map(|number| Upstream::start(number, bound.peer_listen, &store_url, flags, &tally))
             .collect();
         let client = currantlift::admin::http_client(Duration::from_secs(20)).await;
         let fleet = Self {
@@ -179,19 +195,36 @@
             ingress_url: format!("http://{}", bound.listen),
             ingress,
             ingress_admin: bound.admin_listen,
+            store_url,
             _store: store,
         };
-        fleet.submit_ticket().await;
+        assert!(fleet.submit_ticket(1).await);
         fleet.wait_until_ready().await;
         fleet
     }
 
-    async fn submit_ticket(&self) {
-        let url = format!("http://{}/v1/tickets/1", self.ingress_admin);
+    /// Submits a ticket; whether it was accepted.
+    pub async fn submit_ticket(&self, number: u64) -> bool {
+        let url = format!("http://{}/v1/tickets/{number}", self.ingress_admin);
         let rule = json!({ "method": "POST", "path": "/orders", "idempotent": false });
         let service = json!({ "timeout_ms": 1000, "attempts": 3, "requests": [rule] });
         let ticket = json!({ "services": { SERVICE: service } });
         let sent = self.client.put(url).send_json(&ticket).await;
+        sent.is_ok_and(|answer| answer.status().is_success())
+    }
+
+    /// Ticket in force at the ingress.
+    pub async fn ticket_in_force(&self) -> u64 {
+        let url = format!("http://{}/v1/services", self.ingress_admin);
+        let answer = self.client.get(url).send().await.unwrap();
+        let services: BTreeMap<String, ServiceView> = answer.json().await.unwrap();
+        services[SERVICE].ticket.get()
+    }
+
+    /// Switches the faults of the store.
+    pub async fn set_store_faults(&self, faults: &Value) {
+        let url = format!("{}/standin/faults", self.store_url);
+        let sent = self.client.put(url).send_json(faults).await;
         assert!(sent.unwrap().status().is_success());
     }
 
--- a/tests/support/load.rs
+++ b/tests/support/load.rs
@@ -93,6 +93,13 @@
         self.orders.borrow().len()
     }
 
+    /// Orders that have been answered whole.
+    pub fn whole_count(&self) -> usize {
+        let orders = self.orders.borrow();
+        let whole = orders.iter().filter(|order| order.told == Told::Whole);
+        whole.count()
+    }
+
     /// Waits for the last answers.
     pub async fn end(self) -> OrderBook {
         self.is_over.set(true);
