Let calls in that hold up no other, also when they will be late

Cause: for three seconds after all restart, servers state twice the usual time; calls were refused as late though slots were free. Change: with room for all, the time limit decides and not the target.

--- a/src/admission.rs
+++ b/src/admission.rs
@@ -263,7 +263,13 @@
             return refusal(ErrorKind::Overloaded, wait, finish);
         }
         let time_to_wait = offer.time_left.saturating_sub(self.latency.shortest());
-        let is_late = finish > offer.target_left && offer.target_left < offer.time_left;
+        // A call that holds up no other is let in also when it will be late.
+        let limit_of_finish = if self.has_room() {
+            offer.time_left
+        } else {
+            offer.target_left
+        };
+        let is_late = finish > limit_of_finish && offer.target_left < offer.time_left;
         if wait > time_to_wait.min(self.options.longest_wait) || is_late {
             return refusal(ErrorKind::WaitTooLong, wait, finish);
         }
@@ -405,6 +411,11 @@
         }
     }
 
+    /// Whether the slots suffice for all calls and one more.
+    fn has_room(&self) -> bool {
+        self.in_flight() + self.queued() < self.limit.get()
+    }
+
     /// Whether a call may start: one that asks only at the usual speed and, with
     /// it, within its share of the slots.
     fn may_start(&self, now: Duration, ask_share: Option<f64>) -> bool {
--- a/src/ingress/attempt.rs
+++ b/src/ingress/attempt.rs
@@ -46,6 +46,8 @@
     pub retry_after: Option<Duration>,
     /// Time in which the gate would have expected to answer.
     pub estimated_finish: Option<Duration>,
+    /// Whether the gate had room when it refused.
+    pub has_room: bool,
 }
 
 impl AttemptEnd {
@@ -63,6 +65,7 @@
         Some(GateOutlook {
             wait: self.retry_after.filter(|_| is_load)?,
             finish: self.estimated_finish?,
+            has_room: self.has_room,
         })
     }
 
@@ -82,6 +85,7 @@
             failure,
             retry_after: None,
             estimated_finish: None,
+            has_room: false,
         }
     }
 }
@@ -334,6 +338,9 @@
                 retry_after: Some(Duration::from_millis(refusal.retry_after_ms)),
                 estimated_finish: Some(Duration::from_micros(refusal.finish_us))
                     .filter(|finish| !finish.is_zero()),
+                has_room: refusal
+                    .load
+                    .is_some_and(|load| load.in_flight + load.queued < load.limit),
             }),
             LinkMessage::Abort(abort) => Err(self.state.on_aborted(kind_of(&abort.kind)).into()),
             LinkMessage::CancelReply(reply) => {
--- a/src/ingress/placing.rs
+++ b/src/ingress/placing.rs
@@ -13,8 +13,6 @@
 
 use crate::ids::NodeId;
 
-/// Wait up to which a gate counts as having a free slot.
-const FREE_WAIT: Duration = Duration::from_millis(1);
 /// Queues that a call tries to join.
 const MAX_JOINS: u32 = 2;
 
@@ -25,6 +23,9 @@
     pub wait: Duration,
     /// Time until the answer.
     pub finish: Duration,
+    /// Whether its slots suffice for all calls that it has and one more, which
+    /// then waits for the end of a burst at most.
+    pub has_room: bool,
 }
 
 /// Time that a call has.
@@ -124,8 +125,7 @@
 /// Whether a gate's queue is worth joining: to meet the target, or to take a
 /// slot that is free though it is not a fast one.
 fn is_in_time(outlook: GateOutlook, times: CallTimes) -> bool {
-    let is_free = outlook.wait <= FREE_WAIT;
-    outlook.finish <= times.target_left || (is_free && outlook.finish <= times.time_left)
+    outlook.finish <= times.target_left || (outlook.has_room && outlook.finish <= times.time_left)
 }
 
 #[cfg(test)]
--- a/src/ingress/placing/tests.rs
+++ b/src/ingress/placing/tests.rs
@@ -10,6 +10,7 @@
     Some(GateOutlook {
         wait: Duration::from_millis(wait_ms),
         finish: Duration::from_millis(finish_ms),
+        has_room: wait_ms <= 1,
     })
 }
 
