Count callers' connections until their last answer in a planned stop

Ruled out: the drain limit (2 s were left), the operator's SIGKILL, a lost link. Change: a connection counts until no answer can be due on it; bytes that have arrived are read before the end is seen. tests/stop.rs has a request half sent at that moment, which got no answer before.

--- a/src/control/state.rs
+++ b/src/control/state.rs
@@ -283,10 +283,13 @@
         self.stop_phase.send_replace(StopPhase::Closed);
     }
 
-    /// Whether no call is under way at the gate or the ingress.
+    /// Whether no call is under way at the gate or the ingress, and no caller's
+    /// connection is left that may have one.
     pub fn is_idle(&self) -> bool {
         let status = *self.gate_status.borrow();
-        status.in_flight == 0 && status.queued == 0 && self.ingress.in_flight() == 0
+        let is_gate_idle = status.in_flight == 0 && status.queued == 0;
+        let ingress = &self.ingress;
+        is_gate_idle && ingress.in_flight() == 0 && ingress.connections() == 0
     }
 
     /// Whether no live node of the own availability zone has a lower name.
--- a/src/ingress.rs
+++ b/src/ingress.rs
@@ -87,6 +87,7 @@
     started: Instant,
     next_call: AtomicU64,
     in_flight: AtomicU64,
+    connections: AtomicU64,
 }
 
 /// What an ingress is started with.
@@ -134,6 +135,7 @@
             started: settings.started,
             next_call: AtomicU64::new(1),
             in_flight: AtomicU64::new(0),
+            connections: AtomicU64::new(0),
         }
     }
 
@@ -152,6 +154,19 @@
         self.in_flight.load(Ordering::Relaxed)
     }
 
+    /// Callers' connections that may still have a request to answer.
+    pub fn connections(&self) -> u64 {
+        self.connections.load(Ordering::Relaxed)
+    }
+
+    /// Counts a caller's connection while the guard lives.
+    pub fn connect(self: &Arc<Self>) -> ConnectionGuard {
+        self.connections.fetch_add(1, Ordering::Relaxed);
+        ConnectionGuard {
+            shared: Arc::clone(self),
+        }
+    }
+
     /// Waits until no further request is taken.
     pub async fn closed(&self) {
         let mut phase = self.stop_phase.clone();
@@ -179,6 +194,17 @@
     }
 }
 
+/// Counts one caller's connection until it is dropped.
+pub struct ConnectionGuard {
+    shared: Arc<IngressShared>,
+}
+
+impl Drop for ConnectionGuard {
+    fn drop(&mut self) {
+        self.shared.connections.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
 /// Locks a decision's state. A panic in another thread leaves the state
 /// usable, since each decision changes it in one step.
 pub fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
--- a/src/ingress/connection.rs
+++ b/src/ingress/connection.rs
@@ -108,6 +108,7 @@
         return;
     }
     let (mut input, mut output) = stream.into_split();
+    let guard = worker.shared.connect();
     let connection = CallerConnection {
         worker,
         queue: RefCell::default(),
@@ -123,6 +124,7 @@
         result = connection.write_answers(&mut output) => result,
         end = connection.read_all(&mut input, &mut buffer) => end,
     };
+    drop(guard);
     match result {
         Ok(()) => linger(input, output).await,
         Err(error) => log::debug!(target: "ingress", "caller's connection ended: {error}"),
@@ -233,6 +235,8 @@
             };
             buffer.reserve(READ_BYTES);
             tokio::select! {
+                // What has arrived goes before the end of a planned stop.
+                biased;
                 read = input.read_buf(buffer) => if read? == 0 {
                     return Ok(HeadRead::End(ReadEnd::Left));
                 },
--- a/tests/stop.rs
+++ b/tests/stop.rs
@@ -10,6 +10,8 @@
 mod load;
 #[path = "support/process.rs"]
 mod process;
+#[path = "http/raw.rs"]
+mod raw;
 
 use std::time::Duration;
 
@@ -18,6 +20,7 @@
 
 use fleet::Fleet;
 use load::{OrderBook, OrderLoad, Told};
+use raw::RawCaller;
 
 /// Upstreams of the service.
 const UPSTREAMS: usize = 3;
@@ -85,3 +88,23 @@
     let book = load.end().await;
     check_all_whole(&book, fleet);
 }
+
+/// Time after SIGTERM at which a node takes no further requests, and some more.
+const AFTER_CLOSING: Duration = Duration::from_millis(1_400);
+
+#[ntex::test]
+async fn a_request_that_is_half_sent_when_a_node_closes_is_answered() {
+    let mut fleet = Fleet::start(2).await;
+    let mut caller = RawCaller::connect(fleet.upstreams[0].callers_address()).await;
+    caller
+        .send("POST /orders HTTP/1.1\r\nhost: tillpost\r\n")
+        .await;
+    sleep(Duration::from_millis(100)).await;
+    fleet.upstreams[0].signal_node("TERM");
+    sleep(AFTER_CLOSING).await;
+    caller.send("content-length: 5\r\n\r\norder").await;
+    let answer = caller.answer().await.expect("an answer");
+    assert_eq!((answer.status, &answer.body[..]), (200, &b"order"[..]));
+    let mut node = fleet.upstreams[0].node.take().unwrap();
+    assert_eq!(node.exit_code().await, Some(0));
+}
--- a/tests/support/fleet.rs
+++ b/tests/support/fleet.rs
@@ -85,6 +85,11 @@
         upstream
     }
 
+    /// Address at which the node takes callers.
+    pub fn callers_address(&self) -> SocketAddr {
+        self.addresses.listen
+    }
+
     /// Starts the node again, at the same addresses.
     pub fn start_node(&mut self) {
         let bound = self.addresses;
