Push a new configuration from the first node of each zone to the others of it

Gossip carries versions within a byte budget, and fetches ran one at a time with a limit of 2 s each. Change: the first node of a zone sends what it puts in force to its zone over TCP; a fetch from a peer has 500 ms. Gossip stays as the second way.

--- a/src/control/state.rs
+++ b/src/control/state.rs
@@ -13,6 +13,7 @@
 use crate::control::placement::{build_table, log_changes};
 use crate::control::presence::BackendPresence;
 use crate::discovery::FleetRole;
+use crate::exchange::PeerHello;
 use crate::gate::{GateCommand, GateStatus};
 use crate::ids::{BackendId, NodeId, NodeIncarnation, RegionName, ServiceName, ZoneName};
 use crate::ingress::{IngressShared, StopPhase, lock};
@@ -221,6 +222,23 @@
         settings.health_path.clone()
     }
 
+    /// Hands the configuration to the other nodes of the availability zone,
+    /// which don't watch the store.
+    fn push_routes(&self) {
+        let state = self.membership.state().borrow();
+        let own = &self.identity;
+        let others = state.members().values().filter(|member| {
+            member.is_live() && member.zone == own.zone && member.node != own.node
+        });
+        let hello = PeerHello {
+            node: own.node.to_string(),
+            incarnation: own.incarnation.get(),
+            is_call_link: false,
+        };
+        self.routes
+            .push_to(others.map(|member| member.peer_address), &hello);
+    }
+
     /// Tells the gate what a new configuration says of its backend server.
     fn refresh_gate(&self) {
         if let Some(backend) = self.backend.borrow().as_ref() {
@@ -408,6 +426,9 @@
         let version = control.routes.version();
         control.membership.set_head_version(version.0);
         control.refresh_gate();
+        if *control.role.borrow() == FleetRole::ZoneFirst {
+            control.push_routes();
+        }
         // A new configuration is not kept back for others to join it.
         control.publish();
     }
--- a/src/routes/driver.rs
+++ b/src/routes/driver.rs
@@ -28,6 +28,8 @@
 /// Pause after a failed call, drawn between half of it and all of it. A node
 /// whose store is back is to know within two seconds.
 const FAILURE_PAUSE: Duration = Duration::from_millis(800);
+/// Time limit of one fetch from a peer; another peer names the version as well.
+const FETCH_TIMEOUT: Duration = Duration::from_millis(500);
 /// Time between two looks of a node that does not watch.
 const LOOK_INTERVAL: Duration = Duration::from_secs(5);
 /// Reports of peers that wait for a fetch.
@@ -62,6 +64,7 @@
 /// Access to the configuration in force.
 #[derive(Debug, Clone)]
 pub struct RoutesHandle {
+    sender: Arc<ConfigSender>,
     config: watch::Receiver<Option<Arc<RouteConfig>>>,
     peers: mpsc::Sender<(SocketAddr, ConfigVersion)>,
 }
@@ -71,9 +74,13 @@
 impl RoutesHandle {
     /// Handle of a node that gets its rules from change tickets alone.
     pub fn absent() -> Self {
-        let (_, config) = watch::channel(None);
+        let (sender, config) = watch::channel(None);
         let (peers, _) = mpsc::channel(1);
-        Self { config, peers }
+        Self {
+            sender: Arc::new(sender),
+            config,
+            peers,
+        }
     }
 
     /// Starts the tasks on the present thread's ntex runtime; they end when
@@ -85,16 +92,21 @@
     ) -> Self {
         let (sender, config) = watch::channel(None);
         let (peers, reports) = mpsc::channel(PEER_QUEUE);
-        let sender = Rc::new(sender);
+        let sender = Arc::new(sender);
         let source = settings.source;
-        ntex::rt::spawn(follow_peers(Rc::clone(&sender), settings.hello, reports));
+        let (follower, watcher) = (Arc::clone(&sender), Arc::clone(&sender));
+        ntex::rt::spawn(follow_peers(follower, settings.hello, reports));
         ntex::rt::spawn(async move {
             tokio::select! {
-                () = sender.closed() => {}
-                () = follow_store(&sender, source, &*store, role) => {}
+                () = watcher.closed() => {}
+                () = follow_store(&watcher, source, &*store, role) => {}
             }
         });
-        Self { config, peers }
+        Self {
+            sender,
+            config,
+            peers,
+        }
     }
 
     /// Configuration in force, and every later one.
@@ -115,8 +127,34 @@
         }
     }
 
-    /// Answers a peer that asks for the configuration in force; empty for none.
-    pub fn handle_fetch(&self) -> Bytes {
+    /// Answers a peer, which may have sent a configuration along: with the one
+    /// in force, or nothing if there is none.
+    pub fn handle_exchange(&self, request: &[u8]) -> Bytes {
+        if !request.is_empty() {
+            take_bytes(&self.sender, request, "pushed");
+            return Bytes::new();
+        }
+        self.encoded()
+    }
+
+    /// Sends the configuration in force to peers, all at once.
+    pub fn push_to(&self, peers: impl IntoIterator<Item = SocketAddr>, hello: &PeerHello) {
+        let request = ControlRequest {
+            payload: self.encoded(),
+            topic: ControlTopic::Routes.into(),
+        };
+        for peer in peers {
+            let (request, hello) = (request.clone(), hello.clone());
+            ntex::rt::spawn(async move {
+                // A peer that isn't reached hears of the version by gossip.
+                if let Err(error) = send_request(peer, &hello, &request).await {
+                    log::info!(target: "routes", peer:%; "configuration not pushed: {error}");
+                }
+            });
+        }
+    }
+
+    fn encoded(&self) -> Bytes {
         let config = self.config.borrow();
         let Some(config) = config.as_ref() else {
             return Bytes::new();
@@ -156,6 +194,16 @@
     }
 }
 
+/// Applies a configuration as a peer encoded it.
+fn take_bytes(sender: &ConfigSender, bytes: &[u8], origin: &str) {
+    match serde_json::from_slice(bytes) {
+        Ok(config) => apply(sender, config, origin),
+        Err(error) => {
+            log::warn!(target: "routes", "peer's configuration can't be read: {error}");
+        }
+    }
+}
+
 /// Applies what the store shows; never ends by itself.
 async fn follow_store<S: ConfigStore>(
     sender: &ConfigSender,
@@ -235,7 +283,7 @@
 
 /// Fetches from each peer that names a higher version.
 async fn follow_peers(
-    sender: Rc<ConfigSender>,
+    sender: Arc<ConfigSender>,
     hello: PeerHello,
     mut reports: mpsc::Receiver<(SocketAddr, ConfigVersion)>,
 ) {
@@ -247,16 +295,13 @@
             payload: Bytes::new(),
             topic: ControlTopic::Routes.into(),
         };
-        match send_request(peer, &hello, &request).await {
-            Ok(reply) if reply.payload.is_empty() => {}
-            Ok(reply) => match serde_json::from_slice(&reply.payload) {
-                Ok(config) => apply(&sender, config, "peer"),
-                Err(error) => {
-                    log::warn!(target: "routes", peer:%; "peer's configuration can't be read: {error}");
-                }
-            },
+        let fetch = send_request(peer, &hello, &request);
+        match tokio::time::timeout(FETCH_TIMEOUT, fetch).await {
+            Ok(Ok(reply)) if reply.payload.is_empty() => {}
+            Ok(Ok(reply)) => take_bytes(&sender, &reply.payload, "peer"),
             // Gossip names the version again, at this peer and at others.
-            Err(error) => log::info!(target: "routes", peer:%; "peer not reached: {error}"),
+            Ok(Err(error)) => log::info!(target: "routes", peer:%; "peer not reached: {error}"),
+            Err(_) => log::info!(target: "routes", peer:%; "peer too slow"),
         }
     }
 }
--- a/src/routes/tests.rs
+++ b/src/routes/tests.rs
@@ -82,3 +82,28 @@
     let found = counts(&[part("a", 5), part("b", 0)], 20, 3);
     assert_eq!(found, [60, 0]);
 }
+
+#[ntex::test]
+async fn a_configuration_only_moves_forward_whoever_sends_it() {
+    let hello = crate::exchange::PeerHello::default();
+    let source = ConfigSource {
+        key: "routes",
+        decode: |_| unreachable!("the store has none"),
+    };
+    let settings = RoutesSettings { hello, source };
+    let (_role, role) = tokio::sync::watch::channel(crate::discovery::FleetRole::Follower);
+    let store = std::rc::Rc::new(crate::store::memory::MemoryStore::new([]));
+    let handle = RoutesHandle::start(settings, store, role);
+    let version = |number| RouteConfig {
+        version: ConfigVersion(number),
+        ..config(vec![route("all", "shop", "/")])
+    };
+    for (sent, in_force) in [(4, 4), (3, 4), (4, 4), (7, 7)] {
+        let bytes = serde_json::to_vec(&version(sent)).unwrap();
+        assert!(handle.handle_exchange(&bytes).is_empty());
+        assert_eq!(handle.version(), ConfigVersion(in_force));
+    }
+    assert!(handle.handle_exchange(b"nonsense").is_empty());
+    let fetched: RouteConfig = serde_json::from_slice(&handle.handle_exchange(b"")).unwrap();
+    assert_eq!(fetched, version(7));
+}
