Write whole lines of the log, in pieces that a pipe takes at once

Cause: the writing thread handed over everything that had collected in 50 ms in one write. Such a write is tens of kilobytes, and a reader that follows several processes gets it in parts that end amid a line.

Ruled out: lines dropped by the bounded buffer (no "lines dropped" in the log).

Change: each write holds whole lines and at most 4,096 bytes. A unit test checks that; it failed before.

--- a/src/logs/tests.rs
+++ b/src/logs/tests.rs
@@ -73,3 +73,38 @@
     assert!(text.contains("urgent\n"));
     assert!(!text.contains("common"));
 }
+
+/// Output that keeps what each write held.
+struct PieceOutput {
+    pieces: Sender<String>,
+}
+
+impl Write for PieceOutput {
+    fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
+        let text = String::from_utf8_lossy(bytes).into_owned();
+        let _ = self.pieces.send(text);
+        Ok(bytes.len())
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        Ok(())
+    }
+}
+
+#[test]
+fn each_write_holds_whole_lines_that_a_pipe_takes_in_one_piece() {
+    let (pieces, output) = channel();
+    let (mut writer, flusher) = BufferWriter::start(PieceOutput { pieces }).unwrap();
+    for number in 0..1_000 {
+        write_line(
+            &mut writer,
+            &format!("{number} {}", "x".repeat(number % 400)),
+        );
+    }
+    flusher.flush(Duration::from_secs(10));
+    drop((writer, flusher));
+    let written: Vec<String> = output.iter().collect();
+    assert_eq!(written.concat().lines().count(), 1_000);
+    assert!(written.iter().all(|piece| piece.len() <= 4_096));
+    assert!(written.iter().all(|piece| piece.ends_with('\n')));
+}
--- a/src/logs/writer.rs
+++ b/src/logs/writer.rs
@@ -5,6 +5,9 @@
 //! are collected in a buffer of bounded size, which the writing thread takes
 //! whole at a fixed interval. What does not fit is dropped and counted, and the
 //! count is logged once there is room again.
+//!
+//! Each write holds whole lines and no more than a pipe takes in one piece, so
+//! that a reader that follows several processes gets no line in parts.
 
 use std::io::{self, Write};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -15,6 +18,9 @@
 const BUFFER_BYTES: usize = 2 * 1024 * 1024;
 /// Part of them that common lines may take; the rest is for urgent ones.
 const COMMON_BYTES: usize = BUFFER_BYTES / 4 * 3;
+/// Bytes that a pipe takes in one piece, by POSIX at least 512 and 4,096 on
+/// Linux (`PIPE_BUF`).
+const PIECE_BYTES: usize = 4_096;
 /// Interval between two writes.
 const WRITE_INTERVAL: Duration = Duration::from_millis(50);
 
@@ -118,7 +124,7 @@
     loop {
         let is_last = Arc::strong_count(buffer) == 1;
         let bytes = take_bytes(buffer);
-        let result = output.write_all(&bytes);
+        let result = write_pieces(&bytes, &mut output);
         lock(buffer).is_writing = false;
         if result.is_err() || is_last {
             return;
@@ -127,6 +133,23 @@
     }
 }
 
+/// Writes whole lines, a piece at a time; only a line that is longer than a
+/// piece is written in parts.
+fn write_pieces(bytes: &[u8], output: &mut impl Write) -> io::Result<()> {
+    let mut rest = bytes;
+    while !rest.is_empty() {
+        let piece = &rest[..rest.len().min(PIECE_BYTES)];
+        let end = match piece.iter().rposition(|byte| *byte == b'\n') {
+            Some(last) => last + 1,
+            None => piece.len(),
+        };
+        output.write_all(&rest[..end])?;
+        output.flush()?;
+        rest = &rest[end..];
+    }
+    Ok(())
+}
+
 fn take_bytes(buffer: &SharedBuffer) -> Vec<u8> {
     let mut buffer = lock(buffer);
     let mut bytes = std::mem::take(&mut buffer.bytes);
