Test of urgent log lines: wait until the output has stalled

Failed once in a run of all tests and in 1 of 10 alone: a common line was in the output. Cause, in the test: the writing thread takes its first lines 50 ms after its start, and when all lines were logged before that it emptied the buffer just ahead of the last ones.

--- a/src/logs/tests.rs
+++ b/src/logs/tests.rs
@@ -6,12 +6,15 @@
 
 /// Output whose reader may stall.
 struct StalledOutput {
+    /// Told that a write has begun.
+    begun: Sender<()>,
     gate: Receiver<()>,
     written: Sender<String>,
 }
 
 impl Write for StalledOutput {
     fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
+        let _ = self.begun.send(());
         // A closed gate lets everything through.
         let _ = self.gate.recv();
         let text = String::from_utf8_lossy(bytes).into_owned();
@@ -31,10 +34,17 @@
 
 #[test]
 fn stalled_reader_costs_lines_but_never_the_writer() {
+    let (begun, stall) = channel();
     let (open, gate) = channel();
     let (written, output) = channel();
-    let (mut writer, flusher) = BufferWriter::start(StalledOutput { gate, written }).unwrap();
+    let (mut writer, flusher) = BufferWriter::start(StalledOutput {
+        begun,
+        gate,
+        written,
+    })
+    .unwrap();
     write_line(&mut writer, "first");
+    stall.recv().unwrap();
     let long = "x".repeat(1_000);
     for _ in 0..10_000 {
         write_line(&mut writer, &long);
@@ -54,11 +64,18 @@
 
 #[test]
 fn urgent_lines_are_the_last_to_go() {
+    let (begun, stall) = channel();
     let (open, gate) = channel();
     let (written, output) = channel();
-    let (mut common, flusher) = BufferWriter::start(StalledOutput { gate, written }).unwrap();
+    let (mut common, flusher) = BufferWriter::start(StalledOutput {
+        begun,
+        gate,
+        written,
+    })
+    .unwrap();
     let mut urgent = common.with_whole_buffer();
     write_line(&mut common, "first");
+    stall.recv().unwrap();
     let long = "x".repeat(1_000);
     for _ in 0..10_000 {
         write_line(&mut common, &long);
