--- a/tests/http.rs
+++ b/tests/http.rs
@@ -302,8 +302,9 @@
             assert!(answer.body == body_of(number), "call {number}");
             return refusals;
         }
-        assert_eq!(answer.headers["currantlift-outcome"], "not-run");
-        ntex::time::sleep(REFUSED_PAUSE).await;
+        let outcome = &answer.headers["currantlift-outcome"];
+        assert_eq!(outcome, "not-run", "call {number}: {:?}", answer.body);
+        sleep(REFUSED_PAUSE).await;
     }
     unreachable!("counting never ends")
 }
