Deliver an answer that was kept while its link was lost

Cause: six runs of concurrent_calls at once, now with logs, show the same pattern in all of them: the gate offered and started the call, the link fell silent (a node without processor), the call resumed on a new link and ended 3 ms later as link-lost, unknown. The gate had kept the answer and sent it, but its reply said that it had received 0 bytes of the request. The ingress, which keeps no consumed bytes, took that as a gap and gave up before the answer that came right behind it. Second cause, seen once the first was mended and the node was paused: an idempotent call gives up at the first failed reconnection also where no other upstream could answer it. Change: the reply for a kept answer says that the whole request is there; an idempotent call gives its link up only if another upstream takes work. Tests of processes share one child process with kept logs (FAULTS_LOGS). Conclusion: ready answers were thrown away whenever a link broke between the answer and its delivery and the request had a body.

--- a/src/gate/dispatch.rs
+++ b/src/gate/dispatch.rs
@@ -13,7 +13,7 @@
 use crate::link::endpoint::LinkSender;
 use crate::link::messages::{
     AnswerHead, BodyChunk, CallAbort, CallName, CallOpen, CallRefusal, CallResume, CancelReply,
-    LinkMessage, LinkPing, ResumeReply, ResumeState,
+    LinkMessage, LinkPing, ResumeReply, ResumeState, WHOLE_REQUEST,
 };
 
 impl Gate {
@@ -69,7 +69,7 @@
         link.send(LinkMessage::ResumeReply(ResumeReply {
             sequence: id.sequence,
             state: state.into(),
-            request_received: 0,
+            request_received: WHOLE_REQUEST,
         }));
         if let ResumeOutcome::Kept(answer) = outcome {
             resend_kept(&answer, resume, link);
--- a/src/gate/tests.rs
+++ b/src/gate/tests.rs
@@ -11,6 +11,7 @@
 use crate::ids::{ConnectionCount, SlotCount};
 use crate::link::endpoint::lane_pair;
 use crate::link::messages::{CallName, CallResume, CancelReply, ResumeState};
+use crate::link::window::{FIRST_WINDOW_BYTES, SendWindow};
 
 /// Gate with a backend server of one slot, and a link to it in memory.
 struct GateFixture {
@@ -200,6 +201,39 @@
     assert_eq!(fixture.runs(), 1);
 }
 
+/// Request's body that the gate had consumed and the ingress thus no longer
+/// keeps, when the link was lost before the answer came.
+#[ntex::test]
+async fn kept_answer_is_sent_again_without_the_consumed_request() {
+    let mut fixture = GateFixture::start().await;
+    let body = bytes::Bytes::from_static(b"order");
+    fixture.sender.send(LinkMessage::Open(CallOpen {
+        sequence: 1,
+        service: "slotbook".to_string(),
+        method: "POST".to_string(),
+        path: "/".to_string(),
+        time_left_us: 5_000_000,
+        attempts_left: 1,
+        body: body.clone(),
+        is_last: true,
+        ..CallOpen::default()
+    }));
+    while !matches!(fixture.receiver.recv().await, Some(LinkMessage::Answer(_))) {}
+    let mut window = SendWindow::new(FIRST_WINDOW_BYTES);
+    window.push(body.clone(), true);
+    window.credit(body.len() as u64);
+
+    let (sender, mut receiver) = open_link(&fixture.commands);
+    sender.send(resume(1));
+    let reply = assert_matches!(
+        receiver.recv().await,
+        Some(LinkMessage::ResumeReply(reply)) => reply
+    );
+    assert_eq!(reply.state(), ResumeState::Known);
+    assert_eq!(window.resend_from(reply.request_received), Some(Vec::new()));
+    assert_matches!(receiver.recv().await, Some(LinkMessage::Answer(_)));
+}
+
 #[ntex::test]
 async fn draining_gate_tells_links_and_refuses_new_calls() {
     let mut fixture = GateFixture::start().await;
--- a/src/ingress/attempt/resume.rs
+++ b/src/ingress/attempt/resume.rs
@@ -8,6 +8,7 @@
 
 use super::{AttemptEnd, CallAttempt};
 use crate::error::ErrorKind;
+use crate::ingress::lock;
 use crate::ledger::attempt::ResumeKnowledge;
 use crate::link::call_link::CallLink;
 use crate::link::messages::{BodyChunk, CallResume, LinkMessage, ResumeReply, ResumeState};
@@ -51,9 +52,9 @@
 
     /// Moves the call to a new link.
     ///
-    /// An idempotent call gives up at the first failure, since another
-    /// upstream can answer it; a non-idempotent one goes on trying until its
-    /// deadline, unless the gate's process is gone.
+    /// An idempotent call gives up at the first failure if another upstream can
+    /// answer it. Any other goes on trying until its deadline, unless the
+    /// gate's process is gone.
     pub(super) async fn resume(&mut self) -> Result<(), AttemptEnd> {
         self.link.detach(self.sequence());
         let deadline = self.plan.deadline;
@@ -71,6 +72,12 @@
         Ok(())
     }
 
+    fn has_other_upstream(&self) -> bool {
+        let shared = &self.worker.shared;
+        let router = lock(&shared.router);
+        router.has_other(shared.now(), &self.plan.service, &self.plan.target.node)
+    }
+
     async fn reconnect(&self) -> Result<Rc<CallLink>, AttemptEnd> {
         loop {
             let error = match self.worker.pool.link(&self.plan.target).await {
@@ -78,7 +85,7 @@
                 Err(error) => error,
             };
             let is_gone = error.kind() == io::ErrorKind::ConnectionRefused;
-            if is_gone || self.plan.is_idempotent {
+            if is_gone || (self.plan.is_idempotent && self.has_other_upstream()) {
                 return Err(self.state.on_gate_gone().into());
             }
             tokio::time::sleep(RECONNECT_PAUSE).await;
--- a/src/link/messages.rs
+++ b/src/link/messages.rs
@@ -255,6 +255,9 @@
     Forgotten = 2,
 }
 
+/// Stands for the whole of a request's body, however long it is.
+pub const WHOLE_REQUEST: u64 = u64::MAX;
+
 /// Answer to a [`CallResume`].
 #[derive(Clone, Copy, PartialEq, Message)]
 pub struct ResumeReply {
@@ -264,7 +267,8 @@
     /// What the gate knows.
     #[prost(enumeration = "ResumeState", tag = "2")]
     pub state: i32,
-    /// Bytes of the request's body that the gate has received.
+    /// Bytes of the request's body that the gate has received, or
+    /// [`WHOLE_REQUEST`] if it needs no more of them.
     #[prost(uint64, tag = "3")]
     pub request_received: u64,
 }
--- a/src/routing/router.rs
+++ b/src/routing/router.rs
@@ -169,6 +169,18 @@
         })
     }
 
+    /// Whether an idempotent call could go to an upstream beside `node`.
+    pub fn has_other(&self, now: Duration, service: &ServiceName, node: &NodeId) -> bool {
+        let is_open = |other: &NodeId| {
+            let load = self.loads.get(other);
+            other != node && !load.is_some_and(|load| load.is_closed(now, true))
+        };
+        self.views.get(service).is_some_and(|view| {
+            let mut nodes = view.tiers.iter().flat_map(|tier| &tier.nodes);
+            nodes.any(is_open)
+        })
+    }
+
     /// Takes in the load that rode on an answer, a refusal or a probe's reply.
     pub fn on_report(&mut self, now: Duration, node: &NodeId, report: LoadReport) {
         let Some(load) = self.loads.get_mut(node) else {
--- a/src/routing/tests.rs
+++ b/src/routing/tests.rs
@@ -382,3 +382,37 @@
     let soon = Duration::from_millis(200);
     assert!(router.choose_for(soon, &mut rng, &request).is_ok());
 }
+
+/// A call that lost its link to the only upstream has nowhere else to go.
+#[test]
+fn other_upstream_is_one_that_takes_work() {
+    let now = Duration::from_secs(1);
+    let ready = UpstreamState::Ready;
+    for (states, has_other) in [
+        (vec![ready], false),
+        (vec![ready, UpstreamState::Joining], false),
+        (vec![ready, ready], true),
+    ] {
+        let mut router = router(2);
+        router.apply_table(now, &small_table(&states, &vec![1; states.len()], 0.0));
+        let mut rng = StdRng::seed_from_u64(3);
+        router
+            .choose(now, &mut rng, &service(), &BTreeSet::new())
+            .unwrap();
+        let found = router.has_other(now, &service(), &node(0));
+        assert_eq!(found, has_other, "{states:?}");
+    }
+}
+
+#[test]
+fn draining_upstream_is_no_other() {
+    let now = Duration::from_secs(1);
+    let mut router = router(2);
+    router.apply_table(now, &small_table(&[UpstreamState::Ready; 2], &[1, 1], 0.0));
+    let mut rng = StdRng::seed_from_u64(3);
+    router
+        .choose(now, &mut rng, &service(), &BTreeSet::new())
+        .unwrap();
+    router.on_leaving(now, &node(1));
+    assert!(!router.has_other(now, &service(), &node(0)));
+}
--- a/tests/http.rs
+++ b/tests/http.rs
@@ -2,9 +2,12 @@
 //! backend server beside node B.
 
 #![allow(clippy::unwrap_used)] // A broken fixture should stop the run.
+#![allow(dead_code, reason = "processes are shared with other tests")]
 
 #[path = "http/path.rs"]
 mod path;
+#[path = "support/process.rs"]
+mod process;
 #[path = "http/raw.rs"]
 mod raw;
 
@@ -32,6 +35,12 @@
 const CONCURRENT_CALLS: usize = 2_000;
 /// One caller in this many leaves before its answer.
 const LEAVING_EVERY: usize = 10;
+/// Service time that ends while the node is paused.
+const WORK_OVER_PAUSE: (&str, &str) = ("standin-work-us", "300000");
+/// Time after which an order's body has reached the backend server.
+const BEFORE_PAUSE: Duration = Duration::from_millis(150);
+/// Pause of a node, longer than two links in a row are kept while silent.
+const GATE_PAUSE: Duration = Duration::from_millis(500);
 /// Pause of a refused caller.
 const REFUSED_PAUSE: Duration = Duration::from_millis(100);
 
@@ -309,6 +318,27 @@
     unreachable!("counting never ends")
 }
 
+/// A node without processor for longer than a silent link is kept, as on a busy
+/// machine. The backend server goes on, so the answers are there when the node
+/// is back.
+#[ntex::test]
+async fn answers_that_came_during_a_pause_of_the_only_gate_are_delivered() {
+    let path = CallPath::start(&["--slots", "8"]).await;
+    path.check_orders(1).await;
+    let [order, query] = ["order", "query"].map(|id| [("request-id", id), WORK_OVER_PAUSE]);
+    let order = path.send(Method::POST, "/", &order, body_of(1));
+    let query = path.send(Method::GET, "/", &query, Bytes::new());
+    let pause = async {
+        sleep(BEFORE_PAUSE).await;
+        path.pause_gate(GATE_PAUSE).await;
+    };
+    let (order, query, ()) = tokio::join!(order, query, pause);
+    let order = order.unwrap();
+    assert_eq!((order.status, order.body), (200, body_of(1)));
+    assert_eq!(query.unwrap().status, 200);
+    assert_eq!(path.counts().await.runs["order"], 1);
+}
+
 #[ntex::test]
 async fn concurrent_calls_get_their_own_answers() {
     let path = CallPath::start(&["--slots", "256", "--connections", "256"]).await;
--- a/tests/http/path.rs
+++ b/tests/http/path.rs
@@ -2,9 +2,8 @@
 //! server.
 
 use std::collections::BTreeMap;
-use std::io::{BufRead, BufReader};
 use std::net::SocketAddr;
-use std::process::{Child, Command, Stdio};
+use std::process::Command;
 use std::time::{Duration, Instant};
 
 use currantlift::admin::{AdminAnswer, ServiceView, http_client};
@@ -17,6 +16,8 @@
 use serde::Deserialize;
 use serde_json::{Value, json};
 
+use crate::process::{Process, RunTally};
+
 /// Longest wait for anything that has no stated bound.
 const PATIENCE: Duration = Duration::from_secs(30);
 /// Pause between two looks.
@@ -26,30 +27,6 @@
 /// Any free port.
 const ANY_PORT: &str = "127.0.0.1:0";
 
-/// Child process that ends with its handle.
-struct Process(Child);
-
-impl Process {
-    fn start(command: &mut Command) -> (Self, String) {
-        let command = command.stdout(Stdio::piped());
-        if std::env::var_os("CURRANTLIFT_TEST_LOGS").is_none() {
-            command.stderr(Stdio::null());
-        }
-        let mut child = command.spawn().unwrap();
-        let mut line = String::new();
-        let output = child.stdout.take().unwrap();
-        BufReader::new(output).read_line(&mut line).unwrap();
-        (Self(child), line.trim().to_string())
-    }
-}
-
-impl Drop for Process {
-    fn drop(&mut self) {
-        let _ = self.0.kill();
-        let _ = self.0.wait();
-    }
-}
-
 #[derive(Deserialize)]
 struct NodeAddresses {
     listen: SocketAddr,
@@ -71,7 +48,8 @@
     admin: SocketAddr,
     backend: String,
     client: Client,
-    _processes: Vec<Process>,
+    gate_node: Process,
+    _others: [Process; 3],
 }
 
 fn start_node(name: &str, store: &str, peer: Option<SocketAddr>) -> (Process, NodeAddresses) {
@@ -83,16 +61,18 @@
     if let Some(peer) = peer {
         command.args(["--peer", &peer.to_string()]);
     }
-    let (process, line) = Process::start(&mut command);
-    (process, serde_json::from_str(&line).unwrap())
+    let process = Process::start(name, &mut command, &RunTally::default());
+    let addresses = serde_json::from_str(&process.line()).unwrap();
+    (process, addresses)
 }
 
 impl CallPath {
     /// Starts the processes; `backend_flags` go to the backend server.
     pub async fn start(backend_flags: &[&str]) -> Self {
         let mut command = Command::new(env!("CARGO_BIN_EXE_standin-store"));
-        let (store, address) = Process::start(command.args(["--listen", ANY_PORT]));
-        let store_url = format!("http://{address}");
+        command.args(["--listen", ANY_PORT]);
+        let store = Process::start("store", &mut command, &RunTally::default());
+        let store_url = format!("http://{}", store.line());
         let (node_a, a) = start_node("a", &store_url, None);
         let (node_b, b) = start_node("b", &store_url, Some(a.peer_listen));
         let mut command = Command::new(env!("CARGO_BIN_EXE_standin-backend"));
@@ -101,13 +81,15 @@
             .args(["--admin", &format!("http://{}", b.admin_listen)])
             .args(["--via", &format!("http://{}", a.listen)])
             .args(backend_flags);
-        let (backend_process, backend) = Process::start(&mut command);
+        let backend_process = Process::start("backend", &mut command, &RunTally::default());
+        let backend = backend_process.line();
         let path = Self {
             listen: a.listen,
             admin: a.admin_listen,
             backend,
             client: http_client(Duration::from_secs(70)).await.unwrap(),
-            _processes: vec![node_a, node_b, backend_process, store],
+            gate_node: node_b,
+            _others: [node_a, backend_process, store],
         };
         path.submit_ticket().await;
         path.wait_until_ready().await;
@@ -211,6 +193,13 @@
         }
     }
 
+    /// Pauses node B, beside the backend server, for a while.
+    pub async fn pause_gate(&self, pause: Duration) {
+        self.gate_node.signal("STOP");
+        ntex::time::sleep(pause).await;
+        self.gate_node.signal("CONT");
+    }
+
     /// Switches the backend server's faults.
     pub async fn set_faults(&self, faults: &Value) {
         let url = format!("http://{}/standin/faults", self.backend);
--- a/tests/support/process.rs
+++ b/tests/support/process.rs
@@ -40,14 +40,14 @@
         let mut child = command
             .stdin(Stdio::piped())
             .stdout(Stdio::piped())
-            .stderr(Stdio::null())
+            .stderr(error_output(name))
             .spawn()
             .unwrap();
         let output = child.stdout.take().unwrap();
         let stdin = child.stdin.take();
         let (sender, lines) = channel();
         let tally = Arc::clone(tally);
-        let logs = log_file(name);
+        let logs = log_file(&format!("{name}-{}.log", child.id()));
         let reader = std::thread::spawn(move || read_lines(output, &sender, &tally, logs));
         Self {
             child,
@@ -105,13 +105,24 @@
     }
 }
 
+/// File in the directory for logs, if there is one.
 fn log_file(name: &str) -> Option<File> {
     let folder = env::var(LOGS_VARIABLE).ok()?;
-    let path = Path::new(&folder).join(format!("{name}.log"));
-    let file = File::options().append(true).create(true).open(path);
+    let file = File::options()
+        .append(true)
+        .create(true)
+        .open(Path::new(&folder).join(name));
     Some(file.unwrap())
 }
 
+/// Where a process's panics go: beside its logs, if they are kept.
+fn error_output(name: &str) -> Stdio {
+    match log_file(&format!("{name}.err")) {
+        Some(file) => file.into(),
+        None => Stdio::null(),
+    }
+}
+
 /// Whether logs are kept.
 pub fn keeps_logs() -> bool {
     env::var(LOGS_VARIABLE).is_ok()
--- a/tests/tickets.rs
+++ b/tests/tickets.rs
@@ -1,9 +1,12 @@
 //! Change tickets at real nodes, against a stand-in store that fails.
 
 #![allow(clippy::unwrap_used, reason = "helpers of tests fail as the tests do")]
+#![allow(dead_code, reason = "processes are shared with other tests")]
 
 #[path = "tickets/fleet.rs"]
 mod fleet;
+#[path = "support/process.rs"]
+mod process;
 #[path = "tickets/store_calls.rs"]
 mod store_calls;
 
--- a/tests/tickets/fleet.rs
+++ b/tests/tickets/fleet.rs
@@ -1,9 +1,8 @@
 //! Real node processes and a stand-in store for the ticket tests.
 
 use std::collections::BTreeMap;
-use std::io::{BufRead, BufReader};
 use std::net::SocketAddr;
-use std::process::{Child, Command, Stdio};
+use std::process::Command;
 use std::time::{Duration, Instant};
 
 use currantlift::admin::{ServiceView, TicketAnswer};
@@ -13,6 +12,8 @@
 use serde::Deserialize;
 use serde_json::{Value, json};
 
+use crate::process::{Process, RunTally};
+
 /// Users' bound from acceptance until a ticket is in force everywhere.
 pub const IN_FORCE_BOUND: Duration = Duration::from_secs(5);
 /// Longest wait for anything that has no stated bound.
@@ -20,37 +21,6 @@
 /// Pause between two looks.
 pub const LOOK_PAUSE: Duration = Duration::from_millis(50);
 
-/// Child process that ends with its handle.
-pub struct Process(Child);
-
-impl Process {
-    fn start(command: &mut Command) -> (Self, String) {
-        let mut child = command
-            .stdout(Stdio::piped())
-            .stderr(Stdio::null())
-            .spawn()
-            .unwrap();
-        let mut line = String::new();
-        let output = child.stdout.take().unwrap();
-        BufReader::new(output).read_line(&mut line).unwrap();
-        (Self(child), line)
-    }
-
-    /// Sends a signal by name.
-    pub fn signal(&self, name: &str) {
-        let pid = self.0.id().to_string();
-        let status = Command::new("kill").args(["-s", name, &pid]).status();
-        assert!(status.unwrap().success());
-    }
-}
-
-impl Drop for Process {
-    fn drop(&mut self) {
-        let _ = self.0.kill();
-        let _ = self.0.wait();
-    }
-}
-
 #[derive(Deserialize)]
 struct NodeAddresses {
     peer_listen: SocketAddr,
@@ -78,12 +48,14 @@
     /// Starts a store and `count` nodes over `zones` zones.
     pub async fn start(count: usize, zones: usize) -> Self {
         let mut command = Command::new(env!("CARGO_BIN_EXE_standin-store"));
-        let (store, address) = Process::start(command.args(["--listen", "127.0.0.1:0"]));
+        command.args(["--listen", "127.0.0.1:0"]);
+        let store = Process::start("store", &mut command, &RunTally::default());
+        let address = store.line();
         let client = currantlift::admin::http_client(Duration::from_secs(10)).await;
         let mut fleet = Self {
             nodes: Vec::new(),
             client: client.unwrap(),
-            store_url: format!("http://{}", address.trim()),
+            store_url: format!("http://{}", address),
             _store: store,
             seen: BTreeMap::new(),
         };
@@ -113,8 +85,8 @@
         for peer in peers {
             command.args(["--peer", &peer.to_string()]);
         }
-        let (process, line) = Process::start(&mut command);
-        let addresses: NodeAddresses = serde_json::from_str(&line).unwrap();
+        let process = Process::start(&name, &mut command, &RunTally::default());
+        let addresses: NodeAddresses = serde_json::from_str(&process.line()).unwrap();
         self.nodes.push(Node {
             process,
             name,
