Place a call again for free when its gate drains

Ruled out: letting the gate take work for a while after the drain begins; the backend server may end as soon as it is idle, so such work could meet a closed port. Change: a drain's refusal takes no retry from the budget in either mode. The property test checks that only drains are free there and that they leave the budget as it was; its bound holds for all else, as before. Conclusion: the budget still bounds what load causes; a drain is met once per call.

--- a/src/retry.rs
+++ b/src/retry.rs
@@ -194,10 +194,16 @@
     }
 
     /// Whether the call may be placed again without a retry being spent.
+    ///
+    /// A drain is refused for free: it is no sign of load, and each call on its
+    /// way meets it once, since the upstream is not chosen again.
     pub fn is_free(&self, facts: &CallFacts, failure: AttemptFailure) -> bool {
-        let is_refusal =
-            matches!(failure, AttemptFailure::NotRun(kind) if is_refused_by_gate(kind));
-        self.options.has_free_refusals && is_refusal && facts.time_left >= MIN_TIME_LEFT
+        let AttemptFailure::NotRun(kind) = failure else {
+            return false;
+        };
+        let is_free_kind = kind == ErrorKind::Draining
+            || (self.options.has_free_refusals && is_refused_by_gate(kind));
+        is_free_kind && facts.time_left >= MIN_TIME_LEFT
     }
 
     /// Counts the first attempt of a call.
--- a/src/retry/tests.rs
+++ b/src/retry/tests.rs
@@ -68,6 +68,17 @@
             };
             let may_have_run =
                 facts.may_have_run || matches!(failure, AttemptFailure::Unknown(_));
+            let before = policy.tokens(&service());
+            if policy.is_free(&facts, failure) {
+                prop_assert_eq!(failure, AttemptFailure::NotRun(ErrorKind::Draining));
+                prop_assert!(!facts.time_left.is_zero());
+                prop_assert_eq!(
+                    policy.decide(&service(), &facts, failure),
+                    RetryDecision::Retry
+                );
+                prop_assert_eq!(policy.tokens(&service()), before);
+                continue;
+            }
             match policy.decide(&service(), &facts, failure) {
                 RetryDecision::Retry => {
                     retries += 1;
@@ -114,3 +125,33 @@
         }
     );
 }
+
+/// Orders on their way to an upstream when it begins to drain, more of them
+/// than the budget has retries.
+#[test]
+fn drain_that_many_calls_meet_costs_no_retries() {
+    let mut policy = RetryPolicy::new(RetryOptions::default());
+    let facts = CallFacts {
+        is_idempotent: false,
+        may_have_run: false,
+        attempt: 1,
+        attempts_limit: 3,
+        time_left: Duration::from_secs(1),
+    };
+    let drained = AttemptFailure::NotRun(ErrorKind::Draining);
+    for _ in 0..24 {
+        assert_eq!(
+            policy.decide(&service(), &facts, drained),
+            RetryDecision::Retry
+        );
+    }
+    assert_eq!(policy.tokens(&service()), START_TOKENS);
+    let late = CallFacts {
+        time_left: Duration::ZERO,
+        ..facts
+    };
+    assert_matches!(
+        policy.decide(&service(), &late, drained),
+        RetryDecision::GiveUp { .. }
+    );
+}
