--- a/tests/tickets/fleet.rs
+++ b/tests/tickets/fleet.rs
@@ -55,7 +55,7 @@
         let mut fleet = Self {
             nodes: Vec::new(),
             client: client.unwrap(),
-            store_url: format!("http://{}", address),
+            store_url: format!("http://{address}"),
             _store: store,
             seen: BTreeMap::new(),
         };
