Use the slots of a backend server that warms up from its first reading on

A cold backend server states twice its usual time or more; with no readings before, that counted as a neighbour's burst until readings spanned 500 ms, and nothing starts in a burst. Change: backend servers say for how long they warm up (warmupLeftS, decoded but not used); until then the lowest reading so far is the usual speed. Readings of an earlier backend server are forgotten.

--- a/src/admission.rs
+++ b/src/admission.rs
@@ -371,6 +371,16 @@
         self.start_waiting(now)
     }
 
+    /// Takes note of when the backend server will have warmed up.
+    pub fn warm_up(&mut self, warm_at: Duration) {
+        self.speed.warm_up(warm_at);
+    }
+
+    /// Forgets the speed of a backend server that another has taken the place of.
+    pub fn forget_speed(&mut self) {
+        self.speed = SpeedHistory::default();
+    }
+
     /// Moment from which a reading of the VM's speed would let a queued call
     /// start or be refused; `None` if nothing waits for one.
     pub fn reading_due(&self, now: Duration) -> Option<Duration> {
--- a/src/admission/speed.rs
+++ b/src/admission/speed.rs
@@ -4,7 +4,9 @@
 //! over within a fraction of a second, so it pays to wait for its end. A cold
 //! or overloaded VM is slow for longer, and waiting for that would be in vain.
 //! The two are told apart by the lowest slowness of the last while: what never
-//! goes away counts as the usual speed of the VM at present.
+//! goes away counts as the usual speed of the VM at present. A backend server
+//! that says it is warming up is slow for good from its first reading on, or
+//! all its slots would stay empty for the time that this takes to see.
 
 use std::collections::VecDeque;
 use std::time::Duration;
@@ -41,6 +43,8 @@
     readings: VecDeque<(Duration, f64)>,
     /// Moment up to which the last reading has to do, as no other can be had.
     stretched_until: Duration,
+    /// Moment from which the backend server has warmed up, as it says.
+    warm_at: Duration,
 }
 
 impl SpeedHistory {
@@ -55,6 +59,11 @@
         }
     }
 
+    /// Takes note of when the backend server will have warmed up.
+    pub(super) fn warm_up(&mut self, warm_at: Duration) {
+        self.warm_at = warm_at;
+    }
+
     /// Lets the last reading count on for a while.
     pub(super) fn stretch(&mut self, now: Duration) {
         self.stretched_until = now + READING_MEMORY;
@@ -89,13 +98,15 @@
         }
     }
 
-    /// Lowest slowness of the last while, 1 as long as that is too short.
+    /// Lowest slowness of the last while, 1 as long as that is too short and
+    /// the backend server is warm.
     pub(super) fn base(&self) -> f64 {
         let span = match (self.readings.front(), self.readings.back()) {
             (Some((first, _)), Some((last, _))) => last.saturating_sub(*first),
             _ => Duration::ZERO,
         };
-        if span < BASE_SPAN {
+        let is_cold = (self.readings.back()).is_some_and(|(last, _)| *last < self.warm_at);
+        if span < BASE_SPAN && !is_cold {
             return 1.0;
         }
         let lowest = self.readings.iter().map(|(_, slowness)| *slowness);
--- a/src/admission/speed/tests.rs
+++ b/src/admission/speed/tests.rs
@@ -44,6 +44,23 @@
     assert_eq!(history.speed(ms(1_001)), VmSpeed::Burst);
 }
 
+/// A backend server that started while requests wait: its slots are used from
+/// its first reading on.
+#[test]
+fn a_vm_that_warms_up_is_slow_for_good_from_its_first_reading() {
+    let mut history = SpeedHistory::default();
+    history.warm_up(ms(3_000));
+    history.note(ms(10), 2.5);
+    assert_eq!(history.speed(ms(11)), VmSpeed::Lasting);
+    history.note(ms(40), 10.0);
+    assert_eq!(history.speed(ms(41)), VmSpeed::Burst);
+    // Warm, it is judged as any other.
+    let mut warm = SpeedHistory::default();
+    warm.warm_up(ms(3_000));
+    warm.note(ms(3_000), 2.5);
+    assert_eq!(warm.speed(ms(3_001)), VmSpeed::Burst);
+}
+
 #[test]
 fn without_readings_the_speed_is_the_usual_one() {
     let history = SpeedHistory::default();
--- a/src/control/state.rs
+++ b/src/control/state.rs
@@ -198,14 +198,17 @@
     }
 
     fn command_gate(&self, id: &BackendId, announcement: &BackendAnnouncement) {
-        self.order(GateCommand::SetBackend(BackendTarget {
-            id: id.clone(),
-            service: announcement.service.clone(),
-            address: announcement.address,
-            slots: announcement.slots,
-            connections: announcement.connections,
-            health_path: self.health_path(&announcement.service),
-        }));
+        self.order(GateCommand::SetBackend {
+            target: BackendTarget {
+                id: id.clone(),
+                service: announcement.service.clone(),
+                address: announcement.address,
+                slots: announcement.slots,
+                connections: announcement.connections,
+                health_path: self.health_path(&announcement.service),
+            },
+            warmup_left: Duration::from_millis(announcement.warmup_left_ms),
+        });
         let is_stopping = self.is_stopping();
         match announcement.state {
             UpstreamState::Draining | UpstreamState::Gone => self.order(GateCommand::Drain),
--- a/src/gate.rs
+++ b/src/gate.rs
@@ -45,7 +45,12 @@
 /// Order from control or from an ingress of this node to the gate.
 pub enum GateCommand {
     /// The backend server announced itself or changed.
-    SetBackend(BackendTarget),
+    SetBackend {
+        /// Backend server.
+        target: BackendTarget,
+        /// How much longer it stays slow after its start.
+        warmup_left: Duration,
+    },
     /// The backend server is gone.
     ClearBackend,
     /// Take no new work.
@@ -177,7 +182,13 @@
 impl Gate {
     fn obey(self: &Rc<Self>, command: GateCommand) {
         match command {
-            GateCommand::SetBackend(target) => self.set_backend(target),
+            GateCommand::SetBackend {
+                target,
+                warmup_left,
+            } => {
+                self.set_backend(target);
+                self.warm_up(warmup_left);
+            }
             GateCommand::ClearBackend => *self.client.borrow_mut() = None,
             GateCommand::Drain => self.drain(),
             GateCommand::Reopen => self.is_draining.set(false),
@@ -215,7 +226,10 @@
         let mut started = Vec::new();
         let mut admission = self.admission.borrow_mut();
         match admission.as_mut() {
-            Some(admission) => started = admission.set_slots(self.now(), slots),
+            Some(admission) => {
+                admission.forget_speed();
+                started = admission.set_slots(self.now(), slots);
+            }
             None => *admission = Some(AdmissionQueue::new(slots, self.options)),
         }
         drop(admission);
@@ -223,6 +237,12 @@
         self.publish_status();
     }
 
+    fn warm_up(&self, left: Duration) {
+        if let Some(admission) = self.admission.borrow_mut().as_mut() {
+            admission.warm_up(self.now() + left);
+        }
+    }
+
     fn drain(&self) {
         self.is_draining.set(true);
         for sender in self.senders.borrow().values() {
--- a/src/gate/tests.rs
+++ b/src/gate/tests.rs
@@ -51,14 +51,17 @@
         };
         ntex::rt::spawn(run_gate(incarnation, settings, receiver, status));
         commands
-            .send(GateCommand::SetBackend(BackendTarget {
-                id: "b1".parse().unwrap(),
-                service: "slotbook".parse().unwrap(),
-                address: backend.addr(),
-                slots: SlotCount::try_from(1).unwrap(),
-                connections: ConnectionCount::try_from(8).unwrap(),
-                health_path: None,
-            }))
+            .send(GateCommand::SetBackend {
+                warmup_left: Duration::ZERO,
+                target: BackendTarget {
+                    id: "b1".parse().unwrap(),
+                    service: "slotbook".parse().unwrap(),
+                    address: backend.addr(),
+                    slots: SlotCount::try_from(1).unwrap(),
+                    connections: ConnectionCount::try_from(8).unwrap(),
+                    health_path: None,
+                },
+            })
             .unwrap();
         let (sender, receiver) = open_link(&commands);
         Self {
