Split the driver of a call by duty

Ruled out: a type of its own for each duty; all of them work on the one call's state. Change: one file for each, as attempt/relay.rs and attempt/resume.rs are; no statement changed. Unit tests of ingress and tests/http pass. Conclusion: what a newcomer asks of a call has a place.

--- /dev/null
+++ b/src/ingress/call/record.rs
@@ -0,0 +1,64 @@
+//! Log lines and metrics of a call.
+
+use super::CallDriver;
+use crate::error::ErrorKind;
+use crate::ingress::answer::{CallAnswer, CallFailure};
+use crate::routing::RouteChoice;
+
+impl CallDriver {
+    pub(super) fn log_choice(&self, choice: &Result<RouteChoice, ErrorKind>) {
+        let (call, service, attempt) = (self.id, &self.facts.service, self.placements + 1);
+        let request_id = self.request_id();
+        let target_left_ms = self.target_left().as_millis() as u64;
+        match choice {
+            Ok(choice) => log::info!(
+                target: "routing",
+                call:%, request_id, service:%, attempt, target_left_ms,
+                chosen:% = choice.node,
+                reason:% = choice.reason,
+                candidates:serde = choice.candidates;
+                "upstream chosen"
+            ),
+            Err(kind) => log::info!(
+                target: "routing",
+                call:%, request_id, service:%, attempt, target_left_ms, reason:% = kind;
+                "no upstream chosen"
+            ),
+        }
+    }
+
+    /// One line for the end of each call.
+    pub(super) fn log_end(&self, result: &Result<CallAnswer, CallFailure>) {
+        let route = self.facts.route.as_ref();
+        let route_name = route.map_or("", |route| route.name.as_str());
+        let config_version = route.map_or(0, |route| route.version);
+        let (call, service) = (self.id, &self.facts.service);
+        let (request_id, path) = (self.request_id(), self.facts.path.as_str());
+        let elapsed_ms = self.started.elapsed().as_millis() as u64;
+        let (placements, attempts) = (self.placements, self.attempts());
+        let (kind, outcome) = match result {
+            Ok(_) => ("none", "answered".to_string()),
+            Err(failure) => (failure.kind.code(), failure.outcome.to_string()),
+        };
+        let metrics = &self.worker.shared.metrics;
+        metrics.count_call(service.as_str(), kind, &outcome, self.started.elapsed());
+        match result {
+            Ok(answer) => log::info!(
+                target: "ingress",
+                call:%, request_id, path, route = route_name, config_version, service:%,
+                status = answer.head.status, upstream:% = answer.upstream,
+                elapsed_ms, placements, attempts;
+                "call answered"
+            ),
+            Err(failure) => log::warn!(
+                target: "ingress",
+                call:%, request_id, path, route = route_name, config_version, service:%,
+                kind = failure.kind.code(), outcome:% = failure.outcome,
+                status = failure.kind.answer_row_for(failure.outcome).status,
+                retry_after_ms = failure.retry_after.as_millis() as u64,
+                elapsed_ms, placements, attempts;
+                "call refused or failed"
+            ),
+        }
+    }
+}
--- /dev/null
+++ b/src/ingress/call/share.rs
@@ -0,0 +1,50 @@
+//! Shares of an ingress's requests in flight.
+
+use std::rc::Rc;
+
+use super::CallDriver;
+use crate::admission::{ShareKey, WorkShare};
+use crate::error::ErrorKind;
+use crate::ingress::answer::CallFailure;
+use crate::ingress::{IngressWorker, lock};
+
+/// Requests in flight at one ingress that count as 100 percent of its shares.
+const INGRESS_CAPACITY: u32 = 1_000;
+
+/// Gives a request's shares back when it has ended.
+pub(super) struct ShareGuard {
+    worker: Rc<IngressWorker>,
+    shares: Vec<WorkShare>,
+}
+
+impl Drop for ShareGuard {
+    fn drop(&mut self) {
+        lock(&self.worker.shared.shares).give_back(&self.shares);
+    }
+}
+
+impl CallDriver {
+    pub(super) fn enter_share(&self) -> Result<ShareGuard, CallFailure> {
+        let shares = self.work_shares();
+        let mut table = lock(&self.worker.shared.shares);
+        if !table.has_room(&shares, INGRESS_CAPACITY) {
+            return Err(self.failure(ErrorKind::ShareExceeded));
+        }
+        table.take(&shares);
+        drop(table);
+        Ok(ShareGuard {
+            worker: Rc::clone(&self.worker),
+            shares,
+        })
+    }
+
+    fn work_shares(&self) -> Vec<WorkShare> {
+        let Some(percent) = self.facts.rule.share_percent else {
+            return Vec::new();
+        };
+        vec![WorkShare {
+            key: ShareKey::Service(self.facts.service.clone()),
+            percent,
+        }]
+    }
+}
