Hand a new configuration on along a tree in each availability zone

The first node of a zone sends the whole configuration to all others of it: 100 copies over one link at 299 VMs. Change: each node hands it on to four others of its zone, by rank of their names.

--- a/src/control.rs
+++ b/src/control.rs
@@ -9,4 +9,5 @@
 pub mod peers;
 pub mod placement;
 pub mod presence;
+pub mod spread;
 pub mod state;
--- /dev/null
+++ b/src/control/spread/tests.rs
@@ -0,0 +1,26 @@
+use super::*;
+
+#[test]
+fn each_node_is_handed_a_configuration_once_and_soon() {
+    for count in 1..=400 {
+        let mut depths = vec![None; count];
+        depths[0] = Some(0);
+        for rank in 0..count {
+            let below = ranks_below(rank, count);
+            assert!(below.len() <= FANOUT);
+            for reached in below {
+                assert_eq!(depths[reached], None, "{reached} of {count}");
+                depths[reached] = depths[rank].map(|depth| depth + 1);
+            }
+        }
+        // 1 + 4 + 16 + 64 + 256 nodes are within four steps.
+        let deepest = depths.into_iter().map(|depth| depth.expect("reached"));
+        assert!(deepest.max() <= Some(if count <= 341 { 4 } else { 5 }));
+    }
+}
+
+#[test]
+fn ranks_beyond_the_zone_are_none() {
+    assert!(ranks_below(usize::MAX, 10).is_empty());
+    assert!(ranks_below(3, 4).is_empty());
+}
--- a/src/control/state.rs
+++ b/src/control/state.rs
@@ -1,6 +1,7 @@
 //! State of the control thread and the tasks that keep it up to date.
 
 use std::cell::{Cell, RefCell};
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
@@ -12,6 +13,7 @@
 use crate::backend::BackendTarget;
 use crate::control::placement::{build_table, log_changes};
 use crate::control::presence::BackendPresence;
+use crate::control::spread::ranks_below;
 use crate::discovery::FleetRole;
 use crate::exchange::PeerHello;
 use crate::gate::{GateCommand, GateStatus};
@@ -225,21 +227,25 @@
         settings.health_path.clone()
     }
 
-    /// Hands the configuration to the other nodes of the availability zone,
-    /// which don't watch the store.
+    /// Hands the configuration on to nodes of the availability zone, which
+    /// don't watch the store.
     fn push_routes(&self) {
         let state = self.membership.state().borrow();
         let own = &self.identity;
         let others = state.members().values().filter(|member| {
             member.is_live() && member.zone == own.zone && member.node != own.node
         });
+        let others: Vec<SocketAddr> = others.map(|member| member.peer_address).collect();
+        let rank = zone_rank(state.members(), own) as usize;
+        let below = ranks_below(rank, others.len() + 1);
+        // The own rank is lower and is missing among the others.
+        let below = below.filter_map(|reached| others.get(reached - 1).copied());
         let hello = PeerHello {
             node: own.node.to_string(),
             incarnation: own.incarnation.get(),
             is_call_link: false,
         };
-        self.routes
-            .push_to(others.map(|member| member.peer_address), &hello);
+        self.routes.push_to(below, &hello);
     }
 
     /// Tells the gate what a new configuration says of its backend server.
@@ -429,9 +435,7 @@
         let version = control.routes.version();
         control.membership.set_head_version(version.0);
         control.refresh_gate();
-        if *control.role.borrow() == FleetRole::ZoneFirst {
-            control.push_routes();
-        }
+        control.push_routes();
         // A new configuration is not kept back for others to join it.
         control.publish();
     }
