Hold on to a run whose link is lost when it can't run elsewhere

Change: a call gives its link up only if it has an attempt and the service a retry left, and another upstream takes work.

--- a/src/ingress/attempt.rs
+++ b/src/ingress/attempt.rs
@@ -100,8 +100,8 @@
     pub number: AttemptNumber,
     /// Identifier of this attempt.
     pub id: CallId,
-    /// Whether a second run does no harm.
-    pub is_idempotent: bool,
+    /// Whether a second run does no harm and an attempt is left for it.
+    pub may_repeat: bool,
     /// Time limit of the whole call.
     pub timeout: Duration,
     /// End of that limit.
--- a/src/ingress/attempt/resume.rs
+++ b/src/ingress/attempt/resume.rs
@@ -16,6 +16,24 @@
 /// Pause between two tries to reach a gate whose link was lost.
 const RECONNECT_PAUSE: Duration = Duration::from_millis(50);
 
+/// Gate that a call lost its link to and can't reach.
+#[derive(Debug, Clone, Copy)]
+struct LostGate {
+    /// Its process is gone.
+    is_gone: bool,
+    /// The call may run a second time, and could do so now.
+    may_run_elsewhere: bool,
+}
+
+impl LostGate {
+    /// Whether the call is given up there, at which its backend server may
+    /// still be at work. A call that can't run elsewhere would only exchange an
+    /// answer on its way for a failure.
+    fn is_given_up(self) -> bool {
+        self.is_gone || self.may_run_elsewhere
+    }
+}
+
 impl CallAttempt {
     /// Sends again what the gate has not received.
     pub(super) fn take_resume_reply(&mut self, reply: ResumeReply) -> Result<(), AttemptEnd> {
@@ -52,9 +70,8 @@
 
     /// Moves the call to a new link.
     ///
-    /// An idempotent call gives up at the first failure if another upstream can
-    /// answer it. Any other goes on trying until its deadline, unless the
-    /// gate's process is gone.
+    /// See [`LostGate::is_given_up`] for when it goes on trying until its
+    /// deadline.
     pub(super) async fn resume(&mut self) -> Result<(), AttemptEnd> {
         self.link.detach(self.sequence());
         let deadline = self.plan.deadline;
@@ -72,10 +89,13 @@
         Ok(())
     }
 
-    fn has_other_upstream(&self) -> bool {
+    /// Whether another upstream takes work and the service has a retry left.
+    fn can_repeat(&self) -> bool {
         let shared = &self.worker.shared;
+        let service = &self.plan.service;
+        let has_retry = lock(&shared.retries).has_retry(service);
         let router = lock(&shared.router);
-        router.has_other(shared.now(), &self.plan.service, &self.plan.target.node)
+        has_retry && router.has_other(shared.now(), service, &self.plan.target.node)
     }
 
     async fn reconnect(&self) -> Result<Rc<CallLink>, AttemptEnd> {
@@ -84,8 +104,11 @@
                 Ok(link) => return Ok(link),
                 Err(error) => error,
             };
-            let is_gone = error.kind() == io::ErrorKind::ConnectionRefused;
-            if is_gone || (self.plan.is_idempotent && self.has_other_upstream()) {
+            let gate = LostGate {
+                is_gone: error.kind() == io::ErrorKind::ConnectionRefused,
+                may_run_elsewhere: self.plan.may_repeat && self.can_repeat(),
+            };
+            if gate.is_given_up() {
                 return Err(self.state.on_gate_gone().into());
             }
             tokio::time::sleep(RECONNECT_PAUSE).await;
--- a/src/ingress/call/offer.rs
+++ b/src/ingress/call/offer.rs
@@ -61,7 +61,7 @@
             },
             number: choice.attempt,
             id,
-            is_idempotent: self.facts.is_idempotent,
+            may_repeat: self.facts.is_idempotent && self.attempts() < self.facts.attempts_limit,
             timeout: self.facts.timeout,
             deadline: self.deadline,
         };
--- a/src/retry.rs
+++ b/src/retry.rs
@@ -243,6 +243,11 @@
         self.budget(service).try_spend()
     }
 
+    /// Whether a service can make a retry now.
+    pub fn has_retry(&self, service: &ServiceName) -> bool {
+        self.tokens(service) >= 1.0
+    }
+
     /// Retries that a service can make now, for status and metrics.
     pub fn tokens(&self, service: &ServiceName) -> f64 {
         self.budgets
--- a/src/retry/tests.rs
+++ b/src/retry/tests.rs
@@ -111,11 +111,13 @@
     }
     let refused = AttemptFailure::NotRun(ErrorKind::Overloaded);
     for _ in 0..4 {
+        assert!(policy.has_retry(&service()));
         assert_eq!(
             policy.decide(&service(), &facts, refused),
             RetryDecision::Retry
         );
     }
+    assert!(!policy.has_retry(&service()));
     assert_matches!(
         policy.decide(&service(), &facts, refused),
         RetryDecision::GiveUp {
--- a/tests/stop.rs
+++ b/tests/stop.rs
@@ -18,7 +18,7 @@
 use ntex::time::sleep;
 use serde_json::json;
 
-use fleet::Fleet;
+use fleet::{Fleet, SERVICE};
 use load::{OrderBook, OrderLoad, Told};
 use raw::RawCaller;
 
@@ -117,6 +117,33 @@
     assert_eq!(report.count(Told::Unknown), 0, "{report}");
 }
 
+/// Queries under way when a node is paused: more than there are retries for.
+const QUERIES: usize = 24;
+
+/// The same for queries: there are more of them at the paused node than the
+/// retry budget lets run a second time, and the others wait for it.
+#[ntex::test]
+async fn paused_node_fails_no_query_for_want_of_retries() {
+    let fleet = Fleet::start(UPSTREAMS).await;
+    let queries = (0..QUERIES).map(|_| async {
+        let query = fleet
+            .client
+            .get(format!("{}/orders", fleet.ingress_url))
+            .header("currantlift-service", SERVICE)
+            .header("standin-work-us", "300000")
+            .header("currantlift-timeout-ms", "4000");
+        query.send().await.unwrap().status().as_u16()
+    });
+    let pause = async {
+        sleep(NODE_PAUSE / 3).await;
+        fleet.upstreams[0].signal_node("STOP");
+        sleep(NODE_PAUSE).await;
+        fleet.upstreams[0].signal_node("CONT");
+    };
+    let (told, ()) = tokio::join!(futures_util::future::join_all(queries), pause);
+    assert_eq!(told, [200; QUERIES]);
+}
+
 /// Time after SIGTERM at which a node takes no further requests, and some more.
 const AFTER_CLOSING: Duration = Duration::from_millis(1_400);
 
