Estimate a call's wait from the calls that go before it

Cause: a gate whose slots and queue were full of orders (78 ms) refused nested calls (15 ms, rank of the orders) for the whole queue's time, though its order of starts puts them first. Ruled out: the queue's order (the most urgent goes first already), the asks (three gates were asked), the limit on attempts.

Change: only calls of a higher rank, or more urgent ones of the same, count as before a call; each counts with the usual time of its class, and the first turn with that of the runs at work.

--- a/src/admission.rs
+++ b/src/admission.rs
@@ -24,6 +24,7 @@
 //! completes, and only the ages tell. The time of a run is estimated for each
 //! class of calls.
 
+mod classes;
 mod latency;
 mod limit;
 mod share;
@@ -34,6 +35,7 @@
 
 use crate::error::ErrorKind;
 use crate::ids::{CallId, SlotCount};
+use classes::{ClassId, ClassTimes};
 use limit::CapacityLimit;
 use speed::{SpeedHistory, VmSpeed};
 
@@ -109,6 +111,17 @@
     }
 }
 
+/// What an estimate needs to know of a call.
+#[derive(Debug, Clone, Copy)]
+pub struct CallOutline<'a> {
+    /// Rank among the calls; 0 goes first.
+    pub rank: u32,
+    /// Time left until the call's target latency.
+    pub target_left: Duration,
+    /// Class of calls that take about the same time.
+    pub class: &'a str,
+}
+
 /// Decision on a [`CallOffer`].
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Admission {
@@ -173,20 +186,27 @@
 struct WaitingCall {
     call: CallId,
     shares: Vec<WorkShare>,
-    rank: u32,
-    class: String,
-    /// Moment of the target latency.
-    target_at: Duration,
+    place: QueuePlace,
+    class: ClassId,
     /// Last moment at which a start can still be answered in time.
     expires_at: Duration,
     /// Share of the slots up to which the call may start, if it only asks.
     ask_share: Option<f64>,
 }
 
+/// Where a call stands among those that wait: the highest rank goes first, and
+/// in it the most urgent.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+struct QueuePlace {
+    rank: u32,
+    /// Moment of the target latency, or of the time limit if that is sooner.
+    target_at: Duration,
+}
+
 #[derive(Debug)]
 struct RunningCall {
     shares: Vec<WorkShare>,
-    class: String,
+    class: ClassId,
     started_at: Duration,
 }
 
@@ -200,8 +220,7 @@
     waiting: Vec<WaitingCall>,
     /// Calls that had to leave the queue for others.
     evicted: Vec<CallId>,
-    latency: LatencyEstimate,
-    classes: BTreeMap<String, LatencyEstimate>,
+    times: ClassTimes,
     /// Sum of the start times of the calls at work.
     start_sum: Duration,
     /// What the backend server has stated of its speed.
@@ -219,8 +238,7 @@
             running: BTreeMap::new(),
             waiting: Vec::new(),
             evicted: Vec::new(),
-            classes: BTreeMap::new(),
-            latency: LatencyEstimate::default(),
+            times: ClassTimes::default(),
             start_sum: Duration::ZERO,
             speed: SpeedHistory::default(),
             is_draining: false,
@@ -240,11 +258,12 @@
             match self.speed.speed(now) {
                 VmSpeed::Usual | VmSpeed::Lasting if self.may_start(now, offer.ask_share) => {
                     self.shares.take(&offer.shares);
-                    self.run(now, offer.call, offer.shares, offer.class);
+                    let class = self.times.open(&offer.class);
+                    self.run(now, offer.call, offer.shares, class);
                     return Admission::Start;
                 }
                 VmSpeed::Usual | VmSpeed::Lasting => {
-                    let finish = self.run_estimate(&offer.class);
+                    let finish = self.scaled(self.times.usual_of(&offer.class));
                     return refusal(ErrorKind::Overloaded, SHORTEST_RETRY, finish);
                 }
                 VmSpeed::Burst | VmSpeed::Unknown => {}
@@ -255,14 +274,18 @@
 
     fn enqueue(&mut self, now: Duration, offer: CallOffer) -> Admission {
         self.evict_late(now);
-        let wait = self.estimated_wait(now, offer.rank);
-        let finish = wait + self.run_estimate(&offer.class);
+        let place = QueuePlace {
+            rank: offer.rank,
+            target_at: now + offer.target_left.min(offer.time_left),
+        };
+        let wait = self.estimated_wait(now, place);
+        let finish = wait + self.scaled(self.times.usual_of(&offer.class));
         let is_unread =
             self.in_flight() < self.limit.get() && self.speed.speed(now) == VmSpeed::Unknown;
         if offer.ask_share.is_some() && !is_unread {
             return refusal(ErrorKind::Overloaded, wait, finish);
         }
-        let time_to_wait = offer.time_left.saturating_sub(self.latency.shortest());
+        let time_to_wait = offer.time_left.saturating_sub(self.times.shortest());
         // A call that holds up no other is let in also when it will be late.
         let limit_of_finish = if self.has_room() {
             offer.time_left
@@ -277,12 +300,12 @@
             return refusal(ErrorKind::Overloaded, wait, finish);
         }
         self.shares.take(&offer.shares);
+        let class = self.times.open(&offer.class);
         self.waiting.push(WaitingCall {
             call: offer.call,
             shares: offer.shares,
-            rank: offer.rank,
-            class: offer.class,
-            target_at: now + offer.target_left,
+            place,
+            class,
             expires_at: now + time_to_wait,
             ask_share: offer.ask_share,
         });
@@ -293,8 +316,8 @@
 
     /// Makes room in the queue at the cost of a call of lower rank.
     fn evict_below(&mut self, rank: u32) -> bool {
-        let lowest = (0..self.waiting.len()).max_by_key(|index| self.waiting[*index].rank);
-        let Some(index) = lowest.filter(|index| self.waiting[*index].rank > rank) else {
+        let lowest = (0..self.waiting.len()).max_by_key(|index| self.waiting[*index].place.rank);
+        let Some(index) = lowest.filter(|index| self.waiting[*index].place.rank > rank) else {
             return false;
         };
         self.evict(index);
@@ -323,10 +346,9 @@
         self.start_sum = self.start_sum.saturating_sub(ended.started_at);
         self.shares.give_back(&ended.shares);
         if let WorkResult::Completed { latency } = result {
-            self.latency.note(latency);
             // Estimates are for the usual speed, and scaled when it is another.
             let usual = latency.div_f64(self.speed.base());
-            self.classes.entry(ended.class).or_default().note(usual);
+            self.times.note(ended.class, latency, usual);
             self.limit.note_completed(now, latency, in_flight);
         }
         self.start_waiting(now)
@@ -439,17 +461,24 @@
         f64::from(self.in_flight() + 1) <= room
     }
 
-    /// Time that a run of the class is expected to take.
-    fn run_estimate(&self, class: &str) -> Duration {
-        let known = self.classes.get(class).map(LatencyEstimate::mean);
-        let usual = known.unwrap_or_else(|| self.latency.mean());
+    /// Time that a run is expected to take at present, by its usual time.
+    fn scaled(&self, usual: Duration) -> Duration {
         usual.mul_f64(self.speed.base())
     }
 
+    /// Time that a run of the class is expected to take at present.
+    fn run_estimate(&self, class: ClassId) -> Duration {
+        self.scaled(self.times.usual(class))
+    }
+
     /// Times in which a call would be expected to start and to be answered.
-    pub fn estimate(&self, now: Duration, rank: u32, class: &str) -> (Duration, Duration) {
-        let wait = self.estimated_wait(now, rank).max(SHORTEST_RETRY);
-        (wait, wait + self.run_estimate(class))
+    pub fn estimate(&self, now: Duration, call: &CallOutline<'_>) -> (Duration, Duration) {
+        let place = QueuePlace {
+            rank: call.rank,
+            target_at: now + call.target_left,
+        };
+        let wait = self.estimated_wait(now, place).max(SHORTEST_RETRY);
+        (wait, wait + self.scaled(self.times.usual_of(call.class)))
     }
 
     fn in_flight(&self) -> u32 {
@@ -470,7 +499,7 @@
         self.limit.get().saturating_add(self.queue_room())
     }
 
-    fn run(&mut self, now: Duration, call: CallId, shares: Vec<WorkShare>, class: String) {
+    fn run(&mut self, now: Duration, call: CallId, shares: Vec<WorkShare>, class: ClassId) {
         let entry = RunningCall {
             shares,
             class,
@@ -522,13 +551,14 @@
         let open = (0..self.waiting.len()).filter(|index| self.waiting[*index].expires_at > now);
         open.min_by_key(|index| {
             let entry = &self.waiting[*index];
-            (self.is_late(now, entry), entry.rank, entry.target_at)
+            (self.is_late(now, entry), entry.place)
         })
     }
 
     fn is_late(&self, now: Duration, entry: &WaitingCall) -> bool {
-        let has_target = entry.target_at < entry.expires_at + self.latency.shortest();
-        has_target && now + self.run_estimate(&entry.class) > entry.target_at
+        let target_at = entry.place.target_at;
+        let has_target = target_at < entry.expires_at + self.times.shortest();
+        has_target && now + self.run_estimate(entry.class) > target_at
     }
 
     /// Turns away what can't meet its target after a slot has gone to another.
@@ -540,29 +570,41 @@
         }
     }
 
+    /// Mean time of the runs at work, or the time that they have been at work
+    /// if that is longer.
     fn latency_estimate(&self, now: Duration) -> Duration {
-        let mean = self.latency.mean();
-        let Some(mean_start) = self.start_sum.checked_div(self.in_flight()) else {
-            return mean;
+        let runs = self.running.values();
+        let expected: Duration = runs.map(|run| self.run_estimate(run.class)).sum();
+        let (Some(expected), Some(mean_start)) = (
+            expected.checked_div(self.in_flight()),
+            self.start_sum.checked_div(self.in_flight()),
+        ) else {
+            return self.times.mean();
         };
-        mean.max(now.saturating_sub(mean_start))
+        expected.max(now.saturating_sub(mean_start))
     }
 
-    /// Time until a call of the rank that joins the queue now is expected to
-    /// start.
-    fn estimated_wait(&self, now: Duration, rank: u32) -> Duration {
+    /// Time until a call that takes such a place in the queue now is expected
+    /// to start: what the calls at work leave of a slot's turn, then the runs
+    /// of the calls before it.
+    fn estimated_wait(&self, now: Duration, place: QueuePlace) -> Duration {
         let limit = self.limit.get();
-        let excess = self.in_flight().saturating_sub(limit);
-        let before = self.waiting.iter().filter(|entry| entry.rank <= rank);
-        let before = u32::try_from(before.count()).unwrap_or(u32::MAX);
-        let is_free = self.in_flight() + before < limit;
-        let ahead = if is_free { 0 } else { before + excess + 1 };
         let burst = match self.speed.speed(now) {
             VmSpeed::Burst => BURST_REST,
             VmSpeed::Usual | VmSpeed::Lasting | VmSpeed::Unknown => Duration::ZERO,
         };
-        let turn = f64::from(ahead) / f64::from(limit);
-        burst + self.latency_estimate(now).mul_f64(turn)
+        let before = self.waiting.iter().filter(|entry| entry.place <= place);
+        let (mut count, mut work) = (0, Duration::ZERO);
+        for entry in before {
+            count += 1;
+            work += self.run_estimate(entry.class);
+        }
+        if self.in_flight() + count < limit {
+            return burst;
+        }
+        let excess = self.in_flight().saturating_sub(limit) + 1;
+        let turn = self.latency_estimate(now) * excess + work;
+        burst + turn / limit.max(1)
     }
 }
 
--- a/src/admission/latency.rs
+++ b/src/admission/latency.rs
@@ -20,6 +20,11 @@
         self.mean.unwrap_or_default()
     }
 
+    /// Mean, if a call has completed.
+    pub fn known_mean(&self) -> Option<Duration> {
+        self.mean
+    }
+
     /// Shortest known.
     pub fn shortest(&self) -> Duration {
         self.shortest
--- a/src/admission/tests.rs
+++ b/src/admission/tests.rs
@@ -202,3 +202,70 @@
     let median = times[times.len() / 2];
     assert!(median < Duration::from_micros(50), "median {median:?}");
 }
+
+/// Gate of six slots, all busy with calls of 80 ms, and as many in the queue.
+fn queue_full_of_long_calls(now: Duration) -> AdmissionQueue {
+    let mut queue = queue_of(6);
+    let sample = |class: &str, sequence, latency| {
+        let mut sample = offer(sequence, Duration::from_secs(1));
+        sample.class = class.to_string();
+        (sample, WorkResult::Completed { latency })
+    };
+    for sequence in 0..40 {
+        let (class, latency) = match sequence % 2 {
+            0 => ("long", Duration::from_millis(80)),
+            _ => ("short", Duration::from_millis(15)),
+        };
+        let (sample, result) = sample(class, sequence, latency);
+        assert_eq!(queue.offer(now, sample), Admission::Start);
+        queue.finish(now, call(sequence), result);
+    }
+    for sequence in 100..112 {
+        let mut long = offer(sequence, Duration::from_millis(600));
+        long.class = "long".to_string();
+        long.rank = 1;
+        long.target_left = Duration::from_millis(250);
+        assert!(!matches!(queue.offer(now, long), Admission::Refused { .. }));
+    }
+    queue
+}
+
+/// A call that a run makes while it holds a slot elsewhere: short, urgent, of
+/// the rank of the long calls that fill the queue. The queue serves it next, so
+/// it must not be refused for their sake; the run that made it would fail.
+#[test]
+fn a_short_urgent_call_waits_for_a_slot_only_and_not_for_the_queue() {
+    let now = Duration::from_secs(1);
+    let mut queue = queue_full_of_long_calls(now);
+    let mut short = offer(200, Duration::from_millis(110));
+    short.class = "short".to_string();
+    short.rank = 1;
+    short.target_left = Duration::from_millis(79);
+    let decision = queue.offer(now, short);
+    assert_matches!(
+        decision,
+        Admission::Queued { estimated_wait } if estimated_wait <= Duration::from_millis(20)
+    );
+    let later = now + Duration::from_millis(13);
+    let started = queue.finish(later, call(100), WorkResult::Failed);
+    assert_eq!(started, [call(200)]);
+}
+
+/// A call behind others of its rank waits for their runs, whatever a run of its
+/// own class takes.
+#[test]
+fn the_wait_is_estimated_from_the_runs_of_the_calls_before() {
+    let now = Duration::from_secs(1);
+    let mut queue = queue_full_of_long_calls(now);
+    let mut patient = offer(200, Duration::from_millis(2_000));
+    patient.class = "short".to_string();
+    patient.rank = 2;
+    patient.target_left = Duration::from_millis(1_000);
+    let decision = queue.offer(now, patient);
+    // Six runs of 80 ms before it on six slots, after a sixth of one at work.
+    assert_matches!(
+        decision,
+        Admission::Queued { estimated_wait }
+            if (90..97).contains(&estimated_wait.as_millis())
+    );
+}
--- a/src/gate.rs
+++ b/src/gate.rs
@@ -23,7 +23,9 @@
 use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender};
 use tokio::sync::oneshot;
 
-use crate::admission::{Admission, AdmissionOptions, AdmissionQueue, CallOffer, WorkResult};
+use crate::admission::{
+    Admission, AdmissionOptions, AdmissionQueue, CallOffer, CallOutline, WorkResult,
+};
 use crate::backend::{BackendClient, BackendLoad, BackendTarget};
 use crate::error::ErrorKind;
 use crate::fields::CallDialect;
@@ -399,9 +401,14 @@
     /// Refusal of a call that has waited in vain.
     pub fn late_refusal(&self, open: &CallOpen) -> GateRefusal {
         let admission = self.admission.borrow();
+        let outline = CallOutline {
+            rank: open.rank,
+            target_left: Duration::from_micros(open.target_left_us.unwrap_or(open.time_left_us)),
+            class: &open.class,
+        };
         let estimate = admission
             .as_ref()
-            .map(|it| it.estimate(self.now(), open.rank, &open.class));
+            .map(|it| it.estimate(self.now(), &outline));
         let Some((wait, finish)) = estimate else {
             return ErrorKind::WaitTooLong.into();
         };
