Hand on what changed in the configuration, and read close versions together

Each version went whole (some 200 KB) over the tree and, as gossip names a version sooner than the tree brings it, across availability zones as well; each zone's watch was answered for each version.

Change: a node remembers which routes each version changed and hands on those since the version it handed on before; a peer that is further behind says so and gets the rest or the whole. A version named by a peer is fetched only if the tree has not brought it after 100 ms. After a new version the next watch waits 150 ms.

--- a/src/routes.rs
+++ b/src/routes.rs
@@ -7,6 +7,7 @@
 
 pub mod config;
 pub mod driver;
+pub mod history;
 pub mod split;
 
 pub use config::{
--- a/src/routes/config.rs
+++ b/src/routes/config.rs
@@ -195,6 +195,11 @@
         routes.iter().find(|route| path.starts_with(&route.prefix))
     }
 
+    /// All routes.
+    pub fn routes(&self) -> impl Iterator<Item = &Route> {
+        self.hosts.values().flatten()
+    }
+
     /// Count of routes.
     pub fn route_count(&self) -> usize {
         self.hosts.values().map(Vec::len).sum()
--- a/src/routes/driver.rs
+++ b/src/routes/driver.rs
@@ -7,17 +7,20 @@
 //! fleet, so a node that the store turns away still follows its peers, and a
 //! watch that has fallen silent is made up for by another zone's.
 
+use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::sync::Arc;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
 use bytes::Bytes;
 use derive_more::{Display, Error};
 use rand::Rng;
+use serde::{Deserialize, Serialize};
 use tokio::sync::{mpsc, watch};
 
 use super::config::{ConfigVersion, RouteConfig};
+use super::history::{ChangeHistory, ConfigUpdate};
 use crate::discovery::FleetRole;
 use crate::exchange::{ControlRequest, ControlTopic, PeerHello, send_request};
 use crate::store::{ConfigStore, WatchPosition};
@@ -25,11 +28,18 @@
 /// Longest wait of one watch. A connection to the store that has fallen silent
 /// ends with it; until then peers tell of new versions.
 const WATCH_LIMIT: Duration = Duration::from_secs(6);
+/// Pause after a watch that showed a new version. Those that follow it closely
+/// are read together, as each answer counts as a call; the users' bound from
+/// acceptance to force is 2 s.
+const VERSION_PAUSE: Duration = Duration::from_millis(150);
 /// Pause after a failed call, drawn between half of it and all of it. A node
 /// whose store is back is to know within two seconds.
 const FAILURE_PAUSE: Duration = Duration::from_millis(800);
 /// Time limit of one fetch from a peer; another peer names the version as well.
 const FETCH_TIMEOUT: Duration = Duration::from_millis(500);
+/// Time in which a version that a peer names usually arrives by the tree; only
+/// then is it fetched, often across availability zones.
+const FETCH_GRACE: Duration = Duration::from_millis(100);
 /// Time between two looks of a node that does not watch. Versions come from
 /// peers; a node that hears none is alone, and then it watches.
 const LOOK_INTERVAL: Duration = Duration::from_secs(20);
@@ -65,12 +75,39 @@
 /// Access to the configuration in force.
 #[derive(Debug, Clone)]
 pub struct RoutesHandle {
-    sender: Arc<ConfigSender>,
+    book: Arc<ConfigBook>,
     config: watch::Receiver<Option<Arc<RouteConfig>>>,
     peers: mpsc::Sender<(SocketAddr, ConfigVersion)>,
 }
 
-type ConfigSender = watch::Sender<Option<Arc<RouteConfig>>>;
+/// Configuration in force, with the changes that led to it.
+#[derive(Debug)]
+struct ConfigBook {
+    sender: watch::Sender<Option<Arc<RouteConfig>>>,
+    history: Mutex<ChangeHistory>,
+    /// Version that was last handed on.
+    pushed: Mutex<ConfigVersion>,
+}
+
+/// What a node asks of a peer, or tells it.
+#[derive(Debug, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+enum ConfigRequest {
+    /// Send what has changed since this version.
+    Fetch(ConfigVersion),
+    /// Here is a new version.
+    Push(ConfigUpdate),
+}
+
+/// A peer's answer.
+#[derive(Debug, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+enum ConfigReply {
+    /// What was asked for.
+    Update(ConfigUpdate),
+    /// The version that it has in force.
+    InForce(ConfigVersion),
+}
 
 impl RoutesHandle {
     /// Handle of a node that gets its rules from change tickets alone.
@@ -78,7 +115,7 @@
         let (sender, config) = watch::channel(None);
         let (peers, _) = mpsc::channel(1);
         Self {
-            sender: Arc::new(sender),
+            book: Arc::new(ConfigBook::new(sender)),
             config,
             peers,
         }
@@ -93,18 +130,18 @@
     ) -> Self {
         let (sender, config) = watch::channel(None);
         let (peers, reports) = mpsc::channel(PEER_QUEUE);
-        let sender = Arc::new(sender);
+        let book = Arc::new(ConfigBook::new(sender));
         let source = settings.source;
-        let (follower, watcher) = (Arc::clone(&sender), Arc::clone(&sender));
+        let (follower, watcher) = (Arc::clone(&book), Arc::clone(&book));
         ntex::rt::spawn(follow_peers(follower, settings.hello, reports));
         ntex::rt::spawn(async move {
             tokio::select! {
-                () = watcher.closed() => {}
+                () = watcher.sender.closed() => {}
                 () = follow_store(&watcher, source, &*store, role) => {}
             }
         });
         Self {
-            sender,
+            book,
             config,
             peers,
         }
@@ -128,86 +165,156 @@
         }
     }
 
-    /// Answers a peer, which may have sent a configuration along: with the one
-    /// in force, or nothing if there is none.
+    /// Answers a peer, which asks for the configuration in force or sends one.
     pub fn handle_exchange(&self, request: &[u8]) -> Bytes {
-        if !request.is_empty() {
-            take_bytes(&self.sender, request, "pushed");
-            return Bytes::new();
-        }
-        self.encoded()
+        let reply = match serde_json::from_slice(request) {
+            Ok(ConfigRequest::Push(update)) => {
+                self.book.take_update(&update, "pushed");
+                ConfigReply::InForce(self.version())
+            }
+            Ok(ConfigRequest::Fetch(have)) => match self.book.update_since(have) {
+                Some(update) => ConfigReply::Update(update),
+                None => ConfigReply::InForce(self.version()),
+            },
+            Err(error) => {
+                log::warn!(target: "routes", "peer's request can't be read: {error}");
+                ConfigReply::InForce(self.version())
+            }
+        };
+        encode(&reply)
     }
 
-    /// Sends the configuration in force to peers, all at once.
+    /// Sends the configuration in force to peers, all at once: what has changed
+    /// since the version that was sent before.
     pub fn push_to(&self, peers: impl IntoIterator<Item = SocketAddr>, hello: &PeerHello) {
-        let request = ControlRequest {
-            payload: self.encoded(),
-            topic: ControlTopic::Routes.into(),
+        let before = std::mem::replace(&mut *lock(&self.book.pushed), self.version());
+        let Some(update) = self.book.update_since(before) else {
+            return;
         };
+        let request = routes_request(&ConfigRequest::Push(update));
         for peer in peers {
             let (request, hello) = (request.clone(), hello.clone());
+            let book = Arc::clone(&self.book);
             ntex::rt::spawn(async move {
                 // A peer that isn't reached hears of the version by gossip.
-                if let Err(error) = send_request(peer, &hello, &request).await {
+                if let Err(error) = book.push_to(peer, &hello, &request).await {
                     log::info!(target: "routes", peer:%; "configuration not pushed: {error}");
                 }
             });
         }
     }
+}
 
-    fn encoded(&self) -> Bytes {
-        let config = self.config.borrow();
-        let Some(config) = config.as_ref() else {
-            return Bytes::new();
-        };
-        match serde_json::to_vec(&**config) {
-            Ok(bytes) => Bytes::from(bytes),
-            Err(error) => {
-                log::error!(target: "routes", "configuration not encoded for a peer: {error}");
-                Bytes::new()
+impl ConfigBook {
+    fn new(sender: watch::Sender<Option<Arc<RouteConfig>>>) -> Self {
+        Self {
+            sender,
+            history: Mutex::default(),
+            pushed: Mutex::default(),
+        }
+    }
+
+    fn version(&self) -> ConfigVersion {
+        version_of(self.sender.borrow().as_ref())
+    }
+
+    /// Puts a configuration in force if it is newer than the present one.
+    fn apply(&self, config: RouteConfig, origin: &str) {
+        let (version, routes) = (config.version, config.route_count());
+        let mut previous = ConfigVersion::default();
+        let is_newer = self.sender.send_if_modified(|present| {
+            previous = version_of(present.as_ref());
+            if version <= previous {
+                return false;
+            }
+            if let Some(present) = present {
+                lock(&self.history).note(present, &config);
             }
+            *present = Some(Arc::new(config));
+            true
+        });
+        if is_newer {
+            log::info!(
+                target: "routes",
+                version = version.0, previous = previous.0, routes, origin;
+                "configuration in force"
+            );
         }
     }
+
+    /// Applies what a peer has sent, if it fits the version in force.
+    fn take_update(&self, update: &ConfigUpdate, origin: &str) {
+        let config = match update {
+            ConfigUpdate::Whole(config) => Some(config.clone()),
+            ConfigUpdate::Delta(delta) => {
+                let present = self.sender.borrow().clone();
+                present.and_then(|present| delta.apply_to(&present))
+            }
+        };
+        if let Some(config) = config {
+            self.apply(config, origin);
+        }
+    }
+
+    /// What takes a peer that has some version to the one in force; `None` if
+    /// there is none, or no later one.
+    fn update_since(&self, have: ConfigVersion) -> Option<ConfigUpdate> {
+        let config = self.sender.borrow().clone()?;
+        let is_later = config.version > have;
+        is_later.then(|| lock(&self.history).update_since(have, &config))
+    }
+
+    /// Sends an update, and what is missing to a peer that is further behind.
+    async fn push_to(
+        &self,
+        peer: SocketAddr,
+        hello: &PeerHello,
+        request: &ControlRequest,
+    ) -> io::Result<()> {
+        let reply = send_request(peer, hello, request).await?;
+        let ConfigReply::InForce(have) = decode_reply(&reply.payload)? else {
+            return Ok(());
+        };
+        if let Some(update) = self.update_since(have) {
+            let request = routes_request(&ConfigRequest::Push(update));
+            send_request(peer, hello, &request).await?;
+        }
+        Ok(())
+    }
 }
 
 fn version_of(config: Option<&Arc<RouteConfig>>) -> ConfigVersion {
     config.map(|config| config.version).unwrap_or_default()
 }
 
-/// Puts a configuration in force if it is newer than the present one.
-fn apply(sender: &ConfigSender, config: RouteConfig, origin: &str) {
-    let (version, routes) = (config.version, config.route_count());
-    let mut previous = ConfigVersion::default();
-    let is_newer = sender.send_if_modified(|present| {
-        previous = version_of(present.as_ref());
-        let is_newer = version > previous;
-        if is_newer {
-            *present = Some(Arc::new(config));
-        }
-        is_newer
-    });
-    if is_newer {
-        log::info!(
-            target: "routes",
-            version = version.0, previous = previous.0, routes, origin;
-            "configuration in force"
-        );
-    }
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
-/// Applies a configuration as a peer encoded it.
-fn take_bytes(sender: &ConfigSender, bytes: &[u8], origin: &str) {
-    match serde_json::from_slice(bytes) {
-        Ok(config) => apply(sender, config, origin),
+fn encode(message: &impl Serialize) -> Bytes {
+    match serde_json::to_vec(message) {
+        Ok(bytes) => Bytes::from(bytes),
         Err(error) => {
-            log::warn!(target: "routes", "peer's configuration can't be read: {error}");
+            log::error!(target: "routes", "message to a peer not encoded: {error}");
+            Bytes::new()
         }
     }
 }
 
+fn routes_request(request: &ConfigRequest) -> ControlRequest {
+    ControlRequest {
+        payload: encode(request),
+        topic: ControlTopic::Routes.into(),
+    }
+}
+
+fn decode_reply(payload: &[u8]) -> io::Result<ConfigReply> {
+    serde_json::from_slice(payload).map_err(io::Error::other)
+}
+
 /// Applies what the store shows; never ends by itself.
 async fn follow_store<S: ConfigStore>(
-    sender: &ConfigSender,
+    book: &ConfigBook,
     source: ConfigSource,
     store: &S,
     mut role: watch::Receiver<FleetRole>,
@@ -217,9 +324,9 @@
     loop {
         let is_leading = role.borrow_and_update().is_leading();
         let result = if is_leading {
-            watch_once(sender, source, store, position).await
+            watch_once(book, source, store, position).await
         } else {
-            look_once(sender, source, store).await
+            look_once(book, source, store).await
         };
         match result {
             Ok(next) => {
@@ -254,7 +361,7 @@
 }
 
 async fn watch_once<S: ConfigStore>(
-    sender: &ConfigSender,
+    book: &ConfigBook,
     source: ConfigSource,
     store: &S,
     position: WatchPosition,
@@ -263,43 +370,50 @@
     let answer = answer.map_err(|error| error.to_string())?;
     if let Some(stored) = &answer.value {
         let config = (source.decode)(&stored.bytes).map_err(|error| error.to_string())?;
-        apply(sender, config, "store");
+        book.apply(config, "store");
+        tokio::time::sleep(VERSION_PAUSE).await;
     }
     Ok(answer.position)
 }
 
 /// Reads the key as it was some seconds ago; a later watch starts over.
 async fn look_once<S: ConfigStore>(
-    sender: &ConfigSender,
+    book: &ConfigBook,
     source: ConfigSource,
     store: &S,
 ) -> Result<WatchPosition, String> {
     let found = store.get_stale(source.key).await;
     if let Some(stored) = found.map_err(|error| error.to_string())? {
         let config = (source.decode)(&stored.bytes).map_err(|error| error.to_string())?;
-        apply(sender, config, "store, stale");
+        book.apply(config, "store, stale");
     }
     Ok(WatchPosition::default())
 }
 
 /// Fetches from each peer that names a higher version.
 async fn follow_peers(
-    sender: Arc<ConfigSender>,
+    book: Arc<ConfigBook>,
     hello: PeerHello,
     mut reports: mpsc::Receiver<(SocketAddr, ConfigVersion)>,
 ) {
     while let Some((peer, version)) = reports.recv().await {
-        if version <= version_of(sender.borrow().as_ref()) {
+        if version <= book.version() {
             continue;
         }
-        let request = ControlRequest {
-            payload: Bytes::new(),
-            topic: ControlTopic::Routes.into(),
-        };
+        tokio::time::sleep(FETCH_GRACE).await;
+        if version <= book.version() {
+            continue;
+        }
+        let request = routes_request(&ConfigRequest::Fetch(book.version()));
         let fetch = send_request(peer, &hello, &request);
         match tokio::time::timeout(FETCH_TIMEOUT, fetch).await {
-            Ok(Ok(reply)) if reply.payload.is_empty() => {}
-            Ok(Ok(reply)) => take_bytes(&sender, &reply.payload, "peer"),
+            Ok(Ok(reply)) => match decode_reply(&reply.payload) {
+                Ok(ConfigReply::Update(update)) => book.take_update(&update, "peer"),
+                Ok(ConfigReply::InForce(_)) => {}
+                Err(error) => {
+                    log::warn!(target: "routes", peer:%; "reply can't be read: {error}");
+                }
+            },
             // Gossip names the version again, at this peer and at others.
             Ok(Err(error)) => log::info!(target: "routes", peer:%; "peer not reached: {error}"),
             Err(_) => log::info!(target: "routes", peer:%; "peer too slow"),
--- /dev/null
+++ b/src/routes/history.rs
@@ -0,0 +1,162 @@
+//! What changed between versions of the configuration.
+//!
+//! Operators change one route at a time, many times in a second, of a
+//! configuration that has a thousand. A whole copy for each node and version
+//! would fill the links of small VMs, so a node hands on the routes that have
+//! changed since a version that the other has, and the whole configuration
+//! only to one that is further behind than it remembers.
+
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+
+use serde::{Deserialize, Serialize};
+
+use super::config::{CallerLimits, ConfigVersion, Route, RouteConfig, ServiceSettings};
+use crate::ids::ServiceName;
+
+/// Versions that are remembered: more than a storm of changes makes while one
+/// of them reaches every node.
+const MAX_STEPS: usize = 64;
+/// Changed routes that are remembered, over all versions. An update with more
+/// is hardly shorter than the whole of a large configuration.
+const MAX_KEYS: usize = 2_048;
+
+/// What names a route in its configuration.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct RouteKey {
+    host: String,
+    prefix: String,
+}
+
+impl From<&Route> for RouteKey {
+    fn from(route: &Route) -> Self {
+        Self {
+            host: route.host.clone(),
+            prefix: route.prefix.clone(),
+        }
+    }
+}
+
+/// Routes that differ from those of an earlier version.
+#[derive(Debug, Serialize, Deserialize)]
+pub struct RouteDelta {
+    /// Earliest version that the changes can be applied to.
+    base: ConfigVersion,
+    /// Version that they lead to.
+    version: ConfigVersion,
+    changed: Vec<Route>,
+    removed: BTreeSet<RouteKey>,
+    services: BTreeMap<ServiceName, ServiceSettings>,
+    limits: CallerLimits,
+}
+
+impl RouteDelta {
+    /// Configuration that the changes lead to, or `None` if they don't fit.
+    ///
+    /// They also fit a version between the two: what changed since then is
+    /// among what changed since the earlier one, with its last value.
+    pub fn apply_to(&self, config: &RouteConfig) -> Option<RouteConfig> {
+        if config.version < self.base || config.version >= self.version {
+            return None;
+        }
+        let changed: BTreeSet<RouteKey> = self.changed.iter().map(RouteKey::from).collect();
+        let kept = config.routes().filter(|route| {
+            let key = RouteKey::from(*route);
+            !changed.contains(&key) && !self.removed.contains(&key)
+        });
+        let routes = kept.chain(&self.changed).cloned().collect();
+        Some(RouteConfig::new(
+            self.version,
+            routes,
+            self.services.clone(),
+            self.limits,
+        ))
+    }
+}
+
+/// What one node hands to another.
+#[derive(Debug, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum ConfigUpdate {
+    /// A whole configuration.
+    Whole(RouteConfig),
+    /// What has changed since an earlier one.
+    Delta(RouteDelta),
+}
+
+/// Changes that led to the version in force.
+#[derive(Debug, Default)]
+pub struct ChangeHistory {
+    steps: VecDeque<ChangeStep>,
+    keys: usize,
+}
+
+#[derive(Debug)]
+struct ChangeStep {
+    base: ConfigVersion,
+    keys: BTreeSet<RouteKey>,
+}
+
+impl ChangeHistory {
+    /// Takes note of a new version.
+    pub fn note(&mut self, old: &RouteConfig, new: &RouteConfig) {
+        let keys = changed_keys(old, new);
+        self.keys += keys.len();
+        self.steps.push_back(ChangeStep {
+            base: old.version,
+            keys,
+        });
+        while self.steps.len() > MAX_STEPS || self.keys > MAX_KEYS {
+            let Some(step) = self.steps.pop_front() else {
+                return;
+            };
+            self.keys -= step.keys.len();
+        }
+    }
+
+    /// What takes a node that has some version to `config`, the last one noted.
+    pub fn update_since(&self, have: ConfigVersion, config: &RouteConfig) -> ConfigUpdate {
+        let first = self.steps.iter().rposition(|step| step.base <= have);
+        let Some(first) = first else {
+            return ConfigUpdate::Whole(config.clone());
+        };
+        let steps = || self.steps.iter().skip(first);
+        let keys: BTreeSet<&RouteKey> = steps().flat_map(|step| &step.keys).collect();
+        let changed: Vec<Route> = config
+            .routes()
+            .filter(|route| keys.contains(&RouteKey::from(*route)))
+            .cloned()
+            .collect();
+        let present: BTreeSet<RouteKey> = changed.iter().map(RouteKey::from).collect();
+        let removed = keys.into_iter().filter(|key| !present.contains(*key));
+        ConfigUpdate::Delta(RouteDelta {
+            base: self.steps[first].base,
+            version: config.version,
+            removed: removed.cloned().collect(),
+            changed,
+            services: config.services.clone(),
+            limits: config.limits,
+        })
+    }
+}
+
+/// Routes that were added, removed or changed.
+fn changed_keys(old: &RouteConfig, new: &RouteConfig) -> BTreeSet<RouteKey> {
+    let by_key = |config: &RouteConfig| -> BTreeMap<RouteKey, Route> {
+        let routes = config.routes();
+        routes
+            .map(|route| (RouteKey::from(route), route.clone()))
+            .collect()
+    };
+    let (mut old, new) = (by_key(old), by_key(new));
+    let mut keys = BTreeSet::new();
+    for (key, route) in new {
+        if old.remove(&key) != Some(route) {
+            keys.insert(key);
+        }
+    }
+    keys.extend(old.into_keys());
+    keys
+}
+
+#[cfg(test)]
+mod tests;
--- a/src/routes/tests.rs
+++ b/src/routes/tests.rs
@@ -4,6 +4,7 @@
 
 use rand::SeedableRng;
 use rand::rngs::StdRng;
+use serde_json::json;
 
 use super::*;
 
@@ -98,12 +99,26 @@
         version: ConfigVersion(number),
         ..config(vec![route("all", "shop", "/")])
     };
+    let push = |number| json!({ "push": { "whole": version(number) } });
+    let exchange = |request: serde_json::Value| -> serde_json::Value {
+        let reply = handle.handle_exchange(&serde_json::to_vec(&request).unwrap());
+        serde_json::from_slice(&reply).unwrap()
+    };
     for (sent, in_force) in [(4, 4), (3, 4), (4, 4), (7, 7)] {
-        let bytes = serde_json::to_vec(&version(sent)).unwrap();
-        assert!(handle.handle_exchange(&bytes).is_empty());
+        assert_eq!(exchange(push(sent)), json!({ "in-force": in_force }));
         assert_eq!(handle.version(), ConfigVersion(in_force));
     }
-    assert!(handle.handle_exchange(b"nonsense").is_empty());
-    let fetched: RouteConfig = serde_json::from_slice(&handle.handle_exchange(b"")).unwrap();
-    assert_eq!(fetched, version(7));
+    assert_eq!(exchange(json!("nonsense")), json!({ "in-force": 7 }));
+    let fetched = exchange(json!({ "fetch": 0 }));
+    assert_eq!(fetched, json!({ "update": { "whole": version(7) } }));
+    assert_eq!(exchange(json!({ "fetch": 7 })), json!({ "in-force": 7 }));
+    // A node that has 4 gets what has changed since.
+    let update = exchange(json!({ "fetch": 4 }));
+    assert_eq!(update["update"]["delta"]["base"], 4);
+    assert_eq!(update["update"]["delta"]["version"], 7);
+    // Changes that are not all there are refused, and the peer hears why.
+    let mut gap = update["update"].clone();
+    gap["delta"]["base"] = json!(9);
+    gap["delta"]["version"] = json!(11);
+    assert_eq!(exchange(json!({ "push": gap })), json!({ "in-force": 7 }));
 }
