Soak: faults of one upstream overlap, orders are caught at work, drains are checked

Orders took 12 ms of a time limit of 1 s, so few were at work when a fault came, and hardly one outlived the return of a killed node. The relay took connections for a node that was gone, so 'gone' was never seen. Faults of one upstream came one after the other, so no run failed while its link was lost.

Change: orders of 60 ms, half of the callers wait 4 s; a relay refuses while its node is dead; faults of node, backend server and links overlap at one upstream; a backend server drains, and no order may begin there after the users' 2 s.

--- a/src/standin/relay.rs
+++ b/src/standin/relay.rs
@@ -52,7 +52,7 @@
     let (listener, socket) = bind_both(listen).await?;
     println!("{}", listener.local_addr()?);
     let relay = Rc::new(RelayState::default());
-    ntex::rt::spawn(accept_streams(Rc::clone(&relay), listener));
+    ntex::rt::spawn(serve_streams(Rc::clone(&relay), listener));
     ntex::rt::spawn(forward_datagrams(Rc::clone(&relay), Rc::new(socket)));
     let mut commands = read_commands();
     while let Some(command) = commands.recv().await {
@@ -98,6 +98,7 @@
     target: Cell<Option<SocketAddr>>,
     delay: Cell<Duration>,
     streams: RefCell<Vec<watch::Sender<FlowMode>>>,
+    is_refusing: watch::Sender<bool>,
 }
 
 impl RelayState {
@@ -109,6 +110,8 @@
             RelayCommand::Hold => self.set_mode(FlowMode::Held),
             RelayCommand::Release => self.set_mode(FlowMode::Open),
             RelayCommand::Cut => self.set_mode(FlowMode::Cut),
+            RelayCommand::Refuse => _ = self.is_refusing.send_replace(true),
+            RelayCommand::Accept => _ = self.is_refusing.send_replace(false),
         }
     }
 
@@ -128,7 +131,23 @@
     }
 }
 
-async fn accept_streams(relay: Rc<RelayState>, listener: TcpListener) {
+/// Accepts connections; while they are refused, nobody listens.
+async fn serve_streams(relay: Rc<RelayState>, mut listener: TcpListener) -> io::Result<()> {
+    let address = listener.local_addr()?;
+    let mut refusing = relay.is_refusing.subscribe();
+    loop {
+        tokio::select! {
+            () = accept_streams(&relay, &listener) => return Ok(()),
+            _ = refusing.wait_for(|is_refusing| *is_refusing) => {}
+        }
+        drop(listener);
+        // The sender lives in the state that this task holds.
+        let _ = refusing.wait_for(|is_refusing| !*is_refusing).await;
+        listener = TcpListener::bind(address).await?;
+    }
+}
+
+async fn accept_streams(relay: &RelayState, listener: &TcpListener) {
     while let Ok((caller, _)) = listener.accept().await {
         let Some(target) = relay.target.get() else {
             continue;
--- a/src/standin/relay/command.rs
+++ b/src/standin/relay/command.rs
@@ -21,6 +21,10 @@
     Release,
     /// Close open connections.
     Cut,
+    /// Refuse new connections, as a VM does whose process is gone.
+    Refuse,
+    /// Accept new connections again.
+    Accept,
 }
 
 /// Reason why a line is not a steering line.
@@ -49,6 +53,8 @@
             "hold" => Ok(Self::Hold),
             "release" => Ok(Self::Release),
             "cut" => Ok(Self::Cut),
+            "refuse" => Ok(Self::Refuse),
+            "accept" => Ok(Self::Accept),
             _ => Err(bad_line()),
         }
     }
--- a/tests/faults.rs
+++ b/tests/faults.rs
@@ -59,7 +59,7 @@
 /// Repeats the rounds of faults under load until enough orders are placed.
 async fn prove(name: &str, mut next_round: impl FnMut(usize) -> Vec<Placed>) {
     let mut fleet = Fleet::start(UPSTREAMS).await;
-    let load = OrderLoad::start(&fleet, ORDER_TIMEOUT);
+    let load = OrderLoad::start(&fleet, &[ORDER_TIMEOUT]);
     let mut round = 0;
     while load.count() < wanted_orders() || round < MIN_ROUNDS {
         let faults = next_round(round);
--- a/tests/faults/script.rs
+++ b/tests/faults/script.rs
@@ -62,7 +62,10 @@
     let client = fleet.client.clone();
     let upstream = &mut fleet.upstreams[index];
     match fault {
-        Fault::KillNode => upstream.node = None,
+        Fault::KillNode => {
+            upstream.relay.steer("refuse");
+            upstream.node = None;
+        }
         Fault::FreezeNode => upstream.signal_node("STOP"),
         Fault::KillBackend => upstream.backend = None,
         Fault::FreezeBackend => upstream.signal_backend("STOP"),
@@ -90,7 +93,10 @@
     let client = fleet.client.clone();
     let upstream = &mut fleet.upstreams[index];
     match fault {
-        Fault::KillNode => upstream.start_node(),
+        Fault::KillNode => {
+            upstream.start_node();
+            upstream.relay.steer("accept");
+        }
         Fault::FreezeNode => upstream.signal_node("CONT"),
         Fault::KillBackend => upstream.start_backend(),
         Fault::FreezeBackend => upstream.signal_backend("CONT"),
--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -4,7 +4,8 @@
 //! Checked while it runs and after: no order is lost, doubled, falsely called
 //! not run, hung, foreign or passed off as whole when it was cut; the ticket in
 //! force never goes back, and the last accepted one is in force at the end; a
-//! planned stop ends with exit code 0; service returns after the last fault.
+//! planned stop ends with exit code 0; a backend server that drains gets no new
+//! order after the users' bound; service returns after the last fault.
 //!
 //! `SOAK_SEEDS` names seeds, `SOAK_FRESH` a count of fresh ones, `SOAK_SECONDS`
 //! the time of faults for each. Without them the seeds that once failed run,
@@ -24,21 +25,27 @@
 #[path = "faults/script.rs"]
 mod script;
 
+use std::collections::BTreeMap;
 use std::env;
 use std::time::{Duration, Instant};
 
 use ntex::time::sleep;
 use serde_json::json;
 
-use fleet::Fleet;
-use load::{ORDER_TIMEOUT, OrderLoad};
+use fleet::{Fleet, FleetShape};
+use load::{ORDER_TIMEOUT, OrderLoad, PATIENT_TIMEOUT};
 use plan::{SoakEvent, make_plan};
 use script::{put_in, take_out};
 
 /// Upstreams of the service.
 const UPSTREAMS: usize = 4;
-/// Flags with which calls are placed as on the users' platform.
-const ASKING_FLAGS: &[&str] = &["--asks", "3", "--slot-limit", "fixed"];
+/// Calls are placed as on the users' platform. Orders take so long that each
+/// fault meets some at work and some in the queue.
+const SHAPE: FleetShape = FleetShape {
+    count: UPSTREAMS,
+    flags: &["--asks", "3", "--slot-limit", "fixed"],
+    work_ms: "60",
+};
 /// Time of faults for each seed, unless the variable says otherwise.
 const DEFAULT_SECONDS: u64 = 6;
 /// Seed of the run in CI.
@@ -73,6 +80,19 @@
     Duration::from_secs(seconds)
 }
 
+/// Orders that backend servers had begun when their drain was due.
+type DrainMarks = BTreeMap<usize, u64>;
+
+async fn begun_orders(fleet: &Fleet, index: usize) -> u64 {
+    fleet.upstreams[index].run_count(&fleet.client).await
+}
+
+async fn set_draining(fleet: &Fleet, index: usize, draining: bool) {
+    let faults = json!({ "draining": draining });
+    let upstream = &fleet.upstreams[index];
+    upstream.set_faults(&fleet.client, &faults).await;
+}
+
 /// Tickets that were submitted, accepted and seen in force.
 struct TicketWatch {
     submitted: u64,
@@ -98,8 +118,23 @@
     }
 }
 
-async fn obey(fleet: &mut Fleet, event: SoakEvent, tickets: &mut TicketWatch, seed: u64) {
+struct SoakWatch {
+    tickets: TicketWatch,
+    drains: DrainMarks,
+}
+
+async fn obey(fleet: &mut Fleet, event: SoakEvent, watch: &mut SoakWatch, seed: u64) {
     match event {
+        SoakEvent::Drain(index) => set_draining(fleet, index, true).await,
+        SoakEvent::DrainDue(index) => {
+            watch.drains.insert(index, begun_orders(fleet, index).await);
+        }
+        SoakEvent::DrainOver(index) => {
+            let due = watch.drains.remove(&index);
+            let now = begun_orders(fleet, index).await;
+            assert_eq!(due, Some(now), "seed {seed}: orders after a drain");
+            set_draining(fleet, index, false).await;
+        }
         SoakEvent::Begin(index, fault) => put_in(fleet, index, fault).await,
         SoakEvent::End(index, fault) => take_out(fleet, index, fault).await,
         SoakEvent::Restart(index) => {
@@ -119,9 +154,9 @@
                 .await;
         }
         SoakEvent::StoreBack => fleet.set_store_faults(&json!({})).await,
-        SoakEvent::Submit => tickets.submit(fleet).await,
+        SoakEvent::Submit => watch.tickets.submit(fleet).await,
     }
-    tickets.look(fleet, seed).await;
+    watch.tickets.look(fleet, seed).await;
 }
 
 async fn wait_for(what: &str, bound: Duration, mut is_so: impl AsyncFnMut() -> bool) {
@@ -133,25 +168,28 @@
 }
 
 async fn soak(seed: u64) {
-    let mut fleet = Fleet::start_with(UPSTREAMS, ASKING_FLAGS).await;
-    let load = OrderLoad::start(&fleet, ORDER_TIMEOUT);
-    let mut tickets = TicketWatch {
-        submitted: 1,
-        accepted: 1,
-        in_force: 1,
+    let mut fleet = Fleet::start_with(SHAPE).await;
+    let load = OrderLoad::start(&fleet, &[ORDER_TIMEOUT, PATIENT_TIMEOUT]);
+    let mut watch = SoakWatch {
+        tickets: TicketWatch {
+            submitted: 1,
+            accepted: 1,
+            in_force: 1,
+        },
+        drains: DrainMarks::new(),
     };
     let plan = make_plan(seed, UPSTREAMS, fault_time());
     let begun = Instant::now();
     for (at, event) in &plan {
         sleep(at.saturating_sub(begun.elapsed())).await;
-        obey(&mut fleet, *event, &mut tickets, seed).await;
+        obey(&mut fleet, *event, &mut watch, seed).await;
     }
     let before = load.whole_count();
     wait_for("service", RECOVERY_BOUND, async || {
         load.whole_count() > before
     })
     .await;
-    let accepted = tickets.accepted;
+    let accepted = watch.tickets.accepted;
     wait_for("last ticket", IN_FORCE_BOUND, async || {
         fleet.ticket_in_force().await >= accepted
     })
--- a/tests/soak/plan.rs
+++ b/tests/soak/plan.rs
@@ -10,24 +10,28 @@
 
 /// Shortest and longest time that a fault lasts, in milliseconds.
 const FAULT_MS: (u64, u64) = (200, 3_000);
+/// Users' bound from the acknowledgement of a drain to the last new order, and
+/// the time of the drain beyond it, in milliseconds.
+const DRAIN_MS: (u64, u64) = (2_000, 1_000);
 /// Longest time between the starts of two faults at one upstream.
 const GAP_MS: u64 = 2_000;
 /// Longest time between two faults of the store or two tickets.
 const CONTROL_GAP_MS: u64 = 2_500;
-/// Faults of an upstream that have to be taken out before others of the same
-/// process are put in.
-const UPSTREAM_FAULTS: [Fault; 11] = [
-    Fault::KillNode,
-    Fault::FreezeNode,
-    Fault::KillBackend,
-    Fault::FreezeBackend,
-    Fault::CutLinks,
-    Fault::SilenceLinks,
-    Fault::HoldLinks,
-    Fault::Slow,
-    Fault::FailFast,
-    Fault::CutAnswers,
-    Fault::NeverAnswer,
+/// Longest time between the starts of two faults that overlap.
+const OVERLAP_MS: u64 = 500;
+/// Faults of one upstream by what they strike: its node, its backend server,
+/// the links to it. Those of different groups overlap.
+const UPSTREAM_FAULTS: [&[Fault]; 3] = [
+    &[Fault::KillNode, Fault::FreezeNode],
+    &[
+        Fault::KillBackend,
+        Fault::FreezeBackend,
+        Fault::Slow,
+        Fault::FailFast,
+        Fault::CutAnswers,
+        Fault::NeverAnswer,
+    ],
+    &[Fault::CutLinks, Fault::SilenceLinks, Fault::HoldLinks],
 ];
 
 /// What happens at one moment.
@@ -39,6 +43,12 @@
     End(usize, Fault),
     /// A planned stop of an upstream's node, which starts again.
     Restart(usize),
+    /// An upstream's backend server announces that it drains.
+    Drain(usize),
+    /// From now on no new order may reach it.
+    DrainDue(usize),
+    /// It announces that it is ready again.
+    DrainOver(usize),
     /// The store refuses everything.
     StoreAway,
     /// The store is slow and loses the answers of two writes.
@@ -61,15 +71,16 @@
     for index in (0..upstreams).filter(|index| *index != whole) {
         let mut at = rng.random_range(0..GAP_MS);
         while at < end_ms {
-            let lasts = rng.random_range(FAULT_MS.0..FAULT_MS.1);
             if rng.random_bool(0.1) {
                 plan.push((at, SoakEvent::Restart(index)));
                 at += FAULT_MS.1;
+            } else if rng.random_bool(0.1) {
+                plan.push((at, SoakEvent::Drain(index)));
+                plan.push((at + DRAIN_MS.0, SoakEvent::DrainDue(index)));
+                at += DRAIN_MS.0 + DRAIN_MS.1;
+                plan.push((at, SoakEvent::DrainOver(index)));
             } else {
-                let fault = *UPSTREAM_FAULTS.choose(&mut rng).unwrap();
-                plan.push((at, SoakEvent::Begin(index, fault)));
-                plan.push((at + lasts, SoakEvent::End(index, fault)));
-                at += lasts;
+                at = add_faults(&mut rng, &mut plan, index, at);
             }
             at += rng.random_range(0..GAP_MS);
         }
@@ -97,3 +108,18 @@
         .map(|(at, event)| (Duration::from_millis(at), event))
         .collect()
 }
+
+/// Adds faults of one to three groups that overlap; returns when all are over.
+fn add_faults(rng: &mut StdRng, plan: &mut Vec<(u64, SoakEvent)>, index: usize, at: u64) -> u64 {
+    let count = rng.random_range(1..=UPSTREAM_FAULTS.len());
+    let mut over = at;
+    for group in UPSTREAM_FAULTS.choose_multiple(rng, count) {
+        let fault = *group.choose(rng).unwrap();
+        let begin = at + rng.random_range(0..OVERLAP_MS);
+        let end = begin + rng.random_range(FAULT_MS.0..FAULT_MS.1);
+        plan.push((begin, SoakEvent::Begin(index, fault)));
+        plan.push((end, SoakEvent::End(index, fault)));
+        over = over.max(end);
+    }
+    over
+}
--- a/tests/stop.rs
+++ b/tests/stop.rs
@@ -44,7 +44,7 @@
 #[ntex::test]
 async fn every_node_restarts_under_load_without_a_failed_order() {
     let mut fleet = Fleet::start(UPSTREAMS).await;
-    let load = OrderLoad::start(&fleet, STOP_ORDER_TIMEOUT);
+    let load = OrderLoad::start(&fleet, &[STOP_ORDER_TIMEOUT]);
     for index in 0..UPSTREAMS {
         sleep(BETWEEN_STOPS).await;
         fleet.upstreams[index].signal_node("TERM");
@@ -61,7 +61,7 @@
 #[ntex::test]
 async fn every_backend_server_drains_under_load_without_a_failed_order() {
     let mut fleet = Fleet::start(UPSTREAMS).await;
-    let load = OrderLoad::start(&fleet, STOP_ORDER_TIMEOUT);
+    let load = OrderLoad::start(&fleet, &[STOP_ORDER_TIMEOUT]);
     for index in 0..UPSTREAMS {
         sleep(BETWEEN_STOPS).await;
         fleet.upstreams[index].signal_backend("TERM");
@@ -78,7 +78,7 @@
 #[ntex::test]
 async fn leaving_upstream_gets_no_new_work_after_the_bound() {
     let fleet = Fleet::start(UPSTREAMS).await;
-    let load = OrderLoad::start(&fleet, STOP_ORDER_TIMEOUT);
+    let load = OrderLoad::start(&fleet, &[STOP_ORDER_TIMEOUT]);
     sleep(BETWEEN_STOPS).await;
     // The backend server says that it drains, and stays.
     let drain = json!({ "draining": true });
@@ -102,7 +102,7 @@
 #[ntex::test]
 async fn paused_node_leaves_no_order_unknown() {
     let fleet = Fleet::start(UPSTREAMS).await;
-    let load = OrderLoad::start(&fleet, STOP_ORDER_TIMEOUT);
+    let load = OrderLoad::start(&fleet, &[STOP_ORDER_TIMEOUT]);
     for upstream in &fleet.upstreams {
         sleep(BETWEEN_STOPS).await;
         upstream.signal_node("STOP");
--- a/tests/support/fleet.rs
+++ b/tests/support/fleet.rs
@@ -23,8 +23,8 @@
 pub const SERVICE: &str = "tillpost";
 /// Slots of each backend server.
 const SLOTS: &str = "6";
-/// Service time of an order, in milliseconds.
-const WORK_MS: &str = "12";
+/// Usual service time of an order, in milliseconds.
+pub const WORK_MS: &str = "12";
 /// Any free port.
 const ANY_PORT: &str = "127.0.0.1:0";
 
@@ -35,12 +35,23 @@
     admin_listen: SocketAddr,
 }
 
+/// Size of a fleet and how its processes are started.
+#[derive(Debug, Clone, Copy)]
+pub struct FleetShape {
+    /// Upstreams of the service.
+    pub count: usize,
+    /// Flags of the nodes beside the usual ones.
+    pub flags: &'static [&'static str],
+    /// Service time of an order, in milliseconds.
+    pub work_ms: &'static str,
+}
+
 /// A node with its backend server, behind a relay.
 pub struct Upstream {
     name: String,
     join: SocketAddr,
     store: String,
-    flags: &'static [&'static str],
+    shape: FleetShape,
     tally: RunTally,
     relay_address: String,
     addresses: NodeAddresses,
@@ -55,7 +66,7 @@
         number: usize,
         join: SocketAddr,
         store: &str,
-        flags: &'static [&'static str],
+        shape: FleetShape,
         tally: &RunTally,
     ) -> Self {
         let name = format!("{SERVICE}-{number}");
@@ -64,7 +75,9 @@
         let relay_address = relay.line();
         let extra = ["--peer-advertise", &relay_address];
         let mut command = node_command(&name, store, &[ANY_PORT; 3], &extra);
-        command.args(["--peer", &join.to_string()]).args(flags);
+        command
+            .args(["--peer", &join.to_string()])
+            .args(shape.flags);
         let node = Process::start(&name, &mut command, tally);
         let addresses: NodeAddresses = serde_json::from_str(&node.line()).unwrap();
         relay.steer(&format!("target {}", addresses.peer_listen));
@@ -72,7 +85,7 @@
             name,
             join,
             store: store.to_string(),
-            flags,
+            shape,
             tally: tally.clone(),
             relay_address,
             addresses,
@@ -100,7 +113,7 @@
         let mut command = node_command(&self.name, &self.store, &listen, &extra);
         command
             .args(["--peer", &self.join.to_string()])
-            .args(self.flags);
+            .args(self.shape.flags);
         let node = Process::start(&self.name, &mut command, &self.tally);
         node.line();
         self.node = Some(node);
@@ -113,7 +126,13 @@
         let mut command = Command::new(env!("CARGO_BIN_EXE_standin-backend"));
         command
             .args(["--admin", &admin, "--id", &name, "--service", SERVICE])
-            .args(["--slots", SLOTS, "--work-ms", WORK_MS, "--print-runs"]);
+            .args([
+                "--slots",
+                SLOTS,
+                "--work-ms",
+                self.shape.work_ms,
+                "--print-runs",
+            ]);
         let backend = Process::start(&name, &mut command, &self.tally);
         self.backend_address = backend.line();
         self.backend = Some(backend);
@@ -176,21 +195,26 @@
 impl Fleet {
     /// Starts a fleet whose service is ready at the ingress.
     pub async fn start(count: usize) -> Self {
-        Self::start_with(count, &[]).await
+        let shape = FleetShape {
+            count,
+            flags: &[],
+            work_ms: WORK_MS,
+        };
+        Self::start_with(shape).await
     }
 
-    /// Starts a fleet whose nodes have these flags beside the usual ones.
-    pub async fn start_with(count: usize, flags: &'static [&'static str]) -> Self {
+    /// Starts a fleet of a given shape.
+    pub async fn start_with(shape: FleetShape) -> Self {
         let tally = RunTally::default();
         let mut command = Command::new(env!("CARGO_BIN_EXE_standin-store"));
         command.args(["--listen", ANY_PORT]);
         let store = Process::start("store", &mut command, &tally);
         let store_url = format!("http://{}", store.line());
-        let mut command = node_command("edge-1", &store_url, &[ANY_PORT; 3], flags);
+        let mut command = node_command("edge-1", &store_url, &[ANY_PORT; 3], shape.flags);
         let ingress = Process::start("edge-1", &mut command, &tally);
         let bound: NodeAddresses = serde_json::from_str(&ingress.line()).unwrap();
-        let upstreams = (1..=count)
-            .map(|number| Upstream::start(number, bound.peer_listen, &store_url, flags, &tally))
+        let upstreams = (1..=shape.count)
+            .map(|number| Upstream::start(number, bound.peer_listen, &store_url, shape, &tally))
             .collect();
         let client = currantlift::admin::http_client(Duration::from_secs(20)).await;
         let fleet = Self {
--- a/tests/support/load.rs
+++ b/tests/support/load.rs
@@ -15,6 +15,8 @@
 const CALLERS: u64 = 24;
 /// Pause of a caller between two orders.
 const CALLER_PAUSE: Millis = Millis(20);
+/// Time limit of a patient order, longer than faults last.
+pub const PATIENT_TIMEOUT: Duration = Duration::from_secs(4);
 /// Usual time limit of an order.
 pub const ORDER_TIMEOUT: Duration = Duration::from_millis(1000);
 /// Lateness from which an answer counts as hung; the machine may be busy.
@@ -49,27 +51,26 @@
 struct Order {
     id: String,
     told: Told,
+    limit: Duration,
     latency: Duration,
 }
 
 /// Orders under way and placed.
 pub struct OrderLoad {
-    limit: Duration,
     orders: Rc<RefCell<Vec<Order>>>,
     is_over: Rc<Cell<bool>>,
     running: Rc<Cell<u64>>,
 }
 
 impl OrderLoad {
-    /// Starts the callers; each order has the given time limit.
-    pub fn start(fleet: &Fleet, limit: Duration) -> Self {
+    /// Starts the callers; they take the given time limits in turn.
+    pub fn start(fleet: &Fleet, limits: &[Duration]) -> Self {
         let load = Self {
-            limit,
             orders: Rc::default(),
             is_over: Rc::default(),
             running: Rc::new(Cell::new(CALLERS)),
         };
-        for caller in 0..CALLERS {
+        for (caller, &limit) in (0..CALLERS).zip(limits.iter().cycle()) {
             let (orders, running) = (Rc::clone(&load.orders), Rc::clone(&load.running));
             let is_over = Rc::clone(&load.is_over);
             let (client, url) = (
@@ -109,7 +110,6 @@
             sleep(CALLER_PAUSE).await;
         }
         OrderBook {
-            limit: self.limit,
             orders: self.orders.take(),
         }
     }
@@ -144,6 +144,7 @@
     Order {
         id,
         told,
+        limit,
         latency: begun.elapsed(),
     }
 }
@@ -167,7 +168,6 @@
 
 /// What all callers were told.
 pub struct OrderBook {
-    limit: Duration,
     orders: Vec<Order>,
 }
 
@@ -181,7 +181,7 @@
             report.lost += u32::from(order.told == Told::Whole && count == 0);
             report.doubled += u32::from(count > 1);
             report.false_not_run += u32::from(order.told == Told::NotRun && count > 0);
-            report.hung += u32::from(order.latency > self.limit + HUNG_AFTER);
+            report.hung += u32::from(order.latency > order.limit + HUNG_AFTER);
             report.slowest = report.slowest.max(order.latency);
         }
         report
