--- a/tests/soak/plan.rs
+++ b/tests/soak/plan.rs
@@ -17,8 +17,9 @@
 const GAP_MS: u64 = 2_000;
 /// Longest time between two faults of the store or two tickets.
 const CONTROL_GAP_MS: u64 = 2_500;
-/// Longest time between the starts of two faults that overlap.
-const OVERLAP_MS: u64 = 500;
+/// Longest time after which overlapping faults begin: a second one often strikes
+/// within the 140 ms in which a silent link is given up.
+const OVERLAP_MS: u64 = 200;
 /// Faults of one upstream by what they strike: its node, its backend server,
 /// the links to it. Those of different groups overlap.
 const UPSTREAM_FAULTS: [&[Fault]; 3] = [
