Refuse at once what no run of its class can serve in time

The gate compared the time left with the shortest run of any class (10 ms), and with nothing when a slot was free.

Change: a call with less time left than the shortest known run of its class is refused before it takes a slot; the queue lets go of calls by the same measure.

Test: a_call_that_no_run_can_serve_is_refused_though_slots_are_free.

--- a/src/admission.rs
+++ b/src/admission.rs
@@ -188,6 +188,8 @@
     shares: Vec<WorkShare>,
     place: QueuePlace,
     class: ClassId,
+    /// Whether the target latency is sooner than the time limit.
+    has_target: bool,
     /// Last moment at which a start can still be answered in time.
     expires_at: Duration,
     /// Share of the slots up to which the call may start, if it only asks.
@@ -254,6 +256,12 @@
             let retry_after = self.latency_estimate(now);
             return refusal(ErrorKind::ShareExceeded, retry_after, retry_after);
         }
+        let shortest = self.scaled(self.times.shortest_of(&offer.class));
+        if offer.time_left < shortest {
+            // No run of its class was ever so short; its caller is told now.
+            let finish = self.scaled(self.times.usual_of(&offer.class));
+            return refusal(ErrorKind::WaitTooLong, finish, finish);
+        }
         if self.waiting.is_empty() && self.in_flight() < self.limit.get() {
             match self.speed.speed(now) {
                 VmSpeed::Usual | VmSpeed::Lasting if self.may_start(now, offer.ask_share) => {
@@ -285,14 +293,16 @@
         if offer.ask_share.is_some() && !is_unread {
             return refusal(ErrorKind::Overloaded, wait, finish);
         }
-        let time_to_wait = offer.time_left.saturating_sub(self.times.shortest());
+        let shortest = self.scaled(self.times.shortest_of(&offer.class));
+        let time_to_wait = offer.time_left.saturating_sub(shortest);
+        let has_target = offer.target_left < offer.time_left;
         // A call that holds up no other is let in also when it will be late.
         let limit_of_finish = if self.has_room() {
             offer.time_left
         } else {
             offer.target_left
         };
-        let is_late = finish > limit_of_finish && offer.target_left < offer.time_left;
+        let is_late = finish > limit_of_finish && has_target;
         if wait > time_to_wait.min(self.options.longest_wait) || is_late {
             return refusal(ErrorKind::WaitTooLong, wait, finish);
         }
@@ -306,6 +316,7 @@
             shares: offer.shares,
             place,
             class,
+            has_target,
             expires_at: now + time_to_wait,
             ask_share: offer.ask_share,
         });
@@ -556,9 +567,7 @@
     }
 
     fn is_late(&self, now: Duration, entry: &WaitingCall) -> bool {
-        let target_at = entry.place.target_at;
-        let has_target = target_at < entry.expires_at + self.times.shortest();
-        has_target && now + self.run_estimate(entry.class) > target_at
+        entry.has_target && now + self.run_estimate(entry.class) > entry.place.target_at
     }
 
     /// Turns away what can't meet its target after a slot has gone to another.
--- a/src/admission/classes.rs
+++ b/src/admission/classes.rs
@@ -55,13 +55,17 @@
         class.map_or_else(|| self.all.mean(), |class| self.usual(*class))
     }
 
+    /// Shortest run of the named class at the usual speed; zero before its first.
+    pub(super) fn shortest_of(&self, name: &str) -> Duration {
+        let times = self
+            .ids
+            .get(name)
+            .and_then(|class| self.classes.get(class.0));
+        times.map(LatencyEstimate::shortest).unwrap_or_default()
+    }
+
     /// Mean of all runs.
     pub(super) fn mean(&self) -> Duration {
         self.all.mean()
     }
-
-    /// Shortest run of any class.
-    pub(super) fn shortest(&self) -> Duration {
-        self.all.shortest()
-    }
 }
--- a/src/admission/tests.rs
+++ b/src/admission/tests.rs
@@ -269,3 +269,34 @@
             if (90..97).contains(&estimated_wait.as_millis())
     );
 }
+
+/// A caller that comes back with the rest of its time: a run of its class never
+/// was so short, so it is refused though slots are free, and the slot stays free
+/// for a call that can be served.
+#[test]
+fn a_call_that_no_run_can_serve_is_refused_though_slots_are_free() {
+    let now = Duration::from_secs(1);
+    let mut queue = queue_of(6);
+    let class_offer = |sequence, left_ms| CallOffer {
+        class: "long".to_string(),
+        ..offer(sequence, Duration::from_millis(left_ms))
+    };
+    for (sequence, latency_ms) in [(1, 60), (2, 90)] {
+        queue.offer(now, class_offer(sequence, 500));
+        let latency = Duration::from_millis(latency_ms);
+        queue.finish(now, call(sequence), WorkResult::Completed { latency });
+    }
+    assert_matches!(
+        queue.offer(now, class_offer(3, 27)),
+        Admission::Refused {
+            kind: ErrorKind::WaitTooLong,
+            ..
+        }
+    );
+    // It may be a short one of its class.
+    assert_eq!(queue.offer(now, class_offer(4, 65)), Admission::Start);
+    assert_eq!(
+        queue.offer(now, offer(5, Duration::from_millis(1))),
+        Admission::Start
+    );
+}
