--- a/src/routes/driver.rs
+++ b/src/routes/driver.rs
@@ -39,7 +39,7 @@
 const FETCH_TIMEOUT: Duration = Duration::from_millis(500);
 /// Time in which a version that a peer names usually arrives by the tree; only
 /// then is it fetched, often across availability zones.
-const FETCH_GRACE: Duration = Duration::from_millis(100);
+const FETCH_GRACE: Duration = Duration::from_millis(300);
 /// Time between two looks of a node that does not watch. Versions come from
 /// peers; a node that hears none is alone, and then it watches.
 const LOOK_INTERVAL: Duration = Duration::from_secs(20);
