Measure callers that come back against the target of their first try

Cause: refused callers return with what is left of their time, and the node took them for fresh ones, with the whole target latency ahead of them. Ruled out: the order of the queue (late calls go last already, if they are known to be late) and the time that callers are told (they keep to it).

Change: a node remembers refused tries by route and by the moment until which the caller waits. A return states that moment again, with less time left, and keeps the target of its first try: it takes room that is left over. A first try states the whole time and is never taken for a return.

--- a/src/ingress.rs
+++ b/src/ingress.rs
@@ -12,6 +12,7 @@
 pub mod hedge;
 pub mod placing;
 pub mod request;
+pub mod returns;
 
 use std::cell::RefCell;
 use std::collections::BTreeSet;
@@ -34,6 +35,7 @@
 use crate::ingress::connection::CallResult;
 use crate::ingress::hedge::AnswerTimes;
 use crate::ingress::request::{RequestCheck, RequestFacts};
+use crate::ingress::returns::ReturnBook;
 use crate::link::call_link::UpstreamNotice;
 use crate::link::pool::LinkPool;
 use crate::metrics::NodeMetrics;
@@ -66,6 +68,8 @@
     pub retries: Mutex<RetryPolicy>,
     /// Usual times of answers.
     pub times: Mutex<AnswerTimes>,
+    /// Callers that may come back.
+    pub returns: Mutex<ReturnBook>,
     /// In-flight work per service and team.
     pub shares: Mutex<ShareTable>,
     /// Table in use.
@@ -123,6 +127,7 @@
             router: Mutex::new(router),
             retries: Mutex::new(RetryPolicy::new(settings.retries)),
             times: Mutex::default(),
+            returns: Mutex::default(),
             shares: Mutex::default(),
             table,
             stop_phase,
--- a/src/ingress/call.rs
+++ b/src/ingress/call.rs
@@ -19,6 +19,7 @@
 use crate::ingress::body::{BodyPieces, RequestBody};
 use crate::ingress::placing::PlacementSearch;
 use crate::ingress::request::RequestFacts;
+use crate::ingress::returns::CallerTry;
 use crate::ingress::{IngressWorker, lock};
 use crate::ledger::attempt::CallHistory;
 use crate::retry::{AttemptFailure, CallFacts, RetryDecision};
@@ -33,6 +34,18 @@
     ask_percent: u32,
 }
 
+/// Time left until the target latency of a caller that has come back.
+fn first_target(worker: &IngressWorker, facts: &RequestFacts) -> Option<Duration> {
+    let now = worker.shared.now();
+    let found = CallerTry {
+        route: &facts.class(),
+        arrived_at: now,
+        time_left: facts.stated_timeout?,
+    };
+    let target_at = lock(&worker.shared.returns).take_return(found)?;
+    Some(target_at.saturating_sub(now))
+}
+
 /// Drives one call.
 pub struct CallDriver {
     worker: Rc<IngressWorker>,
@@ -41,6 +54,8 @@
     id: CallId,
     started: Instant,
     deadline: Instant,
+    /// Moment of the target latency, which counts from the caller's first try.
+    target_at: Instant,
     tried: BTreeSet<NodeId>,
     placements: u32,
     free_refusals: u32,
@@ -58,8 +73,10 @@
         };
         let started = Instant::now();
         let search = PlacementSearch::new(worker.shared.asks);
+        let target_left = first_target(&worker, &facts).unwrap_or(facts.target_latency);
         Self {
             started,
+            target_at: started + target_left,
             deadline: started + facts.timeout,
             worker,
             facts,
@@ -81,6 +98,9 @@
     /// The failure that the caller is told.
     pub async fn run(mut self) -> Result<CallAnswer, CallFailure> {
         let result = self.run_attempts().await;
+        if result.is_err() {
+            self.note_refused();
+        }
         self.log_end(&result);
         result
     }
@@ -180,6 +200,21 @@
         })
     }
 
+    /// Remembers the call for the case that its caller comes back.
+    fn note_refused(&self) {
+        let Some(time_left) = self.facts.stated_timeout else {
+            return;
+        };
+        let now = self.worker.shared.now();
+        let refused = CallerTry {
+            route: &self.facts.class(),
+            arrived_at: now.saturating_sub(self.started.elapsed()),
+            time_left,
+        };
+        let mut returns = lock(&self.worker.shared.returns);
+        returns.note_refused(refused, now + self.target_left());
+    }
+
     fn request_id(&self) -> &str {
         self.facts.request_id.as_deref().unwrap_or_default()
     }
@@ -190,8 +225,7 @@
     }
 
     fn target_left(&self) -> Duration {
-        let end = self.started + self.facts.target_latency;
-        end.saturating_duration_since(Instant::now())
+        self.target_at.saturating_duration_since(Instant::now())
     }
 
     fn time_left(&self) -> Duration {
--- a/src/ingress/request.rs
+++ b/src/ingress/request.rs
@@ -35,6 +35,8 @@
     pub request_id: Option<String>,
     /// Time limit.
     pub timeout: Duration,
+    /// Time that the caller waits, if it stated that.
+    pub stated_timeout: Option<Duration>,
     /// Time within which an answer is worth most.
     pub target_latency: Duration,
     /// Rank among the requests of the service; 0 goes first.
@@ -109,6 +111,7 @@
                 (None, Some(asked)) => asked,
                 (_, None) => rules.timeout,
             },
+            stated_timeout: asked,
             target_latency: rules.target_latency,
             attempts_limit: self.attempts_limit(&head, rules.rule.attempts)?,
             request_id: request_id.map(ToString::to_string),
