--- a/tests/faults/script.rs
+++ b/tests/faults/script.rs
@@ -19,6 +19,8 @@
 pub enum Fault {
     /// The node is killed and started again.
     KillNode,
+    /// The same, and connections to it are refused meanwhile.
+    KillNodeRefusing,
     /// The node is stopped and continued.
     FreezeNode,
     /// The backend server is killed and started again.
@@ -62,7 +64,8 @@
     let client = fleet.client.clone();
     let upstream = &mut fleet.upstreams[index];
     match fault {
-        Fault::KillNode => {
+        Fault::KillNode => upstream.node = None,
+        Fault::KillNodeRefusing => {
             upstream.relay.steer("refuse");
             upstream.node = None;
         }
@@ -93,7 +96,8 @@
     let client = fleet.client.clone();
     let upstream = &mut fleet.upstreams[index];
     match fault {
-        Fault::KillNode => {
+        Fault::KillNode => upstream.start_node(),
+        Fault::KillNodeRefusing => {
             upstream.start_node();
             upstream.relay.steer("accept");
         }
--- a/tests/soak/plan.rs
+++ b/tests/soak/plan.rs
@@ -23,7 +23,7 @@
 /// Faults of one upstream by what they strike: its node, its backend server,
 /// the links to it. Those of different groups overlap.
 const UPSTREAM_FAULTS: [&[Fault]; 3] = [
-    &[Fault::KillNode, Fault::FreezeNode],
+    &[Fault::KillNode, Fault::KillNodeRefusing, Fault::FreezeNode],
     &[
         Fault::KillBackend,
         Fault::FreezeBackend,
