Keep the gate of a stopping node open while callers leave

Cause: at SIGTERM a node drained its gate at once and ran for another 3 s, until callers had noticed; its backend server ran on unused. Ruled out: membership and heartbeats (the restarted nodes were known and ready within 0.4 s).

Change: for two thirds of the leave time the gate takes calls whose usual time, three times over, ends before the stop limit; then it drains and the node announces that it leaves. The time that remains is that of before for what the gate let in.

Tests: a_gate_that_stops_soon_takes_only_what_ends_before; nodes_that_stop_together_serve_while_callers_leave (real processes, all nodes of a service stopping).

--- a/src/admission.rs
+++ b/src/admission.rs
@@ -53,6 +53,9 @@
 
 /// Time that the rest of a burst is expected to take.
 const BURST_REST: Duration = Duration::from_millis(75);
+/// Multiple of its usual time within which nearly every run of a class ends,
+/// also one that a neighbour's bursts hold up.
+const STOP_MARGIN: u32 = 3;
 
 /// Settings of an [`AdmissionQueue`].
 #[derive(Debug, Clone, Copy)]
@@ -228,6 +231,8 @@
     /// What the backend server has stated of its speed.
     speed: SpeedHistory,
     is_draining: bool,
+    /// Moment at which the node stops, if it does.
+    stop_at: Option<Duration>,
 }
 
 impl AdmissionQueue {
@@ -244,6 +249,7 @@
             start_sum: Duration::ZERO,
             speed: SpeedHistory::default(),
             is_draining: false,
+            stop_at: None,
         }
     }
 
@@ -262,6 +268,9 @@
             let finish = self.scaled(self.times.usual_of(&offer.class));
             return refusal(ErrorKind::WaitTooLong, finish, finish);
         }
+        if self.would_outlast_stop(now, &offer.class) {
+            return refusal(ErrorKind::WaitTooLong, DRAIN_RETRY, offer.time_left);
+        }
         if self.waiting.is_empty() && self.in_flight() < self.limit.get() {
             match self.speed.speed(now) {
                 VmSpeed::Usual | VmSpeed::Lasting if self.may_start(now, offer.ask_share) => {
@@ -428,6 +437,18 @@
         self.start_waiting(now)
     }
 
+    /// Takes note of the moment at which the node stops.
+    pub fn stop_at(&mut self, moment: Duration) {
+        self.stop_at = Some(moment);
+    }
+
+    /// Whether a call that starts now could still be at work when the node
+    /// stops.
+    fn would_outlast_stop(&self, now: Duration, class: &str) -> bool {
+        let longest = self.scaled(self.times.usual_of(class)) * STOP_MARGIN;
+        self.stop_at.is_some_and(|stop_at| now + longest > stop_at)
+    }
+
     /// Refuses everything from now on; what waits or runs ends normally.
     pub fn drain(&mut self) {
         self.is_draining = true;
--- a/src/admission/tests.rs
+++ b/src/admission/tests.rs
@@ -300,3 +300,34 @@
         Admission::Start
     );
 }
+
+/// Nodes that restart in turn, some at the same time: the gate of one that stops
+/// goes on serving short calls, and none that it would have to cut.
+#[test]
+fn a_gate_that_stops_soon_takes_only_what_ends_before() {
+    let now = Duration::from_secs(1);
+    let mut queue = queue_of(6);
+    let class_offer = |sequence, class: &str| CallOffer {
+        class: class.to_string(),
+        ..offer(sequence, Duration::from_secs(6))
+    };
+    for (sequence, class, latency_ms) in [(1, "short", 60), (2, "long", 2_000)] {
+        queue.offer(now, class_offer(sequence, class));
+        let latency = Duration::from_millis(latency_ms);
+        queue.finish(now, call(sequence), WorkResult::Completed { latency });
+    }
+    queue.stop_at(now + Duration::from_secs(5));
+    assert_eq!(queue.offer(now, class_offer(3, "short")), Admission::Start);
+    assert_matches!(
+        queue.offer(now, class_offer(4, "long")),
+        Admission::Refused {
+            kind: ErrorKind::WaitTooLong,
+            ..
+        }
+    );
+    let late = now + Duration::from_millis(4_900);
+    assert_matches!(
+        queue.offer(late, class_offer(5, "short")),
+        Admission::Refused { .. }
+    );
+}
--- a/src/control/state.rs
+++ b/src/control/state.rs
@@ -292,10 +292,16 @@
         true
     }
 
-    /// Begins a planned stop: no new work, what runs ends normally.
-    pub fn begin_stop(&self) {
-        log::info!(target: "placement", "planned stop begins");
+    /// Begins a planned stop that ends within a time: callers are to go
+    /// elsewhere, and the gate takes only what ends before.
+    pub fn begin_stop(&self, limit: Duration) {
+        log::info!(target: "placement", limit_ms = limit.as_millis() as u64; "planned stop begins");
         self.stop_phase.send_replace(StopPhase::Leaving);
+        self.order(GateCommand::StopWithin(limit));
+    }
+
+    /// Takes no new work at the gate; what runs ends normally.
+    pub fn close_gate(&self) {
         self.membership.leave();
         self.order(GateCommand::Drain);
     }
--- a/src/gate.rs
+++ b/src/gate.rs
@@ -55,6 +55,8 @@
     },
     /// The backend server is gone.
     ClearBackend,
+    /// Take only work that ends within this time.
+    StopWithin(Duration),
     /// Take no new work.
     Drain,
     /// Take work again.
@@ -192,6 +194,7 @@
                 self.warm_up(warmup_left);
             }
             GateCommand::ClearBackend => *self.client.borrow_mut() = None,
+            GateCommand::StopWithin(limit) => self.stop_within(limit),
             GateCommand::Drain => self.drain(),
             GateCommand::Reopen => self.is_draining.set(false),
             GateCommand::AcceptLink { stream, buffered } => {
@@ -245,6 +248,12 @@
         }
     }
 
+    fn stop_within(&self, limit: Duration) {
+        if let Some(admission) = self.admission.borrow_mut().as_mut() {
+            admission.stop_at(self.now() + limit);
+        }
+    }
+
     fn drain(&self) {
         self.is_draining.set(true);
         for sender in self.senders.borrow().values() {
--- a/src/node.rs
+++ b/src/node.rs
@@ -68,6 +68,9 @@
 const CALLER_BACKLOG: i32 = 4_096;
 /// Time that the administration API's last answers get; they are short.
 const LAST_ANSWERS: Duration = Duration::from_millis(200);
+/// Part of the leave time for which the gate stays open. What it lets in last has
+/// the rest, and the time until the stop limit, to end.
+const GATE_SHARE: f64 = 2.0 / 3.0;
 /// Interval at which a planned stop looks whether all calls have ended.
 const STOP_POLL: Duration = Duration::from_millis(50);
 /// Free ports that are tried for the peer listener.
@@ -476,11 +479,15 @@
     addresses
 }
 
-/// A planned stop: told to everyone first, then nothing new, then the end of
-/// what is under way.
+/// A planned stop: callers are told first; the gate stays open while they go
+/// elsewhere, as its backend server runs on and other nodes may stop too; then
+/// nothing new, then the end of what is under way.
 async fn stop_node(control: &ControlState, options: &NodeOptions) {
-    control.begin_stop();
-    tokio::time::sleep(options.leave_time).await;
+    control.begin_stop(options.drain_limit);
+    let gate_time = options.leave_time.mul_f64(GATE_SHARE);
+    tokio::time::sleep(gate_time).await;
+    control.close_gate();
+    tokio::time::sleep(options.leave_time - gate_time).await;
     control.close_ingress();
     let draining = async {
         while !control.is_idle() {
--- a/tests/stop.rs
+++ b/tests/stop.rs
@@ -18,7 +18,7 @@
 use ntex::time::sleep;
 use serde_json::json;
 
-use fleet::{Fleet, SERVICE};
+use fleet::{Fleet, FleetShape, SERVICE, WORK_MS};
 use load::{OrderBook, OrderLoad, Told};
 use raw::RawCaller;
 
@@ -163,3 +163,38 @@
     let mut node = fleet.upstreams[0].node.take().unwrap();
     assert_eq!(node.exit_code().await, Some(0));
 }
+
+/// Fleet whose nodes leave as slowly as on the users' platform.
+const SLOW_LEAVERS: FleetShape = FleetShape {
+    count: UPSTREAMS,
+    flags: &["--leave-seconds", "3", "--drain-seconds", "5"],
+    work_ms: WORK_MS,
+};
+/// Part of the leave time in which the gates still take work.
+const GATES_OPEN: Duration = Duration::from_millis(1_200);
+
+/// Restarts in turn that are closer together than a stop takes: for a while all
+/// nodes of a service are stopping, while their backend servers run on.
+#[ntex::test]
+async fn nodes_that_stop_together_serve_while_callers_leave() {
+    let mut fleet = Fleet::start_with(SLOW_LEAVERS).await;
+    let load = OrderLoad::start(&fleet, &[STOP_ORDER_TIMEOUT]);
+    sleep(BETWEEN_STOPS).await;
+    for upstream in &fleet.upstreams {
+        upstream.signal_node("TERM");
+    }
+    sleep(GATES_OPEN / 2).await;
+    let before = load.whole_count();
+    sleep(GATES_OPEN / 2).await;
+    let served = load.whole_count() - before;
+    let book = load.end().await;
+    for upstream in &mut fleet.upstreams {
+        let mut node = upstream.node.take().unwrap();
+        assert_eq!(node.exit_code().await, Some(0));
+    }
+    check_all_whole(&book, fleet);
+    assert!(
+        served > 0,
+        "no order was served while all nodes were stopping"
+    );
+}
