Let large bodies wait in their own availability zone

Change: a call with a large body goes to the upstreams of its own zone first, whatever their load, and their gates may queue it if it meets its target; only then it asks elsewhere.

Test: a_large_body_stays_in_its_zone_while_an_upstream_there_is_untried.

--- a/src/decisions/replay.rs
+++ b/src/decisions/replay.rs
@@ -227,6 +227,7 @@
         let request = RouteRequest {
             service: call.service,
             is_idempotent: call.is_idempotent,
+            has_large_body: false,
             tried: &call.tried,
         };
         let choice = ingress.policy.choose(self.now, &mut self.rng, &request);
--- a/src/decisions/timing.rs
+++ b/src/decisions/timing.rs
@@ -69,6 +69,7 @@
     let request = RouteRequest {
         service,
         is_idempotent: true,
+        has_large_body: false,
         tried: &tried,
     };
     let Ok(choice) = router.choose_for(now, rng, &request) else {
--- a/src/ingress/call/choice.rs
+++ b/src/ingress/call/choice.rs
@@ -12,7 +12,7 @@
 use crate::ingress::lock;
 use crate::ingress::placing::{CallTimes, PlacementStep};
 use crate::link::pool::GateTarget;
-use crate::routing::{ProbeOrder, RouteChoice, RouteRequest};
+use crate::routing::{ProbeOrder, RouteChoice, RouteReason, RouteRequest};
 
 /// Placements whose number fits beside the call's own.
 pub(super) const MAX_PLACEMENTS: u32 = 15;
@@ -37,7 +37,10 @@
             };
             let (choice, ask_percent) = match self.search.next(times) {
                 PlacementStep::Ask => match self.choose() {
-                    Ok(choice) => (choice, EASY_PERCENT),
+                    Ok(choice) => {
+                        let percent = self.ask_percent(&choice);
+                        (choice, percent)
+                    }
                     Err(ErrorKind::NoUpstream) if !self.tried.is_empty() => {
                         self.search.on_exhausted();
                         continue;
@@ -65,6 +68,17 @@
         }
     }
 
+    /// Share of its slots up to which a gate that is asked starts the call; 0 if
+    /// the gate may queue it, as a large body may wait in its own zone.
+    fn ask_percent(&self, choice: &RouteChoice) -> u32 {
+        let is_near = matches!(choice.reason, RouteReason::OwnNode | RouteReason::OwnZone);
+        if self.facts.has_large_body && is_near {
+            0
+        } else {
+            EASY_PERCENT
+        }
+    }
+
     /// Refusal of a call that no gate can serve in time. Calls that are
     /// refused together come back spread over a while.
     fn refusal(&self, retry_after: Duration) -> AttemptEnd {
@@ -92,6 +106,7 @@
         let request = RouteRequest {
             service: &self.facts.service,
             is_idempotent: self.facts.is_idempotent,
+            has_large_body: self.facts.has_large_body,
             tried: &self.tried,
         };
         let choice = router.choose_for(now, &mut *rng, &request);
--- a/src/ingress/request.rs
+++ b/src/ingress/request.rs
@@ -10,11 +10,14 @@
 use crate::http1::head::field_text;
 use crate::ids::ServiceName;
 use crate::link::messages::HeaderField;
-use crate::routes::{Route, RouteConfig, RouteTarget, SplitTable};
+use crate::routes::{RequestKind, Route, RouteConfig, RouteTarget, SplitTable};
 use crate::table::{RoutingTable, ServiceRule};
 
 /// Longest time limit that a caller may ask for, in milliseconds.
 const MAX_TIMEOUT_MS: u64 = 3_600_000;
+/// Length from which a body counts as large: far more than the messages of a
+/// second ask.
+const LARGE_BODY_BYTES: u64 = 16 * 1024;
 
 /// What the system needs to know about a request.
 #[derive(Debug)]
@@ -45,6 +48,8 @@
     pub attempts_limit: u32,
     /// Whether a second run does no harm.
     pub is_idempotent: bool,
+    /// Whether a large body comes with it.
+    pub has_large_body: bool,
     /// Length of the body, if the caller stated it.
     pub body_length: Option<u64>,
 }
@@ -79,6 +84,7 @@
     target_latency: Duration,
     rank: u32,
     is_idempotent: bool,
+    is_upload: bool,
     body_limit: u64,
 }
 
@@ -119,6 +125,8 @@
             route: rules.route,
             rank: rules.rank,
             is_idempotent: rules.is_idempotent,
+            has_large_body: rules.is_upload
+                || body_length.is_some_and(|length| length >= LARGE_BODY_BYTES),
             rule: rules.rule,
             method: head.method,
             path: head.target,
@@ -140,6 +148,7 @@
             target_latency: timeout,
             rank: 0,
             is_idempotent: rule.is_idempotent(&head.method, path),
+            is_upload: false,
             body_limit: rule.body_limit,
             rule,
         })
@@ -167,6 +176,7 @@
             target_latency: route.target_latency(),
             rank: route.rank,
             is_idempotent: route.kind.is_idempotent(),
+            is_upload: route.kind == RequestKind::Upload,
             body_limit: config.limits.body_bytes,
             rule: ServiceRule {
                 attempts: route.attempts,
--- a/src/routing.rs
+++ b/src/routing.rs
@@ -157,6 +157,9 @@
     pub service: &'a ServiceName,
     /// Whether a second run does no harm.
     pub is_idempotent: bool,
+    /// Whether it has a large body, which rather waits in the own availability
+    /// zone than travels to another.
+    pub has_large_body: bool,
     /// Upstreams that earlier attempts of the call went to.
     pub tried: &'a BTreeSet<NodeId>,
 }
--- a/src/routing/router.rs
+++ b/src/routing/router.rs
@@ -94,6 +94,7 @@
         let request = RouteRequest {
             service,
             is_idempotent: true,
+            has_large_body: false,
             tried,
         };
         self.choose_for(now, rng, &request)
--- a/src/routing/select.rs
+++ b/src/routing/select.rs
@@ -37,7 +37,8 @@
                 break;
             }
             self.draw(now, rng, view, open.tier, &open.free, &mut candidates);
-            if self.is_relaxed(&candidates) {
+            let stays = request.has_large_body && open.tier == PlaceTier::OwnZone;
+            if self.is_relaxed(&candidates) || (stays && !candidates.is_empty()) {
                 return Ok((candidates, reason_of(open.tier)));
             }
         }
--- a/src/routing/tests.rs
+++ b/src/routing/tests.rs
@@ -142,7 +142,7 @@
                 RouterStep::Wait(ms) => now += Duration::from_millis(ms),
                 RouterStep::Choose(is_idempotent) => {
                     let tried = BTreeSet::new();
-                    let request = RouteRequest { service: &service(), is_idempotent, tried: &tried };
+                    let request = RouteRequest { service: &service(), is_idempotent, has_large_body: false, tried: &tried };
                     if let Ok(choice) = router.choose_for(now, &mut rng, &request) {
                         let index = (0..4).find(|index| node(*index) == choice.node).unwrap();
                         prop_assert_eq!(states[index], UpstreamState::Ready);
@@ -222,6 +222,7 @@
         let request = RouteRequest {
             service: &service(),
             is_idempotent,
+            has_large_body: false,
             tried: &tried,
         };
         let choice = router.choose_for(now, &mut rng, &request).unwrap();
@@ -321,6 +322,7 @@
     let request = RouteRequest {
         service: &service(),
         is_idempotent: false,
+        has_large_body: false,
         tried: &tried,
     };
     let mut at_work = std::collections::VecDeque::new();
@@ -360,6 +362,7 @@
     let request = RouteRequest {
         service: &service(),
         is_idempotent: false,
+        has_large_body: false,
         tried: &tried,
     };
     let choices: Vec<_> = (0..10)
@@ -416,3 +419,31 @@
     router.on_leaving(now, &node(1));
     assert!(!router.has_other(now, &service(), &node(0)));
 }
+
+/// Uploads under load: the own zone's upstream has calls of its own, the others
+/// are idle. A body of 60 KB waits rather than travels; a small call goes on.
+#[test]
+fn a_large_body_stays_in_its_zone_while_an_upstream_there_is_untried() {
+    let mut rng = StdRng::seed_from_u64(1);
+    let mut router = router(0);
+    let table = small_table(&[UpstreamState::Ready; 3], &[1; 3], 0.0);
+    router.apply_table(Duration::ZERO, &table);
+    let mut choose = |has_large_body, tried: &BTreeSet<NodeId>| {
+        let request = RouteRequest {
+            service: &service(),
+            is_idempotent: false,
+            has_large_body,
+            tried,
+        };
+        let choice = router.choose_for(Duration::ZERO, &mut rng, &request);
+        choice.unwrap().node
+    };
+    let untried = BTreeSet::new();
+    let small: BTreeSet<NodeId> = (0..20).map(|_| choose(false, &untried)).collect();
+    assert!(small.len() > 1, "small calls all went to {small:?}");
+    for _ in 0..20 {
+        assert_eq!(choose(true, &untried), node(0));
+    }
+    // Its gate has refused: any other is better than none.
+    assert_ne!(choose(true, &BTreeSet::from([node(0)])), node(0));
+}
