Let nodes that start together meet at once

All ask the first node of each zone, which knows nobody, and its byte credit of 10 KB is spent on the first three pages; the refused ones come back after 1, 2 and 4 s, and comparisons wait for 2 s and until no news is under way. Ruled out: the store (read within 0.1 s) and heartbeats (all backend servers were announced 60 ms after the nodes' start).

Change: a process may spend 60 KB above the rate at its start (its first minute stays below 4 KB a second on average); pages and refusals of a joining node are 100 ms apart, and it asks another member each time; for 4 s after joining, a node compares with each peer that differs, every 400 ms, whatever news is under way.

Test: a_fleet_that_starts_at_once_can_serve_within_a_second; it fails on the code before (some node misses others after 15 s).

--- a/src/membership/state.rs
+++ b/src/membership/state.rs
@@ -24,8 +24,10 @@
 const BYTE_RATE: u32 = 2_400;
 /// Datagram bytes that may be sent at once.
 const BYTE_BURST: u32 = 500;
-/// Bytes above the rate that a process may spend at its start, to join quickly.
-const BYTE_CREDIT: u32 = 10_000;
+/// Bytes above the rate that a process may spend at its start, to join quickly
+/// also where a whole fleet starts at once. Its first minute stays below the users'
+/// 4 KB a second.
+const BYTE_CREDIT: u32 = 60_000;
 
 /// Membership at one node.
 #[derive(Debug)]
--- a/src/membership/sync.rs
+++ b/src/membership/sync.rs
@@ -27,7 +27,9 @@
 pub(super) const JOIN_PAGE_BYTES: u32 = 3_500;
 /// Bytes of records in a page of later comparisons, before names are packed.
 const REPAIR_PAGE_BYTES: u32 = 1_024;
-/// Time between two pages.
+/// Time between two pages while joining; the byte bucket bounds their number.
+const JOIN_PAGE_INTERVAL: Duration = Duration::from_millis(100);
+/// Time between two pages of later comparisons.
 const PAGE_INTERVAL: Duration = Duration::from_secs(1);
 /// Longest time until a page is asked for again after a refusal.
 const MAX_BACKOFF: Duration = Duration::from_secs(4);
@@ -42,6 +44,11 @@
 const SETTLING_TIME: Duration = Duration::from_secs(60);
 /// Delay and time between comparisons while settling.
 const SETTLING_INTERVAL: Duration = Duration::from_secs(2);
+/// Time after joining in which a node compares with each peer that differs: where
+/// all nodes have started together, the one that it asked knew hardly any.
+const MEETING_TIME: Duration = Duration::from_secs(4);
+/// Time between two comparisons meanwhile.
+const MEETING_INTERVAL: Duration = Duration::from_millis(400);
 /// Seeds that are remembered.
 const MAX_SEEDS: usize = 64;
 /// Seeds that are pinged at once on joining.
@@ -66,22 +73,37 @@
     backoff: Duration,
     idle_until: Duration,
     settled_at: Duration,
+    met_at: Duration,
     seed_cursor: usize,
     pub(super) next_spare_page: Duration,
 }
 
 impl SyncProgress {
-    fn page_bytes(&self) -> u32 {
-        if self.has_joined {
+    fn page_bytes(&self, now: Duration) -> u32 {
+        if self.has_joined && !self.is_meeting(now) {
             REPAIR_PAGE_BYTES
         } else {
             JOIN_PAGE_BYTES
         }
     }
 
+    fn is_meeting(&self, now: Duration) -> bool {
+        now < self.met_at
+    }
+
+    fn page_interval(&self, now: Duration) -> Duration {
+        if self.has_joined && !self.is_meeting(now) {
+            PAGE_INTERVAL
+        } else {
+            JOIN_PAGE_INTERVAL
+        }
+    }
+
     /// The given time, or a shorter one while settling.
     fn when_settled(&self, now: Duration, interval: Duration) -> Duration {
-        if now < self.settled_at {
+        if self.is_meeting(now) {
+            MEETING_INTERVAL
+        } else if now < self.settled_at {
             SETTLING_INTERVAL
         } else {
             interval
@@ -156,7 +178,7 @@
         }
         cursor.is_waiting = true;
         let cursor = *cursor;
-        let request = Bytes::from(self.sync_request(cursor).encode_to_vec());
+        let request = Bytes::from(self.sync_request(now, cursor).encode_to_vec());
         self.count_sync_sent(now, request.len(), true);
         self.actions.push(MembershipAction::RequestSync {
             peer: cursor.peer,
@@ -164,7 +186,7 @@
         });
     }
 
-    fn sync_request(&self, cursor: SyncCursor) -> SyncRequest {
+    fn sync_request(&self, now: Duration, cursor: SyncCursor) -> SyncRequest {
         let digests = if self.sync.has_joined {
             self.digests().to_vec()
         } else {
@@ -179,7 +201,7 @@
             digests,
             first_key: cursor.first_key,
             own: Some(WireRecord::from(self.own_record())),
-            page_bytes: self.sync.page_bytes(),
+            page_bytes: self.sync.page_bytes(now),
             zone,
         }
     }
@@ -241,19 +263,23 @@
         }
         if !self.sync.has_joined {
             self.sync.settled_at = now + SETTLING_TIME;
+            self.sync.met_at = now + MEETING_TIME;
         }
         self.sync.has_joined = true;
         self.end_sync(now);
     }
 
     fn back_off(&mut self, now: Duration, first_key: u64) {
-        let backoff = self.sync.backoff.max(PAGE_INTERVAL);
+        let backoff = self.sync.backoff.max(self.sync.page_interval(now));
         self.sync.backoff = (backoff * 2).min(MAX_BACKOFF);
-        self.turn_page(now + backoff - PAGE_INTERVAL, first_key);
+        self.turn_page_at(now + backoff, first_key);
     }
 
     fn turn_page(&mut self, now: Duration, next_key: u64) {
-        let due = now + PAGE_INTERVAL;
+        self.turn_page_at(now + self.sync.page_interval(now), next_key);
+    }
+
+    fn turn_page_at(&mut self, due: Duration, next_key: u64) {
         let source = if self.sync.has_joined {
             None
         } else {
@@ -286,12 +312,18 @@
 
     /// Compares a peer's fingerprint with the own one.
     pub(super) fn note_fingerprint(&mut self, now: Duration, peer: SocketAddr, fingerprint: u64) {
-        if !self.queue.is_empty() || fingerprint == self.fingerprint {
+        // News under way explains a difference, but not among nodes that all are new.
+        let is_explained = !self.queue.is_empty() && !self.sync.is_meeting(now);
+        if is_explained || fingerprint == self.fingerprint {
             self.sync.mismatch_since = None;
             return;
         }
         let since = *self.sync.mismatch_since.get_or_insert(now);
-        let delay = self.sync.when_settled(now, MISMATCH_DELAY);
+        let delay = if self.sync.is_meeting(now) {
+            Duration::ZERO
+        } else {
+            self.sync.when_settled(now, MISMATCH_DELAY)
+        };
         let is_due = now >= since + delay && now >= self.sync.idle_until;
         if is_due && self.sync.cursor.is_none() {
             self.start_sync(now, peer);
--- a/tests/membership.rs
+++ b/tests/membership.rs
@@ -3,6 +3,7 @@
 #[path = "membership/net.rs"]
 mod net;
 
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 use currantlift::membership::{MemberRecord, MemberState, MembershipState};
@@ -263,3 +264,63 @@
     let all_gone = |slot: usize| live_count(&net, slot) == 300;
     assert!((0..600).step_by(2).all(all_gone));
 }
+
+/// All processes of a fleet are killed at the same moment and start again with
+/// nothing. Each finds the first node of each zone in the store, which knows
+/// hardly anybody itself. Callers ask for each service at each node at once.
+#[test]
+fn a_fleet_that_starts_at_once_can_serve_within_a_second() {
+    const GROWN: FleetShape = FleetShape {
+        nodes: 84,
+        zones: 5,
+        regions: 1,
+        services: 3,
+    };
+    /// Time until every node knows a backend server of each service.
+    const SERVING_BOUND: Duration = Duration::from_secs(1);
+    /// Users' bound for a fleet to be back, until which all know all.
+    const RECOVERY_BOUND: Duration = Duration::from_secs(15);
+    /// Control traffic of a node in its first minute, on average by second.
+    const BYTE_LIMIT: u64 = 4_096;
+    let mut net = FakeNet::empty(9);
+    let seeds: Vec<_> = (0..GROWN.zones).map(address).collect();
+    for index in 0..GROWN.nodes {
+        net.start(GROWN, index, 1);
+    }
+    for slot in 0..GROWN.nodes {
+        net.act(slot, |state, now| state.join(now, &seeds));
+    }
+    let services = |state: &MembershipState| {
+        let backends = state
+            .members()
+            .values()
+            .filter_map(|it| it.backend.as_ref());
+        backends
+            .map(|backend| backend.service.clone())
+            .collect::<BTreeSet<_>>()
+            .len()
+    };
+    let took = net.run_until(SERVING_BOUND, |net| {
+        net.running().all(|state| services(state) == GROWN.services)
+    });
+    let short = net
+        .running()
+        .filter(|state| services(state) < GROWN.services);
+    let short = short.count();
+    assert!(took.is_some(), "{short} nodes know no server of a service");
+    let took = net.run_until(RECOVERY_BOUND - SERVING_BOUND, |net| {
+        (0..GROWN.nodes).all(|slot| live_count(net, slot) == GROWN.nodes)
+    });
+    assert!(
+        took.is_some(),
+        "some node misses others after {RECOVERY_BOUND:?}"
+    );
+    net.run_for(Duration::from_secs(60));
+    for node in &net.nodes {
+        let counters = node.state.counters();
+        let datagrams = counters.bytes_sent + counters.bytes_received;
+        let comparisons = counters.sync_bytes_sent + counters.sync_bytes_received;
+        let bytes = datagrams + comparisons;
+        assert!(bytes <= 60 * BYTE_LIMIT, "{bytes} bytes in about a minute");
+    }
+}
