Let requests wait for what a node that has just started is about to learn

Ruled out: a shorter Retry-After alone (the first try is lost all the same).

Change: in its first second a node lets a request wait for the routes, and a call for the first upstream of its service, up to half of its target latency. The time limit counts from the arrival. A node that is older refuses at once, as before.

Tests: ingress::tests.

--- a/src/ingress.rs
+++ b/src/ingress.rs
@@ -47,6 +47,12 @@
 /// Largest number of attempts whose number fits beside the call's own.
 pub const ATTEMPTS_PER_CALL: u64 = 16;
 
+/// Time after its start in which a node learns the configuration and the others,
+/// also where a whole fleet starts at once.
+const START_TIME: Duration = Duration::from_secs(1);
+/// Pause between two looks of a waiting call at what the node has learnt.
+const LOOK_PAUSE: Duration = Duration::from_millis(20);
+
 /// How far a planned stop has come.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub enum StopPhase {
@@ -149,6 +155,32 @@
         self.started.elapsed()
     }
 
+    /// Time for which the node may still be learning what it needs, as it has
+    /// just started; zero afterwards.
+    pub fn start_left(&self) -> Duration {
+        START_TIME.saturating_sub(self.now())
+    }
+
+    /// Waits for the first routes while the node may still be learning them.
+    async fn wait_for_routes(&self) {
+        if !self.has_routes || self.table.borrow().routes.is_some() {
+            return;
+        }
+        let mut table = self.table.clone();
+        let arriving = table.wait_for(|table| table.routes.is_some());
+        // Without them the request is refused by what the table says.
+        let _ = tokio::time::timeout(self.start_left(), arriving).await;
+    }
+
+    /// Waits for the next table, for at most `limit` and no longer than a look
+    /// costs little.
+    pub async fn wait_for_table(&self, limit: Duration) {
+        let mut table = self.table.clone();
+        table.mark_unchanged();
+        // The caller looks again whether there is a new one or not.
+        let _ = tokio::time::timeout(limit.min(LOOK_PAUSE), table.changed()).await;
+    }
+
     /// First sequence number of a new call; its attempts count up from it.
     pub fn next_sequence(&self) -> u64 {
         self.next_call.fetch_add(1, Ordering::Relaxed) * ATTEMPTS_PER_CALL
@@ -236,9 +268,11 @@
     head: RequestHead,
     body: Option<BodyPieces>,
 ) -> CallResult {
+    let arrived = tokio::time::Instant::now();
     let target = head.target.clone();
+    worker.shared.wait_for_routes().await;
     match check_request(&worker, head) {
-        Ok(facts) => CallDriver::new(worker, facts, body).run().await,
+        Ok(facts) => CallDriver::new(worker, facts, body, arrived).run().await,
         Err(kind) => {
             let outcome = RunOutcome::NotRun.to_string();
             let metrics = &worker.shared.metrics;
@@ -310,3 +344,6 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/src/ingress/call.rs
+++ b/src/ingress/call.rs
@@ -28,6 +28,9 @@
 /// `Retry-After` of a call for which there is no upstream at all.
 const UNPLACED_RETRY: Duration = Duration::from_secs(1);
 
+/// Part of its target latency that a call waits at a node that has just started.
+const LEARNING_SHARE: u32 = 2;
+
 /// A call with the gate that it is offered to.
 struct PlacedCall {
     choice: RouteChoice,
@@ -65,13 +68,17 @@
 }
 
 impl CallDriver {
-    /// Call that begins now.
-    pub fn new(worker: Rc<IngressWorker>, facts: RequestFacts, pieces: Option<BodyPieces>) -> Self {
+    /// Call whose request arrived at `started`.
+    pub fn new(
+        worker: Rc<IngressWorker>,
+        facts: RequestFacts,
+        pieces: Option<BodyPieces>,
+        started: Instant,
+    ) -> Self {
         let id = CallId {
             ingress: worker.shared.incarnation.get(),
             sequence: worker.shared.next_sequence(),
         };
-        let started = Instant::now();
         let search = PlacementSearch::new(worker.shared.asks);
         let target_left = first_target(&worker, &facts).unwrap_or(facts.target_latency);
         Self {
@@ -113,6 +120,10 @@
         loop {
             let choice = match self.place() {
                 Ok(choice) => choice,
+                Err(end) if self.may_learn(end) => {
+                    self.wait_for_upstreams().await;
+                    continue;
+                }
                 Err(end) => return Err(self.give_up(end)),
             };
             match self.try_once(choice, &mut body).await {
@@ -129,6 +140,29 @@
         }
     }
 
+    /// Whether an upstream may become known soon, as the node has just started.
+    fn may_learn(&self, end: AttemptEnd) -> bool {
+        let is_missing = end.failure == AttemptFailure::NotRun(ErrorKind::NoUpstream);
+        let is_first = self.tried.is_empty();
+        is_missing && is_first && !self.learning_left().is_zero()
+    }
+
+    /// Time for which the call may wait for an upstream to become known: it must
+    /// still be able to meet its target.
+    fn learning_left(&self) -> Duration {
+        let waited = self.started.elapsed();
+        let limit = self.facts.target_latency / LEARNING_SHARE;
+        limit
+            .saturating_sub(waited)
+            .min(self.worker.shared.start_left())
+    }
+
+    async fn wait_for_upstreams(&mut self) {
+        let limit = self.learning_left();
+        self.worker.shared.wait_for_table(limit).await;
+        self.search = PlacementSearch::new(self.worker.shared.asks);
+    }
+
     /// Failure of a call that is placed nowhere any more.
     fn give_up(&self, end: AttemptEnd) -> CallFailure {
         self.earlier_failure(end).unwrap_or(CallFailure {
--- /dev/null
+++ b/src/ingress/tests.rs
@@ -0,0 +1,67 @@
+//! Tests of requests that reach a node which has just started.
+
+use std::collections::BTreeMap;
+
+use super::*;
+use crate::fields::OWN_DIALECT;
+use crate::routes::{CallerLimits, ConfigVersion, RouteConfig};
+use crate::routing::{HomePlace, RoutingOptions};
+
+/// Time after which the routes are there.
+const LEARNING: Duration = Duration::from_millis(60);
+
+fn shared(started: Instant) -> (Arc<IngressShared>, watch::Sender<Arc<RoutingTable>>) {
+    let home = HomePlace {
+        node: "node-1".parse().unwrap(),
+        region: "oyo-west".parse().unwrap(),
+        zone: "ogbomoso-a".parse().unwrap(),
+    };
+    let (tables, table) = watch::channel(Arc::default());
+    let (_, stop_phase) = watch::channel(StopPhase::Serving);
+    let settings = IngressSettings {
+        dialect: &OWN_DIALECT,
+        has_routes: true,
+        home_service: None,
+        asks: 3,
+        retries: RetryOptions::default(),
+        metrics: Arc::default(),
+        started,
+    };
+    let incarnation = NodeIncarnation::try_from(1).unwrap();
+    let router = RouterState::new(home, RoutingOptions::default());
+    let shared = IngressShared::new(incarnation, router, table, stop_phase, settings);
+    (Arc::new(shared), tables)
+}
+
+fn table_with_routes() -> Arc<RoutingTable> {
+    let limits = CallerLimits::default();
+    let routes = RouteConfig::new(ConfigVersion(1), Vec::new(), BTreeMap::new(), limits);
+    Arc::new(RoutingTable {
+        routes: Some(Arc::new(routes)),
+        ..RoutingTable::default()
+    })
+}
+
+/// All nodes restart at once: callers come before the configuration does.
+#[ntex::test]
+async fn a_request_waits_for_the_routes_of_a_node_that_has_just_started() {
+    let (shared, tables) = shared(Instant::now());
+    let begun = Instant::now();
+    let publishing = async {
+        tokio::time::sleep(LEARNING).await;
+        tables.send_replace(table_with_routes());
+    };
+    tokio::join!(shared.wait_for_routes(), publishing);
+    assert!(shared.table.borrow().routes.is_some());
+    assert!(begun.elapsed() < START_TIME / 2, "{:?}", begun.elapsed());
+}
+
+/// The store is away and no peer knows the routes: callers are told at once.
+#[ntex::test]
+async fn a_request_does_not_wait_at_a_node_that_had_time_to_learn() {
+    let long_ago = Instant::now().checked_sub(START_TIME);
+    let (shared, _tables) = shared(long_ago.expect("a clock past its first second"));
+    let begun = Instant::now();
+    shared.wait_for_routes().await;
+    assert!(begun.elapsed() < LEARNING, "{:?}", begun.elapsed());
+}
