Split the configuration's exchange and admission's messages into files of their own

Cause: routes/driver.rs held the tasks and what nodes exchange (422 lines), admission.rs its messages and its state (650).

--- a/src/admission.rs
+++ b/src/admission.rs
@@ -27,6 +27,7 @@
 mod classes;
 mod latency;
 mod limit;
+mod offer;
 mod share;
 mod speed;
 
@@ -40,6 +41,7 @@
 use speed::{SpeedHistory, VmSpeed};
 
 pub use latency::LatencyEstimate;
+pub use offer::{Admission, CallOffer, CallOutline, GateLoad, WorkResult};
 pub use share::{ShareKey, ShareTable, WorkShare};
 
 /// Queued calls for each call that the limit lets run.
@@ -78,113 +80,6 @@
     }
 }
 
-/// One call that asks to run.
-#[derive(Debug, Clone)]
-pub struct CallOffer {
-    /// Call that asks.
-    pub call: CallId,
-    /// Shares of the work at this gate that the call counts against.
-    pub shares: Vec<WorkShare>,
-    /// Time left until the call's time limit.
-    pub time_left: Duration,
-    /// Time left until the call's target latency.
-    pub target_left: Duration,
-    /// Rank among the calls; 0 goes first.
-    pub rank: u32,
-    /// Class of calls that take about the same time.
-    pub class: String,
-    /// Share of the slots up to which the call may start now, at the usual
-    /// speed; beyond it the call is refused, and its ingress asks elsewhere.
-    /// `None` for a call that may wait.
-    pub ask_share: Option<f64>,
-}
-
-impl CallOffer {
-    /// Call of no special class or rank.
-    pub fn plain(call: CallId, time_left: Duration) -> Self {
-        Self {
-            call,
-            shares: Vec::new(),
-            time_left,
-            target_left: time_left,
-            rank: 0,
-            class: String::new(),
-            ask_share: None,
-        }
-    }
-}
-
-/// What an estimate needs to know of a call.
-#[derive(Debug, Clone, Copy)]
-pub struct CallOutline<'a> {
-    /// Rank among the calls; 0 goes first.
-    pub rank: u32,
-    /// Time left until the call's target latency.
-    pub target_left: Duration,
-    /// Class of calls that take about the same time.
-    pub class: &'a str,
-}
-
-/// Decision on a [`CallOffer`].
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Admission {
-    /// The call runs now.
-    Start,
-    /// The call waits; it starts out of [`AdmissionQueue::finish`] or leaves
-    /// by [`AdmissionQueue::withdraw`] or [`AdmissionQueue::expire`].
-    Queued {
-        /// Time that the call is expected to wait.
-        estimated_wait: Duration,
-    },
-    /// The call does not run.
-    Refused {
-        /// Reason.
-        kind: ErrorKind,
-        /// Time after which the present backlog is expected to be gone.
-        retry_after: Duration,
-        /// Time in which the call would be expected to be answered here.
-        estimated_finish: Duration,
-    },
-}
-
-impl Admission {
-    /// Short name for log lines and metrics.
-    pub fn name(&self) -> &'static str {
-        match self {
-            Self::Start => "start",
-            Self::Queued { .. } => "queue",
-            Self::Refused { .. } => "refuse",
-        }
-    }
-}
-
-/// How a call left the backend server.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum WorkResult {
-    /// Whole answer.
-    Completed {
-        /// Time from start to whole answer.
-        latency: Duration,
-    },
-    /// No whole answer; says nothing of the capacity.
-    Failed,
-    /// Cut at the caller's wish or at its time limit.
-    Cancelled,
-}
-
-/// Load of a gate, as it rides on each answer and refusal.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct GateLoad {
-    /// Calls at work.
-    pub in_flight: u32,
-    /// Calls in the queue.
-    pub queued: u32,
-    /// Present limit on calls at work.
-    pub limit: u32,
-    /// Whether the VM is slow at present.
-    pub is_slow: bool,
-}
-
 #[derive(Debug)]
 struct WaitingCall {
     call: CallId,
--- a/src/routes.rs
+++ b/src/routes.rs
@@ -5,6 +5,7 @@
 //! platform's store or, when the store can't be reached, from its peers, who
 //! name the version that they have in force.
 
+mod book;
 pub mod config;
 pub mod driver;
 pub mod history;
--- /dev/null
+++ b/src/routes/book.rs
@@ -0,0 +1,189 @@
+//! Configuration in force at one node, and what it exchanges with peers.
+
+use std::io;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+
+use bytes::Bytes;
+use serde::{Deserialize, Serialize};
+use tokio::sync::watch;
+
+use super::config::{ConfigVersion, RouteConfig};
+use super::history::{ChangeHistory, ConfigUpdate};
+use crate::exchange::{ControlRequest, ControlTopic, PeerHello, send_request};
+
+/// Configuration in force, with the changes that led to it.
+#[derive(Debug)]
+pub(super) struct ConfigBook {
+    pub(super) sender: watch::Sender<Option<Arc<RouteConfig>>>,
+    history: Mutex<ChangeHistory>,
+    /// Version that was last handed on.
+    pushed: Mutex<ConfigVersion>,
+}
+
+/// What a node asks of a peer, or tells it.
+#[derive(Debug, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+enum ConfigRequest {
+    /// Send what has changed since this version.
+    Fetch(ConfigVersion),
+    /// Here is a new version.
+    Push(ConfigUpdate),
+}
+
+/// A peer's answer.
+#[derive(Debug, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+enum ConfigReply {
+    /// What was asked for.
+    Update(ConfigUpdate),
+    /// The version that it has in force.
+    InForce(ConfigVersion),
+}
+
+impl ConfigBook {
+    pub(super) fn new(sender: watch::Sender<Option<Arc<RouteConfig>>>) -> Self {
+        Self {
+            sender,
+            history: Mutex::default(),
+            pushed: Mutex::default(),
+        }
+    }
+
+    pub(super) fn version(&self) -> ConfigVersion {
+        version_of(self.sender.borrow().as_ref())
+    }
+
+    /// Puts a configuration in force if it is newer than the present one.
+    pub(super) fn apply(&self, config: RouteConfig, origin: &str) {
+        let (version, routes) = (config.version, config.route_count());
+        let mut previous = ConfigVersion::default();
+        let is_newer = self.sender.send_if_modified(|present| {
+            previous = version_of(present.as_ref());
+            if version <= previous {
+                return false;
+            }
+            if let Some(present) = present {
+                lock(&self.history).note(present, &config);
+            }
+            *present = Some(Arc::new(config));
+            true
+        });
+        if is_newer {
+            log::info!(
+                target: "routes",
+                version = version.0, previous = previous.0, routes, origin;
+                "configuration in force"
+            );
+        }
+    }
+
+    /// Applies what a peer has sent, if it fits the version in force.
+    fn take_update(&self, update: &ConfigUpdate, origin: &str) {
+        let config = match update {
+            ConfigUpdate::Whole(config) => Some(config.clone()),
+            ConfigUpdate::Delta(delta) => {
+                let present = self.sender.borrow().clone();
+                present.and_then(|present| delta.apply_to(&present))
+            }
+        };
+        if let Some(config) = config {
+            self.apply(config, origin);
+        }
+    }
+
+    /// Answers a peer, which asks for the configuration in force or sends one.
+    pub(super) fn answer(&self, request: &[u8]) -> Bytes {
+        let reply = match serde_json::from_slice(request) {
+            Ok(ConfigRequest::Push(update)) => {
+                self.take_update(&update, "pushed");
+                ConfigReply::InForce(self.version())
+            }
+            Ok(ConfigRequest::Fetch(have)) => match self.update_since(have) {
+                Some(update) => ConfigReply::Update(update),
+                None => ConfigReply::InForce(self.version()),
+            },
+            Err(error) => {
+                log::warn!(target: "routes", "peer's request can't be read: {error}");
+                ConfigReply::InForce(self.version())
+            }
+        };
+        encode(&reply)
+    }
+
+    /// Request that asks a peer for what has changed since the version in force.
+    pub(super) fn fetch_request(&self) -> ControlRequest {
+        routes_request(&ConfigRequest::Fetch(self.version()))
+    }
+
+    /// Takes a peer's reply to a [`fetch_request`](Self::fetch_request).
+    pub(super) fn take_reply(&self, payload: &[u8]) -> io::Result<()> {
+        if let ConfigReply::Update(update) = decode_reply(payload)? {
+            self.take_update(&update, "peer");
+        }
+        Ok(())
+    }
+
+    /// Request that hands on what has changed since the last one; `None` if
+    /// nothing has.
+    pub(super) fn push_request(&self) -> Option<ControlRequest> {
+        let before = std::mem::replace(&mut *lock(&self.pushed), self.version());
+        let update = self.update_since(before)?;
+        Some(routes_request(&ConfigRequest::Push(update)))
+    }
+
+    /// What takes a peer that has some version to the one in force; `None` if
+    /// there is none, or no later one.
+    fn update_since(&self, have: ConfigVersion) -> Option<ConfigUpdate> {
+        let config = self.sender.borrow().clone()?;
+        let is_later = config.version > have;
+        is_later.then(|| lock(&self.history).update_since(have, &config))
+    }
+
+    /// Sends an update, and what is missing to a peer that is further behind.
+    pub(super) async fn push_to(
+        &self,
+        peer: SocketAddr,
+        hello: &PeerHello,
+        request: &ControlRequest,
+    ) -> io::Result<()> {
+        let reply = send_request(peer, hello, request).await?;
+        let ConfigReply::InForce(have) = decode_reply(&reply.payload)? else {
+            return Ok(());
+        };
+        if let Some(update) = self.update_since(have) {
+            let request = routes_request(&ConfigRequest::Push(update));
+            send_request(peer, hello, &request).await?;
+        }
+        Ok(())
+    }
+}
+
+pub(super) fn version_of(config: Option<&Arc<RouteConfig>>) -> ConfigVersion {
+    config.map(|config| config.version).unwrap_or_default()
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+fn encode(message: &impl Serialize) -> Bytes {
+    match serde_json::to_vec(message) {
+        Ok(bytes) => Bytes::from(bytes),
+        Err(error) => {
+            log::error!(target: "routes", "message to a peer not encoded: {error}");
+            Bytes::new()
+        }
+    }
+}
+
+fn routes_request(request: &ConfigRequest) -> ControlRequest {
+    ControlRequest {
+        payload: encode(request),
+        topic: ControlTopic::Routes.into(),
+    }
+}
+
+fn decode_reply(payload: &[u8]) -> io::Result<ConfigReply> {
+    serde_json::from_slice(payload).map_err(io::Error::other)
+}
--- a/src/routes/driver.rs
+++ b/src/routes/driver.rs
@@ -7,22 +7,20 @@
 //! fleet, so a node that the store turns away still follows its peers, and a
 //! watch that has fallen silent is made up for by another zone's.
 
-use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
 use derive_more::{Display, Error};
 use rand::Rng;
-use serde::{Deserialize, Serialize};
 use tokio::sync::{mpsc, watch};
 
+use super::book::{ConfigBook, version_of};
 use super::config::{ConfigVersion, RouteConfig};
-use super::history::{ChangeHistory, ConfigUpdate};
 use crate::discovery::FleetRole;
-use crate::exchange::{ControlRequest, ControlTopic, PeerHello, send_request};
+use crate::exchange::{PeerHello, send_request};
 use crate::store::{ConfigStore, WatchPosition};
 
 /// Longest wait of one watch. A connection to the store that has fallen silent
@@ -37,8 +35,8 @@
 const FAILURE_PAUSE: Duration = Duration::from_millis(800);
 /// Time limit of one fetch from a peer; another peer names the version as well.
 const FETCH_TIMEOUT: Duration = Duration::from_millis(500);
-/// Time in which a version that a peer names usually arrives by the tree; only
-/// then is it fetched, often across availability zones.
+/// Time in which a version that a peer names usually arrives along the tree. One
+/// that has not is fetched, often from another availability zone.
 const FETCH_GRACE: Duration = Duration::from_millis(300);
 /// Time between two looks of a node that does not watch. Versions come from
 /// peers; a node that hears none is alone, and then it watches.
@@ -80,35 +78,6 @@
     peers: mpsc::Sender<(SocketAddr, ConfigVersion)>,
 }
 
-/// Configuration in force, with the changes that led to it.
-#[derive(Debug)]
-struct ConfigBook {
-    sender: watch::Sender<Option<Arc<RouteConfig>>>,
-    history: Mutex<ChangeHistory>,
-    /// Version that was last handed on.
-    pushed: Mutex<ConfigVersion>,
-}
-
-/// What a node asks of a peer, or tells it.
-#[derive(Debug, Serialize, Deserialize)]
-#[serde(rename_all = "kebab-case")]
-enum ConfigRequest {
-    /// Send what has changed since this version.
-    Fetch(ConfigVersion),
-    /// Here is a new version.
-    Push(ConfigUpdate),
-}
-
-/// A peer's answer.
-#[derive(Debug, Serialize, Deserialize)]
-#[serde(rename_all = "kebab-case")]
-enum ConfigReply {
-    /// What was asked for.
-    Update(ConfigUpdate),
-    /// The version that it has in force.
-    InForce(ConfigVersion),
-}
-
 impl RoutesHandle {
     /// Handle of a node that gets its rules from change tickets alone.
     pub fn absent() -> Self {
@@ -167,31 +136,15 @@
 
     /// Answers a peer, which asks for the configuration in force or sends one.
     pub fn handle_exchange(&self, request: &[u8]) -> Bytes {
-        let reply = match serde_json::from_slice(request) {
-            Ok(ConfigRequest::Push(update)) => {
-                self.book.take_update(&update, "pushed");
-                ConfigReply::InForce(self.version())
-            }
-            Ok(ConfigRequest::Fetch(have)) => match self.book.update_since(have) {
-                Some(update) => ConfigReply::Update(update),
-                None => ConfigReply::InForce(self.version()),
-            },
-            Err(error) => {
-                log::warn!(target: "routes", "peer's request can't be read: {error}");
-                ConfigReply::InForce(self.version())
-            }
-        };
-        encode(&reply)
+        self.book.answer(request)
     }
 
     /// Sends the configuration in force to peers, all at once: what has changed
     /// since the version that was sent before.
     pub fn push_to(&self, peers: impl IntoIterator<Item = SocketAddr>, hello: &PeerHello) {
-        let before = std::mem::replace(&mut *lock(&self.book.pushed), self.version());
-        let Some(update) = self.book.update_since(before) else {
+        let Some(request) = self.book.push_request() else {
             return;
         };
-        let request = routes_request(&ConfigRequest::Push(update));
         for peer in peers {
             let (request, hello) = (request.clone(), hello.clone());
             let book = Arc::clone(&self.book);
@@ -205,113 +158,6 @@
     }
 }
 
-impl ConfigBook {
-    fn new(sender: watch::Sender<Option<Arc<RouteConfig>>>) -> Self {
-        Self {
-            sender,
-            history: Mutex::default(),
-            pushed: Mutex::default(),
-        }
-    }
-
-    fn version(&self) -> ConfigVersion {
-        version_of(self.sender.borrow().as_ref())
-    }
-
-    /// Puts a configuration in force if it is newer than the present one.
-    fn apply(&self, config: RouteConfig, origin: &str) {
-        let (version, routes) = (config.version, config.route_count());
-        let mut previous = ConfigVersion::default();
-        let is_newer = self.sender.send_if_modified(|present| {
-            previous = version_of(present.as_ref());
-            if version <= previous {
-                return false;
-            }
-            if let Some(present) = present {
-                lock(&self.history).note(present, &config);
-            }
-            *present = Some(Arc::new(config));
-            true
-        });
-        if is_newer {
-            log::info!(
-                target: "routes",
-                version = version.0, previous = previous.0, routes, origin;
-                "configuration in force"
-            );
-        }
-    }
-
-    /// Applies what a peer has sent, if it fits the version in force.
-    fn take_update(&self, update: &ConfigUpdate, origin: &str) {
-        let config = match update {
-            ConfigUpdate::Whole(config) => Some(config.clone()),
-            ConfigUpdate::Delta(delta) => {
-                let present = self.sender.borrow().clone();
-                present.and_then(|present| delta.apply_to(&present))
-            }
-        };
-        if let Some(config) = config {
-            self.apply(config, origin);
-        }
-    }
-
-    /// What takes a peer that has some version to the one in force; `None` if
-    /// there is none, or no later one.
-    fn update_since(&self, have: ConfigVersion) -> Option<ConfigUpdate> {
-        let config = self.sender.borrow().clone()?;
-        let is_later = config.version > have;
-        is_later.then(|| lock(&self.history).update_since(have, &config))
-    }
-
-    /// Sends an update, and what is missing to a peer that is further behind.
-    async fn push_to(
-        &self,
-        peer: SocketAddr,
-        hello: &PeerHello,
-        request: &ControlRequest,
-    ) -> io::Result<()> {
-        let reply = send_request(peer, hello, request).await?;
-        let ConfigReply::InForce(have) = decode_reply(&reply.payload)? else {
-            return Ok(());
-        };
-        if let Some(update) = self.update_since(have) {
-            let request = routes_request(&ConfigRequest::Push(update));
-            send_request(peer, hello, &request).await?;
-        }
-        Ok(())
-    }
-}
-
-fn version_of(config: Option<&Arc<RouteConfig>>) -> ConfigVersion {
-    config.map(|config| config.version).unwrap_or_default()
-}
-
-fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
-    mutex.lock().unwrap_or_else(PoisonError::into_inner)
-}
-
-fn encode(message: &impl Serialize) -> Bytes {
-    match serde_json::to_vec(message) {
-        Ok(bytes) => Bytes::from(bytes),
-        Err(error) => {
-            log::error!(target: "routes", "message to a peer not encoded: {error}");
-            Bytes::new()
-        }
-    }
-}
-
-fn routes_request(request: &ConfigRequest) -> ControlRequest {
-    ControlRequest {
-        payload: encode(request),
-        topic: ControlTopic::Routes.into(),
-    }
-}
-
-fn decode_reply(payload: &[u8]) -> io::Result<ConfigReply> {
-    serde_json::from_slice(payload).map_err(io::Error::other)
-}
-
 /// Applies what the store shows; never ends by itself.
 async fn follow_store<S: ConfigStore>(
     book: &ConfigBook,
@@ -404,16 +250,14 @@
         if version <= book.version() {
             continue;
         }
-        let request = routes_request(&ConfigRequest::Fetch(book.version()));
+        let request = book.fetch_request();
         let fetch = send_request(peer, &hello, &request);
         match tokio::time::timeout(FETCH_TIMEOUT, fetch).await {
-            Ok(Ok(reply)) => match decode_reply(&reply.payload) {
-                Ok(ConfigReply::Update(update)) => book.take_update(&update, "peer"),
-                Ok(ConfigReply::InForce(_)) => {}
-                Err(error) => {
+            Ok(Ok(reply)) => {
+                if let Err(error) = book.take_reply(&reply.payload) {
                     log::warn!(target: "routes", peer:%; "reply can't be read: {error}");
                 }
-            },
+            }
             // Gossip names the version again, at this peer and at others.
             Ok(Err(error)) => log::info!(target: "routes", peer:%; "peer not reached: {error}"),
             Err(_) => log::info!(target: "routes", peer:%; "peer too slow"),
