--- a/src/admission.rs
+++ b/src/admission.rs
@@ -19,10 +19,12 @@
 //! the others wait for the burst to end. A free slot is only given away on a
 //! fresh reading; without one the gate takes a reading first.
 //!
-//! The wait is estimated from the mean latency of completed calls or, if that
-//! is longer, the mean age of the calls at work: after a sudden stall no call
-//! completes, and only the ages tell. The time of a run is estimated for each
-//! class of calls.
+//! The wait is estimated from the calls that go before, by the usual time of
+//! their class, and from the runs at work, by that or, if it is longer, by their
+//! mean age: after a sudden stall no call completes, and only the ages tell. A
+//! short urgent call, such as one that a run elsewhere waits for, is therefore
+//! not refused for the sake of a queue that it passes. A call that no run of its
+//! class could serve in time is refused before it takes a slot.
 
 mod classes;
 mod latency;
--- a/src/routes/book.rs
+++ b/src/routes/book.rs
@@ -87,8 +87,13 @@
                 present.and_then(|present| delta.apply_to(&present))
             }
         };
-        if let Some(config) = config {
-            self.apply(config, origin);
+        match config {
+            Some(config) => self.apply(config, origin),
+            None => log::info!(
+                target: "routes",
+                have = self.version().0, origin;
+                "update starts from another version"
+            ),
         }
     }
 
