Have two nodes of each zone watch the configuration

Cause: the first node of each zone alone watched; the others look every 10 to 20 s. Ruled out: the way between nodes (0.3 to 0.6 s for each version) and the change that hands on differences (the store's answers to the watchers are 503).

Change: the node with the second lowest name of a zone watches as well. Weighed: having a watcher that is turned away ask others to look; it does nothing for one whose store is silent, which shows after 7 s only.

Test: the_second_node_of_a_zone_hears_of_a_change_at_once; it fails for a third node, as it did for the second.

--- a/src/control/state.rs
+++ b/src/control/state.rs
@@ -349,11 +349,7 @@
         let table = build_table(version, state.members(), &tickets, routes);
         let rank = zone_rank(state.members(), &self.identity);
         let alive = state.members().values().filter(|member| member.is_live());
-        let role = match (alive.count(), rank) {
-            (0 | 1, _) => FleetRole::Alone,
-            (_, 0) => FleetRole::ZoneFirst,
-            _ => FleetRole::Follower,
-        };
+        let role = FleetRole::of_rank(alive.count(), rank);
         drop(state);
         self.config.set_zone_rank(rank);
         self.set_role(role);
--- a/src/discovery/state.rs
+++ b/src/discovery/state.rs
@@ -28,14 +28,34 @@
     Alone,
     /// Lowest name among the live nodes of its availability zone.
     ZoneFirst,
+    /// Second lowest name among them.
+    ZoneSecond,
     /// Any other.
     Follower,
 }
 
 impl FleetRole {
+    /// Part of a node, by the live nodes that it knows, itself included, and its
+    /// place among the names of those of its availability zone.
+    pub fn of_rank(live_count: usize, zone_rank: u32) -> Self {
+        match (live_count, zone_rank) {
+            (0 | 1, _) => Self::Alone,
+            (_, 0) => Self::ZoneFirst,
+            (_, 1) => Self::ZoneSecond,
+            _ => Self::Follower,
+        }
+    }
+
+    /// Whether the node watches the configuration. Two of each availability zone
+    /// do: a store that turns single nodes away, or leaves them without an answer,
+    /// may do so to the first of every zone at the same time.
+    pub fn watches_config(self) -> bool {
+        self != Self::Follower
+    }
+
     /// Whether the node speaks to the store for others too.
     pub fn is_leading(self) -> bool {
-        self != Self::Follower
+        matches!(self, Self::Alone | Self::ZoneFirst)
     }
 }
 
@@ -193,7 +213,7 @@
         }
         DiscoveryAction::Wait(match self.role {
             FleetRole::Alone => ALONE_INTERVAL,
-            FleetRole::ZoneFirst | FleetRole::Follower => ROUND_INTERVAL,
+            FleetRole::ZoneFirst | FleetRole::ZoneSecond | FleetRole::Follower => ROUND_INTERVAL,
         })
     }
 }
--- a/src/routes/driver.rs
+++ b/src/routes/driver.rs
@@ -1,7 +1,7 @@
 //! Tasks that keep a node's configuration at the highest version it can learn.
 //!
 //! Two ways lead to a new version: the store, and a peer that names a higher
-//! version. The first node of each availability zone watches the store's key;
+//! version. The first two nodes of each availability zone watch the store's key;
 //! the others hear of new versions from peers and only look now and then, at
 //! an answer that may be seconds old. Any one watch is enough for the whole
 //! fleet, so a node that the store turns away still follows its peers, and a
@@ -168,8 +168,8 @@
     let mut position = WatchPosition::default();
     let mut is_away = false;
     loop {
-        let is_leading = role.borrow_and_update().is_leading();
-        let result = if is_leading {
+        let is_watching = role.borrow_and_update().watches_config();
+        let result = if is_watching {
             watch_once(book, source, store, position).await
         } else {
             look_once(book, source, store).await
@@ -189,7 +189,7 @@
                 pause(FAILURE_PAUSE).await;
             }
         }
-        if !is_leading {
+        if !is_watching {
             tokio::select! {
                 () = pause(LOOK_INTERVAL) => {}
                 // A control thread that has ended changes no role.
--- a/src/routes/tests.rs
+++ b/src/routes/tests.rs
@@ -1,12 +1,17 @@
 //! Tests of route choice and splits.
 
 use std::collections::BTreeMap;
+use std::rc::Rc;
+use std::time::Duration;
 
 use rand::SeedableRng;
 use rand::rngs::StdRng;
 use serde_json::json;
 
 use super::*;
+use crate::discovery::FleetRole;
+use crate::store::memory::MemoryStore;
+use crate::store::{ConfigStore, KeyRevision};
 
 fn route(name: &str, host: &str, prefix: &str) -> Route {
     Route {
@@ -92,8 +97,8 @@
         decode: |_| unreachable!("the store has none"),
     };
     let settings = RoutesSettings { hello, source };
-    let (_role, role) = tokio::sync::watch::channel(crate::discovery::FleetRole::Follower);
-    let store = std::rc::Rc::new(crate::store::memory::MemoryStore::new([]));
+    let (_role, role) = tokio::sync::watch::channel(FleetRole::Follower);
+    let store = Rc::new(MemoryStore::new([]));
     let handle = RoutesHandle::start(settings, store, role);
     let version = |number| RouteConfig {
         version: ConfigVersion(number),
@@ -122,3 +127,29 @@
     gap["delta"]["version"] = json!(11);
     assert_eq!(exchange(json!({ "push": gap })), json!({ "in-force": 7 }));
 }
+
+/// The store turns the first node of each zone away while the configuration
+/// changes: the second one watches as well.
+#[ntex::test]
+async fn the_second_node_of_a_zone_hears_of_a_change_at_once() {
+    let source = ConfigSource {
+        key: "routes",
+        decode: |bytes| Ok(serde_json::from_slice(bytes).unwrap()),
+    };
+    let hello = crate::exchange::PeerHello::default();
+    let (_role, role) = tokio::sync::watch::channel(FleetRole::of_rank(11, 1));
+    let store = Rc::new(MemoryStore::new([]));
+    let handle = RoutesHandle::start(RoutesSettings { hello, source }, Rc::clone(&store), role);
+    let mut in_force = handle.subscribe();
+    // It has looked once and waits.
+    tokio::time::sleep(Duration::from_millis(100)).await;
+    let changed = config(vec![route("all", "shop", "/")]);
+    let bytes = serde_json::to_vec(&changed).unwrap().into();
+    store
+        .compare_and_swap("routes", KeyRevision::ABSENT, bytes)
+        .await
+        .unwrap();
+    let hearing = in_force.wait_for(Option::is_some);
+    let heard = tokio::time::timeout(Duration::from_millis(500), hearing).await;
+    assert!(heard.is_ok(), "the change was not heard of");
+}
