Bound the store calls of a starting fleet

Ruled out: stale reads (18) and listings (63); the steady rounds of the zones' first nodes.

Of nodes that find no entry at their start the first by a random delay register, the others find them. Followers read the configuration once; three nodes of each zone go on reading it occasionally (routes::schedule). Store calls are logged at debug level.

The new test of a starting fleet fails if unmet nodes act as they did (117 calls of 50 nodes).

--- a/src/control/state.rs
+++ b/src/control/state.rs
@@ -14,7 +14,7 @@
 use crate::control::placement::{build_routing_table, log_upstream_changes};
 use crate::control::presence::BackendPresence;
 use crate::control::spread::child_ranks;
-use crate::discovery::FleetRole;
+use crate::discovery::{FleetRole, RoleAssignment};
 use crate::exchange::PeerHello;
 use crate::gate::{GateCommand, GateStatus};
 use crate::ids::{BackendId, NodeId, NodeIncarnation, RegionName, ServiceName, ZoneName};
@@ -91,6 +91,7 @@
     /// Notified when this process must stop.
     pub stop_requested: Notify,
     role_sender: watch::Sender<FleetRole>,
+    role_assignment: RefCell<RoleAssignment>,
     backend_ttl: Duration,
     presence: RefCell<BackendPresence>,
     table_sender: watch::Sender<Arc<RoutingTable>>,
@@ -140,6 +141,7 @@
             stop_phase: parts.stop_phase,
             stop_requested: Notify::new(),
             role_sender: parts.role_sender,
+            role_assignment: RefCell::new(RoleAssignment::new(Duration::ZERO)),
             backend_ttl: parts.backend_ttl,
             presence: RefCell::default(),
             table_sender: parts.table_sender,
@@ -346,6 +348,19 @@
         zone_rank(self.membership.state().borrow().members(), &self.identity) == 0
     }
 
+    /// Waits until the role by the present rank has settled; forever if it has been
+    /// assigned.
+    async fn role_settled(&self) {
+        let settles_at = self.role_assignment.borrow().next_change_at();
+        match settles_at {
+            Some(at) => {
+                let elapsed = self.identity.started_at.elapsed();
+                tokio::time::sleep(at.saturating_sub(elapsed)).await;
+            }
+            None => std::future::pending().await,
+        }
+    }
+
     fn set_role(&self, role: FleetRole) {
         self.role_sender.send_if_modified(|current| {
             let is_changed = *current != role;
@@ -371,7 +386,8 @@
         let role = FleetRole::from_zone_rank(live_members.count(), rank);
         drop(membership);
         self.tickets.set_zone_rank(rank);
-        self.set_role(role);
+        let elapsed = self.identity.started_at.elapsed();
+        self.set_role(self.role_assignment.borrow_mut().observe(elapsed, role));
         let old_table = self.table();
         if old_table.services == table.services && old_table.routes == table.routes {
             return;
@@ -404,11 +420,16 @@
     u32::try_from(lower_count).unwrap_or(u32::MAX)
 }
 
-/// Publishes a new routing table after changes, batching those that come together.
+/// Publishes a new routing table after changes, batching those that come together,
+/// and assigns the role in the fleet when it has settled.
 pub async fn publish_tables(control: Rc<ControlState>) {
     loop {
-        control.table_inputs_changed.notified().await;
-        tokio::time::sleep(PUBLISH_DELAY).await;
+        tokio::select! {
+            () = control.table_inputs_changed.notified() => {
+                tokio::time::sleep(PUBLISH_DELAY).await;
+            }
+            () = control.role_settled() => {}
+        }
         control.publish_table();
     }
 }
--- a/src/discovery/driver.rs
+++ b/src/discovery/driver.rs
@@ -9,7 +9,8 @@
 use rand::Rng;
 use tokio::sync::watch;
 
-use super::state::{DiscoveryAction, DiscoveryEvent, DiscoveryState, FleetRole, NodeEntry};
+use super::role::FleetRole;
+use super::state::{DiscoveryAction, DiscoveryEvent, DiscoveryState, NodeEntry};
 use crate::ids::NodeId;
 use crate::store::{ConfigStore, KeyValue, StoreError};
 
@@ -120,6 +121,12 @@
             tokio::time::sleep(delay).await;
             DiscoveryEvent::WaitElapsed
         }
+        DiscoveryAction::WaitForElection(max_delay) => {
+            let draws: [Duration; 2] =
+                std::array::from_fn(|_| rand::rng().random_range(Duration::ZERO..*max_delay));
+            tokio::time::sleep(draws[0].max(draws[1])).await;
+            DiscoveryEvent::WaitElapsed
+        }
     })
 }
 
--- a/src/discovery/state.rs
+++ b/src/discovery/state.rs
@@ -4,6 +4,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use super::role::FleetRole;
 use crate::store::LeaseId;
 
 /// Maximum interval between rounds. A lost entry must be back within 2 s.
@@ -20,46 +21,11 @@
 /// Maximum delay before the first listing. The actual delay is random, so that of
 /// nodes that start together the first ones register and the others find them.
 const MAX_START_DELAY: Duration = Duration::from_millis(200);
-
-/// Role of a node in the fleet, derived from the membership.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
-pub enum FleetRole {
-    /// No other live node is known.
-    #[default]
-    Alone,
-    /// First by name among the live nodes of its availability zone.
-    ZoneFirst,
-    /// Second by name among the live nodes of its availability zone.
-    ZoneSecond,
-    /// Any other node.
-    Follower,
-}
-
-impl FleetRole {
-    /// Role of a node that knows `live_count` live nodes, itself included, and is
-    /// number `zone_rank`, from 0, by name among those of its availability zone.
-    pub fn from_zone_rank(live_count: usize, zone_rank: u32) -> Self {
-        match (live_count, zone_rank) {
-            (0 | 1, _) => Self::Alone,
-            (_, 0) => Self::ZoneFirst,
-            (_, 1) => Self::ZoneSecond,
-            _ => Self::Follower,
-        }
-    }
-
-    /// Whether the node watches the configuration in the store. Two nodes of each
-    /// availability zone do, because a store that refuses or ignores single nodes
-    /// may do so to the first node of every zone at the same time.
-    pub fn watches_config(self) -> bool {
-        self != Self::Follower
-    }
-
-    /// Whether the node keeps an entry in the store, through which others find its
-    /// availability zone.
-    pub fn maintains_entry(self) -> bool {
-        matches!(self, Self::Alone | Self::ZoneFirst)
-    }
-}
+/// Maximum delay before a node registers that found no entry at its start. Nodes
+/// that start together should find the entry of one of them before they register.
+const MAX_ELECTION_DELAY: Duration = Duration::from_millis(1_500);
+/// Listings after a registration that may lack the entry because they are stale.
+const STALE_LISTINGS: u32 = 2;
 
 /// Discovery entry of a node in the store.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -83,6 +49,9 @@
     ListEntries,
     /// Wait for a random time between half of this duration and all of it.
     Wait(Duration),
+    /// Wait for the longer of two random times up to this duration. Of nodes that
+    /// start together, few wait for much less than all the others.
+    WaitForElection(Duration),
 }
 
 /// Result of the last action.
@@ -109,8 +78,10 @@
     role: FleetRole,
     lease: Option<LeaseId>,
     is_registered: bool,
+    stale_listings_left: u32,
     rounds_since_renewal: u32,
     has_listed_entries: bool,
+    has_waited_for_election: bool,
     other_addresses: BTreeSet<SocketAddr>,
 }
 
@@ -119,11 +90,13 @@
     pub fn new(own_entry: NodeEntry) -> Self {
         Self {
             own_entry,
-            role: FleetRole::Alone,
+            role: FleetRole::Starting,
             lease: None,
             is_registered: false,
+            stale_listings_left: 0,
             rounds_since_renewal: 0,
             has_listed_entries: false,
+            has_waited_for_election: false,
             other_addresses: BTreeSet::new(),
         }
     }
@@ -157,6 +130,7 @@
             // with that lease.
             DiscoveryEvent::RegisterReply(is_written) => {
                 self.is_registered = is_written;
+                self.stale_listings_left = if is_written { STALE_LISTINGS } else { 0 };
                 DiscoveryAction::ListEntries
             }
             DiscoveryEvent::RenewReply(true) => {
@@ -187,7 +161,10 @@
         if !self.has_listed_entries {
             return DiscoveryAction::ListEntries;
         }
-        if !self.role.maintains_entry() {
+        if self.role == FleetRole::Starting && self.lease.is_none() {
+            return DiscoveryAction::ListEntries;
+        }
+        if !self.role.maintains_entry() && self.role != FleetRole::Starting {
             // The store removes the entry when the lease expires.
             self.clear_lease();
             return DiscoveryAction::Wait(ROUND_INTERVAL);
@@ -212,15 +189,46 @@
             .filter(|entry| entry.key != self.own_entry.key)
             .map(|entry| entry.address)
             .collect();
-        // A stale listing may lack the entry; writing it again is harmless.
-        self.is_registered = entries.contains(&self.own_entry);
-        let is_first_listing = !std::mem::replace(&mut self.has_listed_entries, true);
-        if is_first_listing && self.other_addresses.is_empty() {
-            return DiscoveryAction::GrantLease;
+        self.confirm_registration(entries);
+        self.has_listed_entries = true;
+        if self.other_addresses.is_empty() && self.lease.is_none() {
+            return self.register_first_entry();
         }
         DiscoveryAction::Wait(match self.role {
             FleetRole::Alone => ALONE_ROUND_INTERVAL,
-            FleetRole::ZoneFirst | FleetRole::ZoneSecond | FleetRole::Follower => ROUND_INTERVAL,
+            FleetRole::Starting
+            | FleetRole::ZoneFirst
+            | FleetRole::ZoneSecond
+            | FleetRole::Reserve
+            | FleetRole::Follower => ROUND_INTERVAL,
         })
     }
+
+    /// Updates whether the own entry exists. A missing one is written again, but not
+    /// while the listings may be older than the write.
+    fn confirm_registration(&mut self, entries: &[NodeEntry]) {
+        let is_listed = entries.contains(&self.own_entry);
+        if is_listed || self.stale_listings_left == 0 {
+            self.is_registered = is_listed;
+            self.stale_listings_left = 0;
+        } else {
+            self.stale_listings_left -= 1;
+        }
+    }
+
+    /// Next action of a node that has found no entry.
+    fn register_first_entry(&mut self) -> DiscoveryAction {
+        match self.role {
+            FleetRole::Starting if !self.has_waited_for_election => {
+                self.has_waited_for_election = true;
+                DiscoveryAction::WaitForElection(MAX_ELECTION_DELAY)
+            }
+            FleetRole::Starting | FleetRole::Alone | FleetRole::ZoneFirst => {
+                DiscoveryAction::GrantLease
+            }
+            FleetRole::ZoneSecond | FleetRole::Reserve | FleetRole::Follower => {
+                DiscoveryAction::Wait(ROUND_INTERVAL)
+            }
+        }
+    }
 }
--- a/src/discovery/tests.rs
+++ b/src/discovery/tests.rs
@@ -5,6 +5,8 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
 use tokio::sync::watch;
 
 use super::driver::ENTRY_TTL;
@@ -130,6 +132,119 @@
     assert_eq!(next_action, DiscoveryAction::GrantLease);
 }
 
+/// A node of a fleet that starts at once, with the time of its next action.
+struct StartingNode {
+    state: DiscoveryState,
+    action: DiscoveryAction,
+    due_at: Duration,
+}
+
+/// Replays the start of a fleet whose store holds no entry yet: nodes start within
+/// 300 ms, a listing shows the entries of 300 ms ago, and nodes of which one has found
+/// the other know their roles after 300 ms. Returns the calls of all nodes, listings as
+/// a tenth, and the time at which the last node found another.
+fn start_fleet(node_count: u16, rng: &mut StdRng) -> (f64, Duration) {
+    const STEP: Duration = Duration::from_millis(5);
+    const LAG: Duration = Duration::from_millis(300);
+    let mut nodes: Vec<StartingNode> = (0..node_count)
+        .map(|number| StartingNode {
+            state: DiscoveryState::new(entry(&format!("n{number:03}"), number + 1)),
+            action: DiscoveryAction::Wait(Duration::ZERO),
+            due_at: rng.random_range(Duration::ZERO..LAG),
+        })
+        .collect();
+    for node in &mut nodes {
+        node.action = node.state.first_action();
+    }
+    let mut written: Vec<(Duration, NodeEntry)> = Vec::new();
+    let mut met_at = vec![None; nodes.len()];
+    let (mut price, mut now) = (0.0, Duration::ZERO);
+    while now < Duration::from_secs(10) {
+        for (index, node) in nodes.iter_mut().enumerate() {
+            if now < node.due_at {
+                continue;
+            }
+            let event = match &node.action {
+                DiscoveryAction::GrantLease => {
+                    price += 1.0;
+                    DiscoveryEvent::LeaseGranted(lease(u32::from(
+                        node.state.own_entry().address.port(),
+                    )))
+                }
+                DiscoveryAction::RegisterEntry(_) => {
+                    price += 1.0;
+                    let own_entry = node.state.own_entry().clone();
+                    let is_new = written.iter().all(|(_, known)| known.key != own_entry.key);
+                    written.extend(is_new.then_some((now, own_entry)));
+                    DiscoveryEvent::RegisterReply(is_new)
+                }
+                DiscoveryAction::RenewLease(_) => {
+                    price += 0.1;
+                    DiscoveryEvent::RenewReply(true)
+                }
+                DiscoveryAction::ListEntries => {
+                    price += 0.1;
+                    let visible = written.iter().filter(|(at, _)| *at + LAG <= now);
+                    DiscoveryEvent::EntriesListed(visible.map(|(_, entry)| entry.clone()).collect())
+                }
+                DiscoveryAction::Wait(_) | DiscoveryAction::WaitForElection(_) => {
+                    DiscoveryEvent::WaitElapsed
+                }
+            };
+            let has_met = met_at[index].is_some_and(|at: Duration| at + LAG <= now);
+            let role = match (has_met, index) {
+                (false, _) => FleetRole::Starting,
+                (true, 0) => FleetRole::ZoneFirst,
+                (true, _) => FleetRole::Follower,
+            };
+            node.action = node.state.handle_event(event, role);
+            // A node that finds another one pings it, so both know each other.
+            for address in node.state.other_addresses() {
+                met_at[index].get_or_insert(now);
+                met_at[usize::from(address.port()) - 1].get_or_insert(now);
+            }
+            node.due_at = now
+                + match &node.action {
+                    DiscoveryAction::Wait(delay) => rng.random_range(*delay / 2..=*delay),
+                    DiscoveryAction::WaitForElection(delay) => {
+                        let draw = rng.random_range(Duration::ZERO..*delay);
+                        draw.max(rng.random_range(Duration::ZERO..*delay))
+                    }
+                    _ => STEP,
+                };
+        }
+        now += STEP;
+    }
+    let last_met_at = met_at
+        .into_iter()
+        .map(|at| at.expect("node found no other"));
+    (price, last_met_at.max().unwrap_or_default())
+}
+
+/// A node that registers at once if it finds no entry makes three calls.
+#[test]
+fn a_fleet_that_starts_at_once_makes_less_than_one_call_a_node() {
+    for seed in 0..10 {
+        let mut rng = StdRng::seed_from_u64(seed);
+        for node_count in [50, 200] {
+            let (price, last_met_at) = start_fleet(node_count, &mut rng);
+            assert!(
+                price < f64::from(node_count),
+                "{price} calls of {node_count} nodes"
+            );
+            assert!(last_met_at < Duration::from_secs(4), "{last_met_at:?}");
+        }
+    }
+}
+
+#[test]
+fn a_pair_of_nodes_that_start_at_once_meets_within_four_seconds() {
+    for seed in 0..50 {
+        let (_, last_met_at) = start_fleet(2, &mut StdRng::seed_from_u64(seed));
+        assert!(last_met_at < Duration::from_secs(4), "{last_met_at:?}");
+    }
+}
+
 #[ntex::test]
 async fn the_driver_registers_and_lists_despite_failed_calls() {
     let scripted_outcomes = [
--- a/src/node.rs
+++ b/src/node.rs
@@ -241,7 +241,7 @@
         event_sender,
     );
     let tickets = start_tickets(&options, &identity, own_peer_address).await?;
-    let (role_sender, role) = watch::channel(FleetRole::Alone);
+    let (role_sender, role) = watch::channel(FleetRole::Starting);
     let (routes, discovered) =
         start_platform_sync(&options, &identity, own_peer_address, role).await?;
 
--- a/src/routes.rs
+++ b/src/routes.rs
@@ -9,6 +9,7 @@
 pub mod driver;
 pub mod history;
 mod replica;
+mod schedule;
 pub mod split;
 
 pub use config::{
--- a/src/routes/driver.rs
+++ b/src/routes/driver.rs
@@ -1,16 +1,14 @@
 //! Tasks that keep a node's configuration at the newest known version.
 //!
 //! A new version is read from the store or fetched from a peer that announces
-//! it. The first two nodes of each availability zone watch the key in the store;
-//! the others learn of new versions from peers and only read the key
-//! occasionally, with a stale read that may be seconds old. A single working
-//! watch updates the whole fleet: a node that the store refuses follows its
-//! peers, and if a watch stalls, the watch of another zone still delivers.
+//! it; [`schedule`](super::schedule) decides which nodes ask the store. A single
+//! working watch updates the whole fleet: a node that the store refuses follows
+//! its peers, and if a watch stalls, the watch of another zone still delivers.
 
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use derive_more::{Display, Error};
@@ -19,6 +17,7 @@
 
 use super::config::{ConfigVersion, RouteConfig};
 use super::replica::{ConfigReplica, version_of};
+use super::schedule::{ReadSchedule, ReadStep};
 use crate::discovery::FleetRole;
 use crate::exchange::{PeerHello, send_request};
 use crate::store::{ConfigStore, WatchPosition};
@@ -38,10 +37,6 @@
 /// Delay before an announced version is fetched. A version usually arrives within
 /// it by pushes inside the availability zone; a fetch often crosses zones.
 const FETCH_DELAY: Duration = Duration::from_millis(300);
-/// Maximum interval between the stale reads of a node that doesn't watch; the
-/// actual interval is random, from half of it up. Such a node has peers that
-/// announce versions, since a node without peers watches.
-const MAX_STALE_READ_INTERVAL: Duration = Duration::from_secs(20);
 /// Capacity of the queue of announced versions that wait for a fetch.
 const PEER_REPORT_CAPACITY: usize = 64;
 
@@ -176,14 +171,39 @@
     store: &S,
     mut role: watch::Receiver<FleetRole>,
 ) {
+    let started_at = Instant::now();
+    let mut schedule = ReadSchedule::default();
     let mut position = WatchPosition::default();
     let mut is_store_unavailable = false;
     loop {
-        let is_watching = role.borrow_and_update().watches_config();
-        let result = if is_watching {
-            watch_once(replica, source, store, position).await
-        } else {
-            read_stale(replica, source, store).await
+        let current_role = *role.borrow_and_update();
+        let has_config = replica.version() > ConfigVersion::default();
+        let step = schedule.next_step(started_at.elapsed(), current_role, has_config);
+        let result = match step {
+            ReadStep::Watch => watch_once(replica, source, store, position).await,
+            ReadStep::ReadStale => {
+                let result = read_stale(replica, source, store).await;
+                if result.is_ok() {
+                    let interval_share = rand::rng().random_range(0.5..1.0);
+                    schedule.record_read(started_at.elapsed(), interval_share);
+                }
+                result
+            }
+            ReadStep::Wait(delay) => {
+                tokio::select! {
+                    () = tokio::time::sleep(delay) => {}
+                    // An error means that the control thread has ended: the role stays.
+                    _ = role.changed() => {}
+                }
+                continue;
+            }
+            ReadStep::WaitForRole => {
+                if role.changed().await.is_err() {
+                    // The control thread has ended, and this task ends with it.
+                    std::future::pending::<()>().await;
+                }
+                continue;
+            }
         };
         match result {
             Ok(next_position) => {
@@ -203,13 +223,6 @@
                 sleep_jittered(MAX_RETRY_DELAY).await;
             }
         }
-        if !is_watching {
-            tokio::select! {
-                () = sleep_jittered(MAX_STALE_READ_INTERVAL) => {}
-                // An error means that the control thread has ended: the role stays.
-                _ = role.changed() => {}
-            }
-        }
     }
 }
 
--- a/src/store/http.rs
+++ b/src/store/http.rs
@@ -4,7 +4,7 @@
 //! requests are rare, and a kept-alive connection may stay unresponsive while
 //! new ones work.
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use ntex::SharedCfg;
@@ -83,20 +83,36 @@
     /// Fails if no complete response arrives; the error tells whether the request
     /// had no effect.
     pub async fn send(&self, store_request: StoreRequest<'_>) -> Result<StoreResponse, StoreError> {
-        let url = format!("{}{}", self.base_url, store_request.path);
-        let request = self.client.request(store_request.method, url).force_close();
-        let body = ntex::util::Bytes::copy_from_slice(&store_request.body);
+        let StoreRequest {
+            method,
+            path,
+            body,
+            timeout,
+            index_header,
+        } = store_request;
+        let started_at = Instant::now();
+        let url = format!("{}{path}", self.base_url);
+        let request = self.client.request(method.clone(), url).force_close();
+        let body = ntex::util::Bytes::copy_from_slice(&body);
         let exchange = async {
             let response = request
                 .header("content-type", "application/json")
                 .send_body(body)
                 .await
                 .map_err(|error| classify_client_error(&error))?;
-            read_response(&response, store_request.index_header).await
+            read_response(&response, index_header).await
         };
-        tokio::time::timeout(store_request.timeout, exchange)
+        let result = tokio::time::timeout(timeout, exchange)
             .await
-            .map_err(|_| unknown_effect(&"time limit passed"))?
+            .unwrap_or_else(|_| Err(unknown_effect(&"time limit passed")));
+        log::debug!(
+            target: "store",
+            method:%, path,
+            status:? = result.as_ref().map(|response| response.status.as_u16()),
+            elapsed_ms = started_at.elapsed().as_millis() as u64;
+            "store call ended"
+        );
+        result
     }
 }
 
