Read the speed before the first start, and forget old baselines

From the logs of the calls: (1) runs started in a neighbour's burst at gates that had no reading yet, which counted as the usual speed; (2) a gate with few calls took two readings 0.5 s apart, both in bursts, for sustained slowdown, refused calls with an expected answer after 2,134 ms and took no reading again, for more than a second; (3) a gate without runs promised an answer after 83 ms, so calls joined the queue of a cold backend server; (4) reads with 1.4 s left were not hedged, as their node had no latencies of the class, and a hedge that two gates refused was not offered again.

Change: a new backend server is polled before its first call; the baseline is that of the window that ends now and needs readings in four of its five parts; run times before the first run are half of the target, those of all classes are kept at normal speed (they were scaled twice); hedges have a delay without history and past the target, and are offered again. A gate that serves another service now no longer makes a 404 of a call whose route exists. Queued calls that start are logged.

--- a/src/admission.rs
+++ b/src/admission.rs
@@ -57,6 +57,9 @@
 
 /// Added to wait estimates during a burst, for the time until it ends.
 const EXPECTED_BURST_REMAINDER: Duration = Duration::from_millis(75);
+/// Run time assumed before the first run, as a fraction of the call's time to its
+/// target latency.
+const UNKNOWN_RUN_TIME_DIVISOR: u32 = 2;
 /// Nearly every run ends within this multiple of the normal run time of its
 /// class, also when a neighbour's bursts slow it down.
 const MAX_RUN_TIME_FACTOR: u32 = 3;
@@ -163,12 +166,11 @@
             return refusal(ErrorKind::ShareExceeded, retry_after, retry_after);
         }
         let shortest_run_time =
-            self.at_baseline_speed(self.run_times.shortest_run_time_of(&offer.class));
+            self.at_baseline_speed(now, self.run_times.shortest_run_time_of(&offer.class));
+        let run_time = self.estimated_run_time(now, &offer.class, offer.target_left);
         if offer.time_left < shortest_run_time {
             // Shorter than any run of its class: refused before it takes a slot.
-            let response_time =
-                self.at_baseline_speed(self.run_times.normal_run_time_of(&offer.class));
-            return refusal(ErrorKind::WaitTooLong, response_time, response_time);
+            return refusal(ErrorKind::WaitTooLong, run_time, run_time);
         }
         if self.would_outlast_stop(now, &offer.class) {
             return refusal(ErrorKind::WaitTooLong, DRAIN_RETRY_AFTER, offer.time_left);
@@ -184,9 +186,7 @@
                     return AdmissionDecision::Start;
                 }
                 VmSpeed::Normal | VmSpeed::SustainedSlow => {
-                    let response_time =
-                        self.at_baseline_speed(self.run_times.normal_run_time_of(&offer.class));
-                    return refusal(ErrorKind::Overloaded, MIN_RETRY_AFTER, response_time);
+                    return refusal(ErrorKind::Overloaded, MIN_RETRY_AFTER, run_time);
                 }
                 VmSpeed::Burst | VmSpeed::Unknown => {}
             }
@@ -201,15 +201,14 @@
             target_deadline: now + offer.target_left.min(offer.time_left),
         };
         let wait = self.estimated_wait(now, priority);
-        let response_time =
-            wait + self.at_baseline_speed(self.run_times.normal_run_time_of(&offer.class));
+        let response_time = wait + self.estimated_run_time(now, &offer.class, offer.target_left);
         let awaits_reading = self.in_flight() < self.concurrency_limit.get()
             && self.speed_history.current_speed(now) == VmSpeed::Unknown;
         if offer.no_wait_slot_share.is_some() && !awaits_reading {
             return refusal(ErrorKind::Overloaded, wait, response_time);
         }
         let shortest_run_time =
-            self.at_baseline_speed(self.run_times.shortest_run_time_of(&offer.class));
+            self.at_baseline_speed(now, self.run_times.shortest_run_time_of(&offer.class));
         let max_wait = offer.time_left.saturating_sub(shortest_run_time);
         let has_target_latency = offer.target_left < offer.time_left;
         // A call that delays no other is admitted even if it misses its target.
@@ -276,9 +275,8 @@
         if let WorkResult::Completed { latency } = result {
             // Run times are stored for normal speed; estimates scale them by the
             // baseline slowdown at that time.
-            let normal_run_time = latency.div_f64(self.speed_history.baseline_slowdown());
-            self.run_times
-                .record(finished_call.class, latency, normal_run_time);
+            let normal_run_time = latency.div_f64(self.speed_history.baseline_slowdown(now));
+            self.run_times.record(finished_call.class, normal_run_time);
             self.concurrency_limit
                 .record_completed(now, latency, in_flight);
         }
@@ -367,8 +365,8 @@
 
     /// Whether a call that starts now could still run when the node stops.
     fn would_outlast_stop(&self, now: Duration, class: &str) -> bool {
-        let max_run_time =
-            self.at_baseline_speed(self.run_times.normal_run_time_of(class)) * MAX_RUN_TIME_FACTOR;
+        let run_time = self.run_times.known_run_time_of(class).unwrap_or_default();
+        let max_run_time = self.at_baseline_speed(now, run_time) * MAX_RUN_TIME_FACTOR;
         self.stop_time
             .is_some_and(|stop_time| now + max_run_time > stop_time)
     }
@@ -419,13 +417,22 @@
     }
 
     /// Scales a run time at normal speed by the baseline slowdown of the VM.
-    fn at_baseline_speed(&self, normal_run_time: Duration) -> Duration {
-        normal_run_time.mul_f64(self.speed_history.baseline_slowdown())
+    fn at_baseline_speed(&self, now: Duration, normal_run_time: Duration) -> Duration {
+        normal_run_time.mul_f64(self.speed_history.baseline_slowdown(now))
     }
 
     /// Expected run time of the class, bursts aside.
-    fn expected_run_time(&self, class: ClassId) -> Duration {
-        self.at_baseline_speed(self.run_times.normal_run_time(class))
+    fn expected_run_time(&self, now: Duration, class: ClassId) -> Duration {
+        self.at_baseline_speed(now, self.run_times.normal_run_time(class))
+    }
+
+    /// Expected run time of an offered call. A gate without any runs yet must not
+    /// seem to have the shortest, or calls would prefer its queue to others.
+    fn estimated_run_time(&self, now: Duration, class: &str, target_left: Duration) -> Duration {
+        match self.run_times.known_run_time_of(class) {
+            Some(run_time) => self.at_baseline_speed(now, run_time),
+            None => target_left / UNKNOWN_RUN_TIME_DIVISOR,
+        }
     }
 
     /// Expected times until a call would start and until it would be answered,
@@ -442,7 +449,7 @@
         let wait = self.estimated_wait(now, priority).max(MIN_RETRY_AFTER);
         (
             wait,
-            wait + self.at_baseline_speed(self.run_times.normal_run_time_of(call.class)),
+            wait + self.estimated_run_time(now, call.class, call.target_left),
         )
     }
 
@@ -532,7 +539,7 @@
 
     fn would_miss_target(&self, now: Duration, queued_call: &QueuedCall) -> bool {
         queued_call.has_target_latency
-            && now + self.expected_run_time(queued_call.class)
+            && now + self.expected_run_time(now, queued_call.class)
                 > queued_call.priority.target_deadline
     }
 
@@ -549,12 +556,15 @@
     /// is longer.
     fn running_latency_estimate(&self, now: Duration) -> Duration {
         let runs = self.running.values();
-        let expected_run_time: Duration = runs.map(|run| self.expected_run_time(run.class)).sum();
+        let normal_run_time: Duration = runs
+            .map(|run| self.run_times.normal_run_time(run.class))
+            .sum();
+        let expected_run_time = self.at_baseline_speed(now, normal_run_time);
         let (Some(expected_run_time), Some(mean_start)) = (
             expected_run_time.checked_div(self.in_flight()),
             self.start_time_sum.checked_div(self.in_flight()),
         ) else {
-            return self.run_times.overall_mean();
+            return self.at_baseline_speed(now, self.run_times.overall_mean());
         };
         expected_run_time.max(now.saturating_sub(mean_start))
     }
@@ -572,11 +582,12 @@
             .queue
             .iter()
             .filter(|queued_call| queued_call.priority <= priority);
-        let (mut count_ahead, mut run_time_ahead) = (0, Duration::ZERO);
+        let (mut count_ahead, mut normal_run_time_ahead) = (0, Duration::ZERO);
         for queued_call in calls_ahead {
             count_ahead += 1;
-            run_time_ahead += self.expected_run_time(queued_call.class);
+            normal_run_time_ahead += self.run_times.normal_run_time(queued_call.class);
         }
+        let run_time_ahead = self.at_baseline_speed(now, normal_run_time_ahead);
         if self.in_flight() + count_ahead < limit {
             return burst_remainder;
         }
--- a/src/admission/classes.rs
+++ b/src/admission/classes.rs
@@ -13,10 +13,9 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub(super) struct ClassId(usize);
 
-/// Estimates of run times, for all calls and for each class.
+/// Estimates of run times at normal speed, for all calls and for each class.
 #[derive(Debug, Default)]
 pub(super) struct ClassRunTimes {
-    /// As measured; the classes hold run times at normal speed.
     overall: LatencyEstimate,
     ids_by_name: BTreeMap<String, ClassId>,
     by_class: Vec<LatencyEstimate>,
@@ -34,10 +33,10 @@
         class
     }
 
-    /// Adds a completed run: its measured latency and what it would have been
-    /// at normal speed of the VM.
-    pub(super) fn record(&mut self, class: ClassId, latency: Duration, normal_run_time: Duration) {
-        self.overall.record(latency);
+    /// Adds a completed run by the time that it would have taken at normal speed of
+    /// the VM.
+    pub(super) fn record(&mut self, class: ClassId, normal_run_time: Duration) {
+        self.overall.record(normal_run_time);
         if let Some(estimate) = self.by_class.get_mut(class.0) {
             estimate.record(normal_run_time);
         }
@@ -51,11 +50,14 @@
         known_mean.unwrap_or_else(|| self.overall.mean())
     }
 
-    /// Like [`normal_run_time`](Self::normal_run_time), by name; the mean of
-    /// all classes if the name is unknown.
-    pub(super) fn normal_run_time_of(&self, name: &str) -> Duration {
+    /// Like [`normal_run_time`](Self::normal_run_time), by name; the mean of all
+    /// classes if the name is unknown, and `None` before the first run of any.
+    pub(super) fn known_run_time_of(&self, name: &str) -> Option<Duration> {
         let class = self.ids_by_name.get(name);
-        class.map_or_else(|| self.overall.mean(), |class| self.normal_run_time(*class))
+        let estimate = class.and_then(|class| self.by_class.get(class.0));
+        estimate
+            .and_then(LatencyEstimate::known_mean)
+            .or_else(|| self.overall.known_mean())
     }
 
     /// Shortest run time of the named class at normal speed; zero before its
@@ -68,7 +70,7 @@
         estimate.map(LatencyEstimate::shortest).unwrap_or_default()
     }
 
-    /// Mean measured run time of all classes; zero before the first run.
+    /// Mean run time of all classes; zero before the first run.
     pub(super) fn overall_mean(&self) -> Duration {
         self.overall.mean()
     }
--- a/src/admission/speed.rs
+++ b/src/admission/speed.rs
@@ -6,8 +6,10 @@
 //! wait for its end. A cold or overloaded VM stays slow for longer, and waiting
 //! would not help. The two are told apart by the baseline, the lowest slowdown
 //! of a sliding window: a burst rises above it, sustained slowdown raises it.
+//! The baseline needs readings from several parts of the window, since a gate
+//! with few calls takes few readings and all of them may fall into bursts.
 //! During warm-up the baseline counts from the first reading on; otherwise all
-//! slots would stay empty until the readings span the minimum time.
+//! slots would stay empty until there are enough readings.
 
 use std::collections::VecDeque;
 use std::time::Duration;
@@ -20,8 +22,11 @@
 const READING_MAX_AGE: Duration = Duration::from_millis(30);
 /// Window in which the baseline is the lowest slowdown; longer than most bursts.
 const BASELINE_WINDOW: Duration = Duration::from_millis(800);
-/// Time that the readings must span before their minimum is used as baseline.
-const MIN_BASELINE_SPAN: Duration = Duration::from_millis(500);
+/// Parts of the window, each longer than most bursts.
+const BASELINE_WINDOW_PARTS: u32 = 5;
+/// Parts of the window that must have a reading before their minimum is used as
+/// baseline.
+const MIN_BASELINE_PARTS: usize = 4;
 const MAX_READINGS: usize = 64;
 
 /// Current speed of the VM.
@@ -80,7 +85,7 @@
         };
         let is_fresh =
             now.saturating_sub(*at) < READING_MAX_AGE || now < self.last_reading_valid_until;
-        let baseline = self.baseline_slowdown();
+        let baseline = self.baseline_slowdown(now);
         if !is_fresh {
             VmSpeed::Unknown
         } else if *slowdown >= baseline * SLOW_RATIO {
@@ -103,20 +108,30 @@
         }
     }
 
-    /// Lowest slowdown of the window; 1 while the readings of a warm backend
-    /// server span less than [`MIN_BASELINE_SPAN`].
-    pub(super) fn baseline_slowdown(&self) -> f64 {
-        let span = match (self.readings.front(), self.readings.back()) {
-            (Some((first, _)), Some((last, _))) => last.saturating_sub(*first),
-            _ => Duration::ZERO,
-        };
-        let is_warming_up =
-            (self.readings.back()).is_some_and(|(last, _)| *last < self.warm_up_ends_at);
-        if span < MIN_BASELINE_SPAN && !is_warming_up {
+    /// Lowest slowdown of the window that ends now; 1 while too few parts of it have
+    /// a reading, unless the backend server warms up.
+    pub(super) fn baseline_slowdown(&self, now: Duration) -> f64 {
+        let part_length = BASELINE_WINDOW / BASELINE_WINDOW_PARTS;
+        let (mut has_reading, mut lowest) =
+            ([false; BASELINE_WINDOW_PARTS as usize], f64::INFINITY);
+        for (at, slowdown) in self.readings.iter().rev() {
+            let age = now.saturating_sub(*at);
+            if age >= BASELINE_WINDOW {
+                break;
+            }
+            let part = (age.as_micros() / part_length.as_micros()) as usize;
+            has_reading[part] = true;
+            lowest = lowest.min(*slowdown);
+        }
+        let part_count = has_reading
+            .iter()
+            .filter(|has_reading| **has_reading)
+            .count();
+        let is_warming_up = now < self.warm_up_ends_at && part_count > 0;
+        if part_count < MIN_BASELINE_PARTS && !is_warming_up {
             return 1.0;
         }
-        let slowdowns = self.readings.iter().map(|(_, slowdown)| *slowdown);
-        slowdowns.fold(f64::INFINITY, f64::min).max(1.0)
+        lowest.max(1.0)
     }
 }
 
--- a/src/admission/speed/tests.rs
+++ b/src/admission/speed/tests.rs
@@ -61,6 +61,27 @@
     assert_eq!(warm.current_speed(ms(3_001)), VmSpeed::Burst);
 }
 
+/// An idle gate takes a reading only when a call arrives. Two readings half a
+/// second apart can both fall into bursts; they must not count as sustained
+/// slowdown, which calls don't wait out.
+#[test]
+fn few_readings_in_bursts_are_no_sustained_slowdown() {
+    let history = history([(100, 8.0), (640, 8.0)]);
+    assert_eq!(history.current_speed(ms(641)), VmSpeed::Burst);
+    assert_eq!(history.next_reading_at(ms(641)), Some(ms(670)));
+}
+
+/// Without calls there are no readings. What was measured before must not bar the
+/// calls that would bring the next reading.
+#[test]
+fn sustained_slowdown_is_forgotten_after_the_window() {
+    let history = history((0..1_000).step_by(20).map(|at| (at, 8.0)));
+    assert_eq!(history.current_speed(ms(985)), VmSpeed::SustainedSlow);
+    assert!((history.baseline_slowdown(ms(985)) - 8.0).abs() < f64::EPSILON);
+    assert!((history.baseline_slowdown(ms(2_000)) - 1.0).abs() < f64::EPSILON);
+    assert_eq!(history.next_reading_at(ms(2_000)), Some(ms(2_000)));
+}
+
 #[test]
 fn speed_is_normal_without_readings() {
     let history = SpeedHistory::default();
--- a/src/admission/tests.rs
+++ b/src/admission/tests.rs
@@ -350,3 +350,45 @@
         AdmissionDecision::Refused { .. }
     );
 }
+
+/// A backend server joins while the others are slow, and calls are told by each gate
+/// when it would answer. The gate without runs must not promise an instant response.
+#[test]
+fn a_gate_without_runs_assumes_a_run_time() {
+    let now = Duration::from_secs(1);
+    let mut queue = queue_of(6);
+    queue.record_slowdown(now, 5.0);
+    let offer = CallOffer {
+        target_left: Duration::from_millis(600),
+        no_wait_slot_share: Some(0.8),
+        ..offer(1, Duration::from_millis(1_500))
+    };
+    assert_matches!(
+        queue.offer(now, offer),
+        AdmissionDecision::Refused {
+            estimated_response_time, ..
+        } if estimated_response_time >= Duration::from_millis(300)
+    );
+}
+
+/// Replays a gate with few calls at the edge of two bursts of a neighbour. It used to
+/// take them for sustained slowdown, refuse every call that a run of eight times the
+/// usual length can't serve, and never take another reading.
+#[test]
+fn a_gate_with_few_calls_takes_readings_after_two_bursts() {
+    let mut queue = queue_of(18);
+    let usual = Duration::from_millis(270);
+    let at = Duration::from_millis;
+    let class_offer = |sequence| CallOffer {
+        target_left: at(800),
+        ..offer(sequence, at(1_200))
+    };
+    queue.offer(at(0), class_offer(1));
+    queue.finish(usual, call(1), WorkResult::Completed { latency: usual });
+    queue.record_slowdown(at(1_000), 8.0);
+    queue.record_slowdown(at(1_540), 8.0);
+    let decision = queue.offer(at(2_500), class_offer(2));
+    assert_matches!(decision, AdmissionDecision::Queued { .. });
+    assert_eq!(queue.next_reading_at(at(2_500)), Some(at(2_500)));
+    assert_eq!(queue.record_slowdown(at(2_501), 1.0), [call(2)]);
+}
--- a/src/gate.rs
+++ b/src/gate.rs
@@ -247,6 +247,7 @@
         drop(admission);
         self.start_queued_calls(started_calls);
         self.publish_status();
+        self.spawn_first_load_poll();
     }
 
     fn set_warmup(&self, warmup_left: Duration) {
@@ -449,6 +450,7 @@
 
     fn start_queued_calls(self: &Rc<Self>, started_calls: Vec<CallId>) {
         for id in started_calls {
+            log::info!(target: "admission", call:% = id; "queued call started");
             let slot_grant = self.slot_grants.borrow_mut().remove(&id);
             let is_call_gone = slot_grant.is_none_or(|slot_grant| slot_grant.send(()).is_err());
             if is_call_gone {
--- a/src/gate/meter.rs
+++ b/src/gate/meter.rs
@@ -2,8 +2,10 @@
 //!
 //! Most load readings arrive with responses. When a queued call waits for a
 //! recent reading and there is none, the gate requests the backend server's
-//! health path, which responds at once. Polls have a budget per second. Without
-//! budget or response, the last reading stays in use for a while.
+//! health path, which responds at once. A new backend server is polled before its
+//! first call, since without any reading the gate would take it for one that
+//! states no load. Polls have a budget per second. Without budget or response, the
+//! last reading stays in use for a while.
 
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
@@ -58,6 +60,12 @@
         });
     }
 
+    /// Takes the first reading of a new backend server.
+    pub(super) fn spawn_first_load_poll(self: &Rc<Self>) {
+        let gate = Rc::clone(self);
+        ntex::rt::spawn(async move { gate.poll_load().await });
+    }
+
     fn next_load_poll_at(&self) -> Option<Duration> {
         let admission = self.admission.borrow();
         admission.as_ref()?.next_reading_at(self.now())
--- a/src/ingress/attempt.rs
+++ b/src/ingress/attempt.rs
@@ -353,7 +353,7 @@
                 Ok(Progress::Head(ResponseStart { body, ..head }))
             }
             LinkMessage::Refusal(refusal) => Err(AttemptError {
-                failure: self.state.on_refused(error_kind_from_code(&refusal.kind)),
+                failure: self.state.on_refused(refusal_kind(&refusal.kind)),
                 retry_after: Some(Duration::from_millis(refusal.retry_after_ms)),
                 estimated_response_time: Some(Duration::from_micros(refusal.expected_response_us))
                     .filter(|finish| !finish.is_zero()),
@@ -409,6 +409,15 @@
     );
 }
 
+/// Kind of a gate's refusal. A gate whose backend server now belongs to another
+/// service can't serve the call, but the caller asked for a service that exists.
+pub(super) fn refusal_kind(code: &str) -> ErrorKind {
+    match error_kind_from_code(code) {
+        ErrorKind::UnknownService => ErrorKind::BackendUnreachable,
+        kind => kind,
+    }
+}
+
 fn error_kind_from_code(code: &str) -> ErrorKind {
     ErrorKind::from_code(code).unwrap_or(ErrorKind::Internal)
 }
--- a/src/ingress/call.rs
+++ b/src/ingress/call.rs
@@ -18,7 +18,7 @@
 use crate::ingress::answer::{CallFailure, CallResponse};
 use crate::ingress::attempt::{AttemptError, FIRST_SERVER_ERROR_STATUS};
 use crate::ingress::body::{BodyReceiver, RequestBody};
-use crate::ingress::placing::GateSearch;
+use crate::ingress::placing::{CallTimeBudget, GateSearch};
 use crate::ingress::request::ResolvedRequest;
 use crate::ingress::returns::CallerRequest;
 use crate::ingress::{IngressWorker, lock};
@@ -272,6 +272,13 @@
         self.target_at.saturating_duration_since(Instant::now())
     }
 
+    fn time_budget(&self) -> CallTimeBudget {
+        CallTimeBudget {
+            target_left: self.target_left(),
+            time_left: self.time_left(),
+        }
+    }
+
     fn time_left(&self) -> Duration {
         self.deadline.saturating_duration_since(Instant::now())
     }
--- a/src/ingress/call/choice.rs
+++ b/src/ingress/call/choice.rs
@@ -10,7 +10,7 @@
 use crate::ids::NodeId;
 use crate::ingress::attempt::AttemptError;
 use crate::ingress::lock;
-use crate::ingress::placing::{CallTimeBudget, SearchStep};
+use crate::ingress::placing::SearchStep;
 use crate::link::pool::GateTarget;
 use crate::routing::{ProbeTarget, RouteChoice, RouteReason, RouteRequest};
 
@@ -32,10 +32,7 @@
             return Err(AttemptError::not_run(ErrorKind::Overloaded));
         }
         loop {
-            let time_budget = CallTimeBudget {
-                target_left: self.target_left(),
-                time_left: self.time_left(),
-            };
+            let time_budget = self.time_budget();
             let (choice, max_occupancy_percent) = match self.search.next_step(time_budget) {
                 SearchStep::OfferImmediate => match self.choose_upstream() {
                     Ok(choice) => {
--- a/src/ingress/call/second_copy.rs
+++ b/src/ingress/call/second_copy.rs
@@ -3,12 +3,13 @@
 //!
 //! Only idempotent calls are hedged, out of the service's retry budget.
 
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 use super::choice::MAX_OFFERS;
 use super::offer::AttemptResponse;
 use super::{CallDriver, GateOffer};
-use crate::error::ErrorKind;
+use crate::ids::NodeId;
 use crate::ingress::answer::CallResponse;
 use crate::ingress::attempt::AttemptError;
 use crate::ingress::body::RequestBody;
@@ -20,27 +21,14 @@
 /// Gates that a hedged attempt is offered to, at most.
 const MAX_HEDGE_OFFERS: u32 = 2;
 
-/// Waits for a usable response of two attempts; without one, for the result of
-/// the first.
-async fn first_usable_response(
-    mut first: impl Future<Output = Result<AttemptResponse, AttemptError>> + Unpin,
-    mut second: impl Future<Output = Result<AttemptResponse, AttemptError>> + Unpin,
-) -> Result<AttemptResponse, AttemptError> {
-    let is_usable = |result: &Result<AttemptResponse, AttemptError>| {
-        result.as_ref().is_ok_and(AttemptResponse::is_usable)
-    };
-    tokio::select! {
-        result = &mut first => {
-            if is_usable(&result) {
-                return result;
-            }
-            let second_result = second.await;
-            if is_usable(&second_result) { second_result } else { result }
-        }
-        result = &mut second => {
-            if is_usable(&result) { result } else { first.await }
-        }
-    }
+/// Delay before a hedged attempt that no gate started is offered again.
+const HEDGE_RETRY_DELAY: Duration = Duration::from_millis(80);
+
+/// Result of an attempt that reached a gate.
+type AttemptResult = Result<AttemptResponse, AttemptError>;
+
+fn is_usable(result: &AttemptResult) -> bool {
+    result.as_ref().is_ok_and(AttemptResponse::is_usable)
 }
 
 impl CallDriver {
@@ -54,28 +42,79 @@
         let delay = self.hedge_delay().filter(|_| body_copy.is_some());
         let node = offer.choice.node.clone();
         let first = self.run_attempt(offer, body);
-        let Some((delay, mut body_copy)) = delay.zip(body_copy) else {
-            let result = first.await;
-            return self.record_result(&node, result);
-        };
-        tokio::pin!(first);
-        let early_result = tokio::select! {
-            biased;
-            result = &mut first => Some(result),
-            () = tokio::time::sleep(delay) => None,
-        };
-        let result = match early_result {
-            Some(result) => result,
-            None if self.try_spend_hedge() => {
-                let second = self.run_hedged_attempt(&mut body_copy);
-                tokio::pin!(second);
-                first_usable_response(first, second).await
+        let result = match delay.zip(body_copy) {
+            Some((delay, mut body_copy)) => {
+                tokio::pin!(first);
+                self.hedge_attempt(first, &node, delay, &mut body_copy)
+                    .await
             }
             None => first.await,
         };
         self.record_result(&node, result)
     }
 
+    /// Waits for a usable response of the first attempt at `node` and of a hedged
+    /// one; without one, for the result of the first.
+    ///
+    /// While no gate starts the hedged attempt, it is offered again.
+    async fn hedge_attempt(
+        &mut self,
+        mut first: impl Future<Output = AttemptResult> + Unpin,
+        node: &NodeId,
+        delay: Duration,
+        body: &mut RequestBody,
+    ) -> AttemptResult {
+        let mut next_delay = delay;
+        loop {
+            tokio::select! {
+                biased;
+                result = &mut first => return result,
+                () = tokio::time::sleep(next_delay) => {}
+            }
+            if !self.may_offer_hedge() || !self.try_spend_hedge() {
+                return first.await;
+            }
+            self.tried_nodes = BTreeSet::from([node.clone()]);
+            let second_result = {
+                let second = self.run_hedged_attempt(body);
+                tokio::pin!(second);
+                tokio::select! {
+                    result = &mut first => {
+                        if is_usable(&result) {
+                            return result;
+                        }
+                        return match second.await {
+                            Some(second_result) if is_usable(&second_result) => {
+                                second_result
+                            }
+                            _ => result,
+                        };
+                    }
+                    result = &mut second => result,
+                }
+            };
+            match second_result {
+                Some(result) if is_usable(&result) => return result,
+                Some(_) => return first.await,
+                None => {
+                    let mut retries = lock(&self.worker.shared.retry_policy);
+                    retries.return_hedge_token(&self.request.service);
+                    next_delay = HEDGE_RETRY_DELAY;
+                }
+            }
+        }
+    }
+
+    /// Whether the call has numbers and time left for a hedged attempt.
+    fn may_offer_hedge(&self) -> bool {
+        let latencies = lock(&self.worker.shared.latencies);
+        let time_budget = self.time_budget();
+        self.offer_count + 1 < MAX_OFFERS
+            && latencies
+                .hedge_delay(&self.request.class(), time_budget)
+                .is_some()
+    }
+
     /// Copy of the body for a hedged attempt, if the call may have one.
     fn copy_body_for_hedge(&self, body: &RequestBody) -> Option<RequestBody> {
         let may_hedge = self.worker.shared.max_immediate_offers > 0
@@ -86,7 +125,7 @@
 
     fn hedge_delay(&self) -> Option<Duration> {
         let latencies = lock(&self.worker.shared.latencies);
-        latencies.hedge_delay(&self.request.class(), self.target_left())
+        latencies.hedge_delay(&self.request.class(), self.time_budget())
     }
 
     /// Takes a hedged attempt out of the service's retry budget; false if the
@@ -96,16 +135,15 @@
     }
 
     /// Finds a gate that starts the hedged attempt at once, and waits for its
-    /// response.
-    async fn run_hedged_attempt(
-        &mut self,
-        body: &mut RequestBody,
-    ) -> Result<AttemptResponse, AttemptError> {
+    /// response; `None` if no gate does.
+    async fn run_hedged_attempt(&mut self, body: &mut RequestBody) -> Option<AttemptResult> {
         for _ in 0..MAX_HEDGE_OFFERS {
             if self.offer_count + 1 >= MAX_OFFERS {
                 break;
             }
-            let choice = self.choose_upstream().map_err(AttemptError::not_run)?;
+            let Ok(choice) = self.choose_upstream() else {
+                break;
+            };
             self.offer_count += 1;
             self.uncounted_offers += 1;
             self.tried_nodes.insert(choice.node.clone());
@@ -121,8 +159,8 @@
             }
             // This offer reached a backend server, so it counts as an attempt.
             self.uncounted_offers -= 1;
-            return result;
+            return Some(result);
         }
-        Err(AttemptError::not_run(ErrorKind::Overloaded))
+        None
     }
 }
--- a/src/ingress/hedge.rs
+++ b/src/ingress/hedge.rs
@@ -2,19 +2,27 @@
 //! response.
 //!
 //! A burst of a noisy neighbour on the host can slow down a run that began at
-//! the usual speed. The second attempt is sent at the last moment at which a
-//! run of usual length still meets the target latency, only to a gate that can
-//! start it at once, and out of the service's retry budget. The first response
-//! wins and the other attempt is cancelled.
+//! the usual speed, and a backend server that has just started is slow. The
+//! second attempt is sent at the last moment at which a run of usual length
+//! still meets the target latency, or the time limit if it is too late for the
+//! target. A node that has just started knows no usual length and assumes a part
+//! of the target. The second attempt goes only to a gate that can start it at
+//! once, and out of the service's retry budget. The first response wins and the
+//! other attempt is cancelled.
 
 use std::collections::BTreeMap;
 use std::time::Duration;
 
 use crate::admission::LatencyEstimate;
+use crate::ingress::placing::CallTimeBudget;
 
 /// Request classes whose latencies are tracked.
 const MAX_CLASSES: usize = 1_024;
 
+/// Usual latency of a class without answers, as a fraction of the time to the
+/// target latency.
+const UNKNOWN_LATENCY_DIVISOR: u32 = 2;
+
 /// Usual response latencies by request class.
 #[derive(Debug, Default)]
 pub struct ResponseLatencies {
@@ -38,11 +46,20 @@
         self.classes.insert(class.to_string(), estimate);
     }
 
-    /// Delay after the start of a call at which it should be hedged; `None` if
-    /// nothing is known of its class, or no time is left for a second run.
-    pub fn hedge_delay(&self, class: &str, target_left: Duration) -> Option<Duration> {
-        let usual_latency = self.classes.get(class)?.mean();
-        let delay = target_left.checked_sub(usual_latency)?;
+    /// Delay after the start of a call at which it should be hedged; `None` if too
+    /// little time is left for a second run.
+    pub fn hedge_delay(&self, class: &str, time_budget: CallTimeBudget) -> Option<Duration> {
+        let CallTimeBudget {
+            target_left,
+            time_left,
+        } = time_budget;
+        let estimate = self.classes.get(class);
+        let usual_latency = estimate.map_or(target_left / UNKNOWN_LATENCY_DIVISOR, |estimate| {
+            estimate.mean()
+        });
+        let delay = target_left
+            .checked_sub(usual_latency)
+            .or_else(|| time_left.checked_sub(usual_latency))?;
         // Never before half a usual run: hedging sooner than usual runs take
         // would only double the load.
         Some(delay.max(usual_latency / 2))
--- a/src/retry.rs
+++ b/src/retry.rs
@@ -84,6 +84,11 @@
         true
     }
 
+    /// Gives back a token that was spent on an attempt that no backend server got.
+    pub fn return_token(&mut self) {
+        self.tokens = (self.tokens + 1.0).min(self.options.max_tokens);
+    }
+
     /// Tokens left; a retry needs one whole token.
     pub fn tokens(&self) -> f64 {
         self.tokens
@@ -250,6 +255,11 @@
         self.budget(service).try_spend_token()
     }
 
+    /// Gives back the token of a hedged copy that no gate started.
+    pub fn return_hedge_token(&mut self, service: &ServiceName) {
+        self.budget(service).return_token();
+    }
+
     /// Whether the budget of a service has a token for a retry.
     pub fn has_retry_token(&self, service: &ServiceName) -> bool {
         self.tokens(service) >= 1.0
