--- a/src/admission.rs
+++ b/src/admission.rs
@@ -26,6 +26,11 @@
 //! run elsewhere waits for, is therefore not refused because of a queue that it
 //! overtakes. A call with less time left than the shortest run of its class is
 //! refused before it takes a slot.
+//!
+//! Short calls among long ones hold a slot for a fraction of the time for which
+//! they wait for one. Refusing such a call because of its target latency frees
+//! hardly any capacity, and if a run elsewhere waits for it, that run's slot time
+//! is lost with it. Short calls therefore wait up to their time limit.
 
 mod classes;
 mod latency;
@@ -60,6 +65,8 @@
 /// Run time assumed before the first run, as a fraction of the call's time to its
 /// target latency.
 const UNKNOWN_RUN_TIME_DIVISOR: u32 = 2;
+/// A call is short if the running calls take this multiple of its run time.
+const SHORT_CALL_RATIO: u32 = 4;
 /// Nearly every run ends within this multiple of the normal run time of its
 /// class, also when a neighbour's bursts slow it down.
 const MAX_RUN_TIME_FACTOR: u32 = 3;
@@ -92,7 +99,8 @@
     shares: Vec<CapacityShare>,
     priority: QueuePriority,
     class: ClassId,
-    /// Whether the target latency ends before the time limit.
+    /// Whether the call is evicted once it would miss its target latency: the
+    /// target ends before the time limit, and the call isn't short.
     has_target_latency: bool,
     /// Latest start that can still be answered within the time limit.
     expires_at: Duration,
@@ -210,14 +218,14 @@
         let shortest_run_time =
             self.at_baseline_speed(now, self.run_times.shortest_run_time_of(&offer.class));
         let max_wait = offer.time_left.saturating_sub(shortest_run_time);
-        let has_target_latency = offer.target_left < offer.time_left;
-        // A call that delays no other is admitted even if it misses its target.
-        let max_response_time = if self.is_below_limit() {
+        let has_target_latency =
+            offer.target_left < offer.time_left && !self.is_short_call(&offer.class);
+        let max_response_time = if self.admits_past_target(&offer.class) {
             offer.time_left
         } else {
             offer.target_left
         };
-        let misses_target = response_time > max_response_time && has_target_latency;
+        let misses_target = response_time > max_response_time;
         if wait > max_wait.min(self.options.max_queue_wait) || misses_target {
             return refusal(ErrorKind::WaitTooLong, wait, response_time);
         }
@@ -397,10 +405,22 @@
         }
     }
 
-    /// Whether one more call fits under the limit beside all running and queued
-    /// ones.
-    fn is_below_limit(&self) -> bool {
-        self.in_flight() + self.queued() < self.concurrency_limit.get()
+    /// Whether a call that would miss its target latency is queued nevertheless: one
+    /// that delays no other, or a short one.
+    pub fn admits_past_target(&self, class: &str) -> bool {
+        let is_below_limit = self.in_flight() + self.queued() < self.concurrency_limit.get();
+        is_below_limit || self.is_short_call(class)
+    }
+
+    /// Whether runs of the class are known to be short beside the running calls.
+    fn is_short_call(&self, class: &str) -> bool {
+        let runs = self.running.values();
+        let running_time: Duration = runs
+            .map(|run| self.run_times.normal_run_time(run.class))
+            .sum();
+        self.run_times
+            .class_run_time_of(class)
+            .is_some_and(|run_time| run_time * SHORT_CALL_RATIO * self.in_flight() < running_time)
     }
 
     /// Whether a call may start: a no-wait call only at normal speed and while
--- a/src/admission/classes.rs
+++ b/src/admission/classes.rs
@@ -53,13 +53,16 @@
     /// Like [`normal_run_time`](Self::normal_run_time), by name; the mean of all
     /// classes if the name is unknown, and `None` before the first run of any.
     pub(super) fn known_run_time_of(&self, name: &str) -> Option<Duration> {
-        let class = self.ids_by_name.get(name);
-        let estimate = class.and_then(|class| self.by_class.get(class.0));
-        estimate
-            .and_then(LatencyEstimate::known_mean)
+        self.class_run_time_of(name)
             .or_else(|| self.overall.known_mean())
     }
 
+    /// Mean run time of the named class; `None` before its first run.
+    pub(super) fn class_run_time_of(&self, name: &str) -> Option<Duration> {
+        let class = self.ids_by_name.get(name)?;
+        self.by_class.get(class.0)?.known_mean()
+    }
+
     /// Shortest run time of the named class at normal speed; zero before its
     /// first run.
     pub(super) fn shortest_run_time_of(&self, name: &str) -> Duration {
--- a/src/admission/tests.rs
+++ b/src/admission/tests.rs
@@ -392,3 +392,40 @@
     assert_eq!(queue.next_reading_at(at(2_500)), Some(at(2_500)));
     assert_eq!(queue.record_slowdown(at(2_501), 1.0), [call(2)]);
 }
+
+/// Replays a nested call of 31 ms to a service whose four slots hold runs of 490 ms.
+/// It misses its target of 120 ms by a little. Refusing it failed the order that
+/// waited for it; a call that is not short is refused still.
+#[test]
+fn a_short_call_waits_past_its_target_for_long_runs() {
+    let mut queue = queue_of(4);
+    let at = Duration::from_millis;
+    let class_offer = |sequence, class: &str, target_left, time_left| CallOffer {
+        class: class.to_string(),
+        target_left: at(target_left),
+        ..offer(sequence, at(time_left))
+    };
+    for (sequence, class, latency) in [(1, "look", at(490)), (2, "peek", at(31))] {
+        queue.offer(at(0), class_offer(sequence, class, 1_200, 5_000));
+        queue.finish(latency, call(sequence), WorkResult::Completed { latency });
+    }
+    for sequence in 10..14 {
+        let look = class_offer(sequence, "look", 1_200, 5_000);
+        assert_eq!(queue.offer(at(600), look), AdmissionDecision::Start);
+    }
+    let peek = class_offer(20, "peek", 120, 400);
+    assert_matches!(
+        queue.offer(at(610), peek),
+        AdmissionDecision::Queued { estimated_wait } if estimated_wait > at(100)
+    );
+    let look = class_offer(21, "look", 520, 5_000);
+    assert_matches!(
+        queue.offer(at(610), look),
+        AdmissionDecision::Refused { .. }
+    );
+    assert!(queue.admits_past_target("peek"));
+    assert!(!queue.admits_past_target("look"));
+    let freed_at = at(750);
+    let started = queue.finish(freed_at, call(10), WorkResult::Failed);
+    assert_eq!(started, [call(20)]);
+}
--- a/src/gate.rs
+++ b/src/gate.rs
@@ -117,6 +117,9 @@
     /// Estimated time until the response, had this gate admitted the call; `None`
     /// if unknown.
     pub estimated_response_time: Option<Duration>,
+    /// Whether the gate would queue the call although it would miss its target
+    /// latency.
+    pub admits_past_target: bool,
 }
 
 impl From<ErrorKind> for GateRefusal {
@@ -126,6 +129,7 @@
             kind,
             retry_after: NON_LOAD_RETRY_AFTER,
             estimated_response_time: None,
+            admits_past_target: false,
         }
     }
 }
@@ -352,6 +356,7 @@
                 retry_after,
                 estimated_response_time: Some(estimated_response_time)
                     .filter(|time| !time.is_zero()),
+                admits_past_target: self.admits_past_target(open),
             }),
         }
     }
@@ -445,9 +450,17 @@
             kind: ErrorKind::WaitTooLong,
             retry_after: wait,
             estimated_response_time: Some(response_time),
+            admits_past_target: self.admits_past_target(open),
         }
     }
 
+    fn admits_past_target(&self, open: &CallOpen) -> bool {
+        let admission = self.admission.borrow();
+        admission
+            .as_ref()
+            .is_some_and(|admission| admission.admits_past_target(&open.class))
+    }
+
     fn start_queued_calls(self: &Rc<Self>, started_calls: Vec<CallId>) {
         for id in started_calls {
             log::info!(target: "admission", call:% = id; "queued call started");
--- a/src/gate/answer.rs
+++ b/src/gate/answer.rs
@@ -103,6 +103,7 @@
     /// Reports that the call has not run and never will.
     pub fn send_refusal(&mut self, refusal: &GateRefusal, load: Option<LoadSnapshot>) {
         let estimated_response_time = refusal.estimated_response_time.unwrap_or_default();
+        let admits_past_target = refusal.admits_past_target;
         let refusal = CallRefusal {
             sequence: self.sequence,
             kind: refusal.kind.code().to_string(),
@@ -110,6 +111,7 @@
             load,
             expected_response_us: u64::try_from(estimated_response_time.as_micros())
                 .unwrap_or(u64::MAX),
+            admits_past_target,
         };
         self.link.send(LinkMessage::Refusal(refusal));
     }
--- a/src/gate/dispatch.rs
+++ b/src/gate/dispatch.rs
@@ -157,6 +157,7 @@
             retry_after_ms: 0,
             load: None,
             expected_response_us: 0,
+            admits_past_target: false,
         }),
         OpenOutcome::Forgotten => LinkMessage::Abort(CallAbort {
             sequence,
--- a/src/ingress/attempt.rs
+++ b/src/ingress/attempt.rs
@@ -46,9 +46,8 @@
     pub retry_after: Option<Duration>,
     /// Time within which the gate would have expected to respond.
     pub estimated_response_time: Option<Duration>,
-    /// Whether the gate had more slots than running and queued calls when it
-    /// refused.
-    pub has_spare_slot: bool,
+    /// Whether the gate would queue the call past its target latency.
+    pub admits_past_target: bool,
 }
 
 impl AttemptError {
@@ -66,7 +65,7 @@
         Some(GateEstimate {
             time_to_slot: self.retry_after.filter(|_| is_load)?,
             time_to_response: self.estimated_response_time?,
-            has_spare_slot: self.has_spare_slot,
+            admits_past_target: self.admits_past_target,
         })
     }
 
@@ -86,7 +85,7 @@
             failure,
             retry_after: None,
             estimated_response_time: None,
-            has_spare_slot: false,
+            admits_past_target: false,
         }
     }
 }
@@ -357,9 +356,10 @@
                 retry_after: Some(Duration::from_millis(refusal.retry_after_ms)),
                 estimated_response_time: Some(Duration::from_micros(refusal.expected_response_us))
                     .filter(|finish| !finish.is_zero()),
-                has_spare_slot: refusal
-                    .load
-                    .is_some_and(|load| load.in_flight + load.queued < load.limit),
+                admits_past_target: refusal.admits_past_target
+                    || refusal
+                        .load
+                        .is_some_and(|load| load.in_flight + load.queued < load.limit),
             }),
             LinkMessage::Abort(abort) => Err(self
                 .state
@@ -411,7 +411,7 @@
 
 /// Kind of a gate's refusal. A gate whose backend server now belongs to another
 /// service can't serve the call, but the caller asked for a service that exists.
-pub(super) fn refusal_kind(code: &str) -> ErrorKind {
+fn refusal_kind(code: &str) -> ErrorKind {
     match error_kind_from_code(code) {
         ErrorKind::UnknownService => ErrorKind::BackendUnreachable,
         kind => kind,
@@ -421,3 +421,6 @@
 fn error_kind_from_code(code: &str) -> ErrorKind {
     ErrorKind::from_code(code).unwrap_or(ErrorKind::Internal)
 }
+
+#[cfg(test)]
+mod tests;
--- a/src/ingress/placing.rs
+++ b/src/ingress/placing.rs
@@ -25,9 +25,9 @@
     pub time_to_slot: Duration,
     /// Expected time until the response.
     pub time_to_response: Duration,
-    /// Whether the gate has slots for all its calls and one more, which then
-    /// waits at most for the end of a load burst.
-    pub has_spare_slot: bool,
+    /// Whether the gate queues the call although it would miss its target latency:
+    /// the gate has a spare slot, or the call is short beside those that run there.
+    pub admits_past_target: bool,
 }
 
 /// Time that a call has left.
@@ -128,11 +128,11 @@
     }
 }
 
-/// Whether a gate's queue is worth joining: to meet the target latency, or to
-/// take a spare slot on a slow VM while that meets the time limit.
+/// Whether a gate's queue is worth joining: to meet the target latency, or the time
+/// limit at a gate that admits the call past its target.
 fn is_worth_joining(estimate: GateEstimate, time_budget: CallTimeBudget) -> bool {
     estimate.time_to_response <= time_budget.target_left
-        || (estimate.has_spare_slot && estimate.time_to_response <= time_budget.time_left)
+        || (estimate.admits_past_target && estimate.time_to_response <= time_budget.time_left)
 }
 
 #[cfg(test)]
--- a/src/ingress/placing/tests.rs
+++ b/src/ingress/placing/tests.rs
@@ -10,7 +10,7 @@
     Some(GateEstimate {
         time_to_slot: Duration::from_millis(wait_ms),
         time_to_response: Duration::from_millis(finish_ms),
-        has_spare_slot: wait_ms <= 1,
+        admits_past_target: wait_ms <= 1,
     })
 }
 
--- a/src/link/messages.rs
+++ b/src/link/messages.rs
@@ -170,6 +170,10 @@
     /// microseconds; 0 if unknown.
     #[prost(uint64, tag = "5")]
     pub expected_response_us: u64,
+    /// Whether the gate would queue the call although it would miss its target
+    /// latency. Gates of older builds leave it out.
+    #[prost(bool, tag = "6")]
+    pub admits_past_target: bool,
 }
 
 /// Head of a response, with the start of its body.
