Test upstreams that all failed; add the rounding margin once

Cause: a non-idempotent call excludes an upstream for up to 5 s after failures. If all upstreams of a service have failed, one that is alone included, orders were refused with 503 at once and none was tried, although the upstream may work again.

Ruled out: idempotent calls, which try an avoided upstream as a last resort.

Change: if every upstream is excluded for failures, one call of a node at a time tests one. A retry's deadline may seem 2 ms earlier than its first request's; it was 4 ms.

Tests: a_sole_upstream_that_failed_is_tested_by_one_call_at_a_time and a_retry_seems_to_wait_shorter_by_the_rounding_margin_at_most; both fail on the code before.

--- a/src/ingress/returns.rs
+++ b/src/ingress/returns.rs
@@ -76,8 +76,9 @@
             caller_deadline.saturating_sub(LATE_ARRIVAL_MARGIN),
             String::new(),
         );
+        // The end is excluded, and rounding may shift by the whole margin.
         let latest = (
-            caller_deadline + ROUNDING_MARGIN + ROUNDING_MARGIN,
+            caller_deadline + ROUNDING_MARGIN + Duration::from_nanos(1),
             String::new(),
         );
         let key = self
--- a/src/ingress/returns/tests.rs
+++ b/src/ingress/returns/tests.rs
@@ -86,3 +86,15 @@
     }
     assert_eq!(tracker.refused_requests.len(), MAX_TRACKED_REFUSALS);
 }
+
+/// The margin for rounding is 2 ms; it used to be added twice.
+#[test]
+fn a_retry_seems_to_wait_shorter_by_the_rounding_margin_at_most() {
+    let take_target = |arrived_ms, left_ms| {
+        let mut tracker = CallerRetryTracker::default();
+        tracker.record_refusal(caller_request("look", 1_000, 500), ms(1_200));
+        tracker.take_retry_target(caller_request("look", arrived_ms, left_ms))
+    };
+    assert_eq!(take_target(1_100, 398), Some(ms(1_200)));
+    assert_eq!(take_target(1_100, 397), None);
+}
--- a/src/routing/select.rs
+++ b/src/routing/select.rs
@@ -2,7 +2,9 @@
 //!
 //! A farther tier is considered only if no candidate so far scores well enough,
 //! and other regions only if there is no candidate yet. Members that refused or
-//! failed recently are considered only if there are no others.
+//! failed recently are considered only if there are no others. If every member is
+//! excluded for its failures, one of them is tested nevertheless: a service whose
+//! upstreams all look bad may work again, and it must not be refused unseen.
 
 use std::time::Duration;
 
@@ -21,6 +23,7 @@
     tier: LocalityTier,
     preferred: Vec<&'a NodeId>,
     avoided: Vec<&'a NodeId>,
+    excluded: Vec<&'a NodeId>,
 }
 
 impl RouterState {
@@ -61,6 +64,18 @@
         for group in &tiers {
             self.sample_tier(now, rng, state, group.tier, &group.avoided, &mut candidates);
         }
+        if candidates.is_empty() {
+            for group in &tiers {
+                self.sample_tier(
+                    now,
+                    rng,
+                    state,
+                    group.tier,
+                    &group.excluded,
+                    &mut candidates,
+                );
+            }
+        }
         if candidates.is_empty() {
             return Err(ErrorKind::NoUpstream);
         }
@@ -77,22 +92,27 @@
         let has_recent_idempotent = self.has_recent_idempotent_call(now, request.service);
         let is_avoided =
             |stats: &UpstreamStats| stats.is_avoided(now, is_idempotent, has_recent_idempotent);
-        let stats_of = |node: &NodeId| self.upstream_stats.get(node);
         let mut tiers = Vec::new();
         for members in &state.tiers {
-            let (avoided, preferred) = members
-                .nodes
-                .iter()
-                .filter(|node| !request.tried_nodes.contains(*node))
-                .filter(|node| {
-                    !stats_of(node).is_some_and(|stats| stats.is_excluded(now, is_idempotent))
-                })
-                .partition(|node| stats_of(node).is_some_and(is_avoided));
-            tiers.push(TierCandidates {
+            let mut group = TierCandidates {
                 tier: members.tier,
-                preferred,
-                avoided,
-            });
+                preferred: Vec::new(),
+                avoided: Vec::new(),
+                excluded: Vec::new(),
+            };
+            let untried_nodes = members.nodes.iter();
+            for node in untried_nodes.filter(|node| !request.tried_nodes.contains(*node)) {
+                match self.upstream_stats.get(node) {
+                    Some(stats) if stats.is_excluded(now, is_idempotent) => {
+                        group
+                            .excluded
+                            .extend(stats.may_test_excluded().then_some(node));
+                    }
+                    Some(stats) if is_avoided(stats) => group.avoided.push(node),
+                    _ => group.preferred.push(node),
+                }
+            }
+            tiers.push(group);
         }
         tiers
     }
--- a/src/routing/tests.rs
+++ b/src/routing/tests.rs
@@ -417,6 +417,40 @@
     assert!(router.select_upstream(soon, &mut rng, &request).is_ok());
 }
 
+/// Replays a service whose only upstream fails a few orders and then works. Orders
+/// used to be refused for seconds without being tried; one at a time tests whether
+/// it works again, and the others are still refused.
+#[test]
+fn a_sole_upstream_that_failed_is_tested_by_one_call_at_a_time() {
+    let mut rng = StdRng::seed_from_u64(1);
+    let mut router = router(0);
+    let table = single_service_table(&[UpstreamState::Ready; 1], &[1; 1], 0.0);
+    router.apply_table(Duration::ZERO, &table);
+    let tried = BTreeSet::new();
+    let request = RouteRequest {
+        service: &service(),
+        is_idempotent: false,
+        has_large_body: false,
+        tried_nodes: &tried,
+    };
+    let mut now = Duration::ZERO;
+    for _ in 0..6 {
+        let failed = router.select_upstream(now, &mut rng, &request).unwrap();
+        let result = AttemptResult::Failed(ErrorKind::BackendFailed);
+        router.finish_attempt(now, &service(), &failed.node, failed.attempt, result);
+        now += Duration::from_millis(20);
+    }
+    let test = router.select_upstream(now, &mut rng, &request).unwrap();
+    assert_eq!(test.reason, RouteReason::LastResort);
+    assert_eq!(
+        router.select_upstream(now, &mut rng, &request),
+        Err(ErrorKind::NoUpstream)
+    );
+    let answered = AttemptResult::Answered;
+    router.finish_attempt(now, &service(), &test.node, test.attempt, answered);
+    assert!(router.select_upstream(now, &mut rng, &request).is_ok());
+}
+
 /// A call that lost its link to the only upstream has no alternative.
 #[test]
 fn alternative_upstream_accepts_calls() {
--- a/src/routing/upstream.rs
+++ b/src/routing/upstream.rs
@@ -146,6 +146,12 @@
         now < self.backoff_until && (self.is_draining || is_failing)
     }
 
+    /// Whether a call may test an upstream that is excluded for its failures, since
+    /// all others are excluded as well: one call of this node at a time.
+    pub(super) fn may_test_excluded(&self) -> bool {
+        !self.is_draining && self.outstanding.is_empty()
+    }
+
     /// Whether a call prefers other upstreams while there are any.
     ///
     /// After a failure only an idempotent call tests whether the upstream has
