Keep calls whose target is their time limit in the queue as before

Cause: the change for short calls also refused calls without a target of their own if their mean run would end past the time limit; only the shortest run may do that. Seen while reading the diff. The head of discovery says what starting nodes do.

--- a/src/admission.rs
+++ b/src/admission.rs
@@ -99,9 +99,9 @@
     shares: Vec<CapacityShare>,
     priority: QueuePriority,
     class: ClassId,
-    /// Whether the call is evicted once it would miss its target latency: the
-    /// target ends before the time limit, and the call isn't short.
-    has_target_latency: bool,
+    /// Whether the call is evicted once it would miss its target latency, which
+    /// ends before the time limit. A short call is not.
+    gives_way_past_target: bool,
     /// Latest start that can still be answered within the time limit.
     expires_at: Duration,
     /// See [`CallOffer::no_wait_slot_share`].
@@ -218,14 +218,13 @@
         let shortest_run_time =
             self.at_baseline_speed(now, self.run_times.shortest_run_time_of(&offer.class));
         let max_wait = offer.time_left.saturating_sub(shortest_run_time);
-        let has_target_latency =
-            offer.target_left < offer.time_left && !self.is_short_call(&offer.class);
+        let has_target_latency = offer.target_left < offer.time_left;
         let max_response_time = if self.admits_past_target(&offer.class) {
             offer.time_left
         } else {
             offer.target_left
         };
-        let misses_target = response_time > max_response_time;
+        let misses_target = response_time > max_response_time && has_target_latency;
         if wait > max_wait.min(self.options.max_queue_wait) || misses_target {
             return refusal(ErrorKind::WaitTooLong, wait, response_time);
         }
@@ -233,13 +232,14 @@
             return refusal(ErrorKind::Overloaded, wait, response_time);
         }
         self.shares.acquire(&offer.shares);
+        let gives_way_past_target = has_target_latency && !self.is_short_call(&offer.class);
         let class = self.run_times.intern(&offer.class);
         self.queue.push(QueuedCall {
             call: offer.call,
             shares: offer.shares,
             priority,
             class,
-            has_target_latency,
+            gives_way_past_target,
             expires_at: now + max_wait,
             no_wait_slot_share: offer.no_wait_slot_share,
         });
@@ -558,7 +558,7 @@
     }
 
     fn would_miss_target(&self, now: Duration, queued_call: &QueuedCall) -> bool {
-        queued_call.has_target_latency
+        queued_call.gives_way_past_target
             && now + self.expected_run_time(now, queued_call.class)
                 > queued_call.priority.target_deadline
     }
--- a/src/discovery.rs
+++ b/src/discovery.rs
@@ -4,11 +4,12 @@
 //! node, registers an entry with its peer address under a lease and lists the
 //! entries periodically; all other nodes list them only at startup. Of nodes that
 //! start together and find no entry, the first few register one, drawn by random
-//! delays, and the others join through these. Entries are
-//! only hints for joining the membership protocol, which determines the live
-//! nodes itself. A node whose own entry is missing from the list registers it
-//! again, whether the lease has expired or the store has lost the entry silently.
-//! The number of store calls thus grows with the zones, not with the nodes.
+//! delays, and the others join through these. Entries are only hints for joining
+//! the membership protocol, which determines the live nodes itself. A node whose
+//! own entry is missing from the list registers it again, whether the lease has
+//! expired or the store has lost the entry silently. The number of store calls
+//! thus grows with the zones, not with the nodes, except for one or two listings of
+//! each node at its start.
 //!
 //! [`DiscoveryState`] is a state machine that decides on the next store call; the
 //! driver executes it.
--- a/src/ingress/call/second_copy.rs
+++ b/src/ingress/call/second_copy.rs
@@ -83,12 +83,8 @@
                         if is_usable(&result) {
                             return result;
                         }
-                        return match second.await {
-                            Some(second_result) if is_usable(&second_result) => {
-                                second_result
-                            }
-                            _ => result,
-                        };
+                        let second_result = second.await;
+                        return second_result.filter(is_usable).unwrap_or(result);
                     }
                     result = &mut second => result,
                 }
@@ -97,14 +93,18 @@
                 Some(result) if is_usable(&result) => return result,
                 Some(_) => return first.await,
                 None => {
-                    let mut retries = lock(&self.worker.shared.retry_policy);
-                    retries.return_hedge_token(&self.request.service);
+                    self.return_hedge_token();
                     next_delay = HEDGE_RETRY_DELAY;
                 }
             }
         }
     }
 
+    /// Gives back the token of a hedged attempt that no gate started.
+    fn return_hedge_token(&self) {
+        lock(&self.worker.shared.retry_policy).return_hedge_token(&self.request.service);
+    }
+
     /// Whether the call has numbers and time left for a hedged attempt.
     fn may_offer_hedge(&self) -> bool {
         let latencies = lock(&self.worker.shared.latencies);
