--- a/src/admission/speed/tests.rs
+++ b/src/admission/speed/tests.rs
@@ -71,8 +71,8 @@
     assert_eq!(history.next_reading_at(ms(641)), Some(ms(670)));
 }
 
-/// Without calls there are no readings. What was measured before must not bar the
-/// calls that would bring the next reading.
+/// Without calls there are no readings. Old readings must not bar the calls that
+/// would bring the next one.
 #[test]
 fn sustained_slowdown_is_forgotten_after_the_window() {
     let history = history((0..1_000).step_by(20).map(|at| (at, 8.0)));
