Stand-in store speaks the platform's calls and goes back to a copy

What a restored store does to nodes could not be tested: the stand-in knew only Consul's calls, and never lost anything that it had acknowledged. It now answers the platform's calls on the same data, states its era, copies its data (PUT /standin/copy), goes back to the copy (PUT /standin/restore), and can leave the watches unanswered that are waiting (silence_watches). The handlers are in the adapter's folder, like all that knows the platform's names.

--- a/src/platform.rs
+++ b/src/platform.rs
@@ -9,12 +9,14 @@
 mod announcement;
 mod config;
 mod dialect;
+mod standin;
 mod store;
 
 use crate::admin::AnnouncementDecoder;
 use crate::fields::HeaderDialect;
 use crate::routes::ConfigSource;
 
+pub use standin::add_platform_routes;
 pub use store::PlatformStore;
 
 /// Platform-specific definitions that the rest of the node uses.
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -27,10 +27,12 @@
 const WATCH_TIMEOUT_MARGIN: Duration = Duration::from_secs(1);
 /// Query parameter that permits a response a few seconds out of date.
 const STALE_OPTION: &str = "&serializable=1";
+/// Response header with the number of times that the store was restored from a copy.
+pub(super) const ERA_HEADER: &str = "store-era";
 /// Status of a watch from a revision that the store's history no longer covers.
-const STATUS_WATCH_HISTORY_GONE: u16 = 410;
+pub(super) const STATUS_WATCH_HISTORY_GONE: u16 = 410;
 /// Status of a transaction whose condition does not hold.
-const STATUS_CONDITION_FAILED: u16 = 412;
+pub(super) const STATUS_CONDITION_FAILED: u16 = 412;
 
 /// Client of the platform's metadata store.
 #[derive(Debug, Clone)]
--- a/src/standin/store.rs
+++ b/src/standin/store.rs
@@ -1,13 +1,15 @@
 //! Stand-in for the platform's key-value service.
 //!
-//! It implements the part of Consul's HTTP API that the store's HTTP client
-//! uses, enforces the platform's rate limits, counts calls by kind
-//! (`GET /standin/counts`) and simulates faults (`PUT /standin/faults`).
+//! It implements the part of Consul's HTTP API and of the users' platform's that the
+//! store clients use, enforces the platform's rate limits, counts calls by kind
+//! (`GET /standin/counts`) and simulates faults (`PUT /standin/faults`). It also
+//! copies its data (`PUT /standin/copy`) and goes back to that copy
+//! (`PUT /standin/restore`).
 
 mod faults;
-mod rates;
-mod service;
-mod state;
+pub(crate) mod rates;
+pub(crate) mod service;
+pub(crate) mod state;
 
 pub use faults::StoreFaults;
 pub use rates::CallCounts;
--- a/src/standin/store/faults.rs
+++ b/src/standin/store/faults.rs
@@ -19,6 +19,9 @@
     pub delay_ms: u64,
     /// Expire all leases when these faults are set.
     pub expire_leases: bool,
+    /// Never answer the watches that are waiting when these faults are set; later
+    /// ones are answered.
+    pub silence_watches: bool,
 }
 
 /// How a write or delete of a key is handled.
--- a/src/standin/store/service.rs
+++ b/src/standin/store/service.rs
@@ -1,4 +1,5 @@
 //! HTTP API of the stand-in store: Consul's keys and sessions, counts and faults.
+//! The platform's calls to the same data are added by its adapter.
 
 use std::io;
 use std::net::TcpListener;
@@ -16,6 +17,7 @@
 use super::faults::StoreFaults;
 use super::rates::CallKind;
 use super::state::{CallRejection, StandinState, copy_bytes};
+use crate::platform::add_platform_routes;
 use crate::store::{KeyRevision, MAX_VALUE_BYTES};
 
 /// Longest wait of a watch whose request sets none.
@@ -60,6 +62,9 @@
             .route("/standin/counts", web::get().to(show_counts))
             .route("/standin/counts", web::delete().to(reset_counts))
             .route("/standin/faults", web::put().to(set_faults))
+            .route("/standin/copy", web::put().to(take_copy))
+            .route("/standin/restore", web::put().to(restore_copy))
+            .configure(add_platform_routes)
     };
     HttpServer::new(app)
         .workers(1)
@@ -68,7 +73,7 @@
         .await
 }
 
-fn rejection_response(rejection: CallRejection) -> HttpResponse {
+pub(crate) fn rejection_response(rejection: CallRejection) -> HttpResponse {
     match rejection {
         CallRejection::Unavailable => HttpResponse::ServiceUnavailable().body("store is away"),
         CallRejection::RateExceeded => HttpResponse::TooManyRequests().body("rate passed"),
@@ -213,3 +218,13 @@
     state.set_faults(faults.into_inner());
     HttpResponse::Ok().finish()
 }
+
+async fn take_copy(state: State<StandinState>) -> HttpResponse {
+    state.take_copy();
+    HttpResponse::Ok().finish()
+}
+
+async fn restore_copy(state: State<StandinState>) -> HttpResponse {
+    state.restore_copy();
+    HttpResponse::Ok().finish()
+}
--- a/src/standin/store/state.rs
+++ b/src/standin/store/state.rs
@@ -1,6 +1,7 @@
 //! State of the stand-in store, shared by its request handlers: the keys and
 //! leases, the faults in force and the call counts.
 
+use std::future::pending;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
@@ -15,8 +16,16 @@
 /// Time between checks for expired leases while a watch waits.
 const EXPIRY_INTERVAL: Duration = Duration::from_millis(100);
 
+/// Era of a store that has never been restored from a copy.
+const FIRST_ERA: u64 = 1;
+
 struct StoreInner {
     table: MemoryTable,
+    /// Increased each time the table is restored from the copy.
+    era: u64,
+    copy: Option<MemoryTable>,
+    /// Increased each time the waiting watches are silenced.
+    silence_count: u64,
     faults: StoreFaults,
     rate_limiter: CallRateLimiter,
 }
@@ -43,6 +52,9 @@
     pub fn new(options: &StandinOptions) -> Self {
         let inner = StoreInner {
             table: MemoryTable::default(),
+            era: FIRST_ERA,
+            copy: None,
+            silence_count: 0,
             faults: StoreFaults::default(),
             rate_limiter: CallRateLimiter::new(options.reads_per_second, options.writes_per_second),
         };
@@ -130,13 +142,28 @@
     /// Waits until a key has changed since `index` or the time limit has passed;
     /// false if an outage is simulated.
     pub async fn wait_for_change(&self, key: &str, index: u64, time_limit: Duration) -> bool {
+        self.wait_until(time_limit, |table| key_index(table, key) > index)
+            .await
+    }
+
+    /// Waits until a condition holds or the time limit has passed; false if an
+    /// outage is simulated.
+    pub async fn wait_until(
+        &self,
+        time_limit: Duration,
+        condition: impl Fn(&MemoryTable) -> bool,
+    ) -> bool {
         let mut changes = self.changes.subscribe();
         let deadline = Instant::now() + time_limit;
+        let silence_count = self.lock().silence_count;
         loop {
+            if self.lock().silence_count != silence_count {
+                return pending().await;
+            }
             if self.lock().faults.away {
                 return false;
             }
-            if self.key_index(key) > index || Instant::now() >= deadline {
+            if self.with_table(|table, _| condition(table)) || Instant::now() >= deadline {
                 return true;
             }
             let _ = tokio::time::timeout(EXPIRY_INTERVAL, changes.changed()).await;
@@ -146,10 +173,29 @@
     /// Index from which a watch of the key continues: that of its last change, or
     /// of the last removal if it doesn't exist.
     pub fn key_index(&self, key: &str) -> u64 {
-        self.with_table(|table, _| match table.get(key) {
-            Some(value) => value.revision.0,
-            None => table.removal_index(),
-        })
+        self.with_table(|table, _| key_index(table, key))
+    }
+
+    /// Era of the table, which increases each time it is restored from a copy.
+    pub fn era(&self) -> u64 {
+        self.lock().era
+    }
+
+    /// Copies the table for [`restore_copy`](Self::restore_copy).
+    pub fn take_copy(&self) {
+        let mut inner = self.lock();
+        inner.copy = Some(inner.table.clone());
+    }
+
+    /// Replaces the table by the copy, or by an empty one if none was taken, and
+    /// begins a new era. All later changes are lost and their indexes are assigned
+    /// again. Watches go on waiting for changes after their index.
+    pub fn restore_copy(&self) {
+        let mut inner = self.lock();
+        inner.table = inner.copy.clone().unwrap_or_default();
+        inner.era += 1;
+        drop(inner);
+        self.changes.send_replace(());
     }
 
     /// Replaces all faults and wakes the waiting watches, which check them.
@@ -157,7 +203,10 @@
         if faults.expire_leases {
             self.with_table(|table, _| table.revoke_all_leases());
         }
-        self.lock().faults = faults;
+        let mut inner = self.lock();
+        inner.silence_count += u64::from(faults.silence_watches);
+        inner.faults = faults;
+        drop(inner);
         self.changes.send_replace(());
     }
 
@@ -175,6 +224,13 @@
     }
 }
 
+fn key_index(table: &MemoryTable, key: &str) -> u64 {
+    match table.get(key) {
+        Some(value) => value.revision.0,
+        None => table.removal_index(),
+    }
+}
+
 /// Copies a request body into the type that the table stores.
 pub fn copy_bytes(bytes: &ntex::util::Bytes) -> Bytes {
     Bytes::copy_from_slice(bytes)
--- a/src/store/memory.rs
+++ b/src/store/memory.rs
@@ -31,11 +31,24 @@
 /// Index of an unchanged table; a watch from index 0 returns without waiting.
 const INITIAL_INDEX: u64 = 1;
 
+/// Change of a key since an earlier index.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct TableChange {
+    /// Key that was written or removed.
+    pub key: String,
+    /// Index of its last change.
+    pub index: u64,
+    /// Present value; `None` if the key was removed.
+    pub value: Option<StoredValue>,
+}
+
 /// Keys with their revisions, and the leases that hold some of them.
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 pub struct MemoryTable {
     index: u64,
     entries: BTreeMap<String, MemoryEntry>,
+    /// Index at which each key was removed that doesn't exist any more.
+    removals: BTreeMap<String, u64>,
     leases: BTreeMap<String, MemoryLease>,
     leases_granted: u64,
     /// Index of the last removal of any key; reported for missing keys.
@@ -47,6 +60,7 @@
         Self {
             index: INITIAL_INDEX,
             entries: BTreeMap::new(),
+            removals: BTreeMap::new(),
             leases: BTreeMap::new(),
             leases_granted: 0,
             removal_index: INITIAL_INDEX,
@@ -100,6 +114,44 @@
         let value = StoredValue { revision, bytes };
         let entry = MemoryEntry { value, lease };
         self.entries.insert(key.to_string(), entry);
+        self.removals.remove(key);
+    }
+
+    /// Last change of each key that begins with `prefix` and has changed since `index`.
+    pub fn changes_since(&self, prefix: &str, index: u64) -> Vec<TableChange> {
+        let written = self.list(prefix).into_iter().map(|entry| TableChange {
+            index: entry.value.revision.0,
+            key: entry.key,
+            value: Some(entry.value),
+        });
+        let removals = self.removals.range(prefix.to_string()..);
+        let removed =
+            removals
+                .take_while(|(key, _)| key.starts_with(prefix))
+                .map(|(key, removed_at)| TableChange {
+                    key: key.clone(),
+                    index: *removed_at,
+                    value: None,
+                });
+        written
+            .chain(removed)
+            .filter(|change| change.index > index)
+            .collect()
+    }
+
+    /// Writes a key and ties it to a lease or, with `None`, to no lease.
+    ///
+    /// Returns false if the lease doesn't exist.
+    pub fn put_under_lease(&mut self, key: &str, value: Bytes, lease: Option<&str>) -> bool {
+        let lease = lease.map(ToString::to_string);
+        if lease
+            .as_ref()
+            .is_some_and(|lease| !self.leases.contains_key(lease))
+        {
+            return false;
+        }
+        self.write(key, value, lease);
+        true
     }
 
     /// Removes a key; the index changes only if the key existed.
@@ -107,6 +159,7 @@
         if self.entries.remove(key).is_some() {
             self.index += 1;
             self.removal_index = self.index;
+            self.removals.insert(key.to_string(), self.index);
         }
     }
 
