--- a/src/platform/tests.rs
+++ b/src/platform/tests.rs
@@ -261,3 +261,5 @@
     assert_matches!(swap().await, Ok(SwapOutcome::Swapped));
     assert_matches!(swap().await, Ok(SwapOutcome::Mismatch));
 }
+
+mod restored_store;
--- /dev/null
+++ b/src/platform/tests/restored_store.rs
@@ -0,0 +1,190 @@
+//! Tests against the stand-in store of a store that loses its last changes, and of
+//! watches that are never answered.
+
+use std::net::TcpListener;
+use std::rc::Rc;
+
+use ntex::client::Client;
+use serde_json::json;
+use tokio::sync::watch;
+
+use super::*;
+use crate::discovery::FleetRole;
+use crate::exchange::PeerHello;
+use crate::routes::{RoutesHandle, RoutesSettings};
+use crate::standin::store::{StandinOptions, serve};
+
+/// Time within which a version must be active after its acknowledgement.
+const APPLY_LIMIT: Duration = Duration::from_secs(2);
+/// Time after which a watch that was started is waiting at the store.
+const WATCH_START: Duration = Duration::from_millis(400);
+const LEASE_TTL: Duration = Duration::from_secs(10);
+
+/// Stand-in store, as its operator and the tests' fault switch see it.
+struct StoreFixture {
+    url: String,
+    client: Client,
+}
+
+impl StoreFixture {
+    async fn start() -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let options = StandinOptions {
+            listen: listener.local_addr().unwrap(),
+            writes_per_second: 400,
+            reads_per_second: 2_000,
+        };
+        let url = format!("http://{}", options.listen);
+        ntex::rt::spawn(async move { serve(listener, &options).await });
+        Self {
+            url,
+            client: Client::new().await,
+        }
+    }
+
+    async fn connect(&self) -> PlatformStore {
+        PlatformStore::connect(&self.url).await.unwrap()
+    }
+
+    async fn put(&self, path: &str, body: serde_json::Value) {
+        let request = self.client.put(format!("{}{path}", self.url));
+        assert!(
+            request
+                .send_json(&body)
+                .await
+                .unwrap()
+                .status()
+                .is_success()
+        );
+    }
+
+    async fn write_key(&self, key: &str, value: &str) {
+        let value = base64::Engine::encode(&base64::engine::general_purpose::STANDARD, value);
+        let body = json!({ "puts": [{ "key": key, "value": value }] });
+        let request = self.client.post(format!("{}/api/kv-txn", self.url));
+        assert!(
+            request
+                .send_json(&body)
+                .await
+                .unwrap()
+                .status()
+                .is_success()
+        );
+    }
+
+    async fn write_config(&self, version: u64) {
+        let config = CONFIG.replacen("0000000c", &format!("{version:08x}"), 1);
+        self.write_key("op/config", &config).await;
+    }
+
+    /// Writes keys that no node watches; each takes one revision.
+    async fn write_other_keys(&self, count: u32) {
+        for _ in 0..count {
+            self.write_key("status/other", "x").await;
+        }
+    }
+
+    async fn start_node(&self, zone_rank: u32) -> NodeFixture {
+        let (role_sender, role) = watch::channel(FleetRole::from_zone_rank(11, zone_rank));
+        let settings = RoutesSettings {
+            hello: PeerHello::default(),
+            source: PLATFORM.config,
+        };
+        NodeFixture {
+            routes: RoutesHandle::start(settings, Rc::new(self.connect().await), role),
+            _role_sender: role_sender,
+        }
+    }
+}
+
+/// Configuration tasks of a node.
+struct NodeFixture {
+    routes: RoutesHandle,
+    _role_sender: watch::Sender<FleetRole>,
+}
+
+impl NodeFixture {
+    /// Whether the version becomes active within [`APPLY_LIMIT`].
+    async fn applies_in_time(&self, version: u64) -> bool {
+        let mut config = self.routes.subscribe();
+        let is_active = config.wait_for(|config| {
+            config
+                .as_ref()
+                .is_some_and(|config| config.version == ConfigVersion(version))
+        });
+        tokio::time::timeout(APPLY_LIMIT, is_active).await.is_ok()
+    }
+}
+
+/// All watchers of a fleet wait at about the same position, so a change that they
+/// can't see there reaches no node.
+#[ntex::test]
+async fn change_below_the_watch_position_of_an_earlier_era_is_applied() {
+    for zone_rank in [0, 1] {
+        let store = StoreFixture::start().await;
+        store.write_config(5).await;
+        store.put("/standin/copy", json!({})).await;
+        let node = store.start_node(zone_rank).await;
+        assert!(node.applies_in_time(5).await);
+        store.write_other_keys(5).await;
+        store.write_config(6).await;
+        assert!(node.applies_in_time(6).await);
+        tokio::time::sleep(WATCH_START).await;
+
+        store.put("/standin/restore", json!({})).await;
+        store.write_config(6).await;
+        store.write_config(7).await;
+        store.write_other_keys(10).await;
+        assert!(
+            node.applies_in_time(7).await,
+            "zone rank {zone_rank}: version {} after {APPLY_LIMIT:?}",
+            node.routes.version()
+        );
+    }
+}
+
+#[ntex::test]
+async fn older_configuration_of_a_restored_store_replaces_no_newer_one() {
+    let store = StoreFixture::start().await;
+    store.write_config(5).await;
+    store.put("/standin/copy", json!({})).await;
+    let node = store.start_node(0).await;
+    assert!(node.applies_in_time(5).await);
+    store.write_config(6).await;
+    assert!(node.applies_in_time(6).await);
+    store.put("/standin/restore", json!({})).await;
+    store.write_other_keys(1).await;
+    tokio::time::sleep(APPLY_LIMIT).await;
+    assert_eq!(node.routes.version(), ConfigVersion(6));
+}
+
+#[ntex::test]
+async fn change_is_applied_while_the_connection_of_the_watch_is_silent() {
+    let store = StoreFixture::start().await;
+    store.write_config(5).await;
+    let node = store.start_node(0).await;
+    assert!(node.applies_in_time(5).await);
+    tokio::time::sleep(WATCH_START).await;
+    let silence = json!({ "silence_watches": true });
+    store.put("/standin/faults", silence).await;
+    store.write_config(6).await;
+    assert!(
+        node.applies_in_time(6).await,
+        "version {} after {APPLY_LIMIT:?}",
+        node.routes.version()
+    );
+}
+
+/// Renewing a lease that belongs to another node would keep that node's keys alive.
+#[ntex::test]
+async fn lease_number_assigned_again_in_a_later_era_is_not_renewed() {
+    let store = StoreFixture::start().await;
+    store.put("/standin/copy", json!({})).await;
+    let (first_node, second_node) = (store.connect().await, store.connect().await);
+    let lost_lease = first_node.grant_lease(LEASE_TTL).await.unwrap();
+    store.put("/standin/restore", json!({})).await;
+    let valid_lease = second_node.grant_lease(LEASE_TTL).await.unwrap();
+    assert_eq!(lost_lease.to_string(), valid_lease.to_string());
+    assert_eq!(first_node.renew_lease(&lost_lease).await, Ok(false));
+    assert_eq!(second_node.renew_lease(&valid_lease).await, Ok(true));
+}
--- a/src/routes/tests.rs
+++ b/src/routes/tests.rs
@@ -1,15 +1,21 @@
 //! Tests of the route lookup, traffic splits and the configuration tasks.
 
 use std::collections::BTreeMap;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
+use bytes::Bytes;
+use futures_util::{SinkExt, StreamExt};
+use prost::Message;
 use rand::SeedableRng;
 use rand::rngs::StdRng;
 use serde_json::json;
+use tokio::net::TcpListener;
 
 use super::*;
 use crate::discovery::FleetRole;
+use crate::exchange::{ControlReply, ControlRequest, PeerHello, frame_stream};
 use crate::store::memory::MemoryStore;
 use crate::store::{ConfigStore, KeyRevision};
 
@@ -171,3 +177,82 @@
         "the change was not activated within 500 ms"
     );
 }
+
+/// Accepts connections at a new address and never replies to a request.
+async fn start_silent_peer() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    ntex::rt::spawn(async move {
+        let mut connections = Vec::new();
+        while let Ok((connection, _)) = listener.accept().await {
+            connections.push(connection);
+        }
+    });
+    address
+}
+
+/// Answers the requests of other nodes by the replica of `handle` at a new address.
+async fn start_peer(handle: RoutesHandle) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    ntex::rt::spawn(async move {
+        while let Ok((connection, _)) = listener.accept().await {
+            let mut frames = frame_stream(connection);
+            let _hello = frames.next().await;
+            let Some(Ok(request)) = frames.next().await else {
+                continue;
+            };
+            let request = ControlRequest::decode(request).unwrap();
+            let reply = ControlReply {
+                payload: handle.handle_peer_request(&request.payload),
+            };
+            let _ = frames.send(Bytes::from(reply.encode_to_vec())).await;
+        }
+    });
+    address
+}
+
+/// Node without a store that has the configuration of this version, if any.
+fn start_follower(version: u64) -> RoutesHandle {
+    let source = ConfigSource {
+        key: "routes",
+        decode: |_| unreachable!("the store holds no configuration"),
+    };
+    let settings = RoutesSettings {
+        hello: PeerHello::default(),
+        source,
+    };
+    let (role_sender, role) = tokio::sync::watch::channel(FleetRole::Follower);
+    // The role stays until the end of the test.
+    std::mem::forget(role_sender);
+    let handle = RoutesHandle::start(settings, Rc::new(MemoryStore::new([])), role);
+    if version > 0 {
+        let config = RouteConfig {
+            version: ConfigVersion(version),
+            ..config(vec![route("all", "shop", "/")])
+        };
+        let push = json!({ "push": { "whole": config } });
+        handle.handle_peer_request(&serde_json::to_vec(&push).unwrap());
+    }
+    handle
+}
+
+/// Time within which a version must be active after its acknowledgement.
+const APPLY_LIMIT: Duration = Duration::from_secs(2);
+
+/// Restarts of many nodes leave announcements of peers that no longer answer.
+#[ntex::test]
+async fn version_is_fetched_although_the_first_peers_that_announced_it_do_not_answer() {
+    let node = start_follower(3);
+    for _ in 0..4 {
+        let silent_peer = start_silent_peer().await;
+        for _ in 0..3 {
+            node.on_peer_version(silent_peer, ConfigVersion(4));
+        }
+    }
+    let peer = start_peer(start_follower(4)).await;
+    node.on_peer_version(peer, ConfigVersion(4));
+    let mut config = node.subscribe();
+    let is_active = config.wait_for(|_| node.version() == ConfigVersion(4));
+    assert!(tokio::time::timeout(APPLY_LIMIT, is_active).await.is_ok());
+}
