Log and count what tells the causes of a late configuration apart

Logs said when a version came into force, not what a node knew before. Now: the first peer that announces a newer version, the version of a push that fails, role, position and duration of a watch that fails, the era in the debug line of each store call, and a gauge currantlift_config_version. No decision changes.

--- a/src/control/state.rs
+++ b/src/control/state.rs
@@ -479,6 +479,7 @@
         routes.mark_unchanged();
         let version = control.routes.version();
         control.membership.set_head_version(version.0);
+        control.ingress.metrics.set_config_version(version.0);
         control.reconfigure_gate();
         control.push_routes();
         // A new configuration is published without the batching delay.
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -13,6 +13,7 @@
 use prometheus_client::encoding::text::encode;
 use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::gauge::Gauge;
 use prometheus_client::metrics::histogram::Histogram;
 use prometheus_client::registry::{Registry, Unit};
 
@@ -43,6 +44,7 @@
     runs: CounterFamily,
     run_seconds: HistogramFamily,
     load_polls: CounterFamily,
+    config_version: Gauge,
 }
 
 fn new_latency_histogram() -> Histogram {
@@ -61,6 +63,7 @@
             runs: Family::default(),
             run_seconds: Family::new_with_constructor(new_histogram),
             load_polls: Family::default(),
+            config_version: Gauge::default(),
             registry: Registry::default(),
         };
         registry.register(
@@ -100,6 +103,11 @@
             "Readings of the speed that the gate took by itself, by result",
             metrics.load_polls.clone(),
         );
+        registry.register(
+            "config_version",
+            "Version of the route configuration in force; 0 before the first one",
+            metrics.config_version.clone(),
+        );
         Self {
             registry,
             ..metrics
@@ -159,6 +167,12 @@
         self.load_polls.get_or_create(&labels).inc();
     }
 
+    /// Sets the version of the route configuration in force.
+    pub fn set_config_version(&self, version: u64) {
+        self.config_version
+            .set(i64::try_from(version).unwrap_or(i64::MAX));
+    }
+
     /// Encodes all metrics in the OpenMetrics text format.
     pub fn encode_text(&self) -> String {
         let mut text = String::new();
--- a/src/metrics/tests.rs
+++ b/src/metrics/tests.rs
@@ -18,6 +18,7 @@
     );
     metrics.count_admission("start");
     metrics.record_run("answered", Some(Duration::from_millis(60)));
+    metrics.set_config_version(18);
     metrics
 }
 
@@ -30,6 +31,7 @@
         r#"currantlift_call_seconds_bucket{le="0.08",service="slotbook"} 2"#,
         r#"currantlift_admissions_total{decision="start"} 1"#,
         r#"currantlift_run_seconds_count 1"#,
+        r#"currantlift_config_version 18"#,
     ] {
         assert!(text.contains(line), "{line} in {text}");
     }
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -155,7 +155,7 @@
             path,
             body: Bytes::from(body),
             timeout: limit,
-            index_header: None,
+            index_header: Some(ERA_HEADER),
         };
         let response = self.http.send(call).await?;
         check_status(&response)?;
--- a/src/routes/driver.rs
+++ b/src/routes/driver.rs
@@ -155,7 +155,7 @@
                 // A peer that misses the push learns of the version by gossip.
                 if let Err(error) = replica.push_to_peer(peer, &hello, &request).await {
                     log::info!(
-                        target: "routes", peer:%;
+                        target: "routes", peer:%, version = replica.version().0;
                         "configuration push to the peer failed, leaving it to gossip: {error}"
                     );
                 }
@@ -179,6 +179,7 @@
         let current_role = *role.borrow_and_update();
         let has_config = replica.version() > ConfigVersion::default();
         let step = schedule.next_step(started_at.elapsed(), current_role, has_config);
+        let step_started_at = started_at.elapsed();
         let result = match step {
             ReadStep::Watch => watch_once(replica, source, store, position).await,
             ReadStep::ReadStale => {
@@ -213,13 +214,16 @@
                 }
             }
             Err(reason) => {
-                position = WatchPosition::default();
                 if !std::mem::replace(&mut is_store_unavailable, true) {
                     log::warn!(
-                        target: "routes", dependency = "store", reason = reason.as_str();
+                        target: "routes",
+                        dependency = "store", reason = reason.as_str(), role:? = current_role,
+                        position = position.0,
+                        elapsed_ms = (started_at.elapsed() - step_started_at).as_millis() as u64;
                         "dependency lost"
                     );
                 }
+                position = WatchPosition::default();
                 sleep_jittered(MAX_RETRY_DELAY).await;
             }
         }
@@ -270,10 +274,19 @@
     hello: PeerHello,
     mut reports: mpsc::Receiver<(SocketAddr, ConfigVersion)>,
 ) {
+    let mut highest_announced = ConfigVersion::default();
     while let Some((peer, version)) = reports.recv().await {
         if version <= replica.version() {
             continue;
         }
+        if version > highest_announced {
+            highest_announced = version;
+            log::info!(
+                target: "routes",
+                peer:%, version = version.0, have = replica.version().0;
+                "newer configuration announced by a peer"
+            );
+        }
         tokio::time::sleep(FETCH_DELAY).await;
         if version <= replica.version() {
             continue;
--- a/src/store/http.rs
+++ b/src/store/http.rs
@@ -109,6 +109,7 @@
             target: "store",
             method:%, path,
             status:? = result.as_ref().map(|response| response.status.as_u16()),
+            index = result.as_ref().map_or(0, |response| response.index),
             elapsed_ms = started_at.elapsed().as_millis() as u64;
             "store call ended"
         );
