Compare revisions and lease numbers within one era of the store only

Callers would see: a change that the store confirmed after it had been restored from an older copy isn't in force for seconds (404 for a new route), and a node keeps the entry of another one alive, or writes its own under that node's lease.

Cause: a watch position and a lease number are counters of the store, and both were taken to grow for ever. A restored store assigns them again, so that a position can lie beyond a change and a number can be someone else's. Class: an identifier compared outside of the scope in which it is unique.

Change: WatchPosition and LeaseId carry the era that assigned them. A position of another era reads the key again, also if the era changes while the watch waits; a lease of another era counts as ended, without a call. A response of an earlier era that arrives late is an unknown effect. Versions still only rise, so an older configuration of a restored store replaces nothing.

--- a/src/discovery/tests.rs
+++ b/src/discovery/tests.rs
@@ -22,7 +22,7 @@
 }
 
 fn lease(number: u32) -> LeaseId {
-    LeaseId(number.to_string())
+    LeaseId::from(number.to_string())
 }
 
 /// State of a node that is registered, has found another node and waits.
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -3,7 +3,7 @@
 //! Each change of a key is assigned a revision from a counter for the whole
 //! store. Status 503 means that the call had no effect. Any other call that gets
 //! no response may have taken effect, or may still do so later if its condition
-//! holds.
+//! holds. Revisions and lease numbers hold for one era of the store only.
 
 use std::fmt::Write as _;
 use std::time::Duration;
@@ -16,7 +16,7 @@
 
 use crate::store::http::{StoreHttpClient, StoreRequest, StoreResponse, no_effect, unknown_effect};
 use crate::store::{
-    ConfigStore, KeyRevision, KeyValue, LeaseId, StoreError, StoredValue, SwapOutcome,
+    ConfigStore, KeyRevision, KeyValue, LeaseId, StoreEra, StoreError, StoredValue, SwapOutcome,
     WatchPosition, WatchResult,
 };
 
@@ -155,7 +155,8 @@
             path,
             body: Bytes::from(body),
             timeout: limit,
-            index_header: Some(ERA_HEADER),
+            index_header: None,
+            era_header: Some(ERA_HEADER),
         };
         let response = self.http.send(call).await?;
         check_status(&response)?;
@@ -183,13 +184,19 @@
             let as_of = found.and_then(|found| found.as_of);
             return Ok(WatchResult {
                 value: None,
-                position: WatchPosition(as_of.unwrap_or(0)),
+                position: WatchPosition {
+                    era: response.era,
+                    revision: as_of.unwrap_or(0),
+                },
                 is_unchanged: false,
             });
         }
         let found: KeyResponse = parse_json(&response)?;
         Ok(WatchResult {
-            position: WatchPosition(found.as_of),
+            position: WatchPosition {
+                era: response.era,
+                revision: found.as_of,
+            },
             value: Some(StoredValue::try_from(found.item)?),
             is_unchanged: false,
         })
@@ -205,10 +212,11 @@
         let path = format!(
             "/api/kv-watch?prefix={}&after={}&waitMs={wait_ms}",
             percent_encode(key),
-            position.0
+            position.revision
         );
         let response = self.get_path(&path, limit + WATCH_TIMEOUT_MARGIN).await?;
-        if response.status.as_u16() == STATUS_WATCH_HISTORY_GONE {
+        let is_history_gone = response.status.as_u16() == STATUS_WATCH_HISTORY_GONE;
+        if is_history_gone || response.era != position.era {
             return self.read_key(key, "").await;
         }
         let found: WatchResponse = parse_json(&response)?;
@@ -218,7 +226,10 @@
         let current = last_event.filter(|event| !event.tombstone);
         Ok(WatchResult {
             value: current.map(StoredValue::try_from).transpose()?,
-            position: WatchPosition(found.as_of),
+            position: WatchPosition {
+                revision: found.as_of,
+                ..position
+            },
             is_unchanged,
         })
     }
@@ -260,7 +271,7 @@
 }
 
 fn parse_lease_id(lease: &LeaseId) -> Result<u64, StoreError> {
-    lease.0.parse().map_err(|error| no_effect(&error))
+    lease.id.parse().map_err(|error| no_effect(&error))
 }
 
 impl ConfigStore for PlatformStore {
@@ -336,7 +347,7 @@
         position: WatchPosition,
         limit: Duration,
     ) -> Result<WatchResult, StoreError> {
-        if position == WatchPosition::default() {
+        if position.is_initial() || position.era != self.http.era.latest() {
             return self.read_key(key, "").await;
         }
         self.wait_for_change(key, position, limit).await
@@ -351,18 +362,27 @@
             .call(Method::POST, "/api/kv-lease", body, CALL_TIMEOUT)
             .await?;
         let granted: LeaseResponse = parse_json(&response)?;
-        Ok(LeaseId(granted.lease.to_string()))
+        Ok(LeaseId {
+            era: response.era,
+            id: granted.lease.to_string(),
+        })
     }
 
     async fn renew_lease(&self, lease: &LeaseId) -> Result<bool, StoreError> {
+        if lease.era != self.http.era.latest() {
+            return Ok(false);
+        }
         let path = format!("/api/kv-keep/{lease}");
         let response = self
             .call(Method::POST, &path, Vec::new(), CALL_TIMEOUT)
             .await?;
-        Ok(response.status.is_success())
+        Ok(response.status.is_success() && response.era == lease.era)
     }
 
     async fn revoke_lease(&self, lease: &LeaseId) -> Result<(), StoreError> {
+        if lease.era != self.http.era.latest() {
+            return Ok(());
+        }
         let path = format!("/api/kv-lease-end/{lease}");
         self.call(Method::DELETE, &path, Vec::new(), CALL_TIMEOUT)
             .await
@@ -379,6 +399,18 @@
             }],
             deletes: Vec::new(),
         };
-        self.commit(&change).await
+        if lease.era != self.http.era.latest() {
+            return Err(no_effect(&"lease of an earlier era"));
+        }
+        let is_written = self.commit(&change).await?;
+        if lease.era != self.http.era.latest() {
+            // The number may be another node's by now.
+            return Err(unknown_effect(&"lease of an earlier era"));
+        }
+        Ok(is_written)
+    }
+
+    async fn era_changed(&self, era: StoreEra) {
+        self.http.era.changed_from(era).await;
     }
 }
--- a/src/platform/tests.rs
+++ b/src/platform/tests.rs
@@ -13,7 +13,9 @@
 use super::*;
 use crate::backend::BackendLoad;
 use crate::routes::{ConfigVersion, RequestKind, RouteTarget};
-use crate::store::{ConfigStore, KeyRevision, LeaseId, StoreError, SwapOutcome, WatchPosition};
+use crate::store::{
+    ConfigStore, KeyRevision, LeaseId, StoreEra, StoreError, SwapOutcome, WatchPosition,
+};
 use crate::table::UpstreamState;
 
 const CONFIG: &str = r#"{"version":"0000000c","routes":{"columns":["name","hostname","prefix",
@@ -129,6 +131,8 @@
 struct StubStore {
     responses: Arc<Mutex<VecDeque<(u16, &'static str)>>>,
     requests: Arc<Mutex<Vec<String>>>,
+    /// Era that the responses state; 0 for none.
+    era: Arc<Mutex<u64>>,
 }
 
 impl StubStore {
@@ -148,6 +152,10 @@
         (stub, store.unwrap(), server)
     }
 
+    fn set_era(&self, era: u64) {
+        *self.era.lock().unwrap() = era;
+    }
+
     fn requests(&self) -> Vec<String> {
         self.requests.lock().unwrap().clone()
     }
@@ -157,7 +165,12 @@
     let line = format!("{} {} {body}", request.method(), request.uri());
     stub.requests.lock().unwrap().push(line);
     let (status, body) = stub.responses.lock().unwrap().pop_front().unwrap();
-    HttpResponse::build(ntex::http::StatusCode::from_u16(status).unwrap()).body(body)
+    let mut response = HttpResponse::build(ntex::http::StatusCode::from_u16(status).unwrap());
+    let era = *stub.era.lock().unwrap();
+    if era > 0 {
+        response.header("store-era", era.to_string());
+    }
+    response.body(body)
 }
 
 const ITEM: &str = r#"{"key":"op/config","value":"bm9kZS0x","revision":412,"createdAt":3,
@@ -178,10 +191,10 @@
     let (stub, store, _server) = StubStore::start(responses).await;
     let limit = Duration::from_millis(700);
     let first = store
-        .watch("op/config", WatchPosition(0), limit)
+        .watch("op/config", WatchPosition::default(), limit)
         .await
         .unwrap();
-    assert_eq!(first.position, WatchPosition(530));
+    assert_eq!(first.position.revision, 530);
     assert_eq!(first.value.unwrap().bytes, Bytes::from("node-1"));
     let second = store
         .watch("op/config", first.position, limit)
@@ -198,7 +211,7 @@
         .watch("op/config", third.position, limit)
         .await
         .unwrap();
-    assert_eq!(fourth.position, WatchPosition(530));
+    assert_eq!(fourth.position.revision, 530);
     let requests = stub.requests();
     assert_eq!(requests[0], "GET /api/kv-key?key=op/config ");
     assert_eq!(
@@ -218,7 +231,7 @@
     ];
     let (stub, store, _server) = StubStore::start(responses).await;
     let lease = store.grant_lease(Duration::from_secs(10)).await.unwrap();
-    assert_eq!(lease, LeaseId("77120".to_string()));
+    assert_eq!(lease, LeaseId::from("77120".to_string()));
     let value = Bytes::from("node-1");
     assert!(store.acquire("n/a", value.clone(), &lease).await.unwrap());
     assert!(!store.acquire("n/a", value, &lease).await.unwrap());
@@ -262,4 +275,27 @@
     assert_matches!(swap().await, Ok(SwapOutcome::Mismatch));
 }
 
+/// A position and a response of before a restore would hide the changes since.
+#[ntex::test]
+async fn position_and_response_of_an_earlier_era_are_not_used() {
+    let no_events = r#"{"events":[],"asOf":550}"#;
+    let responses = [(200, ITEM), (200, no_events), (200, ITEM), (200, ITEM)];
+    let (stub, store, _server) = StubStore::start(responses).await;
+    let limit = Duration::from_millis(700);
+    let watch = |position| store.watch("op/config", position, limit);
+    stub.set_era(1);
+    let first = watch(WatchPosition::default()).await.unwrap();
+    // The store is restored while the watch waits.
+    stub.set_era(2);
+    let second = watch(first.position).await.unwrap();
+    assert!(!second.is_unchanged, "the key is read again");
+    assert_eq!(second.position.era, StoreEra(2));
+    let third = watch(first.position).await.unwrap();
+    assert!(!third.is_unchanged, "the key is read again");
+    stub.responses.lock().unwrap().push_back((200, ITEM));
+    stub.set_era(1);
+    let outdated = watch(WatchPosition::default()).await;
+    assert_matches!(outdated, Err(StoreError::UnknownEffect { .. }));
+}
+
 mod restored_store;
--- a/src/routes/driver.rs
+++ b/src/routes/driver.rs
@@ -218,7 +218,7 @@
                     log::warn!(
                         target: "routes",
                         dependency = "store", reason = reason.as_str(), role:? = current_role,
-                        position = position.0,
+                        position = position.revision, era = position.era.0,
                         elapsed_ms = (started_at.elapsed() - step_started_at).as_millis() as u64;
                         "dependency lost"
                     );
@@ -243,7 +243,17 @@
     store: &S,
     position: WatchPosition,
 ) -> Result<WatchPosition, String> {
-    let watched = store.watch(source.key, position, MAX_WATCH_WAIT).await;
+    let era_ended = async {
+        match position.is_initial() {
+            true => std::future::pending().await,
+            false => store.era_changed(position.era).await,
+        }
+    };
+    let watched = tokio::select! {
+        watched = store.watch(source.key, position, MAX_WATCH_WAIT) => watched,
+        // The watch may never see the changes since.
+        () = era_ended => return Ok(WatchPosition::default()),
+    };
     let watched = watched.map_err(|error| error.to_string())?;
     if let Some(stored) = &watched.value {
         let config = (source.decode)(&stored.bytes).map_err(|error| error.to_string())?;
--- a/src/store.rs
+++ b/src/store.rs
@@ -10,6 +10,7 @@
 
 pub mod absent;
 pub mod consul;
+pub mod era;
 pub mod http;
 pub mod memory;
 pub mod seeds;
@@ -19,6 +20,8 @@
 use bytes::Bytes;
 use derive_more::{Display, Error};
 
+pub use era::StoreEra;
+
 /// Size limit of a value in the platform's store.
 pub const MAX_VALUE_BYTES: usize = 1024 * 1024;
 
@@ -42,9 +45,22 @@
 
 /// Position in the change history of a key that a watch continues from.
 ///
-/// The default, 0, makes a watch return the current value at once.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord)]
-pub struct WatchPosition(pub u64);
+/// It means nothing in another era. Revision 0 makes a watch return the current
+/// value at once.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct WatchPosition {
+    /// Era that assigned the revision.
+    pub era: StoreEra,
+    /// Revision up to which the history is known.
+    pub revision: u64,
+}
+
+impl WatchPosition {
+    /// Whether a watch has no known history to continue from.
+    pub fn is_initial(self) -> bool {
+        self.revision == 0
+    }
+}
 
 /// Entry of a key listing.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -76,8 +92,24 @@
 }
 
 /// Lease identifier assigned by the store.
+///
+/// In a later era the store may assign the same identifier to another node.
 #[derive(Debug, Clone, Display, PartialEq, Eq)]
-pub struct LeaseId(pub String);
+#[display("{id}")]
+pub struct LeaseId {
+    /// Era in which the lease was granted.
+    pub era: StoreEra,
+    /// Identifier in that era.
+    pub id: String,
+}
+
+impl From<String> for LeaseId {
+    /// Lease of a store that states no era.
+    fn from(id: String) -> Self {
+        let era = StoreEra::default();
+        Self { era, id }
+    }
+}
 
 /// Failed store request, classified by its effect on the stored data.
 #[derive(Debug, Clone, Display, Error, PartialEq, Eq)]
@@ -134,6 +166,13 @@
         max_wait: Duration,
     ) -> Result<WatchResult, StoreError>;
 
+    /// Waits until the store is known to be in another era than `era`. Never
+    /// returns for a store that states none.
+    async fn era_changed(&self, era: StoreEra) {
+        let _ = era;
+        std::future::pending::<()>().await;
+    }
+
     /// Creates a lease that expires unless it is renewed within `ttl`.
     async fn grant_lease(&self, ttl: Duration) -> Result<LeaseId, StoreError>;
 
--- a/src/store/consul.rs
+++ b/src/store/consul.rs
@@ -69,6 +69,7 @@
             body,
             timeout,
             index_header: Some(INDEX_HEADER),
+            era_header: None,
         };
         let response = self.http.send(request).await?;
         check_status(response.status, &response.body)?;
@@ -173,7 +174,8 @@
         max_wait: Duration,
     ) -> Result<WatchResult, StoreError> {
         let wait_ms = max_wait.as_millis();
-        let path = format!("/v1/kv/{key}?index={}&wait={wait_ms}ms", position.0);
+        let revision = position.revision;
+        let path = format!("/v1/kv/{key}?index={revision}&wait={wait_ms}ms");
         let response = self
             .send(
                 Method::GET,
@@ -186,8 +188,11 @@
         // A lower index than requested means that the server lost its history,
         // so the watch restarts.
         let position = match response.index {
-            index if index < position.0 => WatchPosition(0),
-            index => WatchPosition(index),
+            index if index < revision => WatchPosition::default(),
+            index => WatchPosition {
+                revision: index,
+                ..position
+            },
         };
         Ok(WatchResult {
             value,
@@ -206,7 +211,7 @@
         let response = self.put("/v1/session/create", body).await?;
         let session: CreatedSession =
             serde_json::from_slice(&response.body).map_err(|error| unknown_effect(&error))?;
-        Ok(LeaseId(session.id))
+        Ok(LeaseId::from(session.id))
     }
 
     async fn renew_lease(&self, lease: &LeaseId) -> Result<bool, StoreError> {
--- a/src/store/http.rs
+++ b/src/store/http.rs
@@ -4,6 +4,7 @@
 //! requests are rare, and a kept-alive connection may stay unresponsive while
 //! new ones work.
 
+use std::str::FromStr;
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
@@ -14,7 +15,8 @@
 use ntex::io::IoConfig;
 use ntex::time::Millis;
 
-use super::{MAX_VALUE_BYTES, StoreError};
+use super::era::EraTracker;
+use super::{MAX_VALUE_BYTES, StoreEra, StoreError};
 
 /// Response size limit: a value of maximum size in base64 with its JSON envelope.
 const MAX_RESPONSE_BYTES: usize = MAX_VALUE_BYTES * 2;
@@ -27,6 +29,8 @@
 pub struct StoreHttpClient {
     client: Client,
     base_url: String,
+    /// Latest era that the store has stated.
+    pub era: EraTracker,
 }
 
 /// Complete HTTP response of a store.
@@ -36,6 +40,8 @@
     pub status: StatusCode,
     /// Value of the requested index header; 0 if absent or not a number.
     pub index: u64,
+    /// Era of the response.
+    pub era: StoreEra,
     /// Response body, complete.
     pub body: Bytes,
 }
@@ -53,6 +59,8 @@
     pub timeout: Duration,
     /// Response header to read [`StoreResponse::index`] from.
     pub index_header: Option<&'static str>,
+    /// Response header to read [`StoreResponse::era`] from.
+    pub era_header: Option<&'static str>,
 }
 
 impl StoreHttpClient {
@@ -73,7 +81,11 @@
             .await
             .map_err(|error| no_effect(&error))?;
         let base_url = base_url.trim_end_matches('/').to_string();
-        Ok(Self { client, base_url })
+        Ok(Self {
+            client,
+            base_url,
+            era: EraTracker::default(),
+        })
     }
 
     /// Sends a request and returns the response, whatever its status.
@@ -89,6 +101,7 @@
             body,
             timeout,
             index_header,
+            era_header,
         } = store_request;
         let started_at = Instant::now();
         let url = format!("{}{path}", self.base_url);
@@ -100,7 +113,16 @@
                 .send_body(body)
                 .await
                 .map_err(|error| classify_client_error(&error))?;
-            read_response(&response, index_header).await
+            let body = response
+                .body()
+                .await
+                .map_err(|error| unknown_effect(&error))?;
+            Ok(StoreResponse {
+                status: response.status(),
+                index: parse_header(&response, index_header).unwrap_or(0),
+                era: self.era.observe(parse_header(&response, era_header))?,
+                body: Bytes::copy_from_slice(&body),
+            })
         };
         let result = tokio::time::timeout(timeout, exchange)
             .await
@@ -109,7 +131,7 @@
             target: "store",
             method:%, path,
             status:? = result.as_ref().map(|response| response.status.as_u16()),
-            index = result.as_ref().map_or(0, |response| response.index),
+            era = self.era.latest().0,
             elapsed_ms = started_at.elapsed().as_millis() as u64;
             "store call ended"
         );
@@ -117,24 +139,9 @@
     }
 }
 
-async fn read_response(
-    response: &ClientResponse,
-    index_header: Option<&'static str>,
-) -> Result<StoreResponse, StoreError> {
-    let index = index_header
-        .and_then(|name| response.header(name))
-        .and_then(|value| value.to_str().ok())
-        .and_then(|text| text.parse().ok())
-        .unwrap_or(0);
-    let body = response
-        .body()
-        .await
-        .map_err(|error| unknown_effect(&error))?;
-    Ok(StoreResponse {
-        status: response.status(),
-        index,
-        body: Bytes::copy_from_slice(&body),
-    })
+/// Value of a response header; `None` if it is absent or malformed.
+fn parse_header<T: FromStr>(response: &ClientResponse, name: Option<&str>) -> Option<T> {
+    response.header(name?)?.to_str().ok()?.parse().ok()
 }
 
 /// Creates the error of a request that had no effect.
--- a/src/store/memory.rs
+++ b/src/store/memory.rs
@@ -401,29 +401,32 @@
     ) -> Result<WatchResult, StoreError> {
         self.run_scripted(|table| WatchResult {
             value: table.get(key),
-            position: WatchPosition(table.index()),
+            position: WatchPosition {
+                revision: table.index(),
+                ..WatchPosition::default()
+            },
             is_unchanged: false,
         })
         .await
     }
 
     async fn grant_lease(&self, ttl: Duration) -> Result<LeaseId, StoreError> {
-        self.run_scripted(|table| LeaseId(table.grant_lease(ttl, Duration::ZERO)))
+        self.run_scripted(|table| LeaseId::from(table.grant_lease(ttl, Duration::ZERO)))
             .await
     }
 
     async fn renew_lease(&self, lease: &LeaseId) -> Result<bool, StoreError> {
-        self.run_scripted(|table| table.renew_lease(&lease.0, Duration::ZERO))
+        self.run_scripted(|table| table.renew_lease(&lease.id, Duration::ZERO))
             .await
     }
 
     async fn revoke_lease(&self, lease: &LeaseId) -> Result<(), StoreError> {
-        self.run_scripted(|table| table.revoke_lease(&lease.0))
+        self.run_scripted(|table| table.revoke_lease(&lease.id))
             .await
     }
 
     async fn acquire(&self, key: &str, value: Bytes, lease: &LeaseId) -> Result<bool, StoreError> {
-        self.run_scripted(|table| table.acquire(key, value, &lease.0).unwrap_or(false))
+        self.run_scripted(|table| table.acquire(key, value, &lease.id).unwrap_or(false))
             .await
     }
 }
