Ask the next peer for a configuration without waiting for the one before

Callers would see: one node answers 404 for a route that all others serve, for seconds. Fetches of an announced version followed each other in the order of the announcements, each after a delay of 0.3 s and with a limit of 0.5 s, so three peers that had announced the version and no longer answered took 2.4 s; several announcements of one such peer counted several times. The bound is 2 s.

Cause: a queue in which the slowest item holds up the others. Class: head-of-line blocking.

Change: the decision is a state machine of its own (routes::announced). The delay counts from the first announcement of a version, peers are kept once, the latest to announce the highest version is asked first, a second fetch begins beside one that takes longer than 0.2 s, and after a failure the next peer is asked immediately. Kept versions and peers are bounded.

--- a/src/routes.rs
+++ b/src/routes.rs
@@ -5,6 +5,7 @@
 //! platform's store and from peers, which announce their active version by
 //! gossip, so that it stays up to date while the store is unreachable.
 
+mod announced;
 pub mod config;
 pub mod driver;
 pub mod history;
--- a/src/routes/driver.rs
+++ b/src/routes/driver.rs
@@ -12,9 +12,12 @@
 
 use bytes::Bytes;
 use derive_more::{Display, Error};
+use futures_util::StreamExt;
+use futures_util::stream::FuturesUnordered;
 use rand::Rng;
 use tokio::sync::{mpsc, watch};
 
+use super::announced::{AnnouncedVersions, FetchStep};
 use super::config::{ConfigVersion, RouteConfig};
 use super::replica::{ConfigReplica, version_of};
 use super::schedule::{MAX_WATCH_CHECK_INTERVAL, MAX_WATCH_WAIT, ReadSchedule, ReadStep};
@@ -31,9 +34,6 @@
 const MAX_RETRY_DELAY: Duration = Duration::from_millis(800);
 /// Timeout of one fetch from a peer; other peers announce the version as well.
 const FETCH_TIMEOUT: Duration = Duration::from_millis(500);
-/// Delay before an announced version is fetched. A version usually arrives within
-/// it by pushes inside the availability zone; a fetch often crosses zones.
-const FETCH_DELAY: Duration = Duration::from_millis(300);
 /// Capacity of the queue of announced versions that wait for a fetch.
 const PEER_REPORT_CAPACITY: usize = 64;
 
@@ -96,7 +96,7 @@
         let replica = Arc::new(ConfigReplica::new(config_sender));
         let source = settings.source;
         let (fetch_replica, watch_replica) = (Arc::clone(&replica), Arc::clone(&replica));
-        ntex::rt::spawn(fetch_reported_versions(
+        ntex::rt::spawn(fetch_announced_versions(
             fetch_replica,
             settings.hello,
             reports,
@@ -328,49 +328,70 @@
     Ok(read.position)
 }
 
-/// Fetches each announced version that is newer and doesn't arrive by a push.
-async fn fetch_reported_versions(
+/// Fetches announced versions that are newer and don't arrive by a push.
+async fn fetch_announced_versions(
     replica: Arc<ConfigReplica>,
     hello: PeerHello,
     mut reports: mpsc::Receiver<(SocketAddr, ConfigVersion)>,
 ) {
-    let mut highest_announced = ConfigVersion::default();
-    while let Some((peer, version)) = reports.recv().await {
-        if version <= replica.version() {
-            continue;
-        }
-        if version > highest_announced {
-            highest_announced = version;
-            log::info!(
-                target: "routes",
-                peer:%, version = version.0, have = replica.version().0;
-                "newer configuration announced by a peer"
-            );
-        }
-        tokio::time::sleep(FETCH_DELAY).await;
-        if version <= replica.version() {
-            continue;
-        }
-        let request = replica.build_fetch_request();
-        let fetch = send_request(peer, &hello, &request);
-        match tokio::time::timeout(FETCH_TIMEOUT, fetch).await {
-            Ok(Ok(reply)) => {
-                if let Err(error) = replica.apply_fetch_reply(&reply.payload) {
-                    log::warn!(
-                        target: "routes", peer:%;
-                        "configuration reply of the peer can't be decoded, ignoring it: {error}"
+    let started_at = Instant::now();
+    let mut announced = AnnouncedVersions::default();
+    let mut fetches = FuturesUnordered::new();
+    loop {
+        let wait = match announced.next_step(started_at.elapsed(), replica.version()) {
+            FetchStep::Fetch(peer) => {
+                fetches.push(fetch_from_peer(&replica, &hello, peer));
+                continue;
+            }
+            FetchStep::WaitUntil(at) => Some(at.saturating_sub(started_at.elapsed())),
+            FetchStep::Idle => None,
+        };
+        tokio::select! {
+            report = reports.recv() => {
+                let Some((peer, version)) = report else {
+                    return;
+                };
+                let have = replica.version();
+                let is_newer = version > have;
+                if is_newer && announced.record(started_at.elapsed(), peer, version) {
+                    log::info!(
+                        target: "routes",
+                        peer:%, version = version.0, have = have.0;
+                        "newer configuration announced by a peer"
                     );
                 }
             }
-            // Gossip repeats the announcement, from this peer and from others.
-            Ok(Err(error)) => log::info!(
-                target: "routes", peer:%;
-                "configuration fetch from the peer failed, waiting for gossip: {error}"
-            ),
-            Err(_) => log::info!(
-                target: "routes", peer:%;
-                "configuration fetch from the peer timed out, waiting for gossip"
-            ),
+            Some(peer) = fetches.next() => announced.end_fetch(peer),
+            () = tokio::time::sleep(wait.unwrap_or_default()), if wait.is_some() => {}
+        }
+    }
+}
+
+/// Fetches the changes since the active version from a peer; returns the peer.
+async fn fetch_from_peer(
+    replica: &ConfigReplica,
+    hello: &PeerHello,
+    peer: SocketAddr,
+) -> SocketAddr {
+    let request = replica.build_fetch_request();
+    let fetch = send_request(peer, hello, &request);
+    match tokio::time::timeout(FETCH_TIMEOUT, fetch).await {
+        Ok(Ok(reply)) => {
+            if let Err(error) = replica.apply_fetch_reply(&reply.payload) {
+                log::warn!(
+                    target: "routes", peer:%;
+                    "configuration reply of the peer can't be decoded, ignoring it: {error}"
+                );
+            }
         }
+        Ok(Err(error)) => log::info!(
+            target: "routes", peer:%;
+            "configuration fetch from the peer failed, asking the next: {error}"
+        ),
+        Err(_) => log::info!(
+            target: "routes", peer:%;
+            "configuration fetch from the peer timed out, asking the next"
+        ),
     }
+    peer
 }
--- a/src/routes/tests.rs
+++ b/src/routes/tests.rs
@@ -252,7 +252,23 @@
     }
     let peer = start_peer(start_follower(4)).await;
     node.on_peer_version(peer, ConfigVersion(4));
+    assert!(applies_in_time(&node, 4).await);
+}
+
+#[ntex::test]
+async fn version_is_fetched_although_the_last_peers_that_announced_it_do_not_answer() {
+    let node = start_follower(3);
+    let peer = start_peer(start_follower(4)).await;
+    node.on_peer_version(peer, ConfigVersion(4));
+    for _ in 0..4 {
+        node.on_peer_version(start_silent_peer().await, ConfigVersion(4));
+    }
+    assert!(applies_in_time(&node, 4).await);
+}
+
+/// Whether the version becomes active within [`APPLY_LIMIT`].
+async fn applies_in_time(node: &RoutesHandle, version: u64) -> bool {
     let mut config = node.subscribe();
-    let is_active = config.wait_for(|_| node.version() == ConfigVersion(4));
-    assert!(tokio::time::timeout(APPLY_LIMIT, is_active).await.is_ok());
+    let is_active = config.wait_for(|_| node.version() == ConfigVersion(version));
+    tokio::time::timeout(APPLY_LIMIT, is_active).await.is_ok()
 }
