Push a configuration past nodes that can't be reached

Callers would see: 404 for a new route at one or few nodes while many restart.

Cause: the tree took each node for reachable, and a failed push was only logged. Class: a delivery that fails is left to a way whose delay isn't bounded.

Change: a node that can't reach a child sends to that child's children as well. The second node treats the first one as its child. The time limit of a push follows from its size instead of 2 s for each. The tree's decisions moved from control to routes::spread and are pure.

Failed before: push_reaches_the_nodes_behind_peers_that_do_not_answer (rank 5, with the fallback taken out).

--- a/src/control.rs
+++ b/src/control.rs
@@ -9,5 +9,4 @@
 pub mod peers;
 pub mod placement;
 pub mod presence;
-pub mod spread;
 pub mod state;
--- a/src/control/state.rs
+++ b/src/control/state.rs
@@ -1,7 +1,6 @@
 //! State of the control thread, and the tasks that update it.
 
 use std::cell::{Cell, RefCell};
-use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
@@ -13,7 +12,6 @@
 use crate::backend::BackendTarget;
 use crate::control::placement::{build_routing_table, log_upstream_changes};
 use crate::control::presence::BackendPresence;
-use crate::control::spread::child_ranks;
 use crate::discovery::{FleetRole, RoleAssignment};
 use crate::exchange::PeerHello;
 use crate::gate::{GateCommand, GateStatus};
@@ -21,7 +19,7 @@
 use crate::ingress::{IngressState, StopPhase, lock};
 use crate::membership::driver::MembershipHandle;
 use crate::membership::{BackendRecord, MembershipEvent};
-use crate::routes::{ConfigVersion, RoutesHandle};
+use crate::routes::{ConfigVersion, DistributionTree, RoutesHandle};
 use crate::table::{RoutingTable, UpstreamState};
 use crate::tickets::TicketsHandle;
 
@@ -237,25 +235,24 @@
         settings.health_path.clone()
     }
 
-    /// Pushes the configuration to this node's children in the distribution tree of
-    /// its availability zone, most of which don't watch the store.
+    /// Pushes the configuration along the distribution tree of this node's availability
+    /// zone, as most nodes don't watch the store.
     fn push_routes(&self) {
         let state = self.membership.state().borrow();
         let identity = &self.identity;
-        let zone_peers = state.members().values().filter(|member| {
-            member.is_live() && member.zone == identity.zone && member.node != identity.node
+        let zone_members = state.members().values().filter(|member| {
+            let is_own = member.node == identity.node;
+            member.zone == identity.zone && (is_own || member.is_live())
         });
-        let zone_peers: Vec<SocketAddr> = zone_peers.map(|member| member.peer_address).collect();
+        let addresses = zone_members.map(|member| member.peer_address).collect();
         let own_rank = zone_rank(state.members(), identity) as usize;
-        let children = child_ranks(own_rank, zone_peers.len() + 1);
-        // `zone_peers` leaves this node out, so higher ranks move down by one.
-        let children = children.filter_map(|child_rank| zone_peers.get(child_rank - 1).copied());
+        let tree = DistributionTree::new(addresses, own_rank);
         let hello = PeerHello {
             node: identity.node.to_string(),
             incarnation: identity.incarnation.get(),
             is_call_link: false,
         };
-        self.routes.push_to_peers(children, &hello);
+        self.routes.push_along_tree(tree, hello);
     }
 
     /// Applies the settings of a new configuration to the gate.
--- a/src/routes.rs
+++ b/src/routes.rs
@@ -12,6 +12,7 @@
 mod replica;
 mod schedule;
 pub mod split;
+pub mod spread;
 
 pub use config::{
     CallerLimits, ConfigVersion, RequestKind, Route, RouteConfig, RouteTarget, ServiceSettings,
@@ -19,6 +20,7 @@
 };
 pub use driver::{ConfigSource, RoutesHandle, RoutesSettings};
 pub use split::SplitSelector;
+pub use spread::DistributionTree;
 
 #[cfg(test)]
 mod tests;
--- a/src/routes/driver.rs
+++ b/src/routes/driver.rs
@@ -21,8 +21,9 @@
 use super::config::{ConfigVersion, RouteConfig};
 use super::replica::{ConfigReplica, version_of};
 use super::schedule::{MAX_WATCH_CHECK_INTERVAL, MAX_WATCH_WAIT, ReadSchedule, ReadStep};
+use super::spread::{DistributionTree, PushTarget};
 use crate::discovery::FleetRole;
-use crate::exchange::{PeerHello, send_request};
+use crate::exchange::{ControlRequest, PeerHello, send_request};
 use crate::store::{ConfigStore, WatchPosition};
 
 /// Delay after a watch has returned a new version. Versions that follow within it
@@ -139,24 +140,40 @@
         self.replica.handle_peer_request(request)
     }
 
-    /// Pushes the changes since the last push to the peers, in parallel and
-    /// without waiting for them.
-    pub fn push_to_peers(&self, peers: impl IntoIterator<Item = SocketAddr>, hello: &PeerHello) {
-        let Some(request) = self.replica.take_push_request() else {
-            return;
-        };
-        for peer in peers {
-            let (request, hello) = (request.clone(), hello.clone());
+    /// Pushes the changes since the last push along the tree, without waiting for it.
+    pub fn push_along_tree(&self, tree: DistributionTree, hello: PeerHello) {
+        if let Some(request) = self.replica.take_push_request() {
             let replica = Arc::clone(&self.replica);
-            ntex::rt::spawn(async move {
-                // A peer that misses the push learns of the version by gossip.
-                if let Err(error) = replica.push_to_peer(peer, &hello, &request).await {
-                    log::info!(
-                        target: "routes", peer:%, version = replica.version().0;
-                        "configuration push to the peer failed, leaving it to gossip: {error}"
-                    );
-                }
-            });
+            ntex::rt::spawn(
+                async move { push_along_tree(&replica, &tree, &hello, &request).await },
+            );
+        }
+    }
+}
+
+/// Pushes to this node's targets in parallel, and for each that fails to its
+/// fallback targets.
+async fn push_along_tree(
+    replica: &ConfigReplica,
+    tree: &DistributionTree,
+    hello: &PeerHello,
+    request: &ControlRequest,
+) {
+    let push_to = |target: PushTarget| async move {
+        let result = replica.push_to_peer(target.address, hello, request).await;
+        (target, result)
+    };
+    let mut pushes: FuturesUnordered<_> = tree.own_targets().into_iter().map(push_to).collect();
+    while let Some((target, result)) = pushes.next().await {
+        if let Err(error) = result {
+            let fallback_targets = tree.fallback_targets(target);
+            log::info!(
+                target: "routes",
+                peer:% = target.address, version = replica.version().0,
+                fallbacks = fallback_targets.len();
+                "configuration push to the peer failed: {error}"
+            );
+            pushes.extend(fallback_targets.into_iter().map(push_to));
         }
     }
 }
--- a/src/routes/replica.rs
+++ b/src/routes/replica.rs
@@ -13,7 +13,8 @@
 
 use super::config::{ConfigVersion, RouteConfig};
 use super::history::{ChangeHistory, ConfigUpdate};
-use crate::exchange::{ControlRequest, ControlTopic, PeerHello, send_request};
+use super::spread::push_timeout;
+use crate::exchange::{ControlReply, ControlRequest, ControlTopic, PeerHello, send_request};
 
 /// Active configuration and the recent changes that led to it.
 #[derive(Debug)]
@@ -161,18 +162,30 @@
         hello: &PeerHello,
         request: &ControlRequest,
     ) -> io::Result<()> {
-        let reply = send_request(peer, hello, request).await?;
+        let reply = send_push(peer, hello, request).await?;
         let ConfigReply::InForce(peer_version) = decode_reply(&reply.payload)? else {
             return Ok(());
         };
         if let Some(update) = self.update_since(peer_version) {
             let request = control_request(&ConfigRequest::Push(update));
-            send_request(peer, hello, &request).await?;
+            send_push(peer, hello, &request).await?;
         }
         Ok(())
     }
 }
 
+/// Sends a push within the time limit of its size.
+async fn send_push(
+    peer: SocketAddr,
+    hello: &PeerHello,
+    request: &ControlRequest,
+) -> io::Result<ControlReply> {
+    let time_limit = push_timeout(request.payload.len());
+    tokio::time::timeout(time_limit, send_request(peer, hello, request))
+        .await
+        .map_err(|_| io::Error::from(io::ErrorKind::TimedOut))?
+}
+
 pub(super) fn version_of(config: Option<&Arc<RouteConfig>>) -> ConfigVersion {
     config.map(|config| config.version).unwrap_or_default()
 }
--- a/src/routes/tests.rs
+++ b/src/routes/tests.rs
@@ -272,3 +272,41 @@
     let is_active = config.wait_for(|_| node.version() == ConfigVersion(version));
     tokio::time::timeout(APPLY_LIMIT, is_active).await.is_ok()
 }
+
+/// Tree of a zone in which the nodes of the ranks in `silent` never reply, and the
+/// others, which it returns by rank.
+async fn start_zone(
+    count: usize,
+    own_rank: usize,
+    silent: &[usize],
+) -> (DistributionTree, BTreeMap<usize, RoutesHandle>) {
+    let mut addresses = Vec::new();
+    let mut nodes = BTreeMap::new();
+    for rank in 0..count {
+        if silent.contains(&rank) {
+            addresses.push(start_silent_peer().await);
+            continue;
+        }
+        let node = start_follower(0);
+        addresses.push(start_peer(node.clone()).await);
+        nodes.insert(rank, node);
+    }
+    nodes.remove(&own_rank);
+    (DistributionTree::new(addresses, own_rank), nodes)
+}
+
+#[ntex::test]
+async fn push_reaches_the_nodes_behind_peers_that_do_not_answer() {
+    // The root reaches ranks 5 to 8 without rank 1.
+    let (tree, mut nodes) = start_zone(9, 0, &[1, 3]).await;
+    start_follower(4).push_along_tree(tree, PeerHello::default());
+    for (rank, node) in &mut nodes {
+        assert!(applies_in_time(node, 4).await, "rank {rank}");
+    }
+    // The second node reaches ranks 2 to 4 without the root.
+    let (tree, mut nodes) = start_zone(9, 1, &[0]).await;
+    start_follower(4).push_along_tree(tree, PeerHello::default());
+    for (rank, node) in &mut nodes {
+        assert!(applies_in_time(node, 4).await, "rank {rank}");
+    }
+}
