Write a lost discovery entry again without waiting for the next round

Callers would see: nodes that start after the store came back without its last writes find no entry, and answer 503 until one is there. A listing showed the loss, and the renewal that follows waited for another round: up to 3 s in all, of about 2 s that the users state.

Change: the listing in which the own entry is missing for the first time is followed by the renewal at once. If the entry can't be written then, the next attempt waits for a round as before, so that stale listings cause no calls in a row.

--- a/src/discovery/state.rs
+++ b/src/discovery/state.rs
@@ -189,8 +189,16 @@
             .filter(|entry| entry.key != self.own_entry.key)
             .map(|entry| entry.address)
             .collect();
+        let was_registered = self.is_registered;
         self.confirm_registration(entries);
         self.has_listed_entries = true;
+        if let Some(lease) = self
+            .lease
+            .as_ref()
+            .filter(|_| was_registered && !self.is_registered)
+        {
+            return DiscoveryAction::RenewLease(lease.clone());
+        }
         if self.other_addresses.is_empty() && self.lease.is_none() {
             return self.register_first_entry();
         }
