Test the route configuration on real processes with faults of the store

No test ran nodes on the platform's calls: the fault soak uses the product's own store, so nothing there restores the store, silences watches or checks when a version is in force at every node. tests/routes.rs starts the real programs, asks each node as a caller does, and has a seeded series of overlapping faults (restore, silent watches, store away, first nodes of all zones paused, nodes and zones restarted); ROUTES_FRESH=N runs N fresh seeds.

--- /dev/null
+++ b/tests/routes.rs
@@ -0,0 +1,71 @@
+//! The route configuration on real node processes with a simulated store.
+//!
+//! The tests guard against confirmed versions that are late or are taken back when the
+//! store is restored from an older copy, goes silent or away, and nodes freeze, are
+//! killed and start again.
+
+#![allow(clippy::unwrap_used, reason = "helpers of tests fail as the tests do")]
+#![allow(dead_code, reason = "processes are shared with other tests")]
+
+#[path = "routes/drill.rs"]
+mod drill;
+#[path = "routes/fleet.rs"]
+mod fleet;
+#[path = "support/process.rs"]
+mod process;
+
+use std::time::Duration;
+
+use serde_json::json;
+
+use fleet::{ENTRY_LIMIT, Fleet, IN_FORCE_LIMIT};
+
+/// Time after which each watcher waits again after a change.
+const WATCH_RESTART: Duration = Duration::from_millis(500);
+
+#[ntex::test]
+async fn change_after_a_restore_of_the_store_is_in_force_everywhere_in_time() {
+    let mut fleet = Fleet::start(8, 2).await;
+    fleet.wait_for_watches().await;
+    fleet.take_copy().await;
+    fleet.write_other_keys(5).await;
+    fleet.write_next_version().await;
+    fleet.wait_in_force(IN_FORCE_LIMIT).await;
+    ntex::time::sleep(WATCH_RESTART).await;
+
+    fleet.restore_copy().await;
+    fleet.write_version().await;
+    fleet.write_next_version().await;
+    fleet.write_other_keys(10).await;
+    fleet.wait_in_force(IN_FORCE_LIMIT).await;
+}
+
+#[ntex::test]
+async fn entries_lost_by_a_restore_of_the_store_are_back_in_time() {
+    let mut fleet = Fleet::start(6, 2).await;
+    fleet.wait_for_entries(2, Duration::from_secs(20)).await;
+    // No copy was taken: the store comes back empty.
+    fleet.restore_copy().await;
+    assert_eq!(fleet.entry_count().await, 0);
+    fleet.wait_for_entries(2, ENTRY_LIMIT).await;
+    fleet.write_version().await;
+    fleet.write_next_version().await;
+    fleet.wait_in_force(IN_FORCE_LIMIT).await;
+}
+
+#[ntex::test]
+async fn change_is_in_force_everywhere_in_time_while_all_watches_are_silent() {
+    let mut fleet = Fleet::start(8, 2).await;
+    fleet.wait_for_watches().await;
+    let silence = json!({ "silence_watches": true });
+    fleet.set_faults(&silence).await;
+    fleet.write_next_version().await;
+    fleet.wait_in_force(IN_FORCE_LIMIT).await;
+}
+
+#[ntex::test]
+async fn changes_are_in_force_in_time_in_a_series_of_overlapping_faults() {
+    for seed in drill::seeds() {
+        drill::run(seed).await;
+    }
+}
--- /dev/null
+++ b/tests/routes/drill.rs
@@ -0,0 +1,166 @@
+//! Seeded series of overlapping faults of the store and of nodes, each with a change of
+//! the configuration.
+
+use std::env;
+use std::time::{Duration, Instant};
+
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+use serde_json::json;
+
+use crate::fleet::{Fleet, IN_FORCE_LIMIT};
+
+const NODE_COUNT: usize = 9;
+const ZONE_COUNT: usize = 3;
+const ROUNDS: u32 = 8;
+/// Seeds that run in CI.
+const CI_SEEDS: [u64; 2] = [1, 2];
+/// Environment variable with the number of fresh seeds to run instead.
+const FRESH_SEEDS_VARIABLE: &str = "ROUTES_FRESH";
+/// Time without a disturbance after which the bound holds again for a node.
+const STABLE_TIME: Duration = Duration::from_secs(3);
+
+/// Disturbance of one round.
+#[derive(Debug, Clone, Copy)]
+enum Fault {
+    /// The store comes back from the copy; the operator writes its version again.
+    Restore,
+    /// Watches that wait are never answered.
+    SilentWatches,
+    /// The store refuses all calls for a while.
+    StoreAway(Duration),
+    /// The first nodes of all zones are paused for a while.
+    FirstNodesFrozen(Duration),
+    /// One node is killed and started again after a while.
+    NodeKilled(usize, Duration),
+    /// All nodes of one zone are killed and started again.
+    ZoneRestarted(usize),
+}
+
+/// Seeds of this run.
+pub fn seeds() -> Vec<u64> {
+    match env::var(FRESH_SEEDS_VARIABLE) {
+        Ok(count) => {
+            let count = count.parse().unwrap();
+            (0..count)
+                .map(|_| rand::rng().random_range(0..1_000_000))
+                .collect()
+        }
+        Err(_) => CI_SEEDS.to_vec(),
+    }
+}
+
+fn draw_fault(rng: &mut StdRng) -> Fault {
+    let duration = Duration::from_millis(rng.random_range(200..2_500));
+    match rng.random_range(0..6) {
+        0 => Fault::Restore,
+        1 => Fault::SilentWatches,
+        2 => Fault::StoreAway(duration),
+        3 => Fault::FirstNodesFrozen(duration),
+        4 => Fault::NodeKilled(rng.random_range(0..NODE_COUNT), duration),
+        _ => Fault::ZoneRestarted(rng.random_range(0..ZONE_COUNT)),
+    }
+}
+
+/// Runs one series. A version must be in force within the bound at all nodes that were
+/// not disturbed themselves, and at the others once they have been stable.
+pub async fn run(seed: u64) {
+    let mut rng = StdRng::seed_from_u64(seed);
+    let mut fleet = Fleet::start(NODE_COUNT, ZONE_COUNT).await;
+    fleet.wait_for_watches().await;
+    fleet.take_copy().await;
+    for round in 0..ROUNDS {
+        let faults: Vec<Fault> = (0..rng.random_range(1..=3))
+            .map(|_| draw_fault(&mut rng))
+            .collect();
+        println!("seed {seed}, round {round}: {faults:?}");
+        run_round(&mut fleet, &faults, &mut rng).await;
+        if rng.random_bool(0.5) {
+            fleet.take_copy().await;
+        }
+    }
+}
+
+async fn run_round(fleet: &mut Fleet, faults: &[Fault], rng: &mut StdRng) {
+    let mut node_changes: Vec<(Duration, usize, Fault)> = Vec::new();
+    let mut store_back_at = Duration::ZERO;
+    for fault in faults {
+        match *fault {
+            Fault::Restore => {
+                fleet.restore_copy().await;
+                fleet.write_version().await;
+                fleet.write_other_keys(rng.random_range(0..12)).await;
+            }
+            Fault::SilentWatches => fleet.set_faults(&json!({ "silence_watches": true })).await,
+            Fault::StoreAway(duration) => {
+                fleet.set_faults(&json!({ "away": true })).await;
+                store_back_at = store_back_at.max(duration);
+            }
+            Fault::FirstNodesFrozen(duration) => {
+                for index in 0..ZONE_COUNT {
+                    fleet.set_frozen(index, true);
+                    node_changes.push((duration, index, *fault));
+                }
+            }
+            Fault::NodeKilled(index, duration) => {
+                fleet.kill_node(index);
+                node_changes.push((duration, index, *fault));
+            }
+            Fault::ZoneRestarted(zone) => {
+                for index in (zone..NODE_COUNT).step_by(ZONE_COUNT) {
+                    fleet.kill_node(index);
+                    node_changes.push((Duration::ZERO, index, *fault));
+                }
+            }
+        }
+    }
+    let disturbed: Vec<usize> = node_changes.iter().map(|(_, index, _)| *index).collect();
+    ntex::time::sleep(store_back_at).await;
+    if !store_back_at.is_zero() {
+        fleet.set_faults(&json!({})).await;
+    }
+    let started = Instant::now();
+    fleet.write_next_version().await;
+    let acknowledged = Instant::now();
+    node_changes.sort_by_key(|(at, _, _)| *at);
+    let mut undisturbed_in_force = false;
+    loop {
+        while let Some((at, index, fault)) = node_changes.first().copied() {
+            if started.elapsed() < at.saturating_sub(store_back_at) {
+                break;
+            }
+            node_changes.remove(0);
+            match fault {
+                Fault::FirstNodesFrozen(_) => fleet.set_frozen(index, false),
+                _ if fleet.is_running(index) => {}
+                _ => fleet.start_node(index),
+            }
+        }
+        let late_nodes = fleet.late_nodes().await;
+        let undisturbed_are_late = late_nodes.iter().any(|index| !disturbed.contains(index));
+        undisturbed_in_force |= !undisturbed_are_late;
+        let elapsed = acknowledged.elapsed();
+        assert!(
+            undisturbed_in_force || elapsed < IN_FORCE_LIMIT + store_stretch(store_back_at),
+            "late after {elapsed:?}: {late_nodes:?}, disturbed {disturbed:?}"
+        );
+        if late_nodes.is_empty() && node_changes.is_empty() {
+            return;
+        }
+        let last_change = Duration::from_millis(2_500);
+        assert!(
+            elapsed < last_change + STABLE_TIME + IN_FORCE_LIMIT,
+            "late after {elapsed:?}: {late_nodes:?}"
+        );
+        ntex::time::sleep(Duration::from_millis(25)).await;
+    }
+}
+
+/// Time by which an outage of the store that has just ended stretches the bound.
+fn store_stretch(outage: Duration) -> Duration {
+    if outage.is_zero() {
+        Duration::ZERO
+    } else {
+        STABLE_TIME
+    }
+}
