Name the nodes that a push of the configuration covers

Callers would see: 404 for a new route at single nodes for up to 2 s while many VMs restart.

Cause, from a trial that logged each push: every node computed the tree from its own view of the zone's members, and the views held 27 to 43 members at the same moment. Ranks are then not the same at two nodes, so that some nodes are nobody's child and their subtrees are cut off with them. No push to them failed, since none was sent. Ruled out: lost, slow or refused pushes (all but a few ended within 50 ms). Class: an agreement between nodes that is assumed and not carried along.

Change: the first node of a zone divides the nodes that it knows into four groups and names the rest of a group in the push to its first node, which forwards to those. Two views no longer meet in one tree. The field is ignored by nodes of earlier builds.

Test: push_reaches_a_zone_in_which_some_nodes_do_not_answer; the receivers there know no zone, and fail to forward without the names.

--- a/src/control/peers.rs
+++ b/src/control/peers.rs
@@ -62,7 +62,7 @@
     let request = ControlRequest::decode(frame).map_err(io::Error::other)?;
     let payload = match request.topic() {
         ControlTopic::Membership => control.membership.handle_sync(&request.payload),
-        ControlTopic::Routes => control.routes.handle_peer_request(&request.payload),
+        ControlTopic::Routes => control.routes.handle_peer_request(&request),
         ControlTopic::Tickets => control.tickets.handle_peer_request(request.payload),
     };
     let reply = ControlReply { payload };
--- a/src/control/state.rs
+++ b/src/control/state.rs
@@ -1,6 +1,7 @@
 //! State of the control thread, and the tasks that update it.
 
 use std::cell::{Cell, RefCell};
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
@@ -13,13 +14,12 @@
 use crate::control::placement::{build_routing_table, log_upstream_changes};
 use crate::control::presence::BackendPresence;
 use crate::discovery::{FleetRole, RoleAssignment};
-use crate::exchange::PeerHello;
 use crate::gate::{GateCommand, GateStatus};
 use crate::ids::{BackendId, NodeId, NodeIncarnation, RegionName, ServiceName, ZoneName};
 use crate::ingress::{IngressState, StopPhase, lock};
 use crate::membership::driver::MembershipHandle;
 use crate::membership::{BackendRecord, MembershipEvent};
-use crate::routes::{ConfigVersion, DistributionTree, RoutesHandle};
+use crate::routes::{ConfigVersion, RoutesHandle};
 use crate::table::{RoutingTable, UpstreamState};
 use crate::tickets::TicketsHandle;
 
@@ -235,24 +235,17 @@
         settings.health_path.clone()
     }
 
-    /// Pushes the configuration along the distribution tree of this node's availability
-    /// zone, as most nodes don't watch the store.
+    /// Pushes the configuration to this node's availability zone, as most of its nodes
+    /// don't watch the store.
     fn push_routes(&self) {
         let state = self.membership.state().borrow();
         let identity = &self.identity;
-        let zone_members = state.members().values().filter(|member| {
-            let is_own = member.node == identity.node;
-            member.zone == identity.zone && (is_own || member.is_live())
+        let others = state.members().values().filter(|member| {
+            member.is_live() && member.zone == identity.zone && member.node != identity.node
         });
-        let addresses = zone_members.map(|member| member.peer_address).collect();
+        let others: Vec<SocketAddr> = others.map(|member| member.peer_address).collect();
         let own_rank = zone_rank(state.members(), identity) as usize;
-        let tree = DistributionTree::new(addresses, own_rank);
-        let hello = PeerHello {
-            node: identity.node.to_string(),
-            incarnation: identity.incarnation.get(),
-            is_call_link: false,
-        };
-        self.routes.push_along_tree(tree, hello);
+        self.routes.push_to_zone(&others, own_rank);
     }
 
     /// Applies the settings of a new configuration to the gate.
--- a/src/exchange.rs
+++ b/src/exchange.rs
@@ -43,6 +43,10 @@
     /// Subsystem that handles the request.
     #[prost(enumeration = "ControlTopic", tag = "2")]
     pub topic: i32,
+    /// Peer addresses that the receiver forwards the payload to; only with
+    /// [`ControlTopic::Routes`].
+    #[prost(string, repeated, tag = "3")]
+    pub forward_to: Vec<String>,
 }
 
 /// Reply to a [`ControlRequest`].
--- a/src/membership/driver.rs
+++ b/src/membership/driver.rs
@@ -187,6 +187,7 @@
         let replies_sender = self.replies_sender.clone();
         tokio::task::spawn_local(async move {
             let request = ControlRequest {
+                forward_to: Vec::new(),
                 payload,
                 topic: ControlTopic::Membership.into(),
             };
--- a/src/routes.rs
+++ b/src/routes.rs
@@ -12,7 +12,7 @@
 mod replica;
 mod schedule;
 pub mod split;
-pub mod spread;
+mod spread;
 
 pub use config::{
     CallerLimits, ConfigVersion, RequestKind, Route, RouteConfig, RouteTarget, ServiceSettings,
@@ -20,7 +20,6 @@
 };
 pub use driver::{ConfigSource, RoutesHandle, RoutesSettings};
 pub use split::SplitSelector;
-pub use spread::DistributionTree;
 
 #[cfg(test)]
 mod tests;
--- a/src/routes/driver.rs
+++ b/src/routes/driver.rs
@@ -21,7 +21,7 @@
 use super::config::{ConfigVersion, RouteConfig};
 use super::replica::{ConfigReplica, version_of};
 use super::schedule::{MAX_WATCH_CHECK_INTERVAL, MAX_WATCH_WAIT, ReadSchedule, ReadStep};
-use super::spread::{DistributionTree, PushTarget};
+use super::spread::{PushGroup, divide, first_groups};
 use crate::discovery::FleetRole;
 use crate::exchange::{ControlRequest, PeerHello, send_request};
 use crate::store::{ConfigStore, WatchPosition};
@@ -68,6 +68,8 @@
 #[derive(Debug, Clone)]
 pub struct RoutesHandle {
     replica: Arc<ConfigReplica>,
+    /// First frame of each connection to a peer.
+    hello: PeerHello,
     config_receiver: watch::Receiver<Option<Arc<RouteConfig>>>,
     peer_reports: mpsc::Sender<(SocketAddr, ConfigVersion)>,
 }
@@ -80,6 +82,7 @@
         let (peer_reports, _) = mpsc::channel(1);
         Self {
             replica: Arc::new(ConfigReplica::new(config_sender)),
+            hello: PeerHello::default(),
             config_receiver,
             peer_reports,
         }
@@ -99,7 +102,7 @@
         let (fetch_replica, watch_replica) = (Arc::clone(&replica), Arc::clone(&replica));
         ntex::rt::spawn(fetch_announced_versions(
             fetch_replica,
-            settings.hello,
+            settings.hello.clone(),
             reports,
         ));
         ntex::rt::spawn(async move {
@@ -110,6 +113,7 @@
         });
         Self {
             replica,
+            hello: settings.hello,
             config_receiver,
             peer_reports,
         }
@@ -134,46 +138,66 @@
         }
     }
 
-    /// Returns the reply to a fetch or push from a peer; requests and replies are in
-    /// JSON.
-    pub fn handle_peer_request(&self, request: &[u8]) -> Bytes {
-        self.replica.handle_peer_request(request)
+    /// Returns the reply to a fetch or push from a peer, and forwards the push to the
+    /// peers that the request names. Payloads are in JSON.
+    pub fn handle_peer_request(&self, request: &ControlRequest) -> Bytes {
+        let reply = self.replica.handle_peer_request(&request.payload);
+        let nodes = request.forward_to.iter().filter_map(|text| {
+            let address = text.parse().ok();
+            if address.is_none() {
+                log::warn!(target: "routes", "push not forwarded to {text:?}, which is no address");
+            }
+            address
+        });
+        let nodes: Vec<SocketAddr> = nodes.collect();
+        self.push_to_groups(divide(&nodes), request.payload.clone());
+        reply
+    }
+
+    /// Pushes the changes since the last push to the availability zone, without waiting
+    /// for it. `others` are the peer addresses of the zone's other live nodes in the
+    /// order of their names, of which `own_rank` precede this node.
+    pub fn push_to_zone(&self, others: &[SocketAddr], own_rank: usize) {
+        let groups = first_groups(others, own_rank);
+        if groups.is_empty() {
+            self.replica.skip_push();
+        } else if let Some(payload) = self.replica.take_push() {
+            self.push_to_groups(groups, payload);
+        }
     }
 
-    /// Pushes the changes since the last push along the tree, without waiting for it.
-    pub fn push_along_tree(&self, tree: DistributionTree, hello: PeerHello) {
-        if let Some(request) = self.replica.take_push_request() {
-            let replica = Arc::clone(&self.replica);
-            ntex::rt::spawn(
-                async move { push_along_tree(&replica, &tree, &hello, &request).await },
-            );
+    fn push_to_groups(&self, groups: Vec<PushGroup>, payload: Bytes) {
+        if groups.is_empty() {
+            return;
         }
+        let (replica, hello) = (Arc::clone(&self.replica), self.hello.clone());
+        ntex::rt::spawn(async move { push_to_groups(&replica, &hello, groups, &payload).await });
     }
 }
 
-/// Pushes to this node's targets in parallel, and for each that fails to its
-/// fallback targets.
-async fn push_along_tree(
+/// Pushes to all groups in parallel, and in place of each receiver that can't be
+/// reached to its fallback groups.
+async fn push_to_groups(
     replica: &ConfigReplica,
-    tree: &DistributionTree,
     hello: &PeerHello,
-    request: &ControlRequest,
+    groups: Vec<PushGroup>,
+    payload: &Bytes,
 ) {
-    let push_to = |target: PushTarget| async move {
-        let result = replica.push_to_peer(target.address, hello, request).await;
-        (target, result)
+    let push_to = |group: PushGroup| async move {
+        let push = replica.push_to_peer(group.receiver, hello, payload, &group.forward_to);
+        (push.await, group)
     };
-    let mut pushes: FuturesUnordered<_> = tree.own_targets().into_iter().map(push_to).collect();
-    while let Some((target, result)) = pushes.next().await {
+    let mut pushes: FuturesUnordered<_> = groups.into_iter().map(push_to).collect();
+    while let Some((result, group)) = pushes.next().await {
         if let Err(error) = result {
-            let fallback_targets = tree.fallback_targets(target);
+            let fallback_groups = group.fallback_groups();
             log::info!(
                 target: "routes",
-                peer:% = target.address, version = replica.version().0,
-                fallbacks = fallback_targets.len();
+                peer:% = group.receiver, version = replica.version().0,
+                fallbacks = fallback_groups.len();
                 "configuration push to the peer failed: {error}"
             );
-            pushes.extend(fallback_targets.into_iter().map(push_to));
+            pushes.extend(fallback_groups.into_iter().map(push_to));
         }
     }
 }
--- a/src/routes/replica.rs
+++ b/src/routes/replica.rs
@@ -125,7 +125,7 @@
 
     /// Builds a request for the changes since the active version.
     pub(super) fn build_fetch_request(&self) -> ControlRequest {
-        control_request(&ConfigRequest::Fetch(self.version()))
+        control_request(encode_json(&ConfigRequest::Fetch(self.version())))
     }
 
     /// Applies a peer's reply to a request of
@@ -137,13 +137,18 @@
         Ok(())
     }
 
-    /// Builds a push of the changes since the last push and records the active
-    /// version as pushed; `None` if nothing has changed.
-    pub(super) fn take_push_request(&self) -> Option<ControlRequest> {
+    /// Records the active version as pushed, as other nodes push it.
+    pub(super) fn skip_push(&self) {
+        *lock(&self.last_pushed_version) = self.version();
+    }
+
+    /// Payload of a push of the changes since the last push; records the active
+    /// version as pushed. `None` if nothing has changed.
+    pub(super) fn take_push(&self) -> Option<Bytes> {
         let previous_version =
             std::mem::replace(&mut *lock(&self.last_pushed_version), self.version());
         let update = self.update_since(previous_version)?;
-        Some(control_request(&ConfigRequest::Push(update)))
+        Some(encode_json(&ConfigRequest::Push(update)))
     }
 
     /// Update from `base_version` to the active version; `None` if no
@@ -154,21 +159,26 @@
         is_later.then(|| lock(&self.change_history).update_since(base_version, &config))
     }
 
-    /// Pushes an update to a peer. A peer that is still behind afterwards gets a
-    /// second update, from the version that its reply reports.
+    /// Pushes an update to a peer, which forwards it to others. A peer that is still
+    /// behind afterwards gets a second update, from the version that its reply reports.
     pub(super) async fn push_to_peer(
         &self,
         peer: SocketAddr,
         hello: &PeerHello,
-        request: &ControlRequest,
+        payload: &Bytes,
+        forward_to: &[SocketAddr],
     ) -> io::Result<()> {
-        let reply = send_push(peer, hello, request).await?;
+        let request = ControlRequest {
+            forward_to: forward_to.iter().map(ToString::to_string).collect(),
+            ..control_request(payload.clone())
+        };
+        let reply = send_push(peer, hello, &request).await?;
         let ConfigReply::InForce(peer_version) = decode_reply(&reply.payload)? else {
             return Ok(());
         };
         if let Some(update) = self.update_since(peer_version) {
-            let request = control_request(&ConfigRequest::Push(update));
-            send_push(peer, hello, &request).await?;
+            let payload = encode_json(&ConfigRequest::Push(update));
+            send_push(peer, hello, &control_request(payload)).await?;
         }
         Ok(())
     }
@@ -207,10 +217,11 @@
     }
 }
 
-fn control_request(request: &ConfigRequest) -> ControlRequest {
+fn control_request(payload: Bytes) -> ControlRequest {
     ControlRequest {
-        payload: encode_json(request),
+        payload,
         topic: ControlTopic::Routes.into(),
+        forward_to: Vec::new(),
     }
 }
 
--- a/src/routes/spread/tests.rs
+++ b/src/routes/spread/tests.rs
@@ -1,70 +1,76 @@
-use super::*;
+use std::collections::{BTreeMap, BTreeSet};
 
-#[test]
-fn the_tree_reaches_each_node_once_within_few_steps() {
-    for count in 1..=400 {
-        let mut depths = vec![None; count];
-        depths[0] = Some(0);
-        for rank in 0..count {
-            let children = child_ranks(rank, count);
-            assert!(children.len() <= FANOUT);
-            for child in children {
-                assert_eq!(
-                    depths[child], None,
-                    "rank {child} of {count} has two parents"
-                );
-                depths[child] = depths[rank].map(|depth| depth + 1);
-            }
-        }
-        // Four steps reach 1 + 4 + 16 + 64 + 256 = 341 nodes.
-        let reached_depths = depths
-            .into_iter()
-            .map(|depth| depth.expect("the tree reaches every node"));
-        assert!(reached_depths.max() <= Some(if count <= 341 { 4 } else { 5 }));
-    }
-}
+use super::*;
 
-#[test]
-fn ranks_beyond_the_zone_have_no_children() {
-    assert!(child_ranks(usize::MAX, 10).is_empty());
-    assert!(child_ranks(3, 4).is_empty());
+fn nodes(numbers: impl IntoIterator<Item = u16>) -> Vec<SocketAddr> {
+    let addresses = numbers
+        .into_iter()
+        .map(|number| ([127, 0, 0, 1], number).into());
+    addresses.collect()
 }
 
-fn tree(count: u16, own_rank: usize) -> DistributionTree {
-    let addresses = (0..count).map(|rank| ([127, 0, 0, 1], 1_000 + rank).into());
-    DistributionTree::new(addresses.collect(), own_rank)
+/// Replays a push: each receiver in `reachable` forwards it, the others are covered by
+/// their sender. Returns the depth at which each node receives it, 1 for the first.
+fn deliver(groups: Vec<PushGroup>, reachable: &BTreeSet<SocketAddr>) -> BTreeMap<SocketAddr, u32> {
+    let mut depths = BTreeMap::new();
+    let mut pending: Vec<(u32, PushGroup)> = groups.into_iter().map(|group| (1, group)).collect();
+    while let Some((depth, group)) = pending.pop() {
+        let next_groups = if reachable.contains(&group.receiver) {
+            let previous = depths.insert(group.receiver, depth);
+            assert_eq!(previous, None, "{} receives it twice", group.receiver);
+            divide(&group.forward_to)
+        } else {
+            group.fallback_groups()
+        };
+        pending.extend(next_groups.into_iter().map(|group| (depth + 1, group)));
+    }
+    depths
 }
 
-/// Ranks that the node at `own_rank` pushes to if those in `failed` can't be reached.
-fn pushed_ranks(tree: &DistributionTree, failed: &[usize]) -> Vec<usize> {
-    let mut targets = tree.own_targets();
-    let mut ranks = Vec::new();
-    while let Some(target) = targets.pop() {
-        ranks.push(target.rank);
-        if failed.contains(&target.rank) {
-            targets.extend(tree.fallback_targets(target));
-        }
+#[test]
+fn first_node_reaches_each_other_node_once_within_few_steps() {
+    for count in 0..400 {
+        let others = nodes(1..=count);
+        let reachable = others.iter().copied().collect();
+        let depths = deliver(first_groups(&others, 0), &reachable);
+        assert_eq!(depths.len(), others.len());
+        // Four steps reach 4 + 16 + 64 + 256 = 340 nodes.
+        let limit = if count <= 340 { 4 } else { 5 };
+        assert!(
+            depths.values().all(|depth| *depth <= limit),
+            "{count} nodes"
+        );
     }
-    ranks.sort_unstable();
-    ranks
 }
 
 #[test]
-fn children_of_a_node_that_is_gone_receive_the_configuration() {
-    let root = tree(30, 0);
-    assert_eq!(pushed_ranks(&root, &[]), [1, 2, 3, 4]);
-    let with_children_of_two = [1, 2, 3, 4, 9, 10, 11, 12];
-    assert_eq!(pushed_ranks(&root, &[2]), with_children_of_two);
-    let all: Vec<usize> = (1..30).collect();
-    assert_eq!(pushed_ranks(&root, &all), all);
+fn nodes_behind_unreachable_ones_receive_the_configuration() {
+    let others = nodes(1..=60);
+    for unreachable in [
+        vec![1],
+        vec![1, 2, 3],
+        vec![1, 16, 31, 46],
+        (1..60).collect(),
+    ] {
+        let mut reachable: BTreeSet<SocketAddr> = others.iter().copied().collect();
+        for node in nodes(unreachable) {
+            reachable.remove(&node);
+        }
+        let depths = deliver(first_groups(&others, 0), &reachable);
+        assert!(depths.keys().eq(&reachable));
+    }
 }
 
 #[test]
-fn second_node_reaches_the_zone_if_the_first_one_is_gone() {
-    let second = tree(30, 1);
-    assert_eq!(pushed_ranks(&second, &[]), [0, 5, 6, 7, 8]);
-    assert_eq!(pushed_ranks(&second, &[0]), [0, 2, 3, 4, 5, 6, 7, 8]);
-    assert_eq!(pushed_ranks(&tree(30, 2), &[]), [9, 10, 11, 12]);
+fn second_node_covers_the_zone_if_the_first_one_is_unreachable() {
+    let others = nodes([1, 3, 4, 5, 6, 7, 8]);
+    let groups = first_groups(&others, 1);
+    assert_eq!(groups.len(), 1);
+    assert_eq!(groups[0].receiver, others[0]);
+    assert!(groups[0].forward_to.is_empty());
+    let reachable = others[1..].iter().copied().collect();
+    assert!(deliver(groups, &reachable).keys().eq(&reachable));
+    assert!(first_groups(&others, 2).is_empty());
 }
 
 #[test]
--- a/src/routes/tests.rs
+++ b/src/routes/tests.rs
@@ -15,7 +15,7 @@
 
 use super::*;
 use crate::discovery::FleetRole;
-use crate::exchange::{ControlReply, ControlRequest, PeerHello, frame_stream};
+use crate::exchange::{ControlReply, ControlRequest, ControlTopic, PeerHello, frame_stream};
 use crate::store::memory::MemoryStore;
 use crate::store::{ConfigStore, KeyRevision};
 
@@ -104,6 +104,14 @@
     assert_eq!(split_requests, [60, 0]);
 }
 
+fn request_of(payload: &serde_json::Value) -> ControlRequest {
+    ControlRequest {
+        payload: Bytes::from(payload.to_string()),
+        topic: ControlTopic::Routes.into(),
+        forward_to: Vec::new(),
+    }
+}
+
 #[ntex::test]
 async fn a_push_never_replaces_a_newer_configuration() {
     let hello = crate::exchange::PeerHello::default();
@@ -121,7 +129,7 @@
     };
     let push = |number| json!({ "push": { "whole": version(number) } });
     let exchange = |request: serde_json::Value| -> serde_json::Value {
-        let reply = handle.handle_peer_request(&serde_json::to_vec(&request).unwrap());
+        let reply = handle.handle_peer_request(&request_of(&request));
         serde_json::from_slice(&reply).unwrap()
     };
     for (pushed_version, active_version) in [(4, 4), (3, 4), (4, 4), (7, 7)] {
@@ -204,7 +212,7 @@
             };
             let request = ControlRequest::decode(request).unwrap();
             let reply = ControlReply {
-                payload: handle.handle_peer_request(&request.payload),
+                payload: handle.handle_peer_request(&request),
             };
             let _ = frames.send(Bytes::from(reply.encode_to_vec())).await;
         }
@@ -232,7 +240,7 @@
             ..config(vec![route("all", "shop", "/")])
         };
         let push = json!({ "push": { "whole": config } });
-        handle.handle_peer_request(&serde_json::to_vec(&push).unwrap());
+        handle.handle_peer_request(&request_of(&push));
     }
     handle
 }
@@ -273,40 +281,37 @@
     tokio::time::timeout(APPLY_LIMIT, is_active).await.is_ok()
 }
 
-/// Tree of a zone in which the nodes of the ranks in `silent` never reply, and the
-/// others, which it returns by rank.
+/// Starts the other nodes of a zone, of which those in `silent` never reply. Returns
+/// all addresses and the nodes that reply, by position.
 async fn start_zone(
     count: usize,
-    own_rank: usize,
     silent: &[usize],
-) -> (DistributionTree, BTreeMap<usize, RoutesHandle>) {
+) -> (Vec<SocketAddr>, BTreeMap<usize, RoutesHandle>) {
     let mut addresses = Vec::new();
     let mut nodes = BTreeMap::new();
-    for rank in 0..count {
-        if silent.contains(&rank) {
+    for position in 0..count {
+        if silent.contains(&position) {
             addresses.push(start_silent_peer().await);
             continue;
         }
         let node = start_follower(0);
         addresses.push(start_peer(node.clone()).await);
-        nodes.insert(rank, node);
+        nodes.insert(position, node);
     }
-    nodes.remove(&own_rank);
-    (DistributionTree::new(addresses, own_rank), nodes)
+    (addresses, nodes)
 }
 
+/// The receivers of a push know nothing of the zone but what the push names.
 #[ntex::test]
-async fn push_reaches_the_nodes_behind_peers_that_do_not_answer() {
-    // The root reaches ranks 5 to 8 without rank 1.
-    let (tree, mut nodes) = start_zone(9, 0, &[1, 3]).await;
-    start_follower(4).push_along_tree(tree, PeerHello::default());
-    for (rank, node) in &mut nodes {
-        assert!(applies_in_time(node, 4).await, "rank {rank}");
-    }
-    // The second node reaches ranks 2 to 4 without the root.
-    let (tree, mut nodes) = start_zone(9, 1, &[0]).await;
-    start_follower(4).push_along_tree(tree, PeerHello::default());
-    for (rank, node) in &mut nodes {
-        assert!(applies_in_time(node, 4).await, "rank {rank}");
+async fn push_reaches_a_zone_in_which_some_nodes_do_not_answer() {
+    for own_rank in [0, 1] {
+        let (addresses, nodes) = start_zone(20, &[0, 5, 7]).await;
+        start_follower(4).push_to_zone(&addresses, own_rank);
+        for (position, node) in &nodes {
+            assert!(
+                applies_in_time(node, 4).await,
+                "rank {own_rank}, node {position}"
+            );
+        }
     }
 }
--- a/src/tickets/peers.rs
+++ b/src/tickets/peers.rs
@@ -84,6 +84,7 @@
     version: u64,
 ) -> std::io::Result<TicketDelta> {
     let request = ControlRequest {
+        forward_to: Vec::new(),
         payload: Bytes::from(DeltaRequest { version }.encode_to_vec()),
         topic: ControlTopic::Tickets.into(),
     };
