Bound interim responses and discarded bytes of a backend server

Callers would see: a call that lasts until its time limit while the gate reads without end, and a health reading that does so until its timeout.

Cause: interim heads (1xx) before a response were skipped without a limit, and the bound on a discarded body counted its data but not its chunk sizes. Class: a loop that a peer's bytes keep going.

Change: more than 8 interim responses fail the exchange, and the bound on a discarded body counts the bytes read.

Failed before, for endless interim responses: endless_bytes_that_are_no_response_fail_ the_exchange_and_close_the_connection, endless_response_of_the_health_path_states_no_ load. The other endless heads, chunk sizes, trailers and bodies in these tests failed the exchange already.

--- a/src/backend/connection.rs
+++ b/src/backend/connection.rs
@@ -14,9 +14,11 @@
 
 /// Buffer space reserved for each read from the socket.
 const READ_RESERVE_BYTES: usize = 8 * 1024;
-/// Maximum number of body bytes that are read to discard a response to another
-/// request.
-const MAX_DISCARDED_BYTES: usize = 1024 * 1024;
+/// Maximum number of bytes that are read to discard the body of a response to another
+/// request, with its chunk sizes and trailers.
+const MAX_DISCARDED_BYTES: u64 = 1024 * 1024;
+/// Maximum number of interim responses before the final one.
+const MAX_INTERIM_RESPONSES: u32 = 8;
 
 /// Connection with the bytes that have been read but not parsed.
 #[derive(Debug)]
@@ -24,6 +26,8 @@
     read_half: OwnedReadHalf,
     write_half: OwnedWriteHalf,
     buffer: BytesMut,
+    /// Bytes read since the connection was opened.
+    read_bytes: u64,
 }
 
 impl BackendConnection {
@@ -34,6 +38,7 @@
             read_half,
             write_half,
             buffer: BytesMut::new(),
+            read_bytes: 0,
         })
     }
 
@@ -53,7 +58,11 @@
         loop {
             tokio::select! {
                 biased;
-                read = self.read_half.read_buf(&mut self.buffer) => return Ok(read? > 0),
+                read = self.read_half.read_buf(&mut self.buffer) => {
+                    let read_bytes = read?;
+                    self.read_bytes += read_bytes as u64;
+                    return Ok(read_bytes > 0);
+                }
                 result = upload.advance(&mut self.write_half), if !upload.is_finished() => {
                     // The backend server may have responded before it stopped
                     // reading, so the response is still read.
@@ -75,10 +84,18 @@
         upload: &mut RequestUpload,
         method: &str,
     ) -> Result<ResponseHead, ExchangeError> {
+        let mut interim_responses = 0;
         loop {
             let parsed = ResponseHead::parse(&mut self.buffer, RESPONSE_HEAD_LIMITS, method);
             match parsed {
-                Ok(Some(head)) if head.is_interim() => continue,
+                Ok(Some(head)) if head.is_interim() => {
+                    interim_responses += 1;
+                    if interim_responses <= MAX_INTERIM_RESPONSES {
+                        continue;
+                    }
+                    let error = BackendError::failed(&"too many interim responses");
+                    return Err(ExchangeError::Failed(error));
+                }
                 Ok(Some(head)) => return Ok(head),
                 Ok(None) => {}
                 Err(error) => return Err(ExchangeError::Failed(BackendError::failed(&error))),
@@ -130,14 +147,14 @@
         framing: BodyFraming,
     ) -> Result<(), ExchangeError> {
         let mut decoder = BodyDecoder::new(framing);
-        let mut discarded_bytes = 0;
-        while let Some(data) = self
+        let max_read_bytes = self.read_bytes + MAX_DISCARDED_BYTES;
+        while self
             .read_body_chunk(upload, &mut decoder)
             .await
             .map_err(ExchangeError::Failed)?
+            .is_some()
         {
-            discarded_bytes += data.len();
-            if discarded_bytes > MAX_DISCARDED_BYTES {
+            if self.read_bytes > max_read_bytes {
                 let error =
                     BackendError::failed(&"response to another request is too long to discard");
                 return Err(ExchangeError::Failed(error));
--- a/src/backend/tests.rs
+++ b/src/backend/tests.rs
@@ -6,7 +6,7 @@
 use assert_matches::assert_matches;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpListener;
-use tokio::sync::mpsc::unbounded_channel;
+use tokio::sync::mpsc::{UnboundedReceiver, unbounded_channel};
 
 use super::*;
 use crate::fields::DEFAULT_DIALECT;
@@ -207,3 +207,93 @@
     );
     assert_eq!(fixture.send(false).await, expected_response());
 }
+
+/// Starts a backend server that responds to each request with `start` and then with
+/// `repeated` until the connection is closed; the channel reports each such close.
+async fn start_endless_backend(
+    start: &'static str,
+    repeated: &'static str,
+) -> (Rc<BackendClient>, UnboundedReceiver<()>) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address: SocketAddr = listener.local_addr().unwrap();
+    let (closed_sender, closed) = unbounded_channel();
+    ntex::rt::spawn(async move {
+        while let Ok((mut stream, _)) = listener.accept().await {
+            let closed_sender = closed_sender.clone();
+            ntex::rt::spawn(async move {
+                let _ = stream.read(&mut [0; 16 * 1024]).await;
+                let block = repeated.repeat(8 * 1024 / repeated.len() + 1);
+                let mut result = stream.write_all(start.as_bytes()).await;
+                while result.is_ok() {
+                    result = stream.write_all(block.as_bytes()).await;
+                }
+                let _ = closed_sender.send(());
+            });
+        }
+    });
+    let target = BackendTarget {
+        id: "b1".parse().unwrap(),
+        service: "slotbook".parse().unwrap(),
+        address,
+        slots: "6".parse().unwrap(),
+        max_connections: "6".parse().unwrap(),
+        health_path: Some("/healthz".to_string()),
+    };
+    (Rc::new(BackendClient::new(target, &STRICT_DIALECT)), closed)
+}
+
+/// A faulty backend server may send bytes without end until the connection is closed.
+#[ntex::test]
+async fn endless_bytes_that_are_no_response_fail_the_exchange_and_close_the_connection() {
+    const CHUNKED_HEAD: &str = "HTTP/1.1 200 OK\r\nx-id: r1\r\nx-signed: s\r\n\
+        transfer-encoding: chunked\r\n\r\n";
+    for (start, repeated) in [
+        ("", "no response "),
+        ("", "\r\n"),
+        ("HTTP/1.1 200 OK\r\nx-id: ", "a"),
+        ("HTTP/1.1 200 OK\r\n", "x-id: r1\r\n"),
+        ("", "HTTP/1.1 100 Continue\r\n\r\n"),
+        ("", "HTTP/1.1 103 Early Hints\r\nlink: </a>\r\n\r\n"),
+        ("", MISMATCHED_RESPONSE),
+        ("HTTP/1.1 200 OK\r\nx-id: r0\r\n\r\n", "other"),
+        (CHUNKED_HEAD, "0"),
+        (CHUNKED_HEAD, "1;a\r\nbroken"),
+        (
+            "HTTP/1.1 200 OK\r\nx-id: r1\r\nx-signed: s\r\ntransfer-encoding: chunked\r\n\r\n0\r\n",
+            "x: y\r\n",
+        ),
+    ] {
+        let (client, mut closed) = start_endless_backend(start, repeated).await;
+        let requests = Rc::default();
+        let fixture = Fixture {
+            client: Rc::clone(&client),
+            requests,
+        };
+        let exchange = tokio::time::timeout(Duration::from_secs(5), fixture.send(false));
+        assert_matches!(
+            exchange.await,
+            Ok(Err(BackendError::Failed { .. })),
+            "{start:?}, then {repeated:?}"
+        );
+        let closed = tokio::time::timeout(Duration::from_secs(5), closed.recv()).await;
+        assert_eq!(closed, Ok(Some(())), "{start:?}, then {repeated:?}");
+    }
+}
+
+#[ntex::test]
+async fn endless_response_of_the_health_path_states_no_load() {
+    for (start, repeated) in [
+        ("", "HTTP/1.1 100 Continue\r\n\r\n"),
+        ("HTTP/1.1 200 OK\r\n\r\n", "endless"),
+        (
+            "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n",
+            "1;a=b\r\nx\r\n",
+        ),
+    ] {
+        let (client, mut closed) = start_endless_backend(start, repeated).await;
+        let load = tokio::time::timeout(Duration::from_secs(10), client.fetch_load()).await;
+        assert_eq!(load, Ok(None), "{start:?}, then {repeated:?}");
+        let closed = tokio::time::timeout(Duration::from_secs(5), closed.recv()).await;
+        assert_eq!(closed, Ok(Some(())), "{start:?}, then {repeated:?}");
+    }
+}
