Answer 503 when a service leaves the table after a request was accepted

Callers would see: 404 for a route that their configuration has, if the next version drops its service while the request waits for an upstream or is tried again. A 404 isn't retried.

Cause: the router reported a service without a table entry as unknown, as if the caller had named one that doesn't exist; routes are matched before. A name in a caller's request is still checked where the request is read.

Failed before: service_that_left_the_table_has_no_upstream.

--- a/src/routing/router.rs
+++ b/src/routing/router.rs
@@ -109,8 +109,8 @@
     ///
     /// # Errors
     ///
-    /// `UnknownService` if the table has no such service, `NoUpstream` if no
-    /// upstream outside `tried_nodes` accepts calls.
+    /// `NoUpstream` if no upstream outside `tried_nodes` accepts calls, or if the
+    /// service has left the table since the request was accepted.
     pub fn select_upstream(
         &mut self,
         now: Duration,
@@ -119,10 +119,7 @@
     ) -> Result<RouteChoice, ErrorKind> {
         let service = request.service;
         let table = Arc::clone(&self.table);
-        let entry = table
-            .services
-            .get(service)
-            .ok_or(ErrorKind::UnknownService)?;
+        let entry = table.services.get(service).ok_or(ErrorKind::NoUpstream)?;
         self.ensure_service_state(now, service, entry);
         if request.is_idempotent {
             self.last_idempotent_call.insert(service.clone(), now);
--- a/src/routing/select.rs
+++ b/src/routing/select.rs
@@ -35,7 +35,7 @@
         request: &RouteRequest<'_>,
     ) -> Result<(Vec<CandidateScore>, RouteReason), ErrorKind> {
         let state = self.services.get(request.service);
-        let state = state.ok_or(ErrorKind::UnknownService)?;
+        let state = state.ok_or(ErrorKind::NoUpstream)?;
         let tiers = self.partition_tiers(now, state, request);
         let mut candidates = Vec::new();
         for group in &tiers {
--- a/src/routing/tests.rs
+++ b/src/routing/tests.rs
@@ -522,3 +522,16 @@
     // After a refusal by its gate, any other upstream is better than none.
     assert_ne!(choose(true, &BTreeSet::from([node(0)])), node(0));
 }
+
+/// A request that was accepted under an earlier configuration must not be told that its
+/// route doesn't exist.
+#[test]
+fn service_that_left_the_table_has_no_upstream() {
+    let mut router = router(0);
+    let now = Duration::ZERO;
+    router.apply_table(now, &single_service_table(&STATES[..1], &[1], 0.0));
+    router.apply_table(now, &build_table(BTreeMap::new(), 0.0));
+    let mut rng = StdRng::seed_from_u64(1);
+    let choice = router.select_upstream_for_idempotent(now, &mut rng, &service(), &BTreeSet::new());
+    assert_eq!(choice.err(), Some(ErrorKind::NoUpstream));
+}
