Pause after a read that finds neither a configuration nor a position

A 404 of the store without a readable body gives no position to watch from, so a watcher read again at once, in a tight loop; each call is priced. It now pauses as after a new version.

Failed before: missing_configuration_without_a_position_is_not_read_in_a_tight_loop.

--- a/src/platform/tests.rs
+++ b/src/platform/tests.rs
@@ -298,4 +298,18 @@
     assert_matches!(outdated, Err(StoreError::UnknownEffect { .. }));
 }
 
+#[ntex::test]
+async fn missing_configuration_without_a_position_is_not_read_in_a_tight_loop() {
+    let (stub, store, _server) = StubStore::start([(404, ""); 64]).await;
+    let (_role, role) = tokio::sync::watch::channel(crate::discovery::FleetRole::Alone);
+    let settings = crate::routes::RoutesSettings {
+        hello: crate::exchange::PeerHello::default(),
+        source: PLATFORM.config,
+    };
+    let _routes = crate::routes::RoutesHandle::start(settings, std::rc::Rc::new(store), role);
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    let count = stub.requests().len();
+    assert!((2..=8).contains(&count), "{count} calls within a second");
+}
+
 mod restored_store;
--- a/src/routes/driver.rs
+++ b/src/routes/driver.rs
@@ -291,6 +291,9 @@
     if let Some(stored) = &watched.value {
         let config = (source.decode)(&stored.bytes).map_err(|error| error.to_string())?;
         replica.apply_if_newer(config, "store");
+    }
+    if watched.value.is_some() || watched.position.is_initial() {
+        // Without a position the next call returns at once as well.
         tokio::time::sleep(NEW_VERSION_DELAY).await;
     }
     Ok(watched.position)
