Push a fetched configuration to the nodes after the own one

Change: a node that had to fetch a version, which means that no push reached it within 300 ms, pushes it to the four nodes after it by name. The way by which a configuration arrived is an enum now and no text.

Tests: node_that_had_to_fetch_a_version_pushes_it_to_the_nodes_after_it fails without the new case (no node of the zone gets the version), node_that_fetched_a_configuration_ pushes_to_the_nodes_after_it.

--- a/src/routes/driver.rs
+++ b/src/routes/driver.rs
@@ -19,7 +19,7 @@
 
 use super::announced::{AnnouncedVersions, FetchStep};
 use super::config::{ConfigVersion, RouteConfig};
-use super::replica::{ConfigReplica, version_of};
+use super::replica::{ConfigOrigin, ConfigReplica, version_of};
 use super::schedule::{MAX_WATCH_CHECK_INTERVAL, MAX_WATCH_WAIT, ReadSchedule, ReadStep};
 use super::spread::{PushGroup, divide, first_groups};
 use crate::discovery::FleetRole;
@@ -158,7 +158,8 @@
     /// for it. `others` are the peer addresses of the zone's other live nodes in the
     /// order of their names, of which `own_rank` precede this node.
     pub fn push_to_zone(&self, others: &[SocketAddr], own_rank: usize) {
-        let groups = first_groups(others, own_rank);
+        let is_fetched = self.replica.origin() == Some(ConfigOrigin::Fetch);
+        let groups = first_groups(others, own_rank, is_fetched);
         if groups.is_empty() {
             self.replica.skip_push();
         } else if let Some(payload) = self.replica.take_push() {
@@ -290,7 +291,7 @@
     let watched = watched.map_err(|error| error.to_string())?;
     if let Some(stored) = &watched.value {
         let config = (source.decode)(&stored.bytes).map_err(|error| error.to_string())?;
-        replica.apply_if_newer(config, "store");
+        replica.apply_if_newer(config, ConfigOrigin::Store);
     }
     if watched.value.is_some() || watched.position.is_initial() {
         // Without a position the next call returns at once as well.
@@ -367,7 +368,7 @@
     let read = read.map_err(|error| error.to_string())?;
     if let Some(stored) = &read.value {
         let config = (source.decode)(&stored.bytes).map_err(|error| error.to_string())?;
-        replica.apply_if_newer(config, "store, stale");
+        replica.apply_if_newer(config, ConfigOrigin::StaleStore);
     }
     Ok(read.position)
 }
--- a/src/routes/replica.rs
+++ b/src/routes/replica.rs
@@ -8,6 +8,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use bytes::Bytes;
+use derive_more::Display;
 use serde::{Deserialize, Serialize};
 use tokio::sync::watch;
 
@@ -21,10 +22,29 @@
 pub(super) struct ConfigReplica {
     pub(super) config_sender: watch::Sender<Option<Arc<RouteConfig>>>,
     change_history: Mutex<ChangeHistory>,
+    /// Way by which the active configuration arrived; `None` before the first one.
+    origin: Mutex<Option<ConfigOrigin>>,
     /// Version that was last pushed to peers.
     last_pushed_version: Mutex<ConfigVersion>,
 }
 
+/// Way by which a configuration arrives at a node.
+#[derive(Debug, Clone, Copy, Display, PartialEq, Eq)]
+pub(super) enum ConfigOrigin {
+    /// Read from the store.
+    #[display("store")]
+    Store,
+    /// Read from the store by a call whose result may be old.
+    #[display("store, stale")]
+    StaleStore,
+    /// Fetched from a peer that announced it.
+    #[display("peer")]
+    Fetch,
+    /// Pushed by a peer.
+    #[display("pushed")]
+    Push,
+}
+
 /// Request from one node to another.
 #[derive(Debug, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
@@ -50,16 +70,22 @@
         Self {
             config_sender,
             change_history: Mutex::default(),
+            origin: Mutex::default(),
             last_pushed_version: Mutex::default(),
         }
     }
 
+    /// Way by which the active configuration arrived; `None` before the first one.
+    pub(super) fn origin(&self) -> Option<ConfigOrigin> {
+        *lock(&self.origin)
+    }
+
     pub(super) fn version(&self) -> ConfigVersion {
         version_of(self.config_sender.borrow().as_ref())
     }
 
     /// Activates a configuration if it is newer than the active one.
-    pub(super) fn apply_if_newer(&self, config: RouteConfig, origin: &str) {
+    pub(super) fn apply_if_newer(&self, config: RouteConfig, origin: ConfigOrigin) {
         let (version, routes) = (config.version, config.route_count());
         let mut previous = ConfigVersion::default();
         let is_newer = self.config_sender.send_if_modified(|current| {
@@ -71,19 +97,20 @@
                 lock(&self.change_history).record_change(current, &config);
             }
             *current = Some(Arc::new(config));
+            *lock(&self.origin) = Some(origin);
             true
         });
         if is_newer {
             log::info!(
                 target: "routes",
-                version = version.0, previous = previous.0, routes, origin;
+                version = version.0, previous = previous.0, routes, origin:%;
                 "configuration in force"
             );
         }
     }
 
     /// Applies a peer's update; ignores a delta that doesn't fit the active version.
-    fn apply_update(&self, update: &ConfigUpdate, origin: &str) {
+    fn apply_update(&self, update: &ConfigUpdate, origin: ConfigOrigin) {
         let config = match update {
             ConfigUpdate::Snapshot(config) => Some(config.clone()),
             ConfigUpdate::Delta(delta) => {
@@ -95,7 +122,7 @@
             Some(config) => self.apply_if_newer(config, origin),
             None => log::info!(
                 target: "routes",
-                have = self.version().0, origin;
+                have = self.version().0, origin:%;
                 "update ignored: it doesn't apply to the active version"
             ),
         }
@@ -105,7 +132,7 @@
     pub(super) fn handle_peer_request(&self, request: &[u8]) -> Bytes {
         let reply = match serde_json::from_slice(request) {
             Ok(ConfigRequest::Push(update)) => {
-                self.apply_update(&update, "pushed");
+                self.apply_update(&update, ConfigOrigin::Push);
                 ConfigReply::InForce(self.version())
             }
             Ok(ConfigRequest::Fetch(peer_version)) => match self.update_since(peer_version) {
@@ -132,7 +159,7 @@
     /// [`build_fetch_request`](Self::build_fetch_request).
     pub(super) fn apply_fetch_reply(&self, payload: &[u8]) -> io::Result<()> {
         if let ConfigReply::Update(update) = decode_reply(payload)? {
-            self.apply_update(&update, "peer");
+            self.apply_update(&update, ConfigOrigin::Fetch);
         }
         Ok(())
     }
--- a/src/routes/spread/tests.rs
+++ b/src/routes/spread/tests.rs
@@ -32,7 +32,7 @@
     for count in 0..400 {
         let others = nodes(1..=count);
         let reachable = others.iter().copied().collect();
-        let depths = deliver(first_groups(&others, 0), &reachable);
+        let depths = deliver(first_groups(&others, 0, false), &reachable);
         assert_eq!(depths.len(), others.len());
         // Four steps reach 4 + 16 + 64 + 256 = 340 nodes.
         let limit = if count <= 340 { 4 } else { 5 };
@@ -56,7 +56,7 @@
         for node in nodes(unreachable) {
             reachable.remove(&node);
         }
-        let depths = deliver(first_groups(&others, 0), &reachable);
+        let depths = deliver(first_groups(&others, 0, false), &reachable);
         assert!(depths.keys().eq(&reachable));
     }
 }
@@ -64,13 +64,28 @@
 #[test]
 fn second_node_covers_the_zone_if_the_first_one_is_unreachable() {
     let others = nodes([1, 3, 4, 5, 6, 7, 8]);
-    let groups = first_groups(&others, 1);
+    let groups = first_groups(&others, 1, false);
     assert_eq!(groups.len(), 1);
     assert_eq!(groups[0].receiver, others[0]);
     assert!(groups[0].forward_to.is_empty());
     let reachable = others[1..].iter().copied().collect();
     assert!(deliver(groups, &reachable).keys().eq(&reachable));
-    assert!(first_groups(&others, 2).is_empty());
+    assert!(first_groups(&others, 2, false).is_empty());
+}
+
+#[test]
+fn node_that_fetched_a_configuration_pushes_to_the_nodes_after_it() {
+    let others = nodes([1, 2, 4, 5]);
+    let receivers = |own_rank| -> Vec<SocketAddr> {
+        let groups = first_groups(&others, own_rank, true);
+        assert!(groups.iter().all(|group| group.forward_to.is_empty()));
+        groups.iter().map(|group| group.receiver).collect()
+    };
+    assert_eq!(receivers(2), nodes([4, 5, 1, 2]));
+    assert_eq!(receivers(4), nodes([1, 2, 4, 5]));
+    let many = nodes(1..=40);
+    let groups = first_groups(&many, 10, true);
+    assert!(groups.iter().map(|group| group.receiver).eq(nodes(11..=14)));
 }
 
 #[test]
--- a/src/routes/tests.rs
+++ b/src/routes/tests.rs
@@ -315,3 +315,17 @@
         }
     }
 }
+
+/// While the first nodes of a zone are gone, but not yet detected, nobody pushes.
+#[ntex::test]
+async fn node_that_had_to_fetch_a_version_pushes_it_to_the_nodes_after_it() {
+    let (addresses, nodes) = start_zone(5, &[0, 1]).await;
+    let node = start_follower(3);
+    let peer = start_peer(start_follower(4)).await;
+    node.on_peer_version(peer, ConfigVersion(4));
+    assert!(applies_in_time(&node, 4).await);
+    node.push_to_zone(&addresses, 2);
+    for (position, node) in &nodes {
+        assert!(applies_in_time(node, 4).await, "node {position}");
+    }
+}
