--- a/src/backend/tests.rs
+++ b/src/backend/tests.rs
@@ -36,6 +36,18 @@
     requests: Rc<RefCell<Vec<String>>>,
 }
 
+fn new_client(address: SocketAddr, health_path: Option<&str>) -> Rc<BackendClient> {
+    let target = BackendTarget {
+        id: "b1".parse().unwrap(),
+        service: "slotbook".parse().unwrap(),
+        address,
+        slots: "6".parse().unwrap(),
+        max_connections: "6".parse().unwrap(),
+        health_path: health_path.map(ToString::to_string),
+    };
+    Rc::new(BackendClient::new(target, &STRICT_DIALECT))
+}
+
 /// Starts a backend server whose connections each follow a script.
 async fn start_backend(scripts: Vec<ConnectionScript>) -> Fixture {
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
@@ -64,16 +76,8 @@
             });
         }
     });
-    let target = BackendTarget {
-        id: "b1".parse().unwrap(),
-        service: "slotbook".parse().unwrap(),
-        address,
-        slots: "6".parse().unwrap(),
-        max_connections: "6".parse().unwrap(),
-        health_path: None,
-    };
     Fixture {
-        client: Rc::new(BackendClient::new(target, &STRICT_DIALECT)),
+        client: new_client(address, None),
         requests,
     }
 }
@@ -231,15 +235,7 @@
             });
         }
     });
-    let target = BackendTarget {
-        id: "b1".parse().unwrap(),
-        service: "slotbook".parse().unwrap(),
-        address,
-        slots: "6".parse().unwrap(),
-        max_connections: "6".parse().unwrap(),
-        health_path: Some("/healthz".to_string()),
-    };
-    (Rc::new(BackendClient::new(target, &STRICT_DIALECT)), closed)
+    (new_client(address, Some("/healthz")), closed)
 }
 
 /// A faulty backend server may send bytes without end until the connection is closed.
@@ -264,10 +260,9 @@
         ),
     ] {
         let (client, mut closed) = start_endless_backend(start, repeated).await;
-        let requests = Rc::default();
         let fixture = Fixture {
-            client: Rc::clone(&client),
-            requests,
+            client,
+            requests: Rc::default(),
         };
         let exchange = tokio::time::timeout(Duration::from_secs(5), fixture.send(false));
         assert_matches!(
--- a/src/platform/tests/restored_store.rs
+++ b/src/platform/tests/restored_store.rs
@@ -116,16 +116,22 @@
     }
 }
 
+/// Starts a store that has a copy with version 5, and a node at which that is active.
+async fn start_with_copy(zone_rank: u32) -> (StoreFixture, NodeFixture) {
+    let store = StoreFixture::start().await;
+    store.write_config(5).await;
+    store.put("/standin/copy", json!({})).await;
+    let node = store.start_node(zone_rank).await;
+    assert!(node.applies_in_time(5).await);
+    (store, node)
+}
+
 /// All watchers of a fleet wait at about the same position, so a change that they
 /// can't see there reaches no node.
 #[ntex::test]
 async fn change_below_the_watch_position_of_an_earlier_era_is_applied() {
     for zone_rank in [0, 1] {
-        let store = StoreFixture::start().await;
-        store.write_config(5).await;
-        store.put("/standin/copy", json!({})).await;
-        let node = store.start_node(zone_rank).await;
-        assert!(node.applies_in_time(5).await);
+        let (store, node) = start_with_copy(zone_rank).await;
         store.write_other_keys(5).await;
         store.write_config(6).await;
         assert!(node.applies_in_time(6).await);
@@ -145,11 +151,7 @@
 
 #[ntex::test]
 async fn older_configuration_of_a_restored_store_replaces_no_newer_one() {
-    let store = StoreFixture::start().await;
-    store.write_config(5).await;
-    store.put("/standin/copy", json!({})).await;
-    let node = store.start_node(0).await;
-    assert!(node.applies_in_time(5).await);
+    let (store, node) = start_with_copy(0).await;
     store.write_config(6).await;
     assert!(node.applies_in_time(6).await);
     store.put("/standin/restore", json!({})).await;
@@ -160,10 +162,7 @@
 
 #[ntex::test]
 async fn change_is_applied_while_the_connection_of_the_watch_is_silent() {
-    let store = StoreFixture::start().await;
-    store.write_config(5).await;
-    let node = store.start_node(0).await;
-    assert!(node.applies_in_time(5).await);
+    let (store, node) = start_with_copy(0).await;
     tokio::time::sleep(WATCH_START).await;
     let silence = json!({ "silence_watches": true });
     store.put("/standin/faults", silence).await;
