Stand-in store reads the body of each request that switches it

The two handlers didn't read the body of their request, so the server closed the connection while the client still sent it. Ruled out: the nodes (they take no part in the call).

--- a/src/standin/store/service.rs
+++ b/src/standin/store/service.rs
@@ -219,12 +219,13 @@
     HttpResponse::Ok().finish()
 }
 
-async fn take_copy(state: State<StandinState>) -> HttpResponse {
+// The connection is closed early if a handler doesn't read the body of its request.
+async fn take_copy(state: State<StandinState>, _body: Bytes) -> HttpResponse {
     state.take_copy();
     HttpResponse::Ok().finish()
 }
 
-async fn restore_copy(state: State<StandinState>) -> HttpResponse {
+async fn restore_copy(state: State<StandinState>, _body: Bytes) -> HttpResponse {
     state.restore_copy();
     HttpResponse::Ok().finish()
 }
--- a/tests/routes/fleet.rs
+++ b/tests/routes/fleet.rs
@@ -192,21 +192,21 @@
     }
 
     pub async fn take_copy(&self) {
-        self.call_store(Method::PUT, "/standin/copy", &json!({}))
-            .await;
+        self.switch_store("/standin/copy", &json!({})).await;
     }
 
     pub async fn restore_copy(&self) {
-        self.call_store(Method::PUT, "/standin/restore", &json!({}))
-            .await;
+        self.switch_store("/standin/restore", &json!({})).await;
     }
 
     /// Replaces the faults of the store; an empty object ends all.
     pub async fn set_faults(&self, faults: &Value) {
-        let status = self
-            .call_store(Method::PUT, "/standin/faults", faults)
-            .await;
-        assert_eq!(status, Some(StatusCode::OK));
+        self.switch_store("/standin/faults", faults).await;
+    }
+
+    async fn switch_store(&self, path: &str, body: &Value) {
+        let status = self.call_store(Method::PUT, path, body).await;
+        assert_eq!(status, Some(StatusCode::OK), "{path}");
     }
 
     async fn call_store(&self, method: Method, path: &str, body: &Value) -> Option<StatusCode> {
