--- a/tests/routes/fleet.rs
+++ b/tests/routes/fleet.rs
@@ -178,7 +178,9 @@
     pub async fn write_version(&self) {
         let value = config_value(self.version);
         let body = json!({ "puts": [{ "key": "op/config", "value": value }] });
+        let deadline = Instant::now() + START_LIMIT;
         while self.call_store(Method::POST, "/api/kv-txn", &body).await != Some(StatusCode::OK) {
+            assert!(Instant::now() < deadline, "configuration not written");
             ntex::time::sleep(POLL_INTERVAL).await;
         }
     }
