--- a/tests/routes/fleet.rs
+++ b/tests/routes/fleet.rs
@@ -17,6 +17,8 @@
 
 /// Bound on the time from the acknowledgement of a version until every node has it in force.
 pub const IN_FORCE_LIMIT: Duration = Duration::from_secs(2);
+/// Time without a disturbance after which the bounds hold for a node.
+pub const STABLE_TIME: Duration = Duration::from_secs(3);
 /// Bound on the time until a lost entry of a node is back in the store.
 pub const ENTRY_LIMIT: Duration = Duration::from_secs(2);
 const START_LIMIT: Duration = Duration::from_secs(20);
@@ -40,6 +42,8 @@
     addresses: Option<NodeAddresses>,
     seen_version: u64,
     is_frozen: bool,
+    /// Time from which the node counts as stable after its last start or pause.
+    stable_at: Instant,
 }
 
 /// Store, nodes and the operator who writes the configuration.
@@ -112,6 +116,7 @@
                 addresses: None,
                 seen_version: 0,
                 is_frozen: false,
+                stable_at: Instant::now(),
             });
             fleet.start_node(index);
         }
@@ -149,6 +154,12 @@
         node.process = Some(process);
         node.seen_version = 0;
         node.is_frozen = false;
+        node.stable_at = Instant::now() + STABLE_TIME;
+    }
+
+    /// Time from which a node counts as stable after its last start or pause.
+    pub fn stable_at(&self, index: usize) -> Instant {
+        self.nodes[index].stable_at
     }
 
     pub fn is_running(&self, index: usize) -> bool {
@@ -165,6 +176,7 @@
         if let Some(process) = &node.process {
             process.signal(if is_frozen { "STOP" } else { "CONT" });
             node.is_frozen = is_frozen;
+            node.stable_at = Instant::now() + STABLE_TIME;
         }
     }
 
