--- a/src/standin/backend/handlers.rs
+++ b/src/standin/backend/handlers.rs
@@ -44,6 +44,7 @@
 pub fn configure(config: &mut ServiceConfig) {
     config
         .service(web::resource("/standin/runs").route(web::get().to(show_runs)))
+        .service(web::resource("/standin/arrivals").route(web::get().to(show_arrivals)))
         .service(web::resource("/standin/faults").route(web::put().to(set_faults)))
         .service(web::resource("/{path}*").to(serve_request));
 }
@@ -52,6 +53,10 @@
     HttpResponse::Ok().json(&state.counts())
 }
 
+async fn show_arrivals(state: State<Arc<StandinState>>) -> HttpResponse {
+    HttpResponse::Ok().json(&state.arrivals_ms())
+}
+
 async fn set_faults(state: State<Arc<StandinState>>, faults: Json<FaultSettings>) -> HttpResponse {
     state.set_faults(faults.into_inner());
     HttpResponse::Ok().finish()
@@ -79,9 +84,10 @@
     let mut active_request = state.track_request();
     let faults = state.faults();
     if faults.fail_fast {
-        return HttpResponse::InternalServerError()
-            .header(STANDIN_ID_HEADER, state.id.as_str())
-            .body("fails fast");
+        let mut response = HttpResponse::InternalServerError();
+        response.header(STANDIN_ID_HEADER, state.id.as_str());
+        put_fault_fields(&mut response, &faults);
+        return response.body("fails fast");
     }
     // A request with an incomplete body is not run.
     let Ok(body) = read_body(payload).await else {
@@ -136,6 +142,12 @@
     Bytes::from(serde_json::to_vec(&head).unwrap_or_default())
 }
 
+fn put_fault_fields(response: &mut web::HttpResponseBuilder, faults: &FaultSettings) {
+    for (name, value) in &faults.response_fields {
+        response.header(name.as_str(), value.as_str());
+    }
+}
+
 fn build_response(
     request: &HttpRequest,
     state: &StandinState,
@@ -145,6 +157,7 @@
 ) -> HttpResponse {
     let mut response = HttpResponse::build(status);
     response.header(STANDIN_ID_HEADER, state.id.as_str());
+    put_fault_fields(&mut response, faults);
     if let Some(id) = request.headers().get(REQUEST_ID_HEADER) {
         response.header(REQUEST_ID_HEADER, id.clone());
     }
--- a/src/standin/backend/state.rs
+++ b/src/standin/backend/state.rs
@@ -3,7 +3,7 @@
 
 use std::collections::BTreeMap;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use serde::{Deserialize, Serialize};
 use tokio::sync::{Notify, Semaphore};
@@ -28,6 +28,8 @@
     pub ignore_slots: bool,
     /// Announce a drain, but keep running.
     pub draining: bool,
+    /// Header fields that every response carries.
+    pub response_fields: BTreeMap<String, String>,
 }
 
 impl Default for FaultSettings {
@@ -39,6 +41,7 @@
             silent: false,
             ignore_slots: false,
             draining: false,
+            response_fields: BTreeMap::new(),
         }
     }
 }
@@ -75,6 +78,9 @@
     pub announcement_due: Notify,
     /// Whether to print a line for each run.
     pub print_runs: bool,
+    started_at: Instant,
+    /// Arrivals of requests, as times since the start.
+    arrivals: Mutex<Vec<Duration>>,
     counts: Mutex<RunCounts>,
     faults: Mutex<FaultSettings>,
 }
@@ -90,6 +96,8 @@
             slot_permits: Arc::new(Semaphore::new(slots)),
             announcement_due: Notify::new(),
             print_runs: options.print_runs,
+            started_at: Instant::now(),
+            arrivals: Mutex::default(),
             counts: Mutex::default(),
             faults: Mutex::default(),
         }
@@ -119,9 +127,23 @@
         *current_faults = faults;
     }
 
+    /// Arrivals of requests, in milliseconds since the start.
+    pub fn arrivals_ms(&self) -> Vec<u64> {
+        let arrivals = self.arrivals.lock();
+        let arrivals = arrivals.unwrap_or_else(PoisonError::into_inner);
+        arrivals
+            .iter()
+            .map(|arrival| u64::try_from(arrival.as_millis()).unwrap_or(u64::MAX))
+            .collect()
+    }
+
     /// Counts a request as active until the returned guard is dropped.
     pub fn track_request(self: &Arc<Self>) -> ActiveRequest {
         self.lock_counts().active += 1;
+        let arrivals = self.arrivals.lock();
+        let mut arrivals = arrivals.unwrap_or_else(PoisonError::into_inner);
+        arrivals.push(self.started_at.elapsed());
+        drop(arrivals);
         ActiveRequest {
             state: self.clone(),
             phase: RequestPhase::Waiting,
--- a/tests/support/fleet.rs
+++ b/tests/support/fleet.rs
@@ -164,6 +164,12 @@
         counts["started"].as_u64().unwrap()
     }
 
+    /// Arrivals of requests at the backend server, in milliseconds since its start.
+    pub async fn arrivals_ms(&self, client: &Client) -> Vec<u64> {
+        let url = format!("http://{}/standin/arrivals", self.backend_address);
+        client.get(url).send().await.unwrap().json().await.unwrap()
+    }
+
     /// Replaces the faults of the backend server.
     pub async fn set_backend_faults(&self, client: &Client, faults: &Value) {
         let url = format!("http://{}/standin/faults", self.backend_address);
