--- a/src/admin/announcement.rs
+++ b/src/admin/announcement.rs
@@ -45,6 +45,18 @@
             .map_err(|error| field_error("body", format!("expected a JSON object: {error}")))
     }
 
+    fn take_optional_field<T: DeserializeOwned>(
+        &mut self,
+        field: &str,
+        allowed: &str,
+    ) -> Result<Option<T>, FieldError> {
+        if self.0.contains_key(field) {
+            self.take_field(field, allowed).map(Some)
+        } else {
+            Ok(None)
+        }
+    }
+
     fn take_field<T: DeserializeOwned>(
         &mut self,
         field: &str,
@@ -78,6 +90,7 @@
             state: raw.take_field("state", "joining, ready or draining")?,
             order: None,
             warmup_left_ms: 0,
+            rate_limit: raw.take_optional_field("rate_limit", "a decimal number from 0")?,
         };
         if announcement.address.port() == 0 || announcement.address.ip().is_unspecified() {
             let reason = format!(
@@ -92,7 +105,8 @@
             return Err(field_error("state", reason.to_string()));
         }
         if let Some(field) = raw.0.keys().next() {
-            let reason = "unknown, expected service, address, slots, connections and state";
+            let reason = "unknown, expected service, address, slots, connections, state and \
+                          rate_limit";
             return Err(field_error(field, reason.to_string()));
         }
         Ok(announcement)
--- a/src/admin/messages.rs
+++ b/src/admin/messages.rs
@@ -11,9 +11,10 @@
 use tokio::sync::oneshot;
 
 use crate::ids::{
-    BackendId, ConnectionCount, NodeId, NodeIncarnation, RegionName, ServiceName, SlotCount,
-    TicketNumber, ZoneName,
+    BackendId, BackendKey, ConnectionCount, NodeId, NodeIncarnation, RegionName, ServiceName,
+    SlotCount, TicketNumber, ZoneName,
 };
+use crate::rate_limit::StartRate;
 use crate::table::{ServiceRule, UpstreamState};
 use crate::tickets::TicketView;
 
@@ -128,6 +129,16 @@
     /// Remaining warm-up time after a start, in milliseconds; 0 once warmed up.
     #[serde(default, skip_serializing_if = "is_zero")]
     pub warmup_left_ms: u64,
+    /// Requests per second that it takes from all nodes together; `None` for no limit.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub rate_limit: Option<StartRate>,
+}
+
+impl BackendAnnouncement {
+    /// Key of the announced start of a backend server.
+    pub fn backend_key(&self, id: &BackendId) -> BackendKey {
+        BackendKey::new(id, self.order.map_or(0, |order| order.started_at_ms))
+    }
 }
 
 fn is_zero(number: &u64) -> bool {
--- a/src/admission.rs
+++ b/src/admission.rs
@@ -27,6 +27,12 @@
 //! overtakes. A call with less time left than the shortest run of its class is
 //! refused before it takes a slot.
 //!
+//! A backend server may name a limit on its requests per second
+//! ([`rate_limit`](crate::rate_limit)). Then a call also waits for its turn at that
+//! rate, in the same order. Since the turn of each queued call is known, a call that
+//! others have overtaken is refused as soon as its turn comes too late for it. Calls
+//! start on the last reading of the speed then, as a further reading would cost a start.
+//!
 //! Short calls among long ones hold a slot for a fraction of the time for which
 //! they wait for one. Refusing such a call because of its target latency frees
 //! hardly any capacity, and if a run elsewhere waits for it, that run's slot time
@@ -36,6 +42,7 @@
 mod latency;
 mod limit;
 mod offer;
+mod rate;
 mod share;
 mod speed;
 
@@ -44,6 +51,7 @@
 
 use crate::error::ErrorKind;
 use crate::ids::{CallId, SlotCount};
+use crate::rate_limit::{ReturnSchedule, StartPacer};
 use classes::{ClassId, ClassRunTimes};
 use limit::ConcurrencyLimit;
 use speed::{SpeedHistory, VmSpeed};
@@ -138,6 +146,10 @@
     start_time_sum: Duration,
     /// Slowdowns that the backend server reported.
     speed_history: SpeedHistory,
+    /// Spaces the starts at the rate that the backend server named.
+    pacer: StartPacer,
+    /// Return times of the callers that were refused because of that rate.
+    returns: ReturnSchedule,
     is_draining: bool,
     /// Time at which the node stops; `None` if no stop is planned.
     stop_time: Option<Duration>,
@@ -156,6 +168,8 @@
             run_times: ClassRunTimes::default(),
             start_time_sum: Duration::ZERO,
             speed_history: SpeedHistory::default(),
+            pacer: StartPacer::default(),
+            returns: ReturnSchedule::default(),
             is_draining: false,
             stop_time: None,
         }
@@ -183,8 +197,14 @@
         if self.would_outlast_stop(now, &offer.class) {
             return refusal(ErrorKind::WaitTooLong, DRAIN_RETRY_AFTER, offer.time_left);
         }
-        if self.queue.is_empty() && self.in_flight() < self.concurrency_limit.get() {
-            match self.speed_history.current_speed(now) {
+        if offer.is_hedge && self.pacer.rate().is_some() {
+            // The rate is for calls that have no other run.
+            let wait = self.pacer.time_to_start(now, self.queued());
+            return refusal(ErrorKind::Overloaded, wait, wait + run_time);
+        }
+        let has_slot = self.in_flight() < self.concurrency_limit.get();
+        if self.queue.is_empty() && has_slot && self.pacer.is_free(now) {
+            match self.speed_for_start(now) {
                 VmSpeed::Normal | VmSpeed::SustainedSlow
                     if self.may_start(now, offer.no_wait_slot_share) =>
                 {
@@ -211,7 +231,8 @@
         let wait = self.estimated_wait(now, priority);
         let response_time = wait + self.estimated_run_time(now, &offer.class, offer.target_left);
         let awaits_reading = self.in_flight() < self.concurrency_limit.get()
-            && self.speed_history.current_speed(now) == VmSpeed::Unknown;
+            && self.pacer.is_free(now)
+            && self.speed_for_start(now) == VmSpeed::Unknown;
         if offer.no_wait_slot_share.is_some() && !awaits_reading {
             return refusal(ErrorKind::Overloaded, wait, response_time);
         }
@@ -219,17 +240,19 @@
             self.at_baseline_speed(now, self.run_times.shortest_run_time_of(&offer.class));
         let max_wait = offer.time_left.saturating_sub(shortest_run_time);
         let has_target_latency = offer.target_left < offer.time_left;
-        let max_response_time = if self.admits_past_target(&offer.class) {
+        let max_response_time = if self.admits_past_target(now, &offer.class) {
             offer.time_left
         } else {
             offer.target_left
         };
         let misses_target = response_time > max_response_time && has_target_latency;
         if wait > max_wait.min(self.options.max_queue_wait) || misses_target {
-            return refusal(ErrorKind::WaitTooLong, wait, response_time);
+            let retry_after = self.return_time(now, wait, offer.time_left);
+            return refusal(ErrorKind::WaitTooLong, retry_after, response_time);
         }
         if self.queued() >= self.queue_capacity() && !self.evict_lower_rank(offer.rank) {
-            return refusal(ErrorKind::Overloaded, wait, response_time);
+            let retry_after = self.return_time(now, wait, offer.time_left);
+            return refusal(ErrorKind::Overloaded, retry_after, response_time);
         }
         self.shares.acquire(&offer.shares);
         let gives_way_past_target = has_target_latency && !self.is_short_call(&offer.class);
@@ -243,6 +266,11 @@
             expires_at: now + max_wait,
             no_wait_slot_share: offer.no_wait_slot_share,
         });
+        self.evict_late_turns(now);
+        if let Some(index) = self.evicted.iter().position(|call| *call == offer.call) {
+            self.evicted.remove(index);
+            return refusal(ErrorKind::WaitTooLong, wait, response_time);
+        }
         AdmissionDecision::Queued {
             estimated_wait: wait,
         }
@@ -280,13 +308,19 @@
         };
         self.start_time_sum = self.start_time_sum.saturating_sub(finished_call.started_at);
         self.shares.release(&finished_call.shares);
+        if result == WorkResult::NotSent {
+            self.pacer.return_start();
+        }
         if let WorkResult::Completed { latency } = result {
             // Run times are stored for normal speed; estimates scale them by the
             // baseline slowdown at that time.
             let normal_run_time = latency.div_f64(self.speed_history.baseline_slowdown(now));
             self.run_times.record(finished_call.class, normal_run_time);
-            self.concurrency_limit
-                .record_completed(now, latency, in_flight);
+            // The throughput at a named rate says nothing about the slots.
+            if self.pacer.rate().is_none() {
+                self.concurrency_limit
+                    .record_completed(now, latency, in_flight);
+            }
         }
         self.start_queued(now)
     }
@@ -352,8 +386,9 @@
     /// Time from which a reading of the VM's speed would let a queued call
     /// start or be refused; `None` if no call waits for one.
     pub fn next_reading_at(&self, now: Duration) -> Option<Duration> {
-        let has_call_to_start =
-            !self.queue.is_empty() && self.in_flight() < self.concurrency_limit.get();
+        let has_call_to_start = !self.queue.is_empty()
+            && self.in_flight() < self.concurrency_limit.get()
+            && self.pacer.rate().is_none();
         self.speed_history
             .next_reading_at(now)
             .filter(|_| has_call_to_start)
@@ -402,18 +437,25 @@
             queued: self.queued(),
             limit: self.concurrency_limit.get(),
             is_slow: self.speed_history.current_speed(now) == VmSpeed::Burst,
+            start_rate: self.pacer.rate(),
+            next_start: self.pacer.time_to_start(now, 0),
         }
     }
 
     /// Whether a call that would miss its target latency is queued nevertheless: one
     /// that delays no other, or a short one.
-    pub fn admits_past_target(&self, class: &str) -> bool {
+    pub fn admits_past_target(&self, now: Duration, class: &str) -> bool {
         let is_below_limit = self.in_flight() + self.queued() < self.concurrency_limit.get();
-        is_below_limit || self.is_short_call(class)
+        (is_below_limit && self.pacer.is_free(now)) || self.is_short_call(class)
     }
 
     /// Whether runs of the class are known to be short beside the running calls.
+    ///
+    /// At a named rate a short call takes as much of it as a long one.
     fn is_short_call(&self, class: &str) -> bool {
+        if self.pacer.rate().is_some() {
+            return false;
+        }
         let runs = self.running.values();
         let running_time: Duration = runs
             .map(|run| self.run_times.normal_run_time(run.class))
@@ -482,9 +524,11 @@
     }
 
     fn queue_capacity(&self) -> u32 {
-        self.concurrency_limit
+        let by_slots = self
+            .concurrency_limit
             .get()
-            .saturating_mul(self.options.max_queued_per_running)
+            .saturating_mul(self.options.max_queued_per_running);
+        by_slots.min(self.startable_within(self.options.max_queue_wait))
     }
 
     fn total_capacity(&self) -> u32 {
@@ -506,14 +550,18 @@
             started_at: now,
         };
         self.start_time_sum += now;
+        self.pacer.record_start(now);
         self.running.insert(call, running_call);
     }
 
     fn start_queued(&mut self, now: Duration) -> Vec<CallId> {
         let mut started = Vec::new();
-        let speed = self.speed_history.current_speed(now);
+        let speed = self.speed_for_start(now);
         let can_start = matches!(speed, VmSpeed::Normal | VmSpeed::SustainedSlow);
-        while can_start && self.in_flight() < self.concurrency_limit.get() {
+        while can_start
+            && self.in_flight() < self.concurrency_limit.get()
+            && self.pacer.is_free(now)
+        {
             let Some(index) = self.next_start_index(now) else {
                 break;
             };
@@ -527,12 +575,14 @@
         }
         if matches!(speed, VmSpeed::Burst | VmSpeed::SustainedSlow)
             || self.in_flight() >= self.concurrency_limit.get()
+            || !self.pacer.is_free(now)
         {
             self.evict_no_wait_calls();
         }
         if !started.is_empty() && self.in_flight() >= self.concurrency_limit.get() {
             self.evict_target_misses(now);
         }
+        self.evict_late_turns(now);
         started
     }
 
@@ -608,12 +658,13 @@
             normal_run_time_ahead += self.run_times.normal_run_time(queued_call.class);
         }
         let run_time_ahead = self.at_baseline_speed(now, normal_run_time_ahead);
+        let time_to_turn = self.pacer.time_to_start(now, count_ahead);
         if self.in_flight() + count_ahead < limit {
-            return burst_remainder;
+            return burst_remainder.max(time_to_turn);
         }
         let slots_to_free = self.in_flight().saturating_sub(limit) + 1;
         let total_work = self.running_latency_estimate(now) * slots_to_free + run_time_ahead;
-        burst_remainder + total_work / limit.max(1)
+        time_to_turn.max(burst_remainder + total_work / limit.max(1))
     }
 }
 
--- a/src/admission/limit.rs
+++ b/src/admission/limit.rs
@@ -139,6 +139,17 @@
         }
     }
 
+    /// Discards the window and ends the trial without a decision.
+    pub(super) fn restart_window(&mut self, now: Duration) {
+        self.window = LatencyWindow {
+            opened_at: now,
+            ..LatencyWindow::default()
+        };
+        if let Some(trial) = self.trial.take() {
+            self.limit = trial.limit_before.min(self.slots);
+        }
+    }
+
     fn update_limit(&mut self, summary: WindowSummary) {
         self.cooldown_windows = self.cooldown_windows.saturating_sub(1);
         if self.revert_failed_decrease(summary) {
--- a/src/admission/offer.rs
+++ b/src/admission/offer.rs
@@ -5,6 +5,7 @@
 use super::CapacityShare;
 use crate::error::ErrorKind;
 use crate::ids::CallId;
+use crate::rate_limit::StartRate;
 
 /// A call offered for admission.
 #[derive(Debug, Clone)]
@@ -26,6 +27,9 @@
     /// another gate. It waits for a fresh reading of the speed only. `None` for
     /// a call that may be queued.
     pub no_wait_slot_share: Option<f64>,
+    /// Whether the call already runs elsewhere. Such a call takes nothing of a rate
+    /// that the backend server named.
+    pub is_hedge: bool,
 }
 
 impl CallOffer {
@@ -40,6 +44,7 @@
             rank: 0,
             class: String::new(),
             no_wait_slot_share: None,
+            is_hedge: false,
         }
     }
 }
@@ -101,10 +106,12 @@
     Failed,
     /// Cancelled by the caller or at its time limit.
     Cancelled,
+    /// Nothing of it was sent to the backend server.
+    NotSent,
 }
 
 /// Load of a gate, sent along with each answer and refusal.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq)]
 pub struct GateLoad {
     /// Running calls.
     pub in_flight: u32,
@@ -114,4 +121,8 @@
     pub limit: u32,
     /// Whether the last reading of the VM's speed is fresh and shows a burst.
     pub is_slow: bool,
+    /// Rate of starts that the backend server named; `None` if it is not limited.
+    pub start_rate: Option<StartRate>,
+    /// Time until that rate lets another call start.
+    pub next_start: Duration,
 }
--- a/src/admission/tests.rs
+++ b/src/admission/tests.rs
@@ -423,8 +423,8 @@
         queue.offer(at(610), look),
         AdmissionDecision::Refused { .. }
     );
-    assert!(queue.admits_past_target("peek"));
-    assert!(!queue.admits_past_target("look"));
+    assert!(queue.admits_past_target(at(610), "peek"));
+    assert!(!queue.admits_past_target(at(610), "look"));
     let freed_at = at(750);
     let started = queue.finish(freed_at, call(10), WorkResult::Failed);
     assert_eq!(started, [call(20)]);
--- a/src/backend.rs
+++ b/src/backend.rs
@@ -28,8 +28,9 @@
 use crate::fields::HeaderDialect;
 use crate::http1::write::{end_head, put_field, put_fields, put_framing_field, put_request_line};
 use crate::http1::{BodyFraming, HeadLimits, ResponseHead};
-use crate::ids::{BackendId, CallId, ConnectionCount, ServiceName, SlotCount};
+use crate::ids::{BackendId, BackendKey, CallId, ConnectionCount, ServiceName, SlotCount};
 use crate::link::messages::CallOpen;
+use crate::rate_limit::BackendStatement;
 
 pub use answer::BackendResponse;
 use connection::{BackendConnection, RequestUpload};
@@ -71,6 +72,8 @@
 pub struct BackendTarget {
     /// Identifier in its announcement.
     pub id: BackendId,
+    /// Which start of the backend server it is.
+    pub key: BackendKey,
     /// Service that it belongs to.
     pub service: ServiceName,
     /// Address of its HTTP listener.
@@ -135,6 +138,27 @@
     idle_timeout: Duration,
 }
 
+/// Result of sending a request.
+pub struct BackendExchange {
+    /// Response, whose head has been read.
+    pub result: Result<BackendResponse, BackendError>,
+    /// What the head of the response says about the backend server, whatever the
+    /// result; `None` without a response of this backend server to this request.
+    pub statement: Option<BackendStatement>,
+    /// Whether the request was sent a second time.
+    pub is_resent: bool,
+}
+
+/// Response to a load poll.
+#[derive(Debug)]
+pub struct LoadPollResponse {
+    /// Load; `None` if it is not stated.
+    pub load: Option<BackendLoad>,
+    /// What the response says about the backend server; `None` if another one may have
+    /// responded.
+    pub statement: Option<BackendStatement>,
+}
+
 /// Client of one backend server.
 pub struct BackendClient {
     target: BackendTarget,
@@ -159,8 +183,6 @@
 
     /// Sends a request and waits for the head of the response.
     ///
-    /// # Errors
-    ///
     /// [`BackendError::Unreachable`] and [`BackendError::Refused`] mean that
     /// the request has not run.
     pub async fn send(
@@ -169,6 +191,25 @@
         open: &CallOpen,
         time_left_ms: u128,
         body: RequestBodySource,
+    ) -> BackendExchange {
+        let mut exchange = BackendExchange {
+            result: Err(BackendError::failed(&"not sent")),
+            statement: None,
+            is_resent: false,
+        };
+        exchange.result = self
+            .send_into(&mut exchange, call, open, time_left_ms, body)
+            .await;
+        exchange
+    }
+
+    async fn send_into(
+        self: &Rc<Self>,
+        record: &mut BackendExchange,
+        call: CallId,
+        open: &CallOpen,
+        time_left_ms: u128,
+        body: RequestBodySource,
     ) -> Result<BackendResponse, BackendError> {
         let head = self.build_request_head(call, open, time_left_ms);
         let framing = request_framing(open);
@@ -185,11 +226,15 @@
             Err(ExchangeError::NoResponse(_)) if may_resend => {
                 upload.restart(head);
                 let connection = self.connect().await?;
+                record.is_resent = true;
                 self.exchange(connection, &mut upload, open).await
             }
             other => other,
         };
         let (connection, response_head) = final_result.map_err(BackendError::from)?;
+        if !self.is_from_another_backend(&response_head) {
+            record.statement = Some(self.dialect.backend_statement(&response_head.fields));
+        }
         self.validate_response(&response_head)?;
         let client = Rc::clone(self);
         Ok(BackendResponse::new(
@@ -200,8 +245,8 @@
         ))
     }
 
-    /// Requests the load from the health path; `None` if it is not stated.
-    pub async fn fetch_load(&self) -> Option<BackendLoad> {
+    /// Requests the load from the health path; `None` without a response.
+    pub async fn fetch_load(&self) -> Option<LoadPollResponse> {
         let path = self.target.health_path.as_deref()?;
         let mut head = BytesMut::new();
         put_request_line(&mut head, "GET", path);
@@ -217,13 +262,29 @@
         };
         let response_head = connection.send_without_body(head).await?;
         let load = self.load_from_head(&response_head);
+        let statement = self
+            .is_own_poll_response(&response_head)
+            .then(|| self.dialect.backend_statement(&response_head.fields));
         if response_head.is_keep_alive && !connection.has_excess_bytes() {
             self.return_connection(
                 connection,
                 answer::keep_alive_timeout(&response_head.fields),
             );
         }
-        load
+        Some(LoadPollResponse { load, statement })
+    }
+
+    /// Whether the response to a load poll states no other backend server's identifier.
+    fn is_own_poll_response(&self, head: &ResponseHead) -> bool {
+        let stated_id = self
+            .dialect
+            .backend_id
+            .and_then(|name| crate::http1::head::field_text(&head.fields, name));
+        stated_id.is_none_or(|id| id == self.target.id.as_str())
+    }
+
+    fn is_from_another_backend(&self, head: &ResponseHead) -> bool {
+        self.dialect.expected_backend.is_some() && head.status == 421
     }
 
     fn load_from_head(&self, head: &ResponseHead) -> Option<BackendLoad> {
@@ -356,7 +417,7 @@
                 status: head.status,
             });
         }
-        if self.dialect.expected_backend.is_some() && head.status == 421 {
+        if self.is_from_another_backend(head) {
             return Err(BackendError::Unreachable {
                 reason: "another backend server responded at the address".to_string(),
             });
--- a/src/backend/tests.rs
+++ b/src/backend/tests.rs
@@ -39,6 +39,7 @@
 fn new_client(address: SocketAddr, health_path: Option<&str>) -> Rc<BackendClient> {
     let target = BackendTarget {
         id: "b1".parse().unwrap(),
+        key: 1.into(),
         service: "slotbook".parse().unwrap(),
         address,
         slots: "6".parse().unwrap(),
@@ -108,7 +109,7 @@
             ingress_incarnation: 1,
             sequence: 1,
         };
-        let mut response = self.client.send(call, &open, 500, source).await?;
+        let mut response = self.client.send(call, &open, 500, source).await.result?;
         let mut body = BytesMut::new();
         while let Some(data) = response.next_chunk().await? {
             body.extend_from_slice(&data);
@@ -287,7 +288,7 @@
     ] {
         let (client, mut closed) = start_endless_backend(start, repeated).await;
         let load = tokio::time::timeout(Duration::from_secs(10), client.fetch_load()).await;
-        assert_eq!(load, Ok(None), "{start:?}, then {repeated:?}");
+        assert_matches!(load, Ok(None), "{start:?}, then {repeated:?}");
         let closed = tokio::time::timeout(Duration::from_secs(5), closed.recv()).await;
         assert_eq!(closed, Ok(Some(())), "{start:?}, then {repeated:?}");
     }
--- a/src/control/placement.rs
+++ b/src/control/placement.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 
 use crate::ids::{NodeId, ServiceName, TicketNumber};
-use crate::membership::{MemberRecord, MemberState};
+use crate::membership::{BackendRecord, MemberRecord, MemberState};
 use crate::routes::RouteConfig;
 use crate::table::{RoutingTable, ServiceEntry, ServiceRule, UpstreamEntry, UpstreamState};
 use crate::tickets::TicketState;
@@ -40,7 +40,7 @@
             continue;
         };
         if let Some(service) = services.get_mut(&backend.service) {
-            let upstream = build_upstream_entry(member, backend.state, backend.slots);
+            let upstream = build_upstream_entry(member, backend);
             service.upstreams.insert(member.node.clone(), upstream);
         }
     }
@@ -69,15 +69,11 @@
         .collect()
 }
 
-fn build_upstream_entry(
-    member: &MemberRecord,
-    announced: UpstreamState,
-    slots: crate::ids::SlotCount,
-) -> UpstreamEntry {
+fn build_upstream_entry(member: &MemberRecord, backend: &BackendRecord) -> UpstreamEntry {
     let state = match member.state() {
         MemberState::Leaving => UpstreamState::Draining,
         MemberState::Dead => UpstreamState::Gone,
-        MemberState::Alive | MemberState::Suspect => announced,
+        MemberState::Alive | MemberState::Suspect => backend.state,
     };
     UpstreamEntry {
         node: member.node.clone(),
@@ -85,7 +81,8 @@
         region: member.region.clone(),
         zone: member.zone.clone(),
         peer_address: member.peer_address,
-        slots,
+        backend: backend.key,
+        slots: backend.slots,
         state,
         is_suspect: member.state() == MemberState::Suspect,
     }
--- a/src/control/state.rs
+++ b/src/control/state.rs
@@ -190,27 +190,49 @@
             );
         }
         self.configure_gate(&id, &announcement);
-        let record = BackendRecord {
-            id: id.clone(),
-            service: announcement.service.clone(),
-            slots: announcement.slots,
-            connections: announcement.connections,
-            state: announcement.state,
-        };
         *backend = Some(LocalBackend {
             id,
             announcement,
             last_heartbeat: Instant::now(),
         });
         drop(backend);
-        self.membership.announce(record, self.backend_ttl);
+        self.announce_backend();
         AnnouncementOutcome::Accepted
     }
 
+    /// Announces the local backend server to the fleet. One that said in a response
+    /// that it leaves is draining, whatever its heartbeats state.
+    fn announce_backend(&self) {
+        let backend = self.backend.borrow();
+        let Some(LocalBackend {
+            id, announcement, ..
+        }) = backend.as_ref()
+        else {
+            return;
+        };
+        let key = announcement.backend_key(id);
+        let has_said_it_leaves = self.gate_status.borrow().leaving_backend == Some(key);
+        let record = BackendRecord {
+            id: id.clone(),
+            key,
+            service: announcement.service.clone(),
+            slots: announcement.slots,
+            connections: announcement.connections,
+            state: match announcement.state {
+                UpstreamState::Joining | UpstreamState::Ready if has_said_it_leaves => {
+                    UpstreamState::Draining
+                }
+                state => state,
+            },
+        };
+        self.membership.announce(record, self.backend_ttl);
+    }
+
     fn configure_gate(&self, id: &BackendId, announcement: &BackendAnnouncement) {
         self.send_to_gate(GateCommand::SetBackend {
             target: BackendTarget {
                 id: id.clone(),
+                key: announcement.backend_key(id),
                 service: announcement.service.clone(),
                 address: announcement.address,
                 slots: announcement.slots,
@@ -218,6 +240,7 @@
                 health_path: self.health_path(&announcement.service),
             },
             warmup_left: Duration::from_millis(announcement.warmup_left_ms),
+            rate_limit: announcement.rate_limit,
         });
         let is_stopping = self.is_stopping();
         match announcement.state {
@@ -424,6 +447,27 @@
     }
 }
 
+/// Announces that the backend server leaves when it has said so in a response, until
+/// the gate ends.
+pub async fn follow_leaving_backend(control: Rc<ControlState>) {
+    let mut status = control.gate_status.clone();
+    let mut known = None;
+    loop {
+        let is_new = |status: &GateStatus| status.leaving_backend != known;
+        let Ok(leaving) = status
+            .wait_for(is_new)
+            .await
+            .map(|status| status.leaving_backend)
+        else {
+            return;
+        };
+        known = leaving;
+        if leaving.is_some() {
+            control.announce_backend();
+        }
+    }
+}
+
 /// Processes membership events until their channel closes.
 pub async fn follow_membership(control: Rc<ControlState>, mut events: Receiver<MembershipEvent>) {
     while let Some(event) = events.recv().await {
--- a/src/decisions/replay.rs
+++ b/src/decisions/replay.rs
@@ -21,7 +21,9 @@
 use super::{PolicyKind, RoutingPolicy};
 use crate::ids::{NodeId, ServiceName};
 use crate::retry::{AttemptFailure, RetryPolicy};
-use crate::routing::{AttemptNumber, AttemptResult, LoadReport, RouteRequest, RoutingOptions};
+use crate::routing::{
+    AttemptNumber, AttemptResult, LoadReport, RouteRequest, RoutingOptions, SkippedUpstreams,
+};
 use crate::table::ServiceRule;
 use crate::trace::{DelayLine, RecordedTrace, RequestLine, TraceEvent};
 
@@ -264,6 +266,7 @@
             is_idempotent: call.is_idempotent,
             has_large_body: false,
             tried_nodes: &call.tried_nodes,
+            skipped: SkippedUpstreams::None,
         };
         let choice = ingress
             .policy
--- a/src/decisions/timing.rs
+++ b/src/decisions/timing.rs
@@ -13,6 +13,7 @@
 use crate::ids::{NodeId, NodeIncarnation, ParseIdError, ServiceName, SlotCount};
 use crate::routing::{
     AttemptResult, LoadReport, NodeLocality, RouteRequest, RouterState, RoutingOptions,
+    SkippedUpstreams,
 };
 use crate::table::{RoutingTable, ServiceEntry, ServiceRule, UpstreamEntry, UpstreamState};
 
@@ -68,6 +69,7 @@
         is_idempotent: true,
         has_large_body: false,
         tried_nodes: &tried,
+        skipped: SkippedUpstreams::None,
     };
     let Ok(choice) = router.select_upstream(now, rng, &request) else {
         return;
@@ -77,6 +79,8 @@
         queued: 0,
         limit: 6,
         is_slow: false,
+        start_rate: None,
+        next_start: Duration::ZERO,
     };
     let result = match decision % 8 {
         0 => AttemptResult::Refused(ErrorKind::Overloaded),
@@ -103,6 +107,7 @@
             region: format!("region-{}", zone % REGION_COUNT).parse()?,
             zone: format!("zone-{zone}").parse()?,
             peer_address: ([127, 0, 0, 1], 1).into(),
+            backend: 1.into(),
             slots: SlotCount::try_from(6)?,
             state: UpstreamState::Ready,
             is_suspect: false,
--- a/src/decisions/upstream.rs
+++ b/src/decisions/upstream.rs
@@ -70,6 +70,7 @@
             region: self.spec.region.clone(),
             zone: self.spec.zone.clone(),
             peer_address: ([127, 0, 0, 1], 1).into(),
+            backend: self.incarnation.into(),
             slots: self.spec.slots,
             state: self.announced_state,
             is_suspect: false,
--- a/src/fields.rs
+++ b/src/fields.rs
@@ -9,7 +9,9 @@
 use std::collections::BTreeSet;
 
 use crate::backend::BackendLoad;
+use crate::http1::head::field_text;
 use crate::link::messages::HeaderField;
+use crate::rate_limit::{BackendStatement, RateReading};
 
 /// Names, in lower case, and formats of the fields that the system reads and sets.
 ///
@@ -38,6 +40,13 @@
     pub caller_service: Option<&'static str>,
     /// Load of the backend server, set on its answers.
     pub load: Option<&'static str>,
+    /// Requests per second that the backend server takes from all nodes together, set
+    /// on its answers while it is in force.
+    pub rate_limit: Option<&'static str>,
+    /// Set to `1` on all answers of a backend server that leaves.
+    pub leaving: Option<&'static str>,
+    /// Identifier of the backend server, set on answers of its health path.
+    pub backend_id: Option<&'static str>,
     /// Parses the value of the `load` field.
     pub parse_load: fn(&str) -> Option<BackendLoad>,
     /// Whether `Retry-After` may contain fractions of a second.
@@ -57,10 +66,46 @@
     expected_backend: None,
     caller_service: None,
     load: None,
+    rate_limit: Some("currantlift-rate-limit"),
+    leaving: Some("currantlift-leaving"),
+    backend_id: None,
     parse_load: |_| None,
     has_fractional_retry_after: false,
 };
 
+/// Value of the `leaving` field.
+const LEAVING_VALUE: &str = "1";
+
+impl HeaderDialect {
+    /// What the head of a backend server's response says about the server.
+    pub fn backend_statement(&self, fields: &[HeaderField]) -> BackendStatement {
+        let is_leaving = self.leaving.is_some_and(|name| {
+            field_text(fields, name).is_some_and(|text| text.trim() == LEAVING_VALUE)
+        });
+        BackendStatement {
+            rate: self.rate_reading(fields),
+            is_leaving,
+        }
+    }
+
+    fn rate_reading(&self, fields: &[HeaderField]) -> RateReading {
+        let Some(name) = self.rate_limit else {
+            return RateReading::Absent;
+        };
+        let mut values = fields.iter().filter(|field| field.name == name);
+        let Some(value) = values.next() else {
+            return RateReading::Absent;
+        };
+        let text = String::from_utf8_lossy(&value.value);
+        // Of two values, neither can be taken for the limit.
+        let rate = text.trim().parse().ok().filter(|_| values.next().is_none());
+        rate.map_or_else(
+            || RateReading::Unreadable(text.into_owned()),
+            RateReading::Named,
+        )
+    }
+}
+
 /// Hop-by-hop fields (RFC 9110, section 7.6.1) and those that describe the
 /// length and coding of a body.
 const REMOVED_FIELDS: [&str; 11] = [
--- a/src/gate.rs
+++ b/src/gate.rs
@@ -13,6 +13,7 @@
 mod feed;
 mod links;
 mod meter;
+mod statements;
 
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
@@ -34,11 +35,13 @@
 use crate::gate::call::CallInput;
 use crate::gate::links::{ActiveLink, serve_local_link, serve_remote_link};
 use crate::gate::meter::LoadPoller;
-use crate::ids::{CallId, NodeIncarnation, ServiceName};
+use crate::gate::statements::BackendStatements;
+use crate::ids::{BackendKey, CallId, NodeIncarnation, ServiceName};
 use crate::ledger::{CachedResponse, CallLedger, LedgerLimits, RunPermit};
 use crate::link::endpoint::{LinkReceiver, LinkSender};
 use crate::link::messages::{CallOpen, LinkHello, LinkMessage, LinkPing, LoadSnapshot};
 use crate::metrics::NodeMetrics;
+use crate::rate_limit::StartRate;
 
 /// Interval between removals of expired ledger entries.
 const LEDGER_SWEEP_INTERVAL: Duration = Duration::from_secs(1);
@@ -54,6 +57,8 @@
         target: BackendTarget,
         /// Remaining warm-up time, during which it is expected to be slow.
         warmup_left: Duration,
+        /// Limit on its requests that it announced.
+        rate_limit: Option<StartRate>,
     },
     /// The backend server withdrew; calls that have not started are refused.
     ClearBackend,
@@ -91,6 +96,8 @@
     pub queued: u32,
     /// Current limit on calls running at the backend server.
     pub limit: u32,
+    /// Backend server that said in a response that it leaves.
+    pub leaving_backend: Option<BackendKey>,
 }
 
 /// Settings of a gate.
@@ -154,6 +161,7 @@
     next_link_number: Cell<u64>,
     is_draining: Cell<bool>,
     load_poller: LoadPoller,
+    statements: BackendStatements,
     status: tokio::sync::watch::Sender<GateStatus>,
 }
 
@@ -180,6 +188,7 @@
         next_link_number: Cell::new(0),
         is_draining: Cell::new(false),
         load_poller: LoadPoller::new(settings.load_polls_per_second),
+        statements: BackendStatements::default(),
         status,
     });
     let mut sweep_timer = tokio::time::interval(LEDGER_SWEEP_INTERVAL);
@@ -200,11 +209,16 @@
             GateCommand::SetBackend {
                 target,
                 warmup_left,
+                rate_limit,
             } => {
                 self.set_backend(target);
                 self.set_warmup(warmup_left);
+                self.record_announced_rate(rate_limit);
+            }
+            GateCommand::ClearBackend => {
+                *self.backend_client.borrow_mut() = None;
+                self.forget_statements();
             }
-            GateCommand::ClearBackend => *self.backend_client.borrow_mut() = None,
             GateCommand::PrepareStop(time_left) => self.prepare_stop(time_left),
             GateCommand::Drain => self.start_drain(),
             GateCommand::EndDrain => self.is_draining.set(false),
@@ -228,7 +242,7 @@
 
     fn set_backend(self: &Rc<Self>, target: BackendTarget) {
         let current_client = self.backend_client.borrow().clone();
-        if current_client.is_some_and(|client| *client.target() == target) {
+        if (current_client.as_ref()).is_some_and(|client| *client.target() == target) {
             return;
         }
         let slots = target.slots;
@@ -237,6 +251,8 @@
             backend:% = target.id, service:% = target.service, address:% = target.address;
             "backend server set"
         );
+        let key = target.key;
+        let is_other_start = current_client.is_none_or(|client| client.target().key != key);
         let client = BackendClient::new(target, self.dialect);
         *self.backend_client.borrow_mut() = Some(Rc::new(client));
         let mut started_calls = Vec::new();
@@ -250,6 +266,10 @@
         }
         drop(admission);
         self.start_queued_calls(started_calls);
+        if is_other_start {
+            self.forget_statements();
+            self.adopt_known_statement(key);
+        }
         self.publish_status();
         self.spawn_first_load_poll();
     }
@@ -290,6 +310,10 @@
             queued: load.queued,
             limit: load.limit,
             is_slow: load.is_slow,
+            start_rate: load.start_rate.map(StartRate::per_second),
+            next_start_us: u64::try_from(load.next_start.as_micros()).unwrap_or(u64::MAX),
+            is_leaving: self.statements.is_leaving(),
+            backend: self.stated_backend().map_or(0, BackendKey::get),
         })
     }
 
@@ -312,6 +336,9 @@
             in_flight: load.in_flight,
             queued: load.queued,
             limit: load.limit,
+            leaving_backend: self
+                .stated_backend()
+                .filter(|_| self.statements.is_leaving()),
         });
     }
 
@@ -338,8 +365,13 @@
         self.refuse_evicted_calls();
         self.publish_status();
         self.schedule_load_poll();
+        self.schedule_turns();
         self.metrics.count_admission(decision.name());
-        log_admission(id, open, &decision, self.current_load());
+        let load = self.current_load();
+        if load.start_rate.is_some() && matches!(decision, AdmissionDecision::Refused { .. }) {
+            self.metrics.count_limited_refusal();
+        }
+        log_admission(id, open, &decision, load);
         match decision {
             AdmissionDecision::Start => Ok(None),
             AdmissionDecision::Queued { .. } => {
@@ -372,7 +404,7 @@
             retry_after: NON_LOAD_RETRY_AFTER,
             estimated_response_time: Duration::ZERO,
         };
-        if self.is_draining.get() {
+        if self.is_draining.get() || self.statements.is_leaving() {
             return refuse(ErrorKind::Draining);
         }
         let Some(client) = self.backend_client() else {
@@ -394,6 +426,7 @@
             class: open.class.clone(),
             no_wait_slot_share: (open.max_occupancy_percent > 0)
                 .then(|| f64::from(open.max_occupancy_percent) / 100.0),
+            is_hedge: open.is_hedge,
         };
         let mut admission = self.admission.borrow_mut();
         match admission.as_mut() {
@@ -418,6 +451,7 @@
         self.start_queued_calls(started_calls);
         self.refuse_evicted_calls();
         self.schedule_load_poll();
+        self.schedule_turns();
         self.publish_status();
     }
 
@@ -434,21 +468,29 @@
 
     /// Refusal of a queued call that expired or was evicted.
     pub fn wait_too_long_refusal(&self, open: &CallOpen) -> GateRefusal {
-        let admission = self.admission.borrow();
+        if self.statements.is_leaving() {
+            return ErrorKind::Draining.into();
+        }
+        let mut admission = self.admission.borrow_mut();
         let request = EstimateRequest {
             rank: open.rank,
             target_left: Duration::from_micros(open.target_left_us.unwrap_or(open.time_left_us)),
             class: &open.class,
         };
-        let estimate = admission
-            .as_ref()
-            .map(|queue| queue.estimate_wait_and_response(self.now(), &request));
-        let Some((wait, response_time)) = estimate else {
+        let now = self.now();
+        let time_left = Duration::from_micros(open.time_left_us);
+        let estimate = admission.as_mut().map(|queue| {
+            let (wait, response_time) = queue.estimate_wait_and_response(now, &request);
+            (queue.return_time(now, wait, time_left), response_time)
+        });
+        drop(admission);
+        let Some((retry_after, response_time)) = estimate else {
             return ErrorKind::WaitTooLong.into();
         };
+        log_queued_refusal(open, retry_after, self.current_load());
         GateRefusal {
             kind: ErrorKind::WaitTooLong,
-            retry_after: wait,
+            retry_after,
             estimated_response_time: Some(response_time),
             admits_past_target: self.admits_past_target(open),
         }
@@ -458,7 +500,7 @@
         let admission = self.admission.borrow();
         admission
             .as_ref()
-            .is_some_and(|admission| admission.admits_past_target(&open.class))
+            .is_some_and(|admission| admission.admits_past_target(self.now(), &open.class))
     }
 
     fn start_queued_calls(self: &Rc<Self>, started_calls: Vec<CallId>) {
@@ -467,7 +509,7 @@
             let slot_grant = self.slot_grants.borrow_mut().remove(&id);
             let is_call_gone = slot_grant.is_none_or(|slot_grant| slot_grant.send(()).is_err());
             if is_call_gone {
-                self.finish_call(id, WorkResult::Cancelled);
+                self.finish_call(id, WorkResult::NotSent);
             }
         }
     }
@@ -553,10 +595,25 @@
         in_flight = load.in_flight,
         queued = load.queued,
         limit = load.limit,
-        is_slow = load.is_slow;
+        is_slow = load.is_slow,
+        rate_limit = load.start_rate,
+        next_start_ms = load.next_start_us / 1_000;
         "call offered"
     );
 }
 
+fn log_queued_refusal(open: &CallOpen, retry_after: Duration, load: LoadSnapshot) {
+    log::info!(
+        target: "admission",
+        request_id = open.request_id.as_str(),
+        service = open.service.as_str(),
+        retry_after_ms = retry_after.as_millis() as u64,
+        queued = load.queued,
+        rate_limit = load.start_rate,
+        next_start_ms = load.next_start_us / 1_000;
+        "queued call refused"
+    );
+}
+
 #[cfg(test)]
 mod tests;
--- a/src/gate/call.rs
+++ b/src/gate/call.rs
@@ -159,7 +159,7 @@
                     if matches!(self.handle_input(input), InputEffect::Cancelled) {
                         if !self.gate.dequeue_call(self.id) {
                             // The slot was granted at the same moment.
-                            self.gate.finish_call(self.id, WorkResult::Cancelled);
+                            self.gate.finish_call(self.id, WorkResult::NotSent);
                         }
                         self.send_cancel_reply(true);
                         return false;
@@ -174,7 +174,7 @@
                 },
                 () = tokio::time::sleep_until(self.deadline) => {
                     if !self.gate.dequeue_call(self.id) {
-                        self.gate.finish_call(self.id, WorkResult::Cancelled);
+                        self.gate.finish_call(self.id, WorkResult::NotSent);
                     }
                     self.send_refusal(&ErrorKind::TimedOut.into());
                     return false;
@@ -232,12 +232,12 @@
     /// to keep outside the ledger until it is acknowledged.
     async fn run_on_backend(&mut self, body: RequestBodySource) -> bool {
         let Some(client) = self.gate.backend_client() else {
-            self.gate.finish_call(self.id, WorkResult::Cancelled);
+            self.gate.finish_call(self.id, WorkResult::NotSent);
             self.send_refusal(&ErrorKind::BackendUnreachable.into());
             return false;
         };
         let Some(permit) = self.gate.take_run_permit(self.id) else {
-            self.gate.finish_call(self.id, WorkResult::Cancelled);
+            self.gate.finish_call(self.id, WorkResult::NotSent);
             return false;
         };
         let started_at = Instant::now();
@@ -247,6 +247,7 @@
                 latency: started_at.elapsed(),
             },
             Err(RunError::Cancelled) => WorkResult::Cancelled,
+            Err(RunError::Failed(ErrorKind::BackendUnreachable)) => WorkResult::NotSent,
             Err(RunError::Failed(_)) => WorkResult::Failed,
         };
         let (result_label, elapsed) = match &result {
@@ -312,7 +313,13 @@
         let backend_client = Rc::clone(client);
         let open = self.open.clone();
         let id = self.id;
-        let response_head = async move { backend_client.send(id, &open, time_left_ms, body).await };
+        let gate = Rc::clone(&self.gate);
+        let response_head = async move {
+            let sent_at = gate.now();
+            let exchange = backend_client.send(id, &open, time_left_ms, body).await;
+            gate.record_exchange(&backend_client, sent_at, &exchange);
+            exchange.result
+        };
         tokio::pin!(response_head);
         let response = match self
             .await_step(async { ExchangeStep::ResponseHead(response_head.await.map(Box::new)) })
--- a/src/gate/links.rs
+++ b/src/gate/links.rs
@@ -63,7 +63,7 @@
         self.link_senders
             .borrow_mut()
             .insert(link_number, sender.clone());
-        if self.is_draining.get() {
+        if self.is_draining.get() || self.statements.is_leaving() {
             sender.send(LinkMessage::Leaving(LinkPing { load: None }));
         }
         link_number
@@ -77,6 +77,7 @@
     mut receiver: LinkReceiver,
     hello: LinkHello,
 ) {
+    gate.record_known_statement(&hello);
     let link_number = gate.register_link_sender(&sender);
     while let Some(message) = receiver.recv().await {
         gate.handle_message(hello.incarnation, message, &sender);
@@ -115,6 +116,7 @@
 ) -> io::Result<()> {
     let (sink, mut stream) = framed.split();
     let (sender, outgoing) = message_channel();
+    gate.record_known_statement(hello);
     let link_number = gate.register_link_sender(&sender);
     let reading = async {
         while let Some(message) = read_frame(&mut stream).await? {
--- a/src/gate/meter.rs
+++ b/src/gate/meter.rs
@@ -12,6 +12,7 @@
 use std::time::Duration;
 
 use crate::gate::Gate;
+use crate::rate_limit::StatementSource;
 use crate::routing::ProbeBucket;
 
 /// Timeout of a poll on the same VM, which usually takes 1 ms.
@@ -75,9 +76,20 @@
         let client = self.backend_client();
         let has_budget = (self.load_poller.budget.borrow_mut())
             .try_take(self.now(), self.load_poller.max_polls_per_second);
-        let request = async { client.filter(|_| has_budget)?.fetch_load().await };
+        let sent_at = self.now();
+        let polled_client = client.filter(|_| has_budget && self.may_poll_under_limit());
+        let request = async { polled_client.as_ref()?.fetch_load().await };
         let response = tokio::time::timeout(LOAD_POLL_TIMEOUT, request).await;
-        match response.ok().flatten() {
+        let response = response.ok().flatten();
+        if let (Some(client), Some(statement)) = (
+            &polled_client,
+            response
+                .as_ref()
+                .and_then(|response| response.statement.as_ref()),
+        ) {
+            self.record_statement(client, sent_at, statement, StatementSource::LoadPoll);
+        }
+        match response.and_then(|response| response.load) {
             Some(load) => {
                 self.metrics.count_load_poll("taken");
                 self.record_backend_load(load);
--- a/src/gate/tests.rs
+++ b/src/gate/tests.rs
@@ -53,8 +53,10 @@
         commands
             .send(GateCommand::SetBackend {
                 warmup_left: Duration::ZERO,
+                rate_limit: None,
                 target: BackendTarget {
                     id: "b1".parse().unwrap(),
+                    key: 1.into(),
                     service: "slotbook".parse().unwrap(),
                     address: backend.addr(),
                     slots: SlotCount::try_from(1).unwrap(),
--- a/src/ids.rs
+++ b/src/ids.rs
@@ -9,6 +9,7 @@
 
 use derive_more::{Display, Error};
 use serde::{Deserialize, Serialize};
+use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 /// Longest text identifier, in bytes.
 const MAX_NAME_BYTES: usize = 64;
@@ -189,6 +190,40 @@
     "a whole number from 1"
 );
 
+/// Hash of a backend server's identifier and start; a later start of it has another.
+#[derive(
+    Debug,
+    Clone,
+    Copy,
+    Display,
+    derive_more::FromStr,
+    PartialEq,
+    Eq,
+    PartialOrd,
+    Ord,
+    Serialize,
+    Deserialize,
+)]
+pub struct BackendKey(u64);
+
+impl BackendKey {
+    /// Key of the start at this time in Unix milliseconds; 0 if it isn't known.
+    pub fn new(id: &BackendId, started_at_ms: u64) -> Self {
+        Self(xxh3_64_with_seed(id.as_str().as_bytes(), started_at_ms))
+    }
+
+    /// Returns the hash.
+    pub fn get(self) -> u64 {
+        self.0
+    }
+}
+
+impl From<u64> for BackendKey {
+    fn from(hash: u64) -> Self {
+        Self(hash)
+    }
+}
+
 /// Identifier of a call, unique in the fleet and across restarts.
 ///
 /// It consists of the incarnation of the ingress node, whose low bits are
--- a/src/ingress.rs
+++ b/src/ingress.rs
@@ -38,8 +38,10 @@
 use crate::ingress::request::{RequestResolver, ResolvedRequest};
 use crate::ingress::returns::CallerRetryTracker;
 use crate::link::call_link::UpstreamEvent;
+use crate::link::messages::KnownBackendStatement;
 use crate::link::pool::LinkPool;
 use crate::metrics::NodeMetrics;
+use crate::rate_limit::{KnownStatement, StartRate};
 use crate::retry::{RetryOptions, RetryPolicy};
 use crate::routes::SplitSelector;
 use crate::routing::{LoadReport, RouterState};
@@ -357,8 +359,16 @@
                     queued: load.queued,
                     limit: load.limit,
                     is_slow: load.is_slow,
+                    start_rate: rate_from_report(load.start_rate),
+                    next_start: Duration::from_micros(load.next_start_us),
                 };
                 router.record_report(now, &node, report);
+                let statement = (load.backend != 0).then(|| KnownStatement {
+                    backend: load.backend.into(),
+                    rate: report.start_rate,
+                    is_leaving: load.is_leaving,
+                });
+                router.record_statement(&node, statement);
             }
             UpstreamEvent::Leaving => router.mark_draining(now, &node),
             UpstreamEvent::LinkLost => {}
@@ -366,5 +376,24 @@
     }
 }
 
+fn rate_from_report(per_second: Option<f64>) -> Option<StartRate> {
+    let rate = StartRate::try_from(per_second?);
+    rate.inspect_err(|error| log::error!(target: "routing", "load report with a bad rate: {error}"))
+        .ok()
+}
+
+/// What an ingress knows of a node's backend server, to be told to its gate.
+pub fn known_backend_statement(
+    shared: &IngressState,
+    node: &NodeId,
+) -> Option<KnownBackendStatement> {
+    let known = lock(&shared.router).known_statement(node)?;
+    Some(KnownBackendStatement {
+        backend: known.backend.get(),
+        start_rate: known.rate.map(StartRate::per_second),
+        is_leaving: known.is_leaving,
+    })
+}
+
 #[cfg(test)]
 mod tests;
--- a/src/ingress/attempt.rs
+++ b/src/ingress/attempt.rs
@@ -357,9 +357,9 @@
                 estimated_response_time: Some(Duration::from_micros(refusal.expected_response_us))
                     .filter(|finish| !finish.is_zero()),
                 admits_past_target: refusal.admits_past_target
-                    || refusal
-                        .load
-                        .is_some_and(|load| load.in_flight + load.queued < load.limit),
+                    || refusal.load.is_some_and(|load| {
+                        load.start_rate.is_none() && load.in_flight + load.queued < load.limit
+                    }),
             }),
             LinkMessage::Abort(abort) => Err(self
                 .state
--- a/src/ingress/call.rs
+++ b/src/ingress/call.rs
@@ -39,6 +39,8 @@
     /// Occupancy up to which the gate may start the call at once; it refuses the
     /// call otherwise. 0 if it may queue the call.
     max_occupancy_percent: u32,
+    /// Whether the call already runs elsewhere.
+    is_hedge: bool,
 }
 
 /// Time left until the target latency of the refused request that this one
--- a/src/ingress/call/choice.rs
+++ b/src/ingress/call/choice.rs
@@ -10,9 +10,9 @@
 use crate::ids::NodeId;
 use crate::ingress::attempt::AttemptError;
 use crate::ingress::lock;
-use crate::ingress::placing::SearchStep;
+use crate::ingress::placing::{GateEstimate, SearchStep};
 use crate::link::pool::GateTarget;
-use crate::routing::{ProbeTarget, RouteChoice, RouteReason, RouteRequest};
+use crate::routing::{ProbeTarget, RouteChoice, RouteReason, RouteRequest, SkippedUpstreams};
 
 /// Offers whose sequence numbers fit beside the call's own.
 pub(super) const MAX_OFFERS: u32 = 15;
@@ -34,19 +34,25 @@
         loop {
             let time_budget = self.time_budget();
             let (choice, max_occupancy_percent) = match self.search.next_step(time_budget) {
-                SearchStep::OfferImmediate => match self.choose_upstream() {
-                    Ok(choice) => {
-                        let max_percent = self.max_occupancy_percent(&choice);
-                        (choice, max_percent)
+                SearchStep::OfferImmediate => {
+                    match self.choose_upstream(SkippedUpstreams::UsedUp) {
+                        Ok(choice) => {
+                            let max_percent = self.max_occupancy_percent(&choice);
+                            (choice, max_percent)
+                        }
+                        Err(ErrorKind::NoUpstream)
+                            if self.add_used_up_gates() || !self.tried_nodes.is_empty() =>
+                        {
+                            self.search.on_no_more_gates();
+                            continue;
+                        }
+                        Err(kind) => return Err(AttemptError::not_run(kind)),
                     }
-                    Err(ErrorKind::NoUpstream) if !self.tried_nodes.is_empty() => {
-                        self.search.on_no_more_gates();
-                        continue;
-                    }
-                    Err(kind) => return Err(AttemptError::not_run(kind)),
-                },
+                }
                 SearchStep::OfferQueueable => {
-                    let choice = self.choose_upstream().map_err(AttemptError::not_run)?;
+                    let choice = self
+                        .choose_upstream(SkippedUpstreams::None)
+                        .map_err(AttemptError::not_run)?;
                     (choice, 0)
                 }
                 SearchStep::JoinQueue(node) => match self.choose_node(&node) {
@@ -62,6 +68,7 @@
             return Ok(GateOffer {
                 choice,
                 max_occupancy_percent,
+                is_hedge: false,
             });
         }
     }
@@ -101,7 +108,35 @@
         choice
     }
 
-    pub(super) fn choose_upstream(&self) -> Result<RouteChoice, ErrorKind> {
+    /// Adds the gates whose rate is known to be used up to the search; false if there
+    /// are none.
+    ///
+    /// Only the gate knows who else waits there, so that the call may join its queue
+    /// whenever its next start is early enough.
+    fn add_used_up_gates(&mut self) -> bool {
+        let shared = &self.worker.shared;
+        let gates = lock(&shared.router).used_up_upstreams(
+            shared.now(),
+            &self.request.service,
+            &self.tried_nodes,
+        );
+        let class = self.request.class();
+        let latency = lock(&shared.latencies).usual_latency(&class, self.target_left());
+        for (node, time_to_slot) in &gates {
+            let estimate = GateEstimate {
+                time_to_slot: *time_to_slot,
+                time_to_response: *time_to_slot + latency,
+                admits_past_target: true,
+            };
+            self.search.on_rate_used_up(node.clone(), estimate);
+        }
+        !gates.is_empty()
+    }
+
+    pub(super) fn choose_upstream(
+        &self,
+        skipped: SkippedUpstreams,
+    ) -> Result<RouteChoice, ErrorKind> {
         let now = self.worker.shared.now();
         let mut rng = self.worker.rng.borrow_mut();
         let mut router = lock(&self.worker.shared.router);
@@ -110,6 +145,7 @@
             is_idempotent: self.request.is_idempotent,
             has_large_body: self.request.has_large_body,
             tried_nodes: &self.tried_nodes,
+            skipped,
         };
         let choice = router.select_upstream(now, &mut *rng, &route_request);
         let probes = router.take_due_probes(now);
--- a/src/ingress/call/offer.rs
+++ b/src/ingress/call/offer.rs
@@ -49,6 +49,7 @@
         };
         let mut open = CallOpen {
             max_occupancy_percent: offer.max_occupancy_percent,
+            is_hedge: offer.is_hedge,
             ..self.open_message(id, body)
         };
         let is_body_deferred =
@@ -107,6 +108,7 @@
             target_left_us: u64::try_from(self.target_left().as_micros()).ok(),
             max_occupancy_percent: 0,
             class: self.request.class(),
+            is_hedge: false,
         }
     }
 
--- a/src/ingress/call/second_copy.rs
+++ b/src/ingress/call/second_copy.rs
@@ -14,6 +14,7 @@
 use crate::ingress::attempt::AttemptError;
 use crate::ingress::body::RequestBody;
 use crate::ingress::lock;
+use crate::routing::SkippedUpstreams;
 
 /// Occupancy up to which a gate starts a hedged attempt: it may take spare
 /// slots, but none that first attempts need.
@@ -141,7 +142,7 @@
             if self.offer_count + 1 >= MAX_OFFERS {
                 break;
             }
-            let Ok(choice) = self.choose_upstream() else {
+            let Ok(choice) = self.choose_upstream(SkippedUpstreams::Limited) else {
                 break;
             };
             self.offer_count += 1;
@@ -150,6 +151,7 @@
             let offer = GateOffer {
                 choice,
                 max_occupancy_percent: HEDGE_OCCUPANCY_PERCENT,
+                is_hedge: true,
             };
             let result = self.run_attempt(offer, body).await;
             match &result {
--- a/src/ingress/hedge.rs
+++ b/src/ingress/hedge.rs
@@ -46,6 +46,14 @@
         self.classes.insert(class.to_string(), estimate);
     }
 
+    /// Usual latency of the class; a part of the target if it has no answers yet.
+    pub fn usual_latency(&self, class: &str, target_left: Duration) -> Duration {
+        let estimate = self.classes.get(class);
+        estimate.map_or(target_left / UNKNOWN_LATENCY_DIVISOR, |estimate| {
+            estimate.mean()
+        })
+    }
+
     /// Delay after the start of a call at which it should be hedged; `None` if too
     /// little time is left for a second run.
     pub fn hedge_delay(&self, class: &str, time_budget: CallTimeBudget) -> Option<Duration> {
@@ -53,10 +61,7 @@
             target_left,
             time_left,
         } = time_budget;
-        let estimate = self.classes.get(class);
-        let usual_latency = estimate.map_or(target_left / UNKNOWN_LATENCY_DIVISOR, |estimate| {
-            estimate.mean()
-        });
+        let usual_latency = self.usual_latency(class, target_left);
         let delay = target_left
             .checked_sub(usual_latency)
             .or_else(|| time_left.checked_sub(usual_latency))?;
--- a/src/ingress/placing.rs
+++ b/src/ingress/placing.rs
@@ -89,6 +89,12 @@
         };
     }
 
+    /// Records the estimate for a gate that wasn't asked: its backend server's rate is
+    /// known to be used up, so that it would refuse an immediate start.
+    pub fn on_rate_used_up(&mut self, node: NodeId, estimate: GateEstimate) {
+        self.estimates.entry(node).or_insert(estimate);
+    }
+
     /// Starts over after an attempt that reached a backend server.
     pub fn restart(&mut self, max_immediate_offers: u32) {
         if self.uses_immediate_offers {
--- a/src/link/call_link.rs
+++ b/src/link/call_link.rs
@@ -215,9 +215,9 @@
         LinkMessage::ResumeReply(reply) => (Some(reply.sequence), None),
         LinkMessage::Credit(credit) => (Some(credit.sequence), None),
         LinkMessage::Pong(pong) => (None, pong.load),
-        LinkMessage::Leaving(_) => {
+        LinkMessage::Leaving(leaving) => {
             let _ = upstream_events.send((link.gate.clone(), UpstreamEvent::Leaving));
-            (None, None)
+            (None, leaving.load)
         }
         // Sent by ingresses only; ignored here.
         LinkMessage::Open(_)
--- a/src/link/messages.rs
+++ b/src/link/messages.rs
@@ -23,6 +23,24 @@
     /// only the newest link of a worker thread.
     #[prost(uint64, tag = "4")]
     pub generation: u64,
+    /// What the ingress knows of the gate's backend server, for a gate that has
+    /// restarted.
+    #[prost(message, optional, tag = "5")]
+    pub known: Option<KnownBackendStatement>,
+}
+
+/// Last statement of a backend server that an ingress knows of.
+#[derive(Clone, Copy, PartialEq, Message)]
+pub struct KnownBackendStatement {
+    /// Key of the backend server's start.
+    #[prost(fixed64, tag = "1")]
+    pub backend: u64,
+    /// Requests per second that it takes from all nodes together.
+    #[prost(double, optional, tag = "2")]
+    pub start_rate: Option<f64>,
+    /// Whether it said that it leaves.
+    #[prost(bool, tag = "3")]
+    pub is_leaving: bool,
 }
 
 /// Reply to a [`LinkHello`]; the ingress sends no call before it arrives.
@@ -59,6 +77,18 @@
     /// Whether the VM currently runs slower than usual.
     #[prost(bool, tag = "4")]
     pub is_slow: bool,
+    /// Requests per second that the backend server takes from all nodes together.
+    #[prost(double, optional, tag = "5")]
+    pub start_rate: Option<f64>,
+    /// Time until the limit lets another call start, in microseconds.
+    #[prost(uint64, tag = "6")]
+    pub next_start_us: u64,
+    /// Whether the backend server said that it leaves.
+    #[prost(bool, tag = "7")]
+    pub is_leaving: bool,
+    /// Key of the backend server's start; 0 if there is nothing to remember of it.
+    #[prost(fixed64, tag = "8")]
+    pub backend: u64,
 }
 
 /// Starts a call; sent by the ingress.
@@ -115,6 +145,9 @@
     /// Class of calls with similar latency.
     #[prost(string, tag = "16")]
     pub class: String,
+    /// Whether this is the second of two attempts at the same time.
+    #[prost(bool, tag = "17")]
+    pub is_hedge: bool,
 }
 
 /// Part of a request or response body.
--- a/src/link/pool.rs
+++ b/src/link/pool.rs
@@ -22,7 +22,7 @@
 use crate::ids::{NodeId, NodeIncarnation};
 use crate::link::call_link::{CallLink, UpstreamEvent, receive_local, receive_remote};
 use crate::link::endpoint::{LinkReceiver, LinkSender, message_channel, write_frames};
-use crate::link::messages::{LinkHello, LinkMessage, LinkPing, LinkWelcome};
+use crate::link::messages::{KnownBackendStatement, LinkHello, LinkMessage, LinkPing, LinkWelcome};
 
 /// Time limit for opening a link, including the wait for its [`LinkWelcome`].
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(100);
@@ -51,6 +51,9 @@
     pub worker: u32,
 }
 
+/// Returns what the ingress knows of a node's backend server.
+pub type StatementLookup = Rc<dyn Fn(&NodeId) -> Option<KnownBackendStatement>>;
+
 /// Opens an in-process link to the gate of this node.
 pub type LocalConnector = Rc<dyn Fn(LinkSender, LinkReceiver, LinkHello)>;
 
@@ -73,6 +76,7 @@
 pub struct LinkPool {
     identity: LinkIdentity,
     local_connector: LocalConnector,
+    statement_lookup: StatementLookup,
     entries: RefCell<BTreeMap<NodeId, Rc<PoolEntry>>>,
     generation: Cell<u64>,
     upstream_events: UnboundedSender<(NodeId, UpstreamEvent)>,
@@ -84,11 +88,13 @@
     pub fn new(
         identity: LinkIdentity,
         local: LocalConnector,
+        statement_lookup: StatementLookup,
     ) -> (Rc<Self>, UnboundedReceiver<(NodeId, UpstreamEvent)>) {
         let (upstream_events, receiver) = unbounded_channel();
         let pool = Rc::new(Self {
             identity,
             local_connector: local,
+            statement_lookup,
             entries: RefCell::new(BTreeMap::new()),
             generation: Cell::new(0),
             upstream_events,
@@ -175,6 +181,7 @@
             incarnation: self.identity.incarnation.get(),
             worker: self.identity.worker,
             generation: self.generation.get(),
+            known: (self.statement_lookup)(&target.node),
         };
         if target.node == self.identity.node {
             return Ok(self.open_local(hello));
--- a/src/membership/message.rs
+++ b/src/membership/message.rs
@@ -106,6 +106,9 @@
     /// 1-based index of `service` in [`SyncReply::names`]; 0 if not packed.
     #[prost(uint32, tag = "6")]
     pub service_index: u32,
+    /// [`BackendKey`](crate::ids::BackendKey) of its present start.
+    #[prost(fixed64, tag = "7")]
+    pub key: u64,
 }
 
 /// Requests the records in which two nodes differ.
@@ -223,6 +226,7 @@
             connections: backend.connections.get(),
             state: encode_upstream_state(backend.state),
             service_index: 0,
+            key: backend.key.get(),
         }
     }
 }
@@ -233,6 +237,7 @@
     fn try_from(wire: WireBackend) -> Result<Self, RecordError> {
         Ok(Self {
             id: wire.id.try_into()?,
+            key: wire.key.into(),
             service: wire.service.try_into()?,
             slots: SlotCount::try_from(u64::from(wire.slots))?,
             connections: ConnectionCount::try_from(u64::from(wire.connections))?,
--- a/src/membership/record.rs
+++ b/src/membership/record.rs
@@ -7,8 +7,8 @@
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::ids::{
-    BackendId, ConnectionCount, NodeId, NodeIncarnation, RegionName, ServiceName, SlotCount,
-    ZoneName,
+    BackendId, BackendKey, ConnectionCount, NodeId, NodeIncarnation, RegionName, ServiceName,
+    SlotCount, ZoneName,
 };
 use crate::table::UpstreamState;
 
@@ -31,6 +31,8 @@
 pub struct BackendRecord {
     /// Identifier that the backend server announced.
     pub id: BackendId,
+    /// Which start of the backend server it is.
+    pub key: BackendKey,
     /// Service that it serves.
     pub service: ServiceName,
     /// Calls that it can process concurrently.
--- a/src/membership/tests.rs
+++ b/src/membership/tests.rs
@@ -23,6 +23,7 @@
     let states = prop::sample::select(vec![UpstreamState::Ready, UpstreamState::Gone]);
     prop::option::of((1_u32..3, states).prop_map(|(slots, state)| BackendRecord {
         id: "backend-1".parse().unwrap(),
+        key: 1.into(),
         service: "tillpost".parse().unwrap(),
         slots: slots.to_string().parse().unwrap(),
         connections: "260".parse().unwrap(),
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -8,6 +8,7 @@
 mod serve;
 mod statsd;
 
+use std::sync::atomic::AtomicU64;
 use std::time::Duration;
 
 use prometheus_client::encoding::text::encode;
@@ -45,6 +46,9 @@
     run_seconds: HistogramFamily,
     load_polls: CounterFamily,
     config_version: Gauge,
+    rate_limit: Gauge<f64, AtomicU64>,
+    limited_refusals: Counter,
+    statements: CounterFamily,
 }
 
 fn new_latency_histogram() -> Histogram {
@@ -64,6 +68,9 @@
             run_seconds: Family::new_with_constructor(new_histogram),
             load_polls: Family::default(),
             config_version: Gauge::default(),
+            rate_limit: Gauge::default(),
+            limited_refusals: Counter::default(),
+            statements: Family::default(),
             registry: Registry::default(),
         };
         registry.register(
@@ -108,6 +115,22 @@
             "Version of the route configuration in force; 0 before the first one",
             metrics.config_version.clone(),
         );
+        metrics.set_rate_limit(None);
+        registry.register(
+            "rate_limit",
+            "Requests per second that the own backend server named as its limit; +Inf for none",
+            metrics.rate_limit.clone(),
+        );
+        registry.register(
+            "limited_refusals",
+            "Calls refused by the gate while its backend server named a limit",
+            metrics.limited_refusals.clone(),
+        );
+        registry.register(
+            "backend_statements",
+            "Statements of the own backend server about itself by kind",
+            metrics.statements.clone(),
+        );
         Self {
             registry,
             ..metrics
@@ -173,6 +196,23 @@
             .set(i64::try_from(version).unwrap_or(i64::MAX));
     }
 
+    /// Sets the limit that the own backend server named, in requests per second.
+    pub fn set_rate_limit(&self, rate: Option<f64>) {
+        self.rate_limit.set(rate.unwrap_or(f64::INFINITY));
+    }
+
+    /// Counts a refusal of the gate while its backend server is limited.
+    pub fn count_limited_refusal(&self) {
+        self.limited_refusals.inc();
+    }
+
+    /// Counts a statement of the own backend server: `limit-named`, `limit-ended`,
+    /// `unreadable` or `leaving`.
+    pub fn count_statement(&self, kind: &str) {
+        let labels = vec![("kind", kind.to_string())];
+        self.statements.get_or_create(&labels).inc();
+    }
+
     /// Encodes all metrics in the OpenMetrics text format.
     pub fn encode_text(&self) -> String {
         let mut text = String::new();
--- a/src/node.rs
+++ b/src/node.rs
@@ -32,8 +32,8 @@
 use crate::control::admin::{collect_counters, serve_admin};
 use crate::control::peers::accept_peers;
 use crate::control::state::{
-    ControlParts, ControlState, NodeIdentity, follow_membership, follow_routes, follow_tickets,
-    publish_tables,
+    ControlParts, ControlState, NodeIdentity, follow_leaving_backend, follow_membership,
+    follow_routes, follow_tickets, publish_tables,
 };
 use crate::discovery::{DiscoverySettings, FleetRole, run_discovery};
 use crate::exchange::PeerHello;
@@ -263,6 +263,7 @@
     ntex::rt::spawn(publish_tables(Rc::clone(&control)));
     ntex::rt::spawn(accept_peers(Rc::clone(&control), sockets.peer_listener));
     ntex::rt::spawn(follow_routes(Rc::clone(&control)));
+    ntex::rt::spawn(follow_leaving_backend(Rc::clone(&control)));
     ntex::rt::spawn(join_fleet(Rc::clone(&control), options.peers.clone()));
     ntex::rt::spawn(join_discovered_nodes(Rc::clone(&control), discovered));
     ntex::rt::spawn(log_ignored_reloads());
--- a/src/node/listener.rs
+++ b/src/node/listener.rs
@@ -19,7 +19,10 @@
 use crate::gate::GateCommand;
 use crate::ids::{NodeId, NodeIncarnation};
 use crate::ingress::connection::serve_connection;
-use crate::ingress::{IngressState, IngressWorker, apply_upstream_notices, close_unused_links};
+use crate::ingress::{
+    IngressState, IngressWorker, apply_upstream_notices, close_unused_links,
+    known_backend_statement,
+};
 use crate::link::pool::{LinkIdentity, LinkPool};
 
 /// Keeps a lasting failure, such as a lack of file descriptors, from causing a
@@ -98,7 +101,10 @@
             hello,
         });
     });
-    let (pool, notices) = LinkPool::new(identity, connect_local);
+    let statements_source = Arc::clone(shared);
+    let statement_lookup =
+        Rc::new(move |node: &NodeId| known_backend_statement(&statements_source, node));
+    let (pool, notices) = LinkPool::new(identity, connect_local, statement_lookup);
     ntex::rt::spawn(apply_upstream_notices(Arc::clone(shared), notices));
     ntex::rt::spawn(close_unused_links(Arc::clone(shared), Rc::clone(&pool)));
     Rc::new(IngressWorker {
--- a/src/platform/announcement.rs
+++ b/src/platform/announcement.rs
@@ -77,6 +77,7 @@
             .ok()
             .and_then(|left| u64::try_from(left.as_millis()).ok())
             .unwrap_or(0),
+        rate_limit: None,
     })
 }
 
--- a/src/platform/dialect.rs
+++ b/src/platform/dialect.rs
@@ -23,6 +23,9 @@
     expected_backend: Some("expect-instance"),
     caller_service: Some("caller-service"),
     load: Some("server-load"),
+    rate_limit: Some("server-limit"),
+    leaving: Some("server-leaving"),
+    backend_id: Some("instance-id"),
     parse_load,
     has_fractional_retry_after: true,
 };
--- a/src/routing.rs
+++ b/src/routing.rs
@@ -36,12 +36,13 @@
 use crate::admission::GateLoad;
 use crate::error::ErrorKind;
 use crate::ids::{NodeId, NodeIncarnation, RegionName, ServiceName, ZoneName};
+use crate::rate_limit::StartRate;
 
 pub use probe::{ProbeBucket, ProbeCounts};
 pub use router::RouterState;
 
 /// Load of an upstream, as its gate reports it on every answer and refusal.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq)]
 pub struct LoadReport {
     /// Calls that the backend server is running.
     pub in_flight: u32,
@@ -51,6 +52,10 @@
     pub limit: u32,
     /// Whether the VM currently runs slower than usual.
     pub is_slow: bool,
+    /// Rate of starts that the backend server named; `None` if it is not limited.
+    pub start_rate: Option<StartRate>,
+    /// Time until that rate lets another call start.
+    pub next_start: Duration,
 }
 
 impl From<GateLoad> for LoadReport {
@@ -60,6 +65,8 @@
             queued: load.queued,
             limit: load.limit,
             is_slow: load.is_slow,
+            start_rate: load.start_rate,
+            next_start: load.next_start,
         }
     }
 }
@@ -171,6 +178,19 @@
     pub has_large_body: bool,
     /// Nodes of the upstreams that earlier attempts of the call went to.
     pub tried_nodes: &'a BTreeSet<NodeId>,
+    /// Which upstreams are left out because of a rate that they named.
+    pub skipped: SkippedUpstreams,
+}
+
+/// Upstreams that an attempt doesn't go to because of a rate that they named.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum SkippedUpstreams {
+    /// None: the call may wait for its turn.
+    None,
+    /// Those whose next start is known to be later: the attempt must start at once.
+    UsedUp,
+    /// All limited ones: the attempt isn't needed.
+    Limited,
 }
 
 /// Candidate that a selection compared; written to the log as JSON.
--- a/src/routing/router.rs
+++ b/src/routing/router.rs
@@ -12,10 +12,11 @@
 use super::{
     AttemptNumber, AttemptResult, CandidateScore, LoadReport, LocalityTier, NodeLocality,
     ProbeCounts, ProbeTarget, RouteChoice, RouteReason, RouteRequest, RouterSnapshot,
-    RoutingOptions, UpstreamSnapshot,
+    RoutingOptions, SkippedUpstreams, UpstreamSnapshot,
 };
 use crate::error::ErrorKind;
 use crate::ids::{NodeId, ServiceName};
+use crate::rate_limit::{KnownStatement, KnownStatements};
 use crate::table::{RoutingTable, ServiceEntry, UpstreamState};
 
 /// Latency assumed before the first answer of a service, in microseconds.
@@ -38,6 +39,8 @@
     /// Number of the attempt that was started last.
     last_attempt: u64,
     probes: ProbeCounts,
+    /// What backend servers stated about themselves.
+    known_statements: KnownStatements,
     /// Time of the last idempotent call of each service.
     last_idempotent_call: BTreeMap<ServiceName, Duration>,
 }
@@ -61,6 +64,7 @@
             upstream_stats: BTreeMap::new(),
             last_attempt: 0,
             probes: ProbeCounts::default(),
+            known_statements: KnownStatements::default(),
             last_idempotent_call: BTreeMap::new(),
         }
     }
@@ -100,6 +104,7 @@
             is_idempotent: true,
             has_large_body: false,
             tried_nodes,
+            skipped: SkippedUpstreams::None,
         };
         self.select_upstream(now, rng, &request)
     }
@@ -200,6 +205,49 @@
         }
     }
 
+    /// Records what a gate reports of its backend server's statements; `None` if there
+    /// is nothing to remember of it.
+    pub fn record_statement(&mut self, node: &NodeId, reported: Option<KnownStatement>) {
+        match reported {
+            Some(reported) => self.known_statements.record(node, reported),
+            None => self.known_statements.end_rate(node),
+        }
+    }
+
+    /// Last statement of the backend server of a node, for a gate that has restarted.
+    pub fn known_statement(&self, node: &NodeId) -> Option<KnownStatement> {
+        self.known_statements.get(node)
+    }
+
+    /// Whether the backend server of the service's upstream said that it leaves.
+    pub(super) fn is_leaving(&self, service: &ServiceName, node: &NodeId) -> bool {
+        let entry = self.table.services.get(service);
+        entry
+            .and_then(|entry| entry.upstreams.get(node))
+            .is_some_and(|upstream| self.known_statements.is_leaving(node, upstream.backend))
+    }
+
+    /// Upstreams whose named rate is used up, with the time until their next start.
+    pub fn used_up_upstreams(
+        &self,
+        now: Duration,
+        service: &ServiceName,
+        tried_nodes: &BTreeSet<NodeId>,
+    ) -> Vec<(NodeId, Duration)> {
+        let Some(state) = self.services.get(service) else {
+            return Vec::new();
+        };
+        let nodes = state.tiers.iter().flat_map(|tier| &tier.nodes);
+        nodes
+            .filter(|node| !tried_nodes.contains(*node) && !self.is_leaving(service, node))
+            .filter_map(|node| {
+                let stats = self.upstream_stats.get(node)?;
+                let is_usable = !stats.is_excluded(now, false) && stats.is_rate_used_up(now);
+                is_usable.then(|| (node.clone(), stats.time_to_start(now)))
+            })
+            .collect()
+    }
+
     /// Records that the gate of `node` accepts no new calls.
     pub fn mark_draining(&mut self, now: Duration, node: &NodeId) {
         if let Some(stats) = self.upstream_stats.get_mut(node) {
--- a/src/routing/select.rs
+++ b/src/routing/select.rs
@@ -13,7 +13,7 @@
 
 use super::router::{RouterState, ServiceState};
 use super::upstream::{IDLE_SCORE, UpstreamStats};
-use super::{CandidateScore, LocalityTier, RouteReason, RouteRequest};
+use super::{CandidateScore, LocalityTier, RouteReason, RouteRequest, SkippedUpstreams};
 use crate::error::ErrorKind;
 use crate::ids::NodeId;
 
@@ -100,9 +100,19 @@
                 avoided: Vec::new(),
                 excluded: Vec::new(),
             };
-            let untried_nodes = members.nodes.iter();
-            for node in untried_nodes.filter(|node| !request.tried_nodes.contains(*node)) {
+            let untried_nodes = members
+                .nodes
+                .iter()
+                .filter(|node| !request.tried_nodes.contains(*node));
+            let usable_nodes = untried_nodes.filter(|node| !self.is_leaving(request.service, node));
+            for node in usable_nodes {
+                let is_skipped = |stats: &UpstreamStats| match request.skipped {
+                    SkippedUpstreams::None => false,
+                    SkippedUpstreams::UsedUp => stats.is_rate_used_up(now),
+                    SkippedUpstreams::Limited => stats.is_limited(),
+                };
                 match self.upstream_stats.get(node) {
+                    Some(stats) if is_skipped(stats) => {}
                     Some(stats) if stats.is_excluded(now, is_idempotent) => {
                         group
                             .excluded
--- a/src/routing/tests.rs
+++ b/src/routing/tests.rs
@@ -31,6 +31,7 @@
         region: "oyo-west".parse().unwrap(),
         zone: ZONES[index % 3].parse().unwrap(),
         peer_address: ([127, 0, 0, 1], 1).into(),
+        backend: 1.into(),
         slots: "6".parse().unwrap(),
         state,
         is_suspect: false,
@@ -90,6 +91,8 @@
     queued: 6,
     limit: 6,
     is_slow: false,
+    start_rate: None,
+    next_start: Duration::ZERO,
 };
 
 #[derive(Debug, Clone)]
@@ -158,6 +161,7 @@
                         is_idempotent,
                         has_large_body: false,
                         tried_nodes: &tried,
+                        skipped: SkippedUpstreams::None,
                     };
                     if let Ok(choice) = router.select_upstream(now, &mut rng, &request) {
                         let index = (0..4).find(|index| node(*index) == choice.node).unwrap();
@@ -248,6 +252,7 @@
             is_idempotent,
             has_large_body: false,
             tried_nodes: &tried,
+            skipped: SkippedUpstreams::None,
         };
         let choice = router.select_upstream(now, &mut rng, &request).unwrap();
         let is_failing = choice.node == node(0);
@@ -355,6 +360,7 @@
         is_idempotent: false,
         has_large_body: false,
         tried_nodes: &tried,
+        skipped: SkippedUpstreams::None,
     };
     let mut in_flight = std::collections::VecDeque::new();
     let mut count = 0;
@@ -395,6 +401,7 @@
         is_idempotent: false,
         has_large_body: false,
         tried_nodes: &tried,
+        skipped: SkippedUpstreams::None,
     };
     let choices: Vec<_> = (0..10)
         .map(|_| {
@@ -432,6 +439,7 @@
         is_idempotent: false,
         has_large_body: false,
         tried_nodes: &tried,
+        skipped: SkippedUpstreams::None,
     };
     let mut now = Duration::ZERO;
     for _ in 0..6 {
@@ -505,6 +513,7 @@
             is_idempotent: false,
             has_large_body,
             tried_nodes: tried,
+            skipped: SkippedUpstreams::None,
         };
         let choice = router.select_upstream(Duration::ZERO, &mut rng, &request);
         choice.unwrap().node
--- a/src/routing/upstream.rs
+++ b/src/routing/upstream.rs
@@ -9,6 +9,7 @@
 use super::{AttemptNumber, AttemptResult, LoadReport, LocalityTier, ProbeBucket, RoutingOptions};
 use crate::error::ErrorKind;
 use crate::ids::NodeIncarnation;
+use crate::rate_limit::StartRate;
 
 /// Time for which new calls avoid an upstream after a refusal for lack of capacity.
 const REFUSAL_BACKOFF: Duration = Duration::from_millis(10);
@@ -32,6 +33,8 @@
 /// Weight of an attempt of this node relative to a reported call. The own count
 /// is never stale, and other ingresses have probably sent calls since as well.
 const OWN_ATTEMPT_WEIGHT: f64 = 4.0;
+/// Lowest capacity that scores assume of a limited upstream.
+const MIN_CAPACITY: f64 = 0.1;
 /// Score of an upstream without any calls.
 pub(super) const IDLE_SCORE: f64 = 0.5;
 /// Number of answers that the moving average of the latency covers.
@@ -57,6 +60,8 @@
     joined_at: Option<Duration>,
     outstanding: BTreeMap<AttemptNumber, Duration>,
     report: Option<ReportRecord>,
+    /// Time from which a named rate lets another call start.
+    rate_free_at: Duration,
     /// Time of the last sample and mean in microseconds.
     mean_latency: Option<(Duration, f64)>,
     /// Time of the last failure and weight at that time.
@@ -96,6 +101,7 @@
             joined_at,
             outstanding: BTreeMap::new(),
             report: None,
+            rate_free_at: Duration::ZERO,
             mean_latency: None,
             failure_weight: (now, 0.0),
             backoff_until: Duration::ZERO,
@@ -165,11 +171,36 @@
     ) -> bool {
         let may_test_recovery =
             is_idempotent || (!has_recent_idempotent && self.outstanding.is_empty());
-        now < self.backoff_until || (self.consecutive_failures > 0 && !may_test_recovery)
+        now < self.backoff_until
+            || self.is_rate_used_up(now)
+            || (self.consecutive_failures > 0 && !may_test_recovery)
     }
 
     pub(super) fn start_attempt(&mut self, now: Duration, attempt: AttemptNumber) {
         self.outstanding.insert(attempt, now);
+        if let Some(rate) = self.start_rate() {
+            self.rate_free_at = self.rate_free_at.max(now) + rate.interval();
+        }
+    }
+
+    /// Rate that the backend server named, by the last report.
+    fn start_rate(&self) -> Option<StartRate> {
+        self.report.and_then(|record| record.report.start_rate)
+    }
+
+    /// Whether the backend server named a rate.
+    pub(super) fn is_limited(&self) -> bool {
+        self.start_rate().is_some()
+    }
+
+    /// Whether a call that starts now is known to be refused because of that rate.
+    pub(super) fn is_rate_used_up(&self, now: Duration) -> bool {
+        self.is_limited() && now < self.rate_free_at
+    }
+
+    /// Time until that rate lets another call start.
+    pub(super) fn time_to_start(&self, now: Duration) -> Duration {
+        self.rate_free_at.saturating_sub(now)
     }
 
     pub(super) fn record_report(&mut self, now: Duration, report: LoadReport) {
@@ -180,6 +211,7 @@
             report,
             other_ingress_calls,
         });
+        self.rate_free_at = now + report.next_start;
         self.needs_probe = false;
     }
 
@@ -268,7 +300,7 @@
         means: ServiceMeans,
         options: &RoutingOptions,
     ) -> f64 {
-        let capacity = self.capacity(now, options);
+        let capacity = self.capacity(now, means, options);
         let mean_calls = means.other_ingress_calls_per_slot * f64::from(self.slots);
         let other_ingress_calls = match self.report {
             Some(record) => {
@@ -285,9 +317,15 @@
     }
 
     /// Number of calls that the upstream is assumed to run concurrently.
-    fn capacity(&self, now: Duration, options: &RoutingOptions) -> f64 {
+    ///
+    /// At a named rate, these are the calls in flight of that rate (Little's law).
+    fn capacity(&self, now: Duration, means: ServiceMeans, options: &RoutingOptions) -> f64 {
         let limit = self.report.map_or(self.slots, |record| record.report.limit);
-        let limit = f64::from(limit.clamp(1, self.slots.max(1)));
+        let mut limit = f64::from(limit.clamp(1, self.slots.max(1)));
+        if let Some(rate) = self.start_rate() {
+            let in_flight_at_rate = rate.per_second() * means.latency_us / 1e6;
+            limit = in_flight_at_rate.clamp(MIN_CAPACITY, limit);
+        }
         limit * self.slow_start_share(now, options)
     }
 
--- a/src/standin/backend/announce.rs
+++ b/src/standin/backend/announce.rs
@@ -56,6 +56,7 @@
                 state: UpstreamState::Ready,
                 order: None,
                 warmup_left_ms: 0,
+                rate_limit: None,
             },
         })
     }
--- a/src/table.rs
+++ b/src/table.rs
@@ -12,7 +12,8 @@
 use serde::{Deserialize, Serialize};
 
 use crate::ids::{
-    NodeId, NodeIncarnation, RegionName, ServiceName, SlotCount, TeamName, TicketNumber, ZoneName,
+    BackendKey, NodeId, NodeIncarnation, RegionName, ServiceName, SlotCount, TeamName,
+    TicketNumber, ZoneName,
 };
 use crate::routes::RouteConfig;
 
@@ -152,6 +153,8 @@
     pub zone: ZoneName,
     /// Address of the node's link listener.
     pub peer_address: SocketAddr,
+    /// Which start of which backend server it is.
+    pub backend: BackendKey,
     /// Slots of the backend server.
     pub slots: SlotCount,
     /// State announced by the upstream.
--- a/tests/membership/net.rs
+++ b/tests/membership/net.rs
@@ -75,6 +75,7 @@
 pub fn backend(shape: FleetShape, index: usize, state: UpstreamState) -> BackendRecord {
     BackendRecord {
         id: format!("backend-{index:04}").parse().unwrap(),
+        key: 1.into(),
         service: format!("service-{}", index % shape.services)
             .parse()
             .unwrap(),
