Fleet in virtual time for named rates; ask used-up gates less often

Tests in virtual time with 25 ingresses and up to five gates: one, three and all servers limited, limits that change each second or come with all slots full, gates that restart and freeze. Each window of 1 to 4 s is counted, and 95% of the rate must be used.

The score no longer depends on the rate. It counts the queue now, and ingresses pause after refusals.

--- a/src/admission.rs
+++ b/src/admission.rs
@@ -438,7 +438,7 @@
             limit: self.concurrency_limit.get(),
             is_slow: self.speed_history.current_speed(now) == VmSpeed::Burst,
             start_rate: self.pacer.rate(),
-            next_start: self.pacer.time_to_start(now, 0),
+            next_start: self.pacer.time_to_start(now, self.queued()),
         }
     }
 
--- a/src/link/messages.rs
+++ b/src/link/messages.rs
@@ -80,7 +80,8 @@
     /// Requests per second that the backend server takes from all nodes together.
     #[prost(double, optional, tag = "5")]
     pub start_rate: Option<f64>,
-    /// Time until the limit lets another call start, in microseconds.
+    /// Time until the limit lets a call start that is queued behind the others, in
+    /// microseconds.
     #[prost(uint64, tag = "6")]
     pub next_start_us: u64,
     /// Whether the backend server said that it leaves.
--- a/src/rate_limit/tests.rs
+++ b/src/rate_limit/tests.rs
@@ -1,9 +1,12 @@
+mod fleet;
+
 use std::time::Duration;
 
 use assert_matches::assert_matches;
 
 use super::*;
 use crate::ids::{BackendId, BackendKey, NodeId};
+use fleet::Fleet;
 
 const TICK: Duration = Duration::from_millis(1);
 const SECOND: Duration = Duration::from_secs(1);
@@ -275,3 +278,156 @@
     assert!(!known.is_leaving(&node, key(2)));
     assert_eq!(known.get(&node), None);
 }
+
+/// Names the limit at all listed servers and drops what was counted before.
+fn name_limits(fleet: &mut Fleet, servers: &[usize], named: Option<f64>) {
+    for index in servers {
+        fleet.servers[*index].named = named;
+    }
+    // Runs that started before the naming are answered first.
+    fleet.run_until(fleet.now() + Duration::from_millis(300), 100.0);
+    for server in &mut fleet.servers {
+        server.arrivals.clear();
+        server.started_ranks.clear();
+    }
+    fleet.refusal_delays.clear();
+    fleet.retry_afters.clear();
+    (fleet.refused_offers, fleet.offered, fleet.answered) = (0, 0, 0);
+}
+
+fn fewest_in_window(starts: &[Duration], from: Duration, to: Duration, window: Duration) -> usize {
+    let mut fewest = usize::MAX;
+    let mut at = from;
+    while at + window <= to {
+        let in_window = starts
+            .iter()
+            .filter(|start| (at..at + window).contains(start));
+        fewest = fewest.min(in_window.count());
+        at += Duration::from_millis(50);
+    }
+    fewest
+}
+
+/// Checks one limited server: the rate is kept in each window, and 95% of it used.
+fn assert_server_gets_its_rate(fleet: &Fleet, index: usize, named: f64, from: Duration) {
+    let starts = &fleet.servers[index].arrivals;
+    assert_rate_is_kept(starts, named);
+    let window = SECOND * 4;
+    let fewest = fewest_in_window(starts, from, fleet.now(), window);
+    // A window between two starts misses a part of one.
+    let least = (named * 4.0 * 0.95).floor();
+    assert!(
+        fewest as f64 >= least,
+        "server {index}: {fewest} in 4 s of {least}"
+    );
+}
+
+#[test]
+fn limited_server_gets_its_rate_from_25_nodes() {
+    for seed in 1..=3 {
+        let mut fleet = Fleet::new(25, 1, seed);
+        fleet.run_until(SECOND * 2, 100.0);
+        name_limits(&mut fleet, &[0], Some(11.3));
+        let from = fleet.now();
+        fleet.run_until(from + SECOND * 20, 100.0);
+        assert_server_gets_its_rate(&fleet, 0, 11.3, from);
+        // Refused at once, or as soon as more urgent calls have taken the turn.
+        let slowest = fleet.refusal_delays.iter().max().unwrap();
+        assert!(*slowest < Duration::from_millis(300), "{slowest:?}");
+    }
+}
+
+#[test]
+fn more_urgent_calls_get_the_rate_first() {
+    let mut fleet = Fleet::new(25, 1, 1);
+    fleet.run_until(SECOND * 2, 100.0);
+    name_limits(&mut fleet, &[0], Some(11.3));
+    let from = fleet.now();
+    fleet.run_until(from + SECOND * 20, 100.0);
+    let ranks = &fleet.servers[0].started_ranks;
+    let urgent = ranks.iter().filter(|rank| **rank == 0).count();
+    assert!(
+        urgent * 10 >= ranks.len() * 9,
+        "{urgent} of {}",
+        ranks.len()
+    );
+}
+
+#[test]
+fn other_servers_take_the_calls_of_limited_ones() {
+    for seed in 1..=3 {
+        let mut fleet = Fleet::new(25, 5, seed);
+        fleet.run_until(SECOND * 2, 200.0);
+        name_limits(&mut fleet, &[0, 1, 2], Some(11.3));
+        let from = fleet.now();
+        fleet.run_until(from + SECOND * 12, 200.0);
+        for index in 0..3 {
+            assert_rate_is_kept(&fleet.servers[index].arrivals, 11.3);
+        }
+        let answered = fleet.answered as f64 / fleet.offered as f64;
+        assert!(answered > 0.97, "{answered} answered");
+        let offers = fleet.refused_offers as f64 / fleet.offered as f64;
+        assert!(offers < 0.5, "{offers} refused offers a call");
+    }
+}
+
+#[test]
+fn limited_servers_get_their_rates_while_more_is_offered_than_all_take() {
+    for seed in 1..=3 {
+        let mut fleet = Fleet::new(25, 5, seed);
+        fleet.run_until(SECOND * 2, 100.0);
+        name_limits(&mut fleet, &[0, 1, 2, 3, 4], Some(11.3));
+        let from = fleet.now();
+        fleet.run_until(from + SECOND * 12, 200.0);
+        for index in 0..5 {
+            assert_server_gets_its_rate(&fleet, index, 11.3, from);
+        }
+        let offers = fleet.refused_offers as f64 / fleet.offered as f64;
+        assert!(offers < 2.5, "{offers} refused offers a call");
+    }
+}
+
+#[test]
+fn limit_that_comes_in_a_burst_holds_from_the_first_second() {
+    let mut fleet = Fleet::new(25, 1, 1);
+    fleet.run_until(SECOND * 2, 400.0);
+    name_limits(&mut fleet, &[0], Some(11.3));
+    let from = fleet.now();
+    fleet.run_until(from + SECOND * 8, 400.0);
+    assert_server_gets_its_rate(&fleet, 0, 11.3, from);
+}
+
+#[test]
+fn limit_that_changes_each_second_is_followed_by_the_fleet() {
+    let mut fleet = Fleet::new(25, 1, 1);
+    fleet.run_until(SECOND * 2, 100.0);
+    name_limits(&mut fleet, &[0], Some(20.0));
+    for named in [20.0, 8.0, 30.0, 5.0, 12.0, 40.0] {
+        fleet.servers[0].named = Some(named);
+        // The first response with the new rate comes after the runs of the old one.
+        fleet.run_until(fleet.now() + Duration::from_millis(400), 100.0);
+        let known = fleet.servers[0].arrivals.len();
+        fleet.run_until(fleet.now() + Duration::from_millis(600), 100.0);
+        let starts = &fleet.servers[0].arrivals[known..];
+        assert!(
+            starts.len() as f64 <= 1.0 + named * 0.7,
+            "{} at {named}",
+            starts.len()
+        );
+    }
+}
+
+#[test]
+fn limit_holds_while_its_gate_restarts_and_freezes() {
+    let mut fleet = Fleet::new(25, 2, 1);
+    fleet.run_until(SECOND * 2, 100.0);
+    name_limits(&mut fleet, &[0, 1], Some(11.3));
+    for _ in 0..3 {
+        fleet.run_until(fleet.now() + Duration::from_millis(1_300), 100.0);
+        fleet.restart_gate(0);
+        fleet.run_until(fleet.now() + Duration::from_millis(1_300), 100.0);
+        fleet.freeze_gate(0, SECOND * 2);
+        fleet.run_until(fleet.now() + SECOND * 3, 100.0);
+    }
+    assert_rate_is_kept(&fleet.servers[0].arrivals, 11.3);
+}
--- a/src/routing.rs
+++ b/src/routing.rs
@@ -54,7 +54,7 @@
     pub is_slow: bool,
     /// Rate of starts that the backend server named; `None` if it is not limited.
     pub start_rate: Option<StartRate>,
-    /// Time until that rate lets another call start.
+    /// Time until that rate lets a call start that is queued behind the others.
     pub next_start: Duration,
 }
 
--- a/src/routing/upstream.rs
+++ b/src/routing/upstream.rs
@@ -33,8 +33,10 @@
 /// Weight of an attempt of this node relative to a reported call. The own count
 /// is never stale, and other ingresses have probably sent calls since as well.
 const OWN_ATTEMPT_WEIGHT: f64 = 4.0;
-/// Lowest capacity that scores assume of a limited upstream.
-const MIN_CAPACITY: f64 = 0.1;
+/// Doublings of the pause after refusals at a named rate.
+const MAX_RATE_BACKOFF_SHIFT: u32 = 4;
+/// Longest pause after such refusals, beyond the time of the next start.
+const MAX_ASK_BACKOFF: Duration = Duration::from_secs(1);
 /// Score of an upstream without any calls.
 pub(super) const IDLE_SCORE: f64 = 0.5;
 /// Number of answers that the moving average of the latency covers.
@@ -61,7 +63,11 @@
     outstanding: BTreeMap<AttemptNumber, Duration>,
     report: Option<ReportRecord>,
     /// Time from which a named rate lets another call start.
-    rate_free_at: Duration,
+    next_start_at: Duration,
+    /// Time from which a call may ask for an immediate start again.
+    ask_again_at: Duration,
+    /// Refusals at the named rate since the last answer.
+    rate_refusals: u32,
     /// Time of the last sample and mean in microseconds.
     mean_latency: Option<(Duration, f64)>,
     /// Time of the last failure and weight at that time.
@@ -101,7 +107,9 @@
             joined_at,
             outstanding: BTreeMap::new(),
             report: None,
-            rate_free_at: Duration::ZERO,
+            next_start_at: Duration::ZERO,
+            ask_again_at: Duration::ZERO,
+            rate_refusals: 0,
             mean_latency: None,
             failure_weight: (now, 0.0),
             backoff_until: Duration::ZERO,
@@ -179,7 +187,8 @@
     pub(super) fn start_attempt(&mut self, now: Duration, attempt: AttemptNumber) {
         self.outstanding.insert(attempt, now);
         if let Some(rate) = self.start_rate() {
-            self.rate_free_at = self.rate_free_at.max(now) + rate.interval();
+            self.next_start_at = self.next_start_at.max(now) + rate.interval();
+            self.ask_again_at = self.ask_again_at.max(self.next_start_at);
         }
     }
 
@@ -193,14 +202,25 @@
         self.start_rate().is_some()
     }
 
-    /// Whether a call that starts now is known to be refused because of that rate.
+    /// Whether a call is likely to be refused because of that rate if it asks for an
+    /// immediate start.
     pub(super) fn is_rate_used_up(&self, now: Duration) -> bool {
-        self.is_limited() && now < self.rate_free_at
+        self.is_limited() && now < self.ask_again_at
+    }
+
+    /// Time for which calls don't ask after the next start: each start is taken by one
+    /// of many ingresses, and the others would ask in vain.
+    fn ask_backoff(&self) -> Duration {
+        let Some(rate) = self.start_rate() else {
+            return Duration::ZERO;
+        };
+        let intervals = (1 << self.rate_refusals.min(MAX_RATE_BACKOFF_SHIFT)) - 1;
+        (rate.interval() * intervals).min(MAX_ASK_BACKOFF)
     }
 
     /// Time until that rate lets another call start.
     pub(super) fn time_to_start(&self, now: Duration) -> Duration {
-        self.rate_free_at.saturating_sub(now)
+        self.next_start_at.saturating_sub(now)
     }
 
     pub(super) fn record_report(&mut self, now: Duration, report: LoadReport) {
@@ -211,7 +231,8 @@
             report,
             other_ingress_calls,
         });
-        self.rate_free_at = now + report.next_start;
+        self.next_start_at = now + report.next_start;
+        self.ask_again_at = self.next_start_at + self.ask_backoff();
         self.needs_probe = false;
     }
 
@@ -229,6 +250,7 @@
             AttemptResult::Answered => {
                 self.record_latency(now, latency, options);
                 self.consecutive_failures = 0;
+                self.rate_refusals = 0;
                 return Some(latency);
             }
             AttemptResult::AnsweredServerError => self.record_failure(now, options),
@@ -265,6 +287,10 @@
             | ErrorKind::ShareExceeded
             | ErrorKind::TimedOut => {
                 self.backoff_until = self.backoff_until.max(now + REFUSAL_BACKOFF);
+                if self.is_limited() {
+                    self.rate_refusals = self.rate_refusals.saturating_add(1);
+                    self.ask_again_at = self.next_start_at + self.ask_backoff();
+                }
             }
             ErrorKind::BadRequest
             | ErrorKind::BadTimeout
@@ -300,7 +326,7 @@
         means: ServiceMeans,
         options: &RoutingOptions,
     ) -> f64 {
-        let capacity = self.capacity(now, means, options);
+        let capacity = self.capacity(now, options);
         let mean_calls = means.other_ingress_calls_per_slot * f64::from(self.slots);
         let other_ingress_calls = match self.report {
             Some(record) => {
@@ -318,14 +344,11 @@
 
     /// Number of calls that the upstream is assumed to run concurrently.
     ///
-    /// At a named rate, these are the calls in flight of that rate (Little's law).
-    fn capacity(&self, now: Duration, means: ServiceMeans, options: &RoutingOptions) -> f64 {
+    /// A named rate doesn't lower it: whenever the rate lets a call start, the slots are
+    /// there, and a limited upstream that got no calls would never state its end.
+    fn capacity(&self, now: Duration, options: &RoutingOptions) -> f64 {
         let limit = self.report.map_or(self.slots, |record| record.report.limit);
-        let mut limit = f64::from(limit.clamp(1, self.slots.max(1)));
-        if let Some(rate) = self.start_rate() {
-            let in_flight_at_rate = rate.per_second() * means.latency_us / 1e6;
-            limit = in_flight_at_rate.clamp(MIN_CAPACITY, limit);
-        }
+        let limit = f64::from(limit.clamp(1, self.slots.max(1)));
         limit * self.slow_start_share(now, options)
     }
 
