Limits in the fault soak; a gate may take back that its backend server leaves

Soak: one more upstream names limits while its node is killed, frozen or cut off; what it gets is held to the users' bound. Its draws come from a generator of their own, so that the other events of each seed stay as they were.

Announcements of the own interface state no start, so a backend server that said it leaves and came back at its address would have been shut out for good. Its key has the address; the gate tries it again after 60 s or after its withdrawal, and ingresses follow the gate that reported the leaving, but no other.

--- a/src/admin/messages.rs
+++ b/src/admin/messages.rs
@@ -137,7 +137,10 @@
 impl BackendAnnouncement {
     /// Key of the announced start of a backend server.
     pub fn backend_key(&self, id: &BackendId) -> BackendKey {
-        BackendKey::new(id, self.order.map_or(0, |order| order.started_at_ms))
+        match self.order {
+            Some(order) => BackendKey::new(id, order.started_at_ms),
+            None => BackendKey::at_address(id, self.address),
+        }
     }
 }
 
--- a/src/backend.rs
+++ b/src/backend.rs
@@ -74,6 +74,8 @@
     pub id: BackendId,
     /// Which start of the backend server it is.
     pub key: BackendKey,
+    /// Whether a later start would have another key.
+    pub states_its_start: bool,
     /// Service that it belongs to.
     pub service: ServiceName,
     /// Address of its HTTP listener.
--- a/src/backend/tests.rs
+++ b/src/backend/tests.rs
@@ -40,6 +40,7 @@
     let target = BackendTarget {
         id: "b1".parse().unwrap(),
         key: 1.into(),
+        states_its_start: true,
         service: "slotbook".parse().unwrap(),
         address,
         slots: "6".parse().unwrap(),
--- a/src/control/state.rs
+++ b/src/control/state.rs
@@ -233,6 +233,7 @@
             target: BackendTarget {
                 id: id.clone(),
                 key: announcement.backend_key(id),
+                states_its_start: announcement.order.is_some(),
                 service: announcement.service.clone(),
                 address: announcement.address,
                 slots: announcement.slots,
--- a/src/gate.rs
+++ b/src/gate.rs
@@ -214,6 +214,7 @@
                 self.set_backend(target);
                 self.set_warmup(warmup_left);
                 self.record_announced_rate(rate_limit);
+                self.expire_leaving();
             }
             GateCommand::ClearBackend => {
                 *self.backend_client.borrow_mut() = None;
--- a/src/gate/statements.rs
+++ b/src/gate/statements.rs
@@ -19,6 +19,8 @@
     StatementSource,
 };
 
+/// Time for which a backend server that doesn't state its start is taken to leave.
+const UNKNOWN_START_MEMORY: Duration = Duration::from_secs(60);
 /// Statements that ingresses reported before their backend server announced itself.
 const MAX_REPORTED: usize = 64;
 
@@ -26,7 +28,8 @@
 #[derive(Debug, Default)]
 pub(super) struct BackendStatements {
     rate: RefCell<RateStatements>,
-    is_leaving: Cell<bool>,
+    /// Time since which the backend server is known to leave.
+    leaving_since: Cell<Option<Duration>>,
     last_unreadable: RefCell<String>,
     /// Statements that ingresses knew when they opened their links.
     reported: RefCell<BTreeMap<BackendKey, KnownBackendStatement>>,
@@ -37,7 +40,7 @@
 impl BackendStatements {
     /// Whether the backend server said that it leaves.
     pub(super) fn is_leaving(&self) -> bool {
-        self.is_leaving.get()
+        self.leaving_since.get().is_some()
     }
 }
 
@@ -145,7 +148,7 @@
     /// Forgets the statements of a backend server that withdrew or was replaced.
     pub(super) fn forget_statements(self: &Rc<Self>) {
         let old = self.statements.rate.take().rate();
-        self.statements.is_leaving.set(false);
+        self.statements.leaving_since.set(None);
         if let Some(old) = old {
             log::info!(
                 target: "admission", rate_limit = old.per_second();
@@ -252,6 +255,22 @@
         self.schedule_turns();
     }
 
+    /// Lets a backend server that doesn't state its start be tried again after a while:
+    /// it may have restarted unnoticed.
+    pub(super) fn expire_leaving(self: &Rc<Self>) {
+        let since = self.statements.leaving_since.get();
+        let is_old =
+            since.is_some_and(|since| self.now().saturating_sub(since) >= UNKNOWN_START_MEMORY);
+        let may_have_restarted = self
+            .backend_client()
+            .is_some_and(|client| !client.target().states_its_start);
+        if is_old && may_have_restarted {
+            log::info!(target: "admission", "backend server that said it leaves is tried again");
+            self.statements.leaving_since.set(None);
+            self.publish_status();
+        }
+    }
+
     fn record_unreadable(&self, text: &str) {
         self.metrics.count_statement("unreadable");
         let mut last_unreadable = self.statements.last_unreadable.borrow_mut();
@@ -265,7 +284,12 @@
     }
 
     fn start_leaving(self: &Rc<Self>, source: StatementSource) {
-        if self.statements.is_leaving.replace(true) {
+        if self
+            .statements
+            .leaving_since
+            .replace(Some(self.now()))
+            .is_some()
+        {
             return;
         }
         self.metrics.count_statement("leaving");
--- a/src/gate/tests.rs
+++ b/src/gate/tests.rs
@@ -57,6 +57,7 @@
                 target: BackendTarget {
                     id: "b1".parse().unwrap(),
                     key: 1.into(),
+                    states_its_start: true,
                     service: "slotbook".parse().unwrap(),
                     address: backend.addr(),
                     slots: SlotCount::try_from(1).unwrap(),
--- a/src/ids.rs
+++ b/src/ids.rs
@@ -5,11 +5,12 @@
 //! The unit of a number is in the type name or its documentation.
 
 use std::fmt;
+use std::net::SocketAddr;
 use std::str::FromStr;
 
 use derive_more::{Display, Error};
 use serde::{Deserialize, Serialize};
-use xxhash_rust::xxh3::xxh3_64_with_seed;
+use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
 /// Longest text identifier, in bytes.
 const MAX_NAME_BYTES: usize = 64;
@@ -190,7 +191,7 @@
     "a whole number from 1"
 );
 
-/// Hash of a backend server's identifier and start; a later start of it has another.
+/// Hash that identifies one start of a backend server.
 #[derive(
     Debug,
     Clone,
@@ -207,11 +208,17 @@
 pub struct BackendKey(u64);
 
 impl BackendKey {
-    /// Key of the start at this time in Unix milliseconds; 0 if it isn't known.
+    /// Key of the start at this time in Unix milliseconds.
     pub fn new(id: &BackendId, started_at_ms: u64) -> Self {
         Self(xxh3_64_with_seed(id.as_str().as_bytes(), started_at_ms))
     }
 
+    /// Key of a backend server that doesn't state its start: a later start at the same
+    /// address has the same.
+    pub fn at_address(id: &BackendId, address: SocketAddr) -> Self {
+        Self(xxh3_64(format!("{id}@{address}").as_bytes()))
+    }
+
     /// Returns the hash.
     pub fn get(self) -> u64 {
         self.0
--- a/src/ingress.rs
+++ b/src/ingress.rs
@@ -353,7 +353,7 @@
         let now = shared.now();
         let mut router = lock(&shared.router);
         match notice {
-            UpstreamEvent::Load(load) => {
+            UpstreamEvent::Load(gate, load) => {
                 let report = LoadReport {
                     in_flight: load.in_flight,
                     queued: load.queued,
@@ -364,11 +364,12 @@
                 };
                 router.record_report(now, &node, report);
                 let statement = (load.backend != 0).then(|| KnownStatement {
+                    gate,
                     backend: load.backend.into(),
                     rate: report.start_rate,
                     is_leaving: load.is_leaving,
                 });
-                router.record_statement(&node, statement);
+                router.record_statement(&node, gate, statement);
             }
             UpstreamEvent::Leaving => router.mark_draining(now, &node),
             UpstreamEvent::LinkLost => {}
--- a/src/link/call_link.rs
+++ b/src/link/call_link.rs
@@ -34,8 +34,8 @@
 /// Event on a link that concerns the upstream rather than one call.
 #[derive(Debug, Clone, Copy)]
 pub enum UpstreamEvent {
-    /// The gate reported its current load.
-    Load(LoadSnapshot),
+    /// The gate of this incarnation reported its current load.
+    Load(NodeIncarnation, LoadSnapshot),
     /// The upstream accepts no new calls.
     Leaving,
     /// The connection failed or was closed, or the gate stopped responding.
@@ -228,7 +228,8 @@
         | LinkMessage::Ping(_) => (None, None),
     };
     if let Some(load) = load {
-        let _ = upstream_events.send((link.gate.clone(), UpstreamEvent::Load(load)));
+        let event = UpstreamEvent::Load(link.incarnation, load);
+        let _ = upstream_events.send((link.gate.clone(), event));
     }
     if let Some(sequence) = sequence {
         link.deliver(sequence, message);
--- a/src/rate_limit/known.rs
+++ b/src/rate_limit/known.rs
@@ -3,12 +3,12 @@
 //! They outlive the gate's process, and the ingress keeps to them without the gate: a
 //! backend server that said that it leaves gets no further call from here, even if a
 //! gate that has restarted believes it ready. A statement belongs to one start of a
-//! backend server and ends with it.
+//! backend server and ends with it, or when the gate that reported it says so.
 
 use std::collections::BTreeMap;
 
 use super::StartRate;
-use crate::ids::{BackendKey, NodeId};
+use crate::ids::{BackendKey, NodeId, NodeIncarnation};
 
 /// Nodes whose statements are kept, more than a subset of upstreams has.
 const MAX_KNOWN_NODES: usize = 4_096;
@@ -16,6 +16,8 @@
 /// What a backend server stated last.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct KnownStatement {
+    /// Gate that reported it.
+    pub gate: NodeIncarnation,
     /// Start of the backend server that stated it.
     pub backend: BackendKey,
     /// Limit on its requests.
@@ -31,15 +33,19 @@
 }
 
 impl KnownStatements {
-    /// Records what a gate reported. A backend server that leaves doesn't come back
-    /// before its next start.
+    /// Records what a gate reported. A gate that has restarted may not know yet that its
+    /// backend server leaves.
     pub fn record(&mut self, node: &NodeId, reported: KnownStatement) {
-        let known = self.statements.get(node);
-        let was_leaving =
-            known.is_some_and(|known| known.is_leaving && known.backend == reported.backend);
-        let statement = KnownStatement {
-            is_leaving: reported.is_leaving || was_leaving,
-            ..reported
+        let known_leaving = self.statements.get(node).filter(|known| {
+            let is_same_start = known.backend == reported.backend;
+            known.is_leaving && is_same_start && known.gate != reported.gate
+        });
+        let statement = match known_leaving {
+            Some(known) => KnownStatement {
+                rate: reported.rate,
+                ..*known
+            },
+            None => reported,
         };
         if statement.rate.is_none() && !statement.is_leaving {
             self.statements.remove(node);
@@ -51,11 +57,11 @@
         self.statements.insert(node.clone(), statement);
     }
 
-    /// Forgets the limit of the node's backend server.
-    pub fn end_rate(&mut self, node: &NodeId) {
+    /// Records that a gate reported nothing to remember.
+    pub fn record_none(&mut self, node: &NodeId, gate: NodeIncarnation) {
         if let Some(known) = self.statements.get_mut(node) {
             known.rate = None;
-            if !known.is_leaving {
+            if !known.is_leaving || known.gate == gate {
                 self.statements.remove(node);
             }
         }
--- a/src/rate_limit/tests.rs
+++ b/src/rate_limit/tests.rs
@@ -5,7 +5,7 @@
 use assert_matches::assert_matches;
 
 use super::*;
-use crate::ids::{BackendId, BackendKey, NodeId};
+use crate::ids::{BackendId, BackendKey, NodeId, NodeIncarnation};
 use fleet::Fleet;
 
 const TICK: Duration = Duration::from_millis(1);
@@ -263,22 +263,40 @@
 fn server_that_left_stays_so_until_its_next_start() {
     let node: NodeId = "node-1".parse().unwrap();
     let mut known = KnownStatements::default();
-    let statement = |backend, is_leaving| KnownStatement {
+    let gate = |start: u64| NodeIncarnation::try_from(start).unwrap();
+    let statement = |start, backend, is_leaving| KnownStatement {
+        gate: gate(start),
         backend,
         rate: None,
         is_leaving,
     };
-    known.record(&node, statement(key(1), true));
+    known.record(&node, statement(1, key(1), true));
     // A gate that has restarted doesn't know it, and reports nothing or a limit only.
-    known.end_rate(&node);
-    known.record(&node, statement(key(1), false));
+    known.record_none(&node, gate(2));
+    known.record(&node, statement(2, key(1), false));
     assert!(known.is_leaving(&node, key(1)));
     assert!(!known.is_leaving(&node, key(2)));
-    known.record(&node, statement(key(2), false));
+    known.record(&node, statement(2, key(2), false));
     assert!(!known.is_leaving(&node, key(2)));
     assert_eq!(known.get(&node), None);
 }
 
+#[test]
+fn server_that_left_is_back_when_its_gate_says_so() {
+    let node: NodeId = "node-1".parse().unwrap();
+    let gate = NodeIncarnation::try_from(1).unwrap();
+    let mut known = KnownStatements::default();
+    let leaving = KnownStatement {
+        gate,
+        backend: key(1),
+        rate: None,
+        is_leaving: true,
+    };
+    known.record(&node, leaving);
+    known.record_none(&node, gate);
+    assert!(!known.is_leaving(&node, key(1)));
+}
+
 /// Names the limit at all listed servers and drops what was counted before.
 fn name_limits(fleet: &mut Fleet, servers: &[usize], named: Option<f64>) {
     for index in servers {
--- a/src/rate_limit/tests/fleet.rs
+++ b/src/rate_limit/tests/fleet.rs
@@ -344,12 +344,14 @@
         let load = self.servers[index].gate.load(self.now);
         let router = &mut self.routers[ingress];
         router.record_report(self.now, &node(index), LoadReport::from(load));
+        let gate = NodeIncarnation::try_from(1).unwrap();
         let statement = load.start_rate.map(|start_rate| KnownStatement {
+            gate,
             backend: 1.into(),
             rate: Some(start_rate),
             is_leaving: false,
         });
-        router.record_statement(&node(index), statement);
+        router.record_statement(&node(index), gate, statement);
     }
 
     fn start_run(&mut self, index: usize, id: CallId) {
--- a/src/routing/router.rs
+++ b/src/routing/router.rs
@@ -15,7 +15,7 @@
     RoutingOptions, SkippedUpstreams, UpstreamSnapshot,
 };
 use crate::error::ErrorKind;
-use crate::ids::{NodeId, ServiceName};
+use crate::ids::{NodeId, NodeIncarnation, ServiceName};
 use crate::rate_limit::{KnownStatement, KnownStatements};
 use crate::table::{RoutingTable, ServiceEntry, UpstreamState};
 
@@ -207,10 +207,15 @@
 
     /// Records what a gate reports of its backend server's statements; `None` if there
     /// is nothing to remember of it.
-    pub fn record_statement(&mut self, node: &NodeId, reported: Option<KnownStatement>) {
+    pub fn record_statement(
+        &mut self,
+        node: &NodeId,
+        gate: NodeIncarnation,
+        reported: Option<KnownStatement>,
+    ) {
         match reported {
             Some(reported) => self.known_statements.record(node, reported),
-            None => self.known_statements.end_rate(node),
+            None => self.known_statements.record_none(node, gate),
         }
     }
 
--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -9,6 +9,7 @@
 //!   ticket is in force at the end.
 //! - A planned stop ends with exit code 0.
 //! - A draining backend server gets no new order after the users' bound.
+//! - A backend server that names a limit gets no more requests than the users allow.
 //! - Orders are answered again after the last fault.
 //!
 //! `SOAK_SEEDS` lists seeds, separated by commas. Without it, `SOAK_FRESH` sets
@@ -41,11 +42,12 @@
 use plan::{SoakEvent, make_schedule};
 use script::{clear_fault, inject_fault};
 
+/// Upstreams with faults and drains; one more names limits.
 const UPSTREAM_COUNT: usize = 4;
 /// Fleet that offers calls to gates as on the users' platform. Orders take long
 /// enough that every fault hits some that run and some that are queued.
 const FLEET_CONFIG: FleetConfig = FleetConfig {
-    upstream_count: UPSTREAM_COUNT,
+    upstream_count: UPSTREAM_COUNT + 1,
     node_flags: &["--asks", "3", "--slot-limit", "fixed"],
     work_ms: "60",
 };
@@ -55,6 +57,13 @@
 /// Seeds that found a fault. In 160807, a node received SIGTERM before it had
 /// installed its signal handlers.
 const REGRESSION_SEEDS: [u64; 1] = [160_807];
+/// Requests per second that limited backend servers name.
+const NAMED_RATE: f64 = 8.0;
+/// Users' bound on the requests of a limited backend server in [`LIMIT_WINDOW`], from
+/// [`LIMIT_GRACE`] after the naming on.
+const MAX_LIMITED_REQUESTS: f64 = 1.5 * NAMED_RATE * 4.0 + 5.0;
+const LIMIT_WINDOW: Duration = Duration::from_secs(4);
+const LIMIT_GRACE: Duration = Duration::from_secs(3);
 /// Users' bound from the last fault until an order is answered.
 const RECOVERY_BOUND: Duration = Duration::from_secs(15);
 /// Users' bound from acceptance until a ticket is in force everywhere.
@@ -127,6 +136,36 @@
 struct SoakMonitor {
     tickets: TicketMonitor,
     runs_at_drain_bound: RunsAtDrainBound,
+    /// When limited backend servers first named their limits.
+    limited_since: BTreeMap<usize, Instant>,
+}
+
+async fn name_limit(fleet: &Fleet, index: usize, monitor: &mut SoakMonitor) {
+    let fields = json!({ "currantlift-rate-limit": NAMED_RATE.to_string() });
+    let faults = json!({ "response_fields": fields });
+    let upstream = &fleet.upstreams[index];
+    upstream.set_backend_faults(&fleet.client, &faults).await;
+    monitor.limited_since.insert(index, Instant::now());
+}
+
+/// Ends a limit and checks the requests since its grace time.
+async fn end_limit(fleet: &Fleet, index: usize, monitor: &mut SoakMonitor, seed: u64) {
+    let upstream = &fleet.upstreams[index];
+    let arrivals_ms = upstream.arrivals_ms(&fleet.client).await;
+    upstream.set_backend_faults(&fleet.client, &json!({})).await;
+    let limited_for = monitor.limited_since.remove(&index).unwrap().elapsed();
+    let checked_ms = limited_for.saturating_sub(LIMIT_GRACE).as_millis() as u64;
+    let last_ms = arrivals_ms.last().copied().unwrap_or_default();
+    let checked = |at: &&u64| last_ms.saturating_sub(**at) < checked_ms;
+    let arrivals_ms: Vec<u64> = arrivals_ms.iter().filter(checked).copied().collect();
+    let window_ms = LIMIT_WINDOW.as_millis() as u64;
+    for (first, start) in arrivals_ms.iter().enumerate() {
+        let in_window = arrivals_ms[first..].partition_point(|at| *at < start + window_ms);
+        assert!(
+            in_window as f64 <= MAX_LIMITED_REQUESTS,
+            "seed {seed}: {in_window} requests at a limit of {NAMED_RATE}"
+        );
+    }
 }
 
 async fn apply_event(fleet: &mut Fleet, event: SoakEvent, monitor: &mut SoakMonitor, seed: u64) {
@@ -147,6 +186,8 @@
             );
             set_draining(fleet, index, false).await;
         }
+        SoakEvent::NameLimit(index) => name_limit(fleet, index, monitor).await,
+        SoakEvent::EndLimit(index) => end_limit(fleet, index, monitor, seed).await,
         SoakEvent::BeginFault(index, fault) => inject_fault(fleet, index, fault).await,
         SoakEvent::EndFault(index, fault) => clear_fault(fleet, index, fault).await,
         SoakEvent::RestartNode(index) => {
@@ -196,6 +237,7 @@
             in_force: 1,
         },
         runs_at_drain_bound: RunsAtDrainBound::new(),
+        limited_since: BTreeMap::new(),
     };
     let schedule = make_schedule(seed, UPSTREAM_COUNT, configured_fault_time());
     let started_at = Instant::now();
--- a/tests/soak/plan.rs
+++ b/tests/soak/plan.rs
@@ -1,7 +1,8 @@
 //! Schedule of a soak test, which a seed determines.
 //!
 //! Each upstream but one gets a series of overlapping faults, restarts and
-//! drains. Faults of the store and new tickets come in between.
+//! drains. Faults of the store and new tickets come in between. One further upstream
+//! names limits while its node is killed, frozen or cut off.
 
 use std::time::Duration;
 
@@ -53,6 +54,10 @@
     DrainBoundReached(usize),
     /// Have the backend server announce that it is ready again.
     EndDrain(usize),
+    /// Have a backend server name a limit in its responses.
+    NameLimit(usize),
+    /// Have it name none again.
+    EndLimit(usize),
     /// Have the store refuse all requests.
     DisableStore,
     /// Slow the store down and lose its responses to two writes.
@@ -113,6 +118,7 @@
             schedule.push((at_ms, SoakEvent::RestoreStore));
         }
     }
+    add_limits(seed, &mut schedule, upstream_count, end_ms);
     schedule.sort();
     let events = schedule.into_iter();
     events
@@ -120,6 +126,25 @@
         .collect()
 }
 
+/// Adds limits of one upstream, during each of which its node has a fault.
+fn add_limits(seed: u64, schedule: &mut Vec<(u64, SoakEvent)>, index: usize, end_ms: u64) {
+    // A generator of its own leaves the other events of a seed as they were.
+    let mut rng = StdRng::seed_from_u64(!seed);
+    let mut at_ms = 0;
+    while at_ms < end_ms {
+        at_ms += rng.random_range(0..MAX_FAULT_GAP_MS);
+        schedule.push((at_ms, SoakEvent::NameLimit(index)));
+        let node_faults = [Fault::KillNode, Fault::FreezeNode, Fault::CutLinks];
+        let fault = *node_faults.choose(&mut rng).unwrap();
+        let begin_ms = at_ms + rng.random_range(0..FAULT_DURATION_MS.1);
+        at_ms = begin_ms + rng.random_range(FAULT_DURATION_MS.0..FAULT_DURATION_MS.1);
+        schedule.push((begin_ms, SoakEvent::BeginFault(index, fault)));
+        schedule.push((at_ms, SoakEvent::EndFault(index, fault)));
+        at_ms += FAULT_DURATION_MS.1;
+        schedule.push((at_ms, SoakEvent::EndLimit(index)));
+    }
+}
+
 /// Adds overlapping faults of one to three groups; returns when the last ends.
 fn add_overlapping_faults(
     rng: &mut StdRng,
