Check for a cancellation and the deadline before a call is sent

Here a gate that was paused read a call and its cancellation at the same moment, and sent the call nevertheless (test: reply 'may have run' before, 'not run' now). A call whose time had passed while its slot was granted was sent with a time limit of 1 ms. Both give the slot back and are reported as not run.

--- a/src/gate/call.rs
+++ b/src/gate/call.rs
@@ -115,6 +115,17 @@
         call.unregister();
     }
 
+    /// Handles the inputs that have arrived; returns whether one cancels the call. A
+    /// gate that was paused reads calls and their cancellations at the same moment.
+    fn has_pending_cancel(&mut self) -> bool {
+        while let Ok(input) = self.inputs.try_recv() {
+            if matches!(self.handle_input(input), InputEffect::Cancelled) {
+                return true;
+            }
+        }
+        false
+    }
+
     /// Ends the call. Inputs that arrived at the same moment get their reply from
     /// the ledger, as all later messages do.
     fn unregister(mut self) {
@@ -231,6 +242,16 @@
     /// Runs the call at the backend server. Returns whether there is a response
     /// to keep outside the ledger until it is acknowledged.
     async fn run_on_backend(&mut self, body: RequestBodySource) -> bool {
+        if self.has_pending_cancel() {
+            self.gate.finish_call(self.id, WorkResult::NotSent);
+            self.send_cancel_reply(true);
+            return false;
+        }
+        if self.time_left().is_zero() {
+            self.gate.finish_call(self.id, WorkResult::NotSent);
+            self.send_refusal(&ErrorKind::TimedOut.into());
+            return false;
+        }
         let Some(client) = self.gate.backend_client() else {
             self.gate.finish_call(self.id, WorkResult::NotSent);
             self.send_refusal(&ErrorKind::BackendUnreachable.into());
--- a/src/gate/tests.rs
+++ b/src/gate/tests.rs
@@ -315,3 +315,22 @@
     // aborted.
     assert_matches!(receiver.recv().await, Some(LinkMessage::Credit(_)));
 }
+
+/// A gate that was paused reads calls and their cancellations at the same moment.
+#[ntex::test]
+async fn call_cancelled_before_the_gate_read_it_does_not_run() {
+    let mut fixture = GateFixture::start().await;
+    fixture.send_open(1, "/");
+    fixture
+        .sender
+        .send(LinkMessage::Cancel(CallReference { sequence: 1 }));
+    assert_matches!(
+        fixture.receiver.recv().await,
+        Some(LinkMessage::CancelReply(CancelReply {
+            sequence: 1,
+            is_not_run: true
+        }))
+    );
+    ntex::time::sleep(ntex::time::Millis(50)).await;
+    assert_eq!(fixture.runs(), 0);
+}
