Late copies in place of load polls, and resends that did not arrive

- A late second copy of a response, read in place of a load poll's, was taken for the poll's, and its connection went back to the pool with the poll's own response still to come: a caller could have got that.
A poll's response that repeats a request's identifier now ends the connection.
- A request that was sent again after its connection closed without a response was reported as not run if the second copy found no listener or was refused.
The first may have run: reported as failed now.

--- a/src/backend.rs
+++ b/src/backend.rs
@@ -199,9 +199,17 @@
             statement: None,
             is_resent: false,
         };
-        exchange.result = self
+        let result = self
             .send_into(&mut exchange, call, open, time_left_ms, body)
             .await;
+        exchange.result = result.map_err(|error| {
+            if exchange.is_resent {
+                // The first copy may have run, whatever became of the second.
+                BackendError::failed(&error)
+            } else {
+                error
+            }
+        });
         exchange
     }
 
@@ -227,8 +235,8 @@
         let final_result = match first_result {
             Err(ExchangeError::NoResponse(_)) if may_resend => {
                 upload.restart(head);
-                let connection = self.connect().await?;
                 record.is_resent = true;
+                let connection = self.connect().await?;
                 self.exchange(connection, &mut upload, open).await
             }
             other => other,
@@ -263,6 +271,16 @@
             None => self.connect().await.ok()?,
         };
         let response_head = connection.send_without_body(head).await?;
+        let request_id = self
+            .dialect
+            .request_id
+            .and_then(|name| crate::http1::head::field_text(&response_head.fields, name));
+        if request_id.is_some() {
+            // A poll has no identifier: this is a late copy of another response, and
+            // that to the poll is still to come.
+            log::info!(target: "gate", request = request_id; "response to another request in place of a load poll's");
+            return None;
+        }
         let load = self.load_from_head(&response_head);
         let statement = self
             .is_own_poll_response(&response_head)
--- a/src/backend/tests.rs
+++ b/src/backend/tests.rs
@@ -294,3 +294,46 @@
         assert_eq!(closed, Ok(Some(())), "{start:?}, then {repeated:?}");
     }
 }
+
+/// A backend server may send a second copy of a response late, when its connection is
+/// in use again. A load poll has no identifier of its own to tell the copy by.
+#[ntex::test]
+async fn late_copy_of_a_response_is_not_taken_for_that_of_a_load_poll() {
+    let health_response = "HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n";
+    let copy_then_health = format!("{MATCHING_RESPONSE}{health_response}");
+    let mut fixture = start_backend(vec![
+        script(&[MATCHING_RESPONSE, MATCHING_RESPONSE, &copy_then_health]),
+        script(&[MATCHING_RESPONSE]),
+    ])
+    .await;
+    let address = fixture.client.target().address;
+    fixture.client = new_client(address, Some("/healthz"));
+    assert_eq!(fixture.send(true).await, expected_response());
+    assert_matches!(fixture.client.fetch_load().await, None);
+    // The health response is still to come on the first connection.
+    assert!(fixture.client.idle_connections.borrow().is_empty());
+}
+
+/// The first copy may have run, so that the call must not be reported as not run.
+#[ntex::test]
+async fn resend_that_reaches_nobody_is_not_reported_as_not_run() {
+    let mut first_connection = script(&[MATCHING_RESPONSE]);
+    first_connection.push(None);
+    // The listener is closed after the first connection.
+    let fixture = start_backend(vec![first_connection]).await;
+    assert_eq!(fixture.send(true).await, expected_response());
+    assert_matches!(fixture.send(true).await, Err(BackendError::Failed { .. }));
+    assert_eq!(fixture.request_count(), 2);
+}
+
+#[ntex::test]
+async fn refusal_of_a_resend_is_not_reported_as_not_run() {
+    let not_executed =
+        "HTTP/1.1 503 Service Unavailable\r\nx-not-run: 1\r\ncontent-length: 0\r\n\r\n";
+    let mut first_connection = script(&[MATCHING_RESPONSE]);
+    first_connection.push(None);
+    let fixture = start_backend(vec![first_connection, script(&[not_executed])]).await;
+    assert_eq!(fixture.send(true).await, expected_response());
+    assert_matches!(fixture.send(true).await, Err(BackendError::Failed { .. }));
+    assert_eq!(fixture.request_count(), 3);
+}
