Act on the slots and the Retry-After that a backend server states

Server-Load names its slots on each response; calls in flight are bounded by them, at most by those announced. A 503 of a request that it has not run may state when to retry; the gate passes that on in place of 100 ms. Both have a test of their own.

--- a/src/backend.rs
+++ b/src/backend.rs
@@ -103,6 +103,8 @@
     Refused {
         /// Status of its response.
         status: u16,
+        /// Time after which it says to retry; `None` if it doesn't say.
+        retry_after: Option<Duration>,
     },
     /// The exchange failed after it had started: the request may have run.
     #[display("backend server failed: {reason}")]
@@ -435,6 +437,7 @@
         if has_field(self.dialect.not_executed) {
             return Err(BackendError::Refused {
                 status: head.status,
+                retry_after: answer::retry_after(&head.fields),
             });
         }
         if self.is_from_another_backend(head) {
--- a/src/backend/answer.rs
+++ b/src/backend/answer.rs
@@ -112,6 +112,13 @@
     }
 }
 
+/// Time that the backend server states in its `Retry-After` field, in seconds; a date
+/// is not read.
+pub(super) fn retry_after(fields: &[HeaderField]) -> Option<Duration> {
+    let seconds = field_text(fields, "retry-after")?.trim().parse().ok()?;
+    Duration::try_from_secs_f64(seconds).ok()
+}
+
 /// Idle timeout that the backend server states in its `Keep-Alive` field.
 pub(super) fn keep_alive_timeout(fields: &[HeaderField]) -> Option<Duration> {
     let text = field_text(fields, "keep-alive")?;
--- a/src/backend/tests.rs
+++ b/src/backend/tests.rs
@@ -175,12 +175,15 @@
 
 #[ntex::test]
 async fn backend_refusal_reports_that_the_request_did_not_run() {
-    let not_executed =
-        "HTTP/1.1 503 Service Unavailable\r\nx-not-run: 1\r\ncontent-length: 0\r\n\r\n";
+    let not_executed = "HTTP/1.1 503 Service Unavailable\r\nx-not-run: 1\r\nretry-after: 0.25\r\ncontent-length: 0\r\n\r\n";
     let misdirected = "HTTP/1.1 421 Misdirected Request\r\ncontent-length: 0\r\n\r\n";
     let fixture = start_backend(vec![script(&[not_executed]), script(&[misdirected])]).await;
     let refused = fixture.send(false).await;
-    assert_eq!(refused, Err(BackendError::Refused { status: 503 }));
+    let expected = BackendError::Refused {
+        status: 503,
+        retry_after: Some(Duration::from_millis(250)),
+    };
+    assert_eq!(refused, Err(expected));
     let unreachable = fixture.send(false).await;
     assert_matches!(unreachable, Err(BackendError::Unreachable { .. }));
 }
--- a/src/gate.rs
+++ b/src/gate.rs
@@ -36,7 +36,7 @@
 use crate::gate::links::{ActiveLink, serve_local_link, serve_remote_link};
 use crate::gate::meter::LoadPoller;
 use crate::gate::statements::BackendStatements;
-use crate::ids::{BackendKey, CallId, NodeIncarnation, ServiceName};
+use crate::ids::{BackendKey, CallId, NodeIncarnation, ServiceName, SlotCount};
 use crate::ledger::{CachedResponse, CallLedger, LedgerLimits, RunPermit};
 use crate::link::endpoint::{LinkReceiver, LinkSender};
 use crate::link::messages::{CallOpen, LinkHello, LinkMessage, LinkPing, LoadSnapshot};
@@ -322,10 +322,15 @@
     /// calls that it allows.
     pub fn record_backend_load(self: &Rc<Self>, load: BackendLoad) {
         let now = self.now();
-        let started_calls = match self.admission.borrow_mut().as_mut() {
-            Some(admission) => admission.record_slowdown(now, load.slowness),
-            None => Vec::new(),
-        };
+        let announced_slots = self.backend_client().map(|client| client.target().slots);
+        let mut started_calls = Vec::new();
+        if let Some(admission) = self.admission.borrow_mut().as_mut() {
+            if let Some(announced_slots) = announced_slots {
+                let slots = usable_slots(announced_slots, load.slots);
+                started_calls = admission.set_slots(now, slots);
+            }
+            started_calls.extend(admission.record_slowdown(now, load.slowness));
+        }
         self.start_queued_calls(started_calls);
         self.refuse_evicted_calls();
         self.publish_status();
@@ -603,6 +608,13 @@
     );
 }
 
+/// Slots that the backend server can use now: those that it stated last, at most those
+/// that it announced.
+fn usable_slots(announced: SlotCount, stated: u32) -> SlotCount {
+    let stated = SlotCount::try_from(u64::from(stated)).unwrap_or(announced);
+    stated.min(announced)
+}
+
 fn log_queued_refusal(open: &CallOpen, retry_after: Duration, load: LoadSnapshot) {
     log::info!(
         target: "admission",
--- a/src/gate/call.rs
+++ b/src/gate/call.rs
@@ -55,6 +55,10 @@
 enum RunError {
     Cancelled,
     Failed(ErrorKind),
+    /// The backend server did not run the call, and stated when to retry.
+    Refused {
+        retry_after: Duration,
+    },
 }
 
 /// State of one call at the gate.
@@ -269,12 +273,13 @@
             },
             Err(RunError::Cancelled) => WorkResult::Cancelled,
             Err(RunError::Failed(ErrorKind::BackendUnreachable)) => WorkResult::NotSent,
-            Err(RunError::Failed(_)) => WorkResult::Failed,
+            Err(RunError::Failed(_) | RunError::Refused { .. }) => WorkResult::Failed,
         };
         let (result_label, elapsed) = match &result {
             Ok(()) => ("answered", Some(started_at.elapsed())),
             Err(RunError::Cancelled) => ("cancelled", None),
             Err(RunError::Failed(kind)) => (kind.code(), None),
+            Err(RunError::Refused { .. }) => (ErrorKind::BackendRefused.code(), None),
         };
         self.gate.metrics.record_run(result_label, elapsed);
         self.gate.finish_call(self.id, work_result);
@@ -303,6 +308,13 @@
                 self.gate.return_run_permit(permit);
                 self.send_refusal(&GateRefusal::from(*kind));
             }
+            Err(RunError::Refused { retry_after }) => {
+                self.gate.return_run_permit(permit);
+                self.send_refusal(&GateRefusal {
+                    retry_after: *retry_after,
+                    ..ErrorKind::BackendRefused.into()
+                });
+            }
             Err(RunError::Failed(kind)) => {
                 self.gate.finish_run_without_response(permit);
                 self.response_sender
@@ -348,7 +360,7 @@
         {
             ExchangeStep::ResponseHead(Ok(response)) => response,
             ExchangeStep::ResponseHead(Err(error)) => {
-                return Err(RunError::Failed(self.classify_backend_error(&error)));
+                return Err(self.classify_backend_error(&error));
             }
             ExchangeStep::ResponseChunk(_) => return Err(RunError::Failed(ErrorKind::Internal)),
         };
@@ -358,13 +370,19 @@
         self.relay_response(*response).await
     }
 
-    /// Logs the error and returns the kind to report to the ingress.
-    fn classify_backend_error(&self, error: &BackendError) -> ErrorKind {
+    /// Logs the error and returns what to report to the ingress.
+    fn classify_backend_error(&self, error: &BackendError) -> RunError {
         log::warn!(target: "gate", call:% = self.id; "{error}");
         match error {
-            BackendError::Unreachable { .. } => ErrorKind::BackendUnreachable,
-            BackendError::Refused { .. } => ErrorKind::BackendRefused,
-            BackendError::Failed { .. } => ErrorKind::BackendFailed,
+            BackendError::Unreachable { .. } => RunError::Failed(ErrorKind::BackendUnreachable),
+            BackendError::Refused {
+                retry_after: Some(retry_after),
+                ..
+            } => RunError::Refused {
+                retry_after: *retry_after,
+            },
+            BackendError::Refused { .. } => RunError::Failed(ErrorKind::BackendRefused),
+            BackendError::Failed { .. } => RunError::Failed(ErrorKind::BackendFailed),
         }
     }
 
--- a/src/gate/tests.rs
+++ b/src/gate/tests.rs
@@ -8,7 +8,7 @@
 
 use super::*;
 use crate::fields::DEFAULT_DIALECT;
-use crate::ids::{ConnectionCount, SlotCount};
+use crate::ids::ConnectionCount;
 use crate::link::endpoint::message_channel;
 use crate::link::messages::{CallReference, CallResume, CancelReply, ResumeState};
 use crate::link::window::{INITIAL_WINDOW_BYTES, SendWindow};
@@ -334,3 +334,11 @@
     ntex::time::sleep(ntex::time::Millis(50)).await;
     assert_eq!(fixture.runs(), 0);
 }
+
+#[test]
+fn stated_slots_bound_the_calls_up_to_those_announced() {
+    let slots = |count: u64| SlotCount::try_from(count).unwrap();
+    for (announced, stated, expected) in [(6, 4, 4), (6, 9, 6), (6, 0, 6), (6, 6, 6)] {
+        assert_eq!(usable_slots(slots(announced), stated), slots(expected));
+    }
+}
