First load poll waits for its budget; leaving under load fails no order

A backend server that left before its gate restarted, and that a late heartbeat calls ready, is told by its first load poll: all its responses say so. The poll was skipped if the budget was still empty, in the first 33 ms of a process; it waits for it now.

--- a/src/gate/meter.rs
+++ b/src/gate/meter.rs
@@ -61,10 +61,20 @@
         });
     }
 
-    /// Takes the first reading of a new backend server.
+    /// Takes the first reading of a new backend server, which may also say that it
+    /// leaves or name a limit, as soon as the budget allows it.
     pub(super) fn spawn_first_load_poll(self: &Rc<Self>) {
         let gate = Rc::clone(self);
-        ntex::rt::spawn(async move { gate.poll_load().await });
+        ntex::rt::spawn(async move {
+            let polls_per_second = gate.load_poller.max_polls_per_second;
+            let Ok(pause) = Duration::try_from_secs_f64(1.0 / polls_per_second) else {
+                gate.proceed_without_load();
+                return;
+            };
+            while !gate.poll_load().await && gate.backend_client().is_some() {
+                tokio::time::sleep(pause).await;
+            }
+        });
     }
 
     fn next_load_poll_at(&self) -> Option<Duration> {
@@ -72,7 +82,8 @@
         admission.as_ref()?.next_reading_at(self.now())
     }
 
-    async fn poll_load(self: &Rc<Self>) {
+    /// Polls the load, if the budget allows it; returns whether it did.
+    async fn poll_load(self: &Rc<Self>) -> bool {
         let client = self.backend_client();
         let has_budget = (self.load_poller.budget.borrow_mut())
             .try_take(self.now(), self.load_poller.max_polls_per_second);
@@ -100,6 +111,7 @@
                 self.proceed_without_load();
             }
         }
+        has_budget
     }
 
     fn proceed_without_load(self: &Rc<Self>) {
--- a/src/gate/tests.rs
+++ b/src/gate/tests.rs
@@ -24,6 +24,11 @@
 
 impl GateFixture {
     async fn start() -> Self {
+        Self::start_with_polls(0.0).await
+    }
+
+    /// The backend server's health path says that it leaves; nothing else does.
+    async fn start_with_polls(load_polls_per_second: f64) -> Self {
         let runs = Arc::new(AtomicU32::new(0));
         let counter = Arc::clone(&runs);
         let backend = test::server(async move || {
@@ -31,6 +36,11 @@
             App::new().default_service(web::to(move |request: web::HttpRequest| {
                 let counter = Arc::clone(&counter);
                 async move {
+                    if request.path() == "/health" {
+                        return HttpResponse::Ok()
+                            .header("currantlift-leaving", "1")
+                            .finish();
+                    }
                     counter.fetch_add(1, Ordering::SeqCst);
                     if request.path() == "/slow" {
                         ntex::time::sleep(ntex::time::Millis(200)).await;
@@ -46,7 +56,7 @@
         let settings = GateSettings {
             dialect: &DEFAULT_DIALECT,
             admission: AdmissionOptions::default(),
-            load_polls_per_second: 0.0,
+            load_polls_per_second,
             metrics: Arc::default(),
         };
         ntex::rt::spawn(run_gate(incarnation, settings, receiver, status));
@@ -62,7 +72,7 @@
                     address: backend.addr(),
                     slots: SlotCount::try_from(1).unwrap(),
                     max_connections: ConnectionCount::try_from(8).unwrap(),
-                    health_path: None,
+                    health_path: Some("/health".to_string()),
                 },
             })
             .unwrap();
@@ -342,3 +352,19 @@
         assert_eq!(usable_slots(slots(announced), stated), slots(expected));
     }
 }
+
+/// A gate that has restarted has forgotten that its backend server left, and a late
+/// heartbeat calls it ready. The first load poll tells.
+#[ntex::test]
+async fn backend_server_that_left_before_the_gate_started_gets_no_call() {
+    let mut fixture = GateFixture::start_with_polls(30.0).await;
+    let notice = tokio::time::timeout(Duration::from_secs(5), fixture.receiver.recv()).await;
+    assert_matches!(notice, Ok(Some(LinkMessage::Leaving(_))));
+    fixture.send_open(1, "/");
+    let refusal = assert_matches!(
+        fixture.receiver.recv().await,
+        Some(LinkMessage::Refusal(refusal)) => refusal
+    );
+    assert_eq!(refusal.kind, ErrorKind::Draining.code());
+    assert_eq!(fixture.runs(), 0);
+}
--- a/src/platform/tests.rs
+++ b/src/platform/tests.rs
@@ -12,6 +12,8 @@
 
 use super::*;
 use crate::backend::BackendLoad;
+use crate::link::messages::HeaderField;
+use crate::rate_limit::RateReading;
 use crate::routes::{ConfigVersion, RequestKind, RouteTarget};
 use crate::store::{
     ConfigStore, KeyRevision, LeaseId, StoreEra, StoreError, SwapOutcome, WatchPosition,
@@ -126,6 +128,30 @@
     assert_eq!(parse("busy"), None);
 }
 
+#[test]
+fn limit_and_leaving_are_read_from_the_fields_of_a_response() {
+    let statement = |fields: &[(&str, &'static str)]| {
+        let fields = fields.iter().map(|(name, value)| HeaderField {
+            name: (*name).to_string(),
+            value: Bytes::from(*value),
+        });
+        PLATFORM
+            .dialect
+            .backend_statement(&fields.collect::<Vec<_>>())
+    };
+    let named = |rate: &str| RateReading::Named(rate.parse().unwrap());
+    assert_eq!(statement(&[]).rate, RateReading::Absent);
+    assert!(!statement(&[("server-leaving", "0")]).is_leaving);
+    let both = statement(&[("server-limit", " 11.3 "), ("server-leaving", "1")]);
+    assert!(both.rate == named("11.3") && both.is_leaving);
+    assert_matches!(
+        statement(&[("server-limit", "-1")]).rate,
+        RateReading::Unreadable(_)
+    );
+    let twice = statement(&[("server-limit", "5"), ("server-limit", "9")]);
+    assert_matches!(twice.rate, RateReading::Unreadable(_));
+}
+
 /// HTTP stub that returns the given responses in order and records the requests.
 #[derive(Clone, Default)]
 struct StubStore {
--- a/tests/stop.rs
+++ b/tests/stop.rs
@@ -77,6 +77,30 @@
     assert_all_orders_whole(&results, fleet);
 }
 
+#[ntex::test]
+async fn backend_server_that_says_it_leaves_under_load_fails_no_order() {
+    let fleet = Fleet::start_with(FleetConfig {
+        upstream_count: UPSTREAM_COUNT,
+        node_flags: &["--asks", "3", "--slot-limit", "fixed"],
+        work_ms: DEFAULT_WORK_MS,
+    })
+    .await;
+    let load = OrderLoad::start(&fleet, &[STOP_ORDER_TIMEOUT]);
+    sleep(LOAD_BETWEEN_STOPS).await;
+    let leaving = json!({ "response_fields": { "currantlift-leaving": "1" } });
+    for index in 0..2 {
+        let upstream = &fleet.upstreams[index];
+        upstream.set_backend_faults(&fleet.client, &leaving).await;
+        sleep(LOAD_BETWEEN_STOPS).await;
+        let before = upstream.started_run_count(&fleet.client).await;
+        sleep(LOAD_BETWEEN_STOPS).await;
+        let after = upstream.started_run_count(&fleet.client).await;
+        assert_eq!(before, after);
+    }
+    let results = load.stop().await;
+    assert_all_orders_whole(&results, fleet);
+}
+
 #[ntex::test]
 async fn draining_upstream_gets_no_new_work_after_the_bound() {
     let fleet = Fleet::start(UPSTREAM_COUNT).await;
