--- a/src/admission.rs
+++ b/src/admission.rs
@@ -228,13 +228,13 @@
             rank: offer.rank,
             target_deadline: now + offer.target_left.min(offer.time_left),
         };
-        let wait = self.estimated_wait(now, priority);
-        let response_time = wait + self.estimated_run_time(now, &offer.class, offer.target_left);
+        let mut wait = self.estimated_wait(now, priority);
+        let run_time = self.estimated_run_time(now, &offer.class, offer.target_left);
         let awaits_reading = self.in_flight() < self.concurrency_limit.get()
             && self.pacer.is_free(now)
             && self.speed_for_start(now) == VmSpeed::Unknown;
         if offer.no_wait_slot_share.is_some() && !awaits_reading {
-            return refusal(ErrorKind::Overloaded, wait, response_time);
+            return refusal(ErrorKind::Overloaded, wait, wait + run_time);
         }
         let shortest_run_time =
             self.at_baseline_speed(now, self.run_times.shortest_run_time_of(&offer.class));
@@ -245,12 +245,27 @@
         } else {
             offer.target_left
         };
-        let misses_target = response_time > max_response_time && has_target_latency;
-        if wait > max_wait.min(self.options.max_queue_wait) || misses_target {
+        let max_queue_wait = self.options.max_queue_wait;
+        let is_too_long = |wait: Duration| {
+            let misses_target = wait + run_time > max_response_time && has_target_latency;
+            wait > max_wait.min(max_queue_wait) || misses_target
+        };
+        if is_too_long(wait)
+            && let Some(shorter_wait) = self.wait_without_one_ahead(wait)
+            && !is_too_long(shorter_wait)
+            && self.evict_of_busiest_ingress(offer.call, priority)
+        {
+            wait = shorter_wait;
+        }
+        let response_time = wait + run_time;
+        if is_too_long(wait) {
             let retry_after = self.return_time(now, wait, offer.time_left);
             return refusal(ErrorKind::WaitTooLong, retry_after, response_time);
         }
-        if self.queued() >= self.queue_capacity() && !self.evict_lower_rank(offer.rank) {
+        if self.queued() >= self.queue_capacity()
+            && !self.evict_lower_rank(offer.rank)
+            && !self.evict_of_busiest_ingress(offer.call, priority)
+        {
             let retry_after = self.return_time(now, wait, offer.time_left);
             return refusal(ErrorKind::Overloaded, retry_after, response_time);
         }
--- a/src/admission/rate.rs
+++ b/src/admission/rate.rs
@@ -2,12 +2,16 @@
 //!
 //! Answers the load of a fleet that offers one backend server many times the rate that
 //! it takes: calls start evenly at that rate, the most urgent first, and each other
-//! call is refused as soon as its turn is known to come too late.
+//! call is refused as soon as its turn is known to come too late. Calls of the same rank
+//! wait in the order of their deadlines, so that an ingress with many would keep out
+//! those of the others: an ingress with at least two calls fewer here gets the last
+//! place of the one with the most.
 
+use std::collections::BTreeMap;
 use std::time::Duration;
 
-use super::AdmissionQueue;
 use super::speed::VmSpeed;
+use super::{AdmissionQueue, QueuePriority};
 use crate::ids::CallId;
 use crate::rate_limit::StartRate;
 
@@ -82,6 +86,50 @@
         }
     }
 
+    /// Expected wait with one call fewer ahead; `None` without a named rate.
+    pub(super) fn wait_without_one_ahead(&self, wait: Duration) -> Option<Duration> {
+        let rate = self.pacer.rate()?;
+        Some(wait.saturating_sub(rate.interval()))
+    }
+
+    /// At a named rate, evicts the last queued call of the ingress with the most here, if
+    /// the ingress of `call` has at least two fewer and that call is no more urgent; returns
+    /// whether it did.
+    pub(super) fn evict_of_busiest_ingress(
+        &mut self,
+        call: CallId,
+        priority: QueuePriority,
+    ) -> bool {
+        if self.pacer.rate().is_none() {
+            return false;
+        }
+        let mut counts: BTreeMap<u64, u32> = BTreeMap::new();
+        let queued_calls = self.queue.iter().map(|queued_call| queued_call.call);
+        for known_call in queued_calls.chain(self.running.keys().copied()) {
+            *counts.entry(known_call.ingress_incarnation).or_default() += 1;
+        }
+        let own_count = counts
+            .get(&call.ingress_incarnation)
+            .copied()
+            .unwrap_or_default();
+        let Some((busiest, count)) = counts.into_iter().max_by_key(|(_, count)| *count) else {
+            return false;
+        };
+        let candidates = (0..self.queue.len()).filter(|index| {
+            let queued_call = &self.queue[*index];
+            queued_call.call.ingress_incarnation == busiest
+                && queued_call.priority.rank >= priority.rank
+        });
+        let last = candidates.max_by_key(|index| self.queue[*index].priority);
+        match last {
+            Some(index) if count >= own_count + 2 => {
+                self.evict(index);
+                true
+            }
+            _ => false,
+        }
+    }
+
     /// Evicts the queued calls whose turn comes too late for them.
     pub(super) fn evict_late_turns(&mut self, now: Duration) {
         if self.pacer.rate().is_none() {
--- a/src/admission/tests.rs
+++ b/src/admission/tests.rs
@@ -429,3 +429,59 @@
     let started = queue.finish(freed_at, call(10), WorkResult::Failed);
     assert_eq!(started, [call(20)]);
 }
+
+/// One ingress offers 90 calls per second and ten offer 1 each, at a named rate of 11.3.
+#[test]
+fn ingress_with_many_calls_leaves_the_others_their_share_of_a_named_rate() {
+    let mut queue = queue_of(18);
+    let mut rng = StdRng::seed_from_u64(1);
+    let mut now = Duration::from_secs(1);
+    queue.set_start_rate(now, Some("11.3".parse().unwrap()));
+    let (mut sequence, mut offered_by_others, mut started_of_others) = (0, 0, 0);
+    let mut running: Vec<(Duration, CallId)> = Vec::new();
+    while now < Duration::from_secs(31) {
+        now += Duration::from_millis(1);
+        let mut started = Vec::new();
+        if queue.next_turn_at(now).is_some_and(|at| at <= now) {
+            started = queue.take_turns(now).1;
+        }
+        for (ingress, rate) in
+            (1..=11).map(|ingress| (ingress, if ingress == 1 { 90.0 } else { 1.0 }))
+        {
+            if !rng.random_bool(rate / 1_000.0) {
+                continue;
+            }
+            sequence += 1;
+            offered_by_others += u32::from(ingress > 1);
+            let call = CallId {
+                ingress_incarnation: ingress,
+                sequence,
+            };
+            let offer = CallOffer {
+                target_left: Duration::from_millis(600),
+                ..CallOffer::with_defaults(call, Duration::from_secs(1))
+            };
+            if queue.offer(now, offer) == AdmissionDecision::Start {
+                started.push(call);
+            }
+            queue.take_evicted();
+        }
+        for call in started {
+            started_of_others += u32::from(call.ingress_incarnation > 1);
+            running.push((now + Duration::from_millis(100), call));
+        }
+        while running.first().is_some_and(|(ends_at, _)| *ends_at <= now) {
+            let (_, call) = running.remove(0);
+            let latency = Duration::from_millis(100);
+            for call in queue.finish(now, call, WorkResult::Completed { latency }) {
+                started_of_others += u32::from(call.ingress_incarnation > 1);
+                running.push((now + Duration::from_millis(100), call));
+            }
+        }
+    }
+    // Each of the ten offers less than an eleventh of the rate.
+    assert!(
+        started_of_others * 10 >= offered_by_others * 7,
+        "{started_of_others} of {offered_by_others}"
+    );
+}
