--- a/src/admin/messages.rs
+++ b/src/admin/messages.rs
@@ -261,6 +261,12 @@
     pub announcement: BackendAnnouncement,
     /// Milliseconds since the latest announcement.
     pub age_ms: u64,
+    /// Requests per second that the gate sends it at most; `None` without a limit.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub rate_limit_in_force: Option<StartRate>,
+    /// Whether it said in a response that it leaves.
+    #[serde(default)]
+    pub is_leaving: bool,
 }
 
 /// State of a node, as returned by `/v1/status`.
--- a/src/control/admin.rs
+++ b/src/control/admin.rs
@@ -241,11 +241,15 @@
 fn status_view(control: &ControlState) -> StatusView {
     let identity = &control.identity;
     let backend = control.backend.borrow();
+    let gate = *control.gate_status.borrow();
     let backends = backend.iter().map(|backend| {
+        let key = backend.announcement.backend_key(&backend.id);
         let age_ms = backend.last_heartbeat.elapsed().as_millis();
         let view = BackendView {
             announcement: backend.announcement.clone(),
             age_ms: u64::try_from(age_ms).unwrap_or(u64::MAX),
+            rate_limit_in_force: gate.rate_limit,
+            is_leaving: gate.leaving_backend == Some(key),
         };
         (backend.id.clone(), view)
     });
--- a/src/gate.rs
+++ b/src/gate.rs
@@ -88,7 +88,7 @@
 }
 
 /// Load of the gate, for the status page and for a planned stop.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
 pub struct GateStatus {
     /// Calls running at the backend server.
     pub in_flight: u32,
@@ -96,6 +96,8 @@
     pub queued: u32,
     /// Current limit on calls running at the backend server.
     pub limit: u32,
+    /// Limit that the backend server stated, in requests per second.
+    pub rate_limit: Option<StartRate>,
     /// Backend server that said in a response that it leaves.
     pub leaving_backend: Option<BackendKey>,
 }
@@ -342,6 +344,7 @@
             in_flight: load.in_flight,
             queued: load.queued,
             limit: load.limit,
+            rate_limit: self.statements.rate_limit(),
             leaving_backend: self
                 .stated_backend()
                 .filter(|_| self.statements.is_leaving()),
@@ -473,7 +476,7 @@
     }
 
     /// Refusal of a queued call that expired or was evicted.
-    pub fn wait_too_long_refusal(&self, open: &CallOpen) -> GateRefusal {
+    pub fn wait_too_long_refusal(&self, id: CallId, open: &CallOpen) -> GateRefusal {
         if self.statements.is_leaving() {
             return ErrorKind::Draining.into();
         }
@@ -493,7 +496,7 @@
         let Some((retry_after, response_time)) = estimate else {
             return ErrorKind::WaitTooLong.into();
         };
-        log_queued_refusal(open, retry_after, self.current_load());
+        log_queued_refusal(id, open, retry_after, self.current_load());
         GateRefusal {
             kind: ErrorKind::WaitTooLong,
             retry_after,
@@ -615,9 +618,10 @@
     stated.min(announced)
 }
 
-fn log_queued_refusal(open: &CallOpen, retry_after: Duration, load: LoadSnapshot) {
+fn log_queued_refusal(id: CallId, open: &CallOpen, retry_after: Duration, load: LoadSnapshot) {
     log::info!(
         target: "admission",
+        call:% = id,
         request_id = open.request_id.as_str(),
         service = open.service.as_str(),
         retry_after_ms = retry_after.as_millis() as u64,
--- a/src/gate/call.rs
+++ b/src/gate/call.rs
@@ -183,7 +183,7 @@
                 granted = &mut slot_grant => match granted {
                     Ok(()) => return self.run_on_backend(body).await,
                     Err(_) => {
-                        self.send_refusal(&self.gate.wait_too_long_refusal(&self.open));
+                        self.send_refusal(&self.gate.wait_too_long_refusal(self.id, &self.open));
                         return false;
                     }
                 },
--- a/src/gate/statements.rs
+++ b/src/gate/statements.rs
@@ -38,6 +38,11 @@
 }
 
 impl BackendStatements {
+    /// Limit on the backend server's requests.
+    pub(super) fn rate_limit(&self) -> Option<StartRate> {
+        self.rate.borrow().rate()
+    }
+
     /// Whether the backend server said that it leaves.
     pub(super) fn is_leaving(&self) -> bool {
         self.leaving_since.get().is_some()
@@ -48,7 +53,7 @@
     /// Present start of the backend server, if there is a statement of it to remember.
     pub(super) fn stated_backend(&self) -> Option<BackendKey> {
         let client = self.backend_client()?;
-        let has_rate = self.statements.rate.borrow().rate().is_some();
+        let has_rate = self.statements.rate_limit().is_some();
         (has_rate || self.statements.is_leaving()).then_some(client.target().key)
     }
 
@@ -253,6 +258,7 @@
         self.refuse_evicted_calls();
         self.schedule_load_poll();
         self.schedule_turns();
+        self.publish_status();
     }
 
     /// Lets a backend server that doesn't state its start be tried again after a while:
--- a/tests/limits.rs
+++ b/tests/limits.rs
@@ -142,6 +142,9 @@
     let measured = Duration::from_secs(8);
     let arrivals = arrivals_during(&fleet, 0, measured).await;
     assert_rate_is_kept_and_used(&arrivals, measured);
+    let status = fleet.upstreams[0].status(&fleet.client).await;
+    let limit = &status["backends"]["tillpost-1-backend"]["rate_limit_in_force"];
+    assert_eq!(limit.as_f64(), Some(NAMED_RATE), "{status}");
     assert_eq!(load.refused_slowly.get(), 0, "refused after a long wait");
 
     // The first response without the field ends the limit.
@@ -216,6 +219,9 @@
     sleep(LEARNING_TIME).await;
     let arrivals = arrivals_during(&fleet, 0, Duration::from_secs(3)).await;
     assert!(arrivals.is_empty(), "requests after it left: {arrivals:?}");
+    let status = fleet.upstreams[0].status(&fleet.client).await;
+    let is_leaving = &status["backends"]["tillpost-1-backend"]["is_leaving"];
+    assert_eq!(is_leaving.as_bool(), Some(true), "{status}");
 
     // Its heartbeats still say that it is ready. A restarted node has forgotten what
     // it said; the other nodes haven't.
--- a/tests/support/fleet.rs
+++ b/tests/support/fleet.rs
@@ -170,6 +170,12 @@
         client.get(url).send().await.unwrap().json().await.unwrap()
     }
 
+    /// Status of the node, as its administration API tells it.
+    pub async fn status(&self, client: &Client) -> Value {
+        let url = format!("http://{}/v1/status", self.node_addresses.admin_listen);
+        client.get(url).send().await.unwrap().json().await.unwrap()
+    }
+
     /// Replaces the faults of the backend server.
     pub async fn set_backend_faults(&self, client: &Client, faults: &Value) {
         let url = format!("http://{}/standin/faults", self.backend_address);
