Use a backend server's next start at once, whatever its last one said

The statistics of an upstream, with the mark that it drains, outlived its backend server if that was replaced between two tables: 30 s without calls (test: no upstream before). They start anew with the backend key. The soak takes the size of its fleet from SOAK_UPSTREAMS.

--- a/src/rate_limit/known.rs
+++ b/src/rate_limit/known.rs
@@ -71,10 +71,4 @@
     pub fn get(&self, node: &NodeId) -> Option<KnownStatement> {
         self.statements.get(node).copied()
     }
-
-    /// Whether this start of the node's backend server said that it leaves.
-    pub fn is_leaving(&self, node: &NodeId, backend: BackendKey) -> bool {
-        self.get(node)
-            .is_some_and(|known| known.is_leaving && known.backend == backend)
-    }
 }
--- a/src/rate_limit/tests.rs
+++ b/src/rate_limit/tests.rs
@@ -274,10 +274,8 @@
     // A gate that has restarted doesn't know it, and reports nothing or a limit only.
     known.record_none(&node, gate(2));
     known.record(&node, statement(2, key(1), false));
-    assert!(known.is_leaving(&node, key(1)));
-    assert!(!known.is_leaving(&node, key(2)));
+    assert_eq!(known.get(&node), Some(statement(1, key(1), true)));
     known.record(&node, statement(2, key(2), false));
-    assert!(!known.is_leaving(&node, key(2)));
     assert_eq!(known.get(&node), None);
 }
 
@@ -294,7 +292,7 @@
     };
     known.record(&node, leaving);
     known.record_none(&node, gate);
-    assert!(!known.is_leaving(&node, key(1)));
+    assert_eq!(known.get(&node), None);
 }
 
 /// Names the limit at all listed servers and drops what was counted before.
--- a/src/routing/router.rs
+++ b/src/routing/router.rs
@@ -226,10 +226,12 @@
 
     /// Whether the backend server of the service's upstream said that it leaves.
     pub(super) fn is_leaving(&self, service: &ServiceName, node: &NodeId) -> bool {
+        let Some(known) = self.known_statements.get(node) else {
+            return false;
+        };
         let entry = self.table.services.get(service);
-        entry
-            .and_then(|entry| entry.upstreams.get(node))
-            .is_some_and(|upstream| self.known_statements.is_leaving(node, upstream.backend))
+        let upstream = entry.and_then(|entry| entry.upstreams.get(node));
+        known.is_leaving && upstream.is_some_and(|upstream| upstream.backend == known.backend)
     }
 
     /// Upstreams whose named rate is used up, with the time until their next start.
@@ -379,8 +381,8 @@
         self.services.insert(service.clone(), state);
     }
 
-    /// Adds statistics for new members. A member that was not ready in `old_entry`
-    /// begins its slow start.
+    /// Adds statistics for new members. A member that was not ready in `old_entry`, or
+    /// whose backend server has started again, begins its slow start.
     fn update_stats(
         &mut self,
         now: Duration,
@@ -397,7 +399,9 @@
             let slots = upstream.slots.get();
             let was_ready = old_entry
                 .and_then(|old| old.upstreams.get(node))
-                .is_some_and(|old| old.state == UpstreamState::Ready);
+                .is_some_and(|old| {
+                    old.state == UpstreamState::Ready && old.backend == upstream.backend
+                });
             let joined_at = (!was_ready).then_some(now);
             let stats = self
                 .upstream_stats
--- a/src/routing/tests.rs
+++ b/src/routing/tests.rs
@@ -7,6 +7,7 @@
 use rand::rngs::StdRng;
 
 use super::*;
+use crate::rate_limit::KnownStatement;
 use crate::table::{RoutingTable, ServiceEntry, ServiceRule, UpstreamEntry, UpstreamState};
 
 const ZONES: [&str; 3] = ["ogbomoso-a", "oyo-town-b", "iseyin-c"];
@@ -544,3 +545,60 @@
     let choice = router.select_upstream_for_idempotent(now, &mut rng, &service(), &BTreeSet::new());
     assert_eq!(choice.err(), Some(ErrorKind::NoUpstream));
 }
+
+/// A backend server that said that it leaves may be replaced between two tables.
+#[test]
+fn next_start_of_a_backend_server_is_used_at_once() {
+    let home = NodeLocality {
+        node: "caller".parse().unwrap(),
+        region: "oyo-west".parse().unwrap(),
+        zone: ZONES[0].parse().unwrap(),
+    };
+    let mut router = RouterState::new(home, RoutingOptions::default());
+    let now = Duration::from_secs(1);
+    let table = |version, backend: u64| {
+        let entry = UpstreamEntry {
+            backend: backend.into(),
+            ..upstream(0, UpstreamState::Ready, 1)
+        };
+        let mut table = (*build_table(BTreeMap::from([(service(), vec![entry])]), 1.0)).clone();
+        table.version = version;
+        Arc::new(table)
+    };
+    let mut rng = StdRng::seed_from_u64(1);
+    router.apply_table(now, &table(1, 1));
+    let choose = |router: &mut RouterState, rng: &mut StdRng| {
+        router
+            .select_upstream_for_idempotent(now, rng, &service(), &BTreeSet::new())
+            .map(|choice| choice.node)
+    };
+    assert_eq!(choose(&mut router, &mut rng), Ok(node(0)));
+    router.mark_draining(now, &node(0));
+    assert_eq!(choose(&mut router, &mut rng), Err(ErrorKind::NoUpstream));
+    router.apply_table(now, &table(2, 2));
+    assert_eq!(choose(&mut router, &mut rng), Ok(node(0)));
+}
+
+/// A gate that has restarted doesn't know that its backend server left.
+#[test]
+fn upstream_that_left_is_not_chosen_after_its_gate_restarts() {
+    let mut router = router(1);
+    let now = Duration::from_secs(1);
+    let service = service();
+    let table = single_service_table(&[UpstreamState::Ready], &[1], 1.0);
+    router.apply_table(now, &table);
+    let gate = |start: u64| NodeIncarnation::try_from(start).unwrap();
+    let statement = KnownStatement {
+        gate: gate(1),
+        backend: 1.into(),
+        rate: None,
+        is_leaving: true,
+    };
+    router.record_statement(&node(0), gate(1), Some(statement));
+    let restarted = single_service_table(&[UpstreamState::Ready], &[2], 1.0);
+    router.apply_table(now, &restarted);
+    router.record_statement(&node(0), gate(2), None);
+    let mut rng = StdRng::seed_from_u64(1);
+    let choice = router.select_upstream_for_idempotent(now, &mut rng, &service, &BTreeSet::new());
+    assert_eq!(choice.map(|choice| choice.node), Err(ErrorKind::NoUpstream));
+}
--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -14,7 +14,8 @@
 //!
 //! `SOAK_SEEDS` lists seeds, separated by commas. Without it, `SOAK_FRESH` sets
 //! the number of random seeds. With neither, the regression seeds and the CI
-//! seed run. `SOAK_SECONDS` sets the duration of the faults for each seed.
+//! seed run. `SOAK_SECONDS` sets the duration of the faults for each seed,
+//! `SOAK_UPSTREAMS` the size of the fleet.
 
 #![allow(clippy::unwrap_used, reason = "helpers of tests fail as the tests do")]
 #![allow(dead_code, reason = "the fleet is shared with other tests")]
@@ -42,12 +43,13 @@
 use plan::{SoakEvent, make_schedule};
 use script::{clear_fault, inject_fault};
 
-/// Upstreams with faults and drains; one more names limits.
-const UPSTREAM_COUNT: usize = 4;
+/// Upstreams with faults and drains if `SOAK_UPSTREAMS` is not set; one more names
+/// limits.
+const DEFAULT_UPSTREAM_COUNT: usize = 4;
 /// Fleet that offers calls to gates as on the users' platform. Orders take long
 /// enough that every fault hits some that run and some that are queued.
 const FLEET_CONFIG: FleetConfig = FleetConfig {
-    upstream_count: UPSTREAM_COUNT + 1,
+    upstream_count: DEFAULT_UPSTREAM_COUNT + 1,
     node_flags: &["--asks", "3", "--slot-limit", "fixed"],
     work_ms: "60",
 };
@@ -91,6 +93,11 @@
     Duration::from_secs(seconds)
 }
 
+fn configured_upstream_count() -> usize {
+    let text = env::var("SOAK_UPSTREAMS").ok();
+    text.map_or(DEFAULT_UPSTREAM_COUNT, |text| text.parse().unwrap())
+}
+
 /// Runs that draining backend servers had started when the users' bound passed,
 /// by index of the upstream.
 type RunsAtDrainBound = BTreeMap<usize, u64>;
@@ -228,7 +235,12 @@
 }
 
 async fn run_soak(seed: u64) {
-    let mut fleet = Fleet::start_with(FLEET_CONFIG).await;
+    let upstream_count = configured_upstream_count();
+    let config = FleetConfig {
+        upstream_count: upstream_count + 1,
+        ..FLEET_CONFIG
+    };
+    let mut fleet = Fleet::start_with(config).await;
     let load = OrderLoad::start(&fleet, &[ORDER_TIMEOUT, LONG_ORDER_TIMEOUT]);
     let mut monitor = SoakMonitor {
         tickets: TicketMonitor {
@@ -239,7 +251,7 @@
         runs_at_drain_bound: RunsAtDrainBound::new(),
         limited_since: BTreeMap::new(),
     };
-    let schedule = make_schedule(seed, UPSTREAM_COUNT, configured_fault_time());
+    let schedule = make_schedule(seed, upstream_count, configured_fault_time());
     let started_at = Instant::now();
     for (offset, event) in &schedule {
         sleep(offset.saturating_sub(started_at.elapsed())).await;
