--- a/src/admission.rs
+++ b/src/admission.rs
@@ -39,6 +39,7 @@
 //! is lost with it. Short calls therefore wait up to their time limit.
 
 mod classes;
+mod eviction;
 mod latency;
 mod limit;
 mod offer;
@@ -291,29 +292,6 @@
         }
     }
 
-    /// Evicts the queued call of the lowest rank if that is below `rank`;
-    /// returns whether it did.
-    fn evict_lower_rank(&mut self, rank: u32) -> bool {
-        let lowest = (0..self.queue.len()).max_by_key(|index| self.queue[*index].priority.rank);
-        let Some(index) = lowest.filter(|index| self.queue[*index].priority.rank > rank) else {
-            return false;
-        };
-        self.evict(index);
-        true
-    }
-
-    fn evict(&mut self, index: usize) {
-        let evicted_call = self.queue.remove(index);
-        self.shares.release(&evicted_call.shares);
-        self.evicted.push(evicted_call.call);
-    }
-
-    /// Removes and returns the evicted calls; they never ran and must be refused
-    /// with [`ErrorKind::Overloaded`].
-    pub fn take_evicted(&mut self) -> Vec<CallId> {
-        std::mem::take(&mut self.evicted)
-    }
-
     /// Ends a running call and frees its slot; returns the queued calls that
     /// start now.
     pub fn finish(&mut self, now: Duration, call: CallId, result: WorkResult) -> Vec<CallId> {
@@ -601,14 +579,6 @@
         started
     }
 
-    fn evict_no_wait_calls(&mut self) {
-        for index in (0..self.queue.len()).rev() {
-            if self.queue[index].no_wait_slot_share.is_some() {
-                self.evict(index);
-            }
-        }
-    }
-
     /// Queue index of the first call by [`QueuePriority`] that can still meet
     /// its target; without such a call, of the first among the others.
     fn next_start_index(&self, now: Duration) -> Option<usize> {
@@ -622,21 +592,6 @@
         })
     }
 
-    fn would_miss_target(&self, now: Duration, queued_call: &QueuedCall) -> bool {
-        queued_call.gives_way_past_target
-            && now + self.expected_run_time(now, queued_call.class)
-                > queued_call.priority.target_deadline
-    }
-
-    /// Evicts the calls that can no longer meet their target.
-    fn evict_target_misses(&mut self, now: Duration) {
-        for index in (0..self.queue.len()).rev() {
-            if self.would_miss_target(now, &self.queue[index]) {
-                self.evict(index);
-            }
-        }
-    }
-
     /// Mean expected run time of the running calls, or their mean age if that
     /// is longer.
     fn running_latency_estimate(&self, now: Duration) -> Duration {
--- a/src/gate.rs
+++ b/src/gate.rs
@@ -13,6 +13,7 @@
 mod feed;
 mod links;
 mod meter;
+mod record;
 mod statements;
 
 use std::cell::{Cell, RefCell};
@@ -35,6 +36,7 @@
 use crate::gate::call::CallInput;
 use crate::gate::links::{ActiveLink, serve_local_link, serve_remote_link};
 use crate::gate::meter::LoadPoller;
+use crate::gate::record::{log_admission, log_queued_refusal};
 use crate::gate::statements::BackendStatements;
 use crate::ids::{BackendKey, CallId, NodeIncarnation, ServiceName, SlotCount};
 use crate::ledger::{CachedResponse, CallLedger, LedgerLimits, RunPermit};
@@ -578,39 +580,6 @@
     }
 }
 
-fn log_admission(id: CallId, open: &CallOpen, decision: &AdmissionDecision, load: LoadSnapshot) {
-    let (wait_ms, finish_ms) = match decision {
-        AdmissionDecision::Start => (0, None),
-        AdmissionDecision::Queued { estimated_wait } => (estimated_wait.as_millis() as u64, None),
-        AdmissionDecision::Refused {
-            retry_after,
-            estimated_response_time,
-            ..
-        } => (
-            retry_after.as_millis() as u64,
-            Some(estimated_response_time.as_millis() as u64),
-        ),
-    };
-    log::info!(
-        target: "admission",
-        call:% = id,
-        request_id = open.request_id.as_str(),
-        service = open.service.as_str(),
-        rank = open.rank,
-        ask_percent = open.max_occupancy_percent,
-        target_left_ms = open.target_left_us.map(|left| left / 1_000),
-        time_left_ms = open.time_left_us / 1_000,
-        decision = decision.name(), wait_ms, finish_ms,
-        in_flight = load.in_flight,
-        queued = load.queued,
-        limit = load.limit,
-        is_slow = load.is_slow,
-        rate_limit = load.start_rate,
-        next_start_ms = load.next_start_us / 1_000;
-        "call offered"
-    );
-}
-
 /// Slots that the backend server can use now: those that it stated last, at most those
 /// that it announced.
 fn usable_slots(announced: SlotCount, stated: u32) -> SlotCount {
@@ -618,19 +587,5 @@
     stated.min(announced)
 }
 
-fn log_queued_refusal(id: CallId, open: &CallOpen, retry_after: Duration, load: LoadSnapshot) {
-    log::info!(
-        target: "admission",
-        call:% = id,
-        request_id = open.request_id.as_str(),
-        service = open.service.as_str(),
-        retry_after_ms = retry_after.as_millis() as u64,
-        queued = load.queued,
-        rate_limit = load.start_rate,
-        next_start_ms = load.next_start_us / 1_000;
-        "queued call refused"
-    );
-}
-
 #[cfg(test)]
 mod tests;
--- a/tests/support/load.rs
+++ b/tests/support/load.rs
@@ -27,6 +27,8 @@
 /// Size of a large order, more than a link has in flight for one call.
 const LARGE_ORDER_BYTES: usize = 400_000;
 const MIN_SERVER_ERROR_STATUS: u16 = 500;
+/// Bytes of a foreign response that are printed.
+const LOGGED_BODY_BYTES: usize = 80;
 
 /// Outcome of an order as its caller saw it. Reports print the variants' names.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
@@ -166,7 +168,17 @@
     match response.body().limit(2 * LARGE_ORDER_BYTES).await {
         Ok(_) if status >= MIN_SERVER_ERROR_STATUS => OrderOutcome::BackendFailure,
         Ok(body) if body[..] == *sent_body => OrderOutcome::Whole,
-        Ok(_) => OrderOutcome::Foreign,
+        Ok(body) => {
+            let start = &body[..body.len().min(LOGGED_BODY_BYTES)];
+            println!(
+                "foreign response: status {status}, {} bytes for {}, {:?}, {:?}",
+                body.len(),
+                sent_body.len(),
+                response.headers(),
+                String::from_utf8_lossy(start)
+            );
+            OrderOutcome::Foreign
+        }
         Err(_) => OrderOutcome::Cut,
     }
 }
