--- a/src/gate.rs
+++ b/src/gate.rs
@@ -15,6 +15,7 @@
 mod meter;
 mod record;
 mod statements;
+mod turns;
 
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
@@ -38,6 +39,7 @@
 use crate::gate::meter::LoadPoller;
 use crate::gate::record::{log_admission, log_queued_refusal};
 use crate::gate::statements::BackendStatements;
+use crate::gate::turns::TurnTimer;
 use crate::ids::{BackendKey, CallId, NodeIncarnation, ServiceName, SlotCount};
 use crate::ledger::{CachedResponse, CallLedger, LedgerLimits, RunPermit};
 use crate::link::endpoint::{LinkReceiver, LinkSender};
@@ -166,6 +168,7 @@
     is_draining: Cell<bool>,
     load_poller: LoadPoller,
     statements: BackendStatements,
+    turn_timer: TurnTimer,
     status: tokio::sync::watch::Sender<GateStatus>,
 }
 
@@ -193,6 +196,7 @@
         is_draining: Cell::new(false),
         load_poller: LoadPoller::new(settings.load_polls_per_second),
         statements: BackendStatements::default(),
+        turn_timer: TurnTimer::default(),
         status,
     });
     let mut sweep_timer = tokio::time::interval(LEDGER_SWEEP_INTERVAL);
--- a/src/gate/statements.rs
+++ b/src/gate/statements.rs
@@ -33,8 +33,6 @@
     last_unreadable: RefCell<String>,
     /// Statements that ingresses knew when they opened their links.
     reported: RefCell<BTreeMap<BackendKey, KnownBackendStatement>>,
-    is_waiting_for_turn: Cell<bool>,
-    turns_changed: tokio::sync::Notify,
 }
 
 impl BackendStatements {
@@ -184,48 +182,6 @@
         is_free
     }
 
-    /// Starts queued calls in their turn for as long as any waits for the named rate.
-    pub(super) fn schedule_turns(self: &Rc<Self>) {
-        if self.next_turn_at().is_none() {
-            return;
-        }
-        if self.statements.is_waiting_for_turn.replace(true) {
-            self.statements.turns_changed.notify_one();
-            return;
-        }
-        let gate = Rc::clone(self);
-        ntex::rt::spawn(async move {
-            while let Some(turn_at) = gate.next_turn_at() {
-                let wait = turn_at.saturating_sub(gate.now());
-                tokio::select! {
-                    () = tokio::time::sleep(wait) => gate.take_turns(),
-                    () = gate.statements.turns_changed.notified() => {}
-                }
-            }
-            gate.statements.is_waiting_for_turn.set(false);
-        });
-    }
-
-    fn next_turn_at(&self) -> Option<Duration> {
-        let admission = self.admission.borrow();
-        admission.as_ref()?.next_turn_at(self.now())
-    }
-
-    fn take_turns(self: &Rc<Self>) {
-        let now = self.now();
-        let turns = match self.admission.borrow_mut().as_mut() {
-            Some(admission) => admission.take_turns(now),
-            None => return,
-        };
-        let (expired_calls, started_calls) = turns;
-        for call in expired_calls {
-            self.slot_grants.borrow_mut().remove(&call);
-        }
-        self.start_queued_calls(started_calls);
-        self.refuse_evicted_calls();
-        self.publish_status();
-    }
-
     fn apply_rate_change(self: &Rc<Self>, change: Option<RateChange>, source: StatementSource) {
         let Some(RateChange { old, new, old_age }) = change else {
             return;
--- a/src/routing/tests.rs
+++ b/src/routing/tests.rs
@@ -549,12 +549,7 @@
 /// A backend server that said that it leaves may be replaced between two tables.
 #[test]
 fn next_start_of_a_backend_server_is_used_at_once() {
-    let home = NodeLocality {
-        node: "caller".parse().unwrap(),
-        region: "oyo-west".parse().unwrap(),
-        zone: ZONES[0].parse().unwrap(),
-    };
-    let mut router = RouterState::new(home, RoutingOptions::default());
+    let mut router = router(1);
     let now = Duration::from_secs(1);
     let table = |version, backend: u64| {
         let entry = UpstreamEntry {
