--- a/tests/limits.rs
+++ b/tests/limits.rs
@@ -91,6 +91,13 @@
     upstream.set_backend_faults(&fleet.client, &faults).await;
 }
 
+async fn name_limits(fleet: &Fleet) {
+    let rate = NAMED_RATE.to_string();
+    for index in 0..fleet.upstreams.len() {
+        name_in_responses(fleet, index, "currantlift-rate-limit", &rate).await;
+    }
+}
+
 /// Most arrivals in any window of this length.
 fn most_in_window(arrivals_ms: &[u64], window: Duration) -> usize {
     let window_ms = window.as_millis() as u64;
@@ -134,10 +141,7 @@
     let fleet = start_fleet(2).await;
     let load = SteadyLoad::start(&fleet.client, fleet.ingress_url.clone());
     sleep(Duration::from_secs(1)).await;
-    for index in 0..2 {
-        let rate = NAMED_RATE.to_string();
-        name_in_responses(&fleet, index, "currantlift-rate-limit", &rate).await;
-    }
+    name_limits(&fleet).await;
     sleep(LEARNING_TIME).await;
     let measured = Duration::from_secs(8);
     let arrivals = arrivals_during(&fleet, 0, measured).await;
@@ -160,10 +164,7 @@
 #[ntex::test]
 async fn restarted_gate_keeps_the_rate_that_callers_nodes_know() {
     let mut fleet = start_fleet(2).await;
-    for index in 0..2 {
-        let rate = NAMED_RATE.to_string();
-        name_in_responses(&fleet, index, "currantlift-rate-limit", &rate).await;
-    }
+    name_limits(&fleet).await;
     let _load = SteadyLoad::start(&fleet.client, fleet.ingress_url.clone());
     sleep(LEARNING_TIME).await;
     let before = fleet.upstreams[0].arrivals_ms(&fleet.client).await.len();
@@ -189,10 +190,7 @@
 #[ntex::test]
 async fn frozen_gate_makes_up_for_no_more_than_a_burst() {
     let fleet = start_fleet(2).await;
-    for index in 0..2 {
-        let rate = NAMED_RATE.to_string();
-        name_in_responses(&fleet, index, "currantlift-rate-limit", &rate).await;
-    }
+    name_limits(&fleet).await;
     let _load = SteadyLoad::start(&fleet.client, fleet.ingress_url.clone());
     sleep(LEARNING_TIME).await;
     let before = fleet.upstreams[0].arrivals_ms(&fleet.client).await.len();
