--- a/src/standin/backend/handlers.rs
+++ b/src/standin/backend/handlers.rs
@@ -29,6 +29,10 @@
 /// Body of a truncated response if there is nothing to echo.
 const TRUNCATED_RESPONSE_FILLER: &[u8] = b"an answer that is cut short";
 
+/// Requests whose body contains this end the process while they run.
+pub const CRASH_MARKER: &[u8] = b"standin-crash";
+/// Time from the start of such a run to the end of the process.
+const CRASH_DELAY: Duration = Duration::from_millis(30);
 /// Time for the first half of a truncated response to be sent.
 const FLUSH_DELAY: Duration = Duration::from_millis(20);
 
@@ -99,6 +103,10 @@
         state.slot_permits.clone().acquire_owned().await.ok()
     };
     active_request.record_run_start(header_text(request.headers(), REQUEST_ID_HEADER));
+    if contains_crash_marker(&body) {
+        tokio::time::sleep(CRASH_DELAY).await;
+        std::process::abort();
+    }
     simulate_work(&request, &state, &faults).await;
     let nested = make_nested_call(&request, &state, body.clone(), received_at).await;
     if faults.silent {
@@ -114,6 +122,11 @@
     )
 }
 
+fn contains_crash_marker(body: &[u8]) -> bool {
+    body.windows(CRASH_MARKER.len())
+        .any(|window| window == CRASH_MARKER)
+}
+
 async fn simulate_work(request: &HttpRequest, state: &StandinState, faults: &FaultSettings) {
     let requested_us =
         header_text(request.headers(), SERVICE_TIME_HEADER).and_then(|text| text.parse().ok());
--- a/src/standin/backend/options.rs
+++ b/src/standin/backend/options.rs
@@ -82,6 +82,7 @@
     notes: "Request headers: standin-work-us (service time), standin-chunked: true (response\n\
             without content-length), standin-echo-head: true (respond with the request's head\n\
             as JSON), standin-nest: N (N levels of nested calls through --via).\n\
+            A request whose body contains standin-crash ends the process while it runs.\n\
             GET /standin/runs counts runs by request-id; PUT /standin/faults sets\n\
             {\"slowdown\", \"fail_fast\", \"cut\", \"silent\", \"ignore_slots\",\n\
             \"draining\"}.",
--- a/tests/support/fleet.rs
+++ b/tests/support/fleet.rs
@@ -126,6 +126,22 @@
 
     /// Starts a backend server, listening on a new address.
     pub fn start_backend(&mut self) {
+        self.start_backend_at(LOOPBACK_ANY_PORT);
+    }
+
+    /// Starts the backend server again, listening on its previous address.
+    pub fn restart_backend(&mut self) {
+        let address = self.backend_address.clone();
+        self.backend = None;
+        self.start_backend_at(&address);
+    }
+
+    /// Whether the backend server's process has exited.
+    pub fn has_backend_exited(&mut self) -> bool {
+        self.backend.as_mut().is_some_and(Process::has_exited)
+    }
+
+    fn start_backend_at(&mut self, listen_address: &str) {
         let name = format!("{}-backend", self.name);
         let admin_url = format!("http://{}", self.node_addresses.admin_listen);
         let mut command = Command::new(env!("CARGO_BIN_EXE_standin-backend"));
@@ -137,6 +153,8 @@
                 "--work-ms",
                 self.config.work_ms,
                 "--print-runs",
+                "--listen",
+                listen_address,
             ]);
         let backend = Process::start(&name, &mut command, &self.runs);
         self.backend_address = backend.next_line();
