Hold requests that crash the backend servers that run them

Cause: nothing related the end of a backend server to the calls that ran on it. The gate read a closed connection as a failure of the backend server, ingresses tried the request elsewhere, and each copy from its caller was new to every node. Ruled out: repeats by ourselves alone (one attempt reached two upstreams, the route's limit), and load at a fresh start (the request is among the calls of each end).

Change: requests have a fingerprint that is the same in all attempts. The gate notices that nothing listens any more and blames the calls that ran. A suspect runs at one gate, alone among suspects; a complete response clears it; three crashes, two of them in trials, hold it at all nodes until a half-open trial is due. Evidence merges in any order and travels over the call links, before the call that brought it fails.

--- a/src/backend.rs
+++ b/src/backend.rs
@@ -16,6 +16,7 @@
 mod connection;
 
 use std::cell::RefCell;
+use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -163,6 +164,17 @@
     pub statement: Option<BackendStatement>,
 }
 
+/// Whether a backend server listens at its address.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ListenerState {
+    /// A connection was opened.
+    Listening,
+    /// The connection was refused, as nothing listens there.
+    Closed,
+    /// Neither within the time limit.
+    Unknown,
+}
+
 /// Client of one backend server.
 pub struct BackendClient {
     target: BackendTarget,
@@ -257,6 +269,24 @@
         ))
     }
 
+    /// Opens a connection, which is kept for the next request.
+    pub async fn check_listener(&self) -> ListenerState {
+        let connecting = TcpStream::connect(self.target.address);
+        let connected = tokio::time::timeout(CONNECT_TIMEOUT, connecting).await;
+        match connected {
+            Ok(Ok(stream)) => {
+                if let Ok(connection) = BackendConnection::new(stream) {
+                    self.return_connection(connection, None);
+                }
+                ListenerState::Listening
+            }
+            Ok(Err(error)) if error.kind() == io::ErrorKind::ConnectionRefused => {
+                ListenerState::Closed
+            }
+            Ok(Err(_)) | Err(_) => ListenerState::Unknown,
+        }
+    }
+
     /// Requests the load from the health path; `None` without a response.
     pub async fn fetch_load(&self) -> Option<LoadPollResponse> {
         let path = self.target.health_path.as_deref()?;
--- a/src/error.rs
+++ b/src/error.rs
@@ -84,6 +84,9 @@
     /// A request with the same idempotency key is running or was answered.
     #[display("idempotency key already used")]
     KeyInUse,
+    /// The request is held, as upstreams crashed while they ran it.
+    #[display("request held back: upstreams crashed while they ran it")]
+    Quarantined,
     /// A bug in the node.
     #[display("internal error")]
     Internal,
@@ -100,7 +103,7 @@
 
 impl ErrorKind {
     /// Every kind, in order of declaration.
-    pub const ALL: [Self; 22] = [
+    pub const ALL: [Self; 23] = [
         Self::BadRequest,
         Self::BadTimeout,
         Self::BodyTooLarge,
@@ -122,6 +125,7 @@
         Self::Cancelled,
         Self::TimedOut,
         Self::KeyInUse,
+        Self::Quarantined,
         Self::Internal,
     ];
 
@@ -144,6 +148,7 @@
             | Self::Draining
             | Self::BackendUnreachable
             | Self::BackendRefused
+            | Self::Quarantined
             | Self::Cancelled => (503, true),
             Self::TimedOut => (504, true),
         };
@@ -192,6 +197,7 @@
             Self::Cancelled => "cancelled",
             Self::TimedOut => "timed-out",
             Self::KeyInUse => "key-in-use",
+            Self::Quarantined => "request-quarantined",
             Self::Internal => "internal",
         }
     }
--- a/src/gate.rs
+++ b/src/gate.rs
@@ -9,6 +9,7 @@
 
 pub mod answer;
 pub mod call;
+mod crashes;
 mod dispatch;
 mod feed;
 mod links;
@@ -35,6 +36,7 @@
 use crate::error::ErrorKind;
 use crate::fields::HeaderDialect;
 use crate::gate::call::CallInput;
+use crate::gate::crashes::CrashMonitor;
 use crate::gate::links::{ActiveLink, serve_local_link, serve_remote_link};
 use crate::gate::meter::LoadPoller;
 use crate::gate::record::{log_admission, log_queued_refusal};
@@ -45,6 +47,7 @@
 use crate::link::endpoint::{LinkReceiver, LinkSender};
 use crate::link::messages::{CallOpen, LinkHello, LinkMessage, LinkPing, LoadSnapshot};
 use crate::metrics::NodeMetrics;
+use crate::quarantine::QuarantineHub;
 use crate::rate_limit::StartRate;
 
 /// Interval between removals of expired ledger entries.
@@ -118,6 +121,8 @@
     pub load_polls_per_second: f64,
     /// Metrics of the node.
     pub metrics: Arc<NodeMetrics>,
+    /// Evidence against requests that crash backend servers.
+    pub quarantine: Arc<QuarantineHub>,
 }
 
 /// Refusal of a call that has not run and never will.
@@ -168,6 +173,8 @@
     is_draining: Cell<bool>,
     load_poller: LoadPoller,
     statements: BackendStatements,
+    quarantine: Arc<QuarantineHub>,
+    crashes: CrashMonitor,
     turn_timer: TurnTimer,
     status: tokio::sync::watch::Sender<GateStatus>,
 }
@@ -196,6 +203,8 @@
         is_draining: Cell::new(false),
         load_poller: LoadPoller::new(settings.load_polls_per_second),
         statements: BackendStatements::default(),
+        quarantine: settings.quarantine,
+        crashes: CrashMonitor::default(),
         turn_timer: TurnTimer::default(),
         status,
     });
@@ -261,7 +270,12 @@
             "backend server set"
         );
         let key = target.key;
-        let is_other_start = current_client.is_none_or(|client| client.target().key != key);
+        let is_other_start = current_client
+            .as_ref()
+            .is_none_or(|client| client.target().key != key);
+        if let Some(earlier_client) = current_client.filter(|_| is_other_start) {
+            self.record_unnoticed_end(&earlier_client);
+        }
         let client = BackendClient::new(target, self.dialect);
         *self.backend_client.borrow_mut() = Some(Rc::new(client));
         let mut started_calls = Vec::new();
--- a/src/gate/call.rs
+++ b/src/gate/call.rs
@@ -18,6 +18,7 @@
 use crate::backend::{BackendClient, BackendError, BackendResponse, RequestBodySource};
 use crate::error::ErrorKind;
 use crate::gate::answer::ResponseSender;
+use crate::gate::crashes::{CallIdentity, TrialTurn};
 use crate::gate::feed::RequestBodyFeed;
 use crate::gate::{Gate, GateRefusal};
 use crate::ids::CallId;
@@ -25,6 +26,7 @@
 use crate::link::body_deadline::{BodyDeadline, RESPONSE_RETENTION};
 use crate::link::endpoint::LinkSender;
 use crate::link::messages::{BodyChunk, CallOpen, CallResume, CancelReply, LinkMessage};
+use crate::quarantine::RunEnd;
 
 /// Input to a call, from its link or its connection to the backend server.
 #[derive(Debug)]
@@ -63,7 +65,7 @@
 
 /// State of one call at the gate.
 pub struct GateCall {
-    gate: Rc<Gate>,
+    pub(super) gate: Rc<Gate>,
     id: CallId,
     open: CallOpen,
     deadline: Instant,
@@ -73,11 +75,13 @@
     inputs: UnboundedReceiver<CallInput>,
     response_sender: ResponseSender,
     body_feed: RequestBodyFeed,
+    pub(super) identity: CallIdentity,
+    is_trial: bool,
     is_running: bool,
 }
 
 /// Whether a call continues after an input.
-enum InputEffect {
+pub(super) enum InputEffect {
     Continue,
     Cancelled,
 }
@@ -97,6 +101,8 @@
             response_sender: ResponseSender::new(open.sequence, link),
             deadline: arrived_at + Duration::from_micros(open.time_left_us),
             response_deadline: None,
+            identity: CallIdentity::from_open(&open),
+            is_trial: false,
             gate,
             id,
             open,
@@ -104,14 +110,15 @@
             body_feed,
             is_running: false,
         };
-        let admission = call.gate.admit(id, &call.open, call.time_left());
-        let is_response_kept = match admission {
-            Ok(None) => call.run_on_backend(body).await,
-            Ok(Some(slot_grant)) => call.wait_for_slot_and_run(slot_grant, body).await,
-            Err(refusal) => {
-                call.send_refusal(&refusal);
-                false
+        let is_response_kept = match call.take_trial_turn().await {
+            TrialTurn::NotNeeded => call.admit_and_run(body).await,
+            TrialTurn::Granted(permit) => {
+                call.is_trial = true;
+                let is_response_kept = call.admit_and_run(body).await;
+                drop(permit);
+                is_response_kept
             }
+            TrialTurn::Ended => false,
         };
         if is_response_kept {
             call.await_acknowledgement().await;
@@ -119,6 +126,32 @@
         call.unregister();
     }
 
+    /// Runs the call if admission control lets it. Returns whether there is a response
+    /// to keep outside the ledger until it is acknowledged.
+    async fn admit_and_run(&mut self, body: RequestBodySource) -> bool {
+        match self.gate.admit(self.id, &self.open, self.time_left()) {
+            Ok(None) => self.run_on_backend(body).await,
+            Ok(Some(slot_grant)) => self.wait_for_slot_and_run(slot_grant, body).await,
+            Err(refusal) => {
+                self.send_refusal(&refusal);
+                false
+            }
+        }
+    }
+
+    pub(super) fn id(&self) -> CallId {
+        self.id
+    }
+
+    pub(super) fn deadline(&self) -> Instant {
+        self.deadline
+    }
+
+    /// Next input; `None` if the call's sender is gone.
+    pub(super) async fn next_input(&mut self) -> Option<CallInput> {
+        self.inputs.recv().await
+    }
+
     /// Handles the inputs that have arrived; returns whether one cancels the call. A
     /// gate that was paused reads calls and their cancellations at the same moment.
     fn has_pending_cancel(&mut self) -> bool {
@@ -150,7 +183,7 @@
         self.deadline.saturating_duration_since(Instant::now())
     }
 
-    fn send_refusal(&mut self, refusal: &GateRefusal) {
+    pub(super) fn send_refusal(&mut self, refusal: &GateRefusal) {
         self.gate.record_refusal(self.id);
         self.response_sender
             .send_refusal(refusal, Some(self.gate.current_load()));
@@ -198,7 +231,7 @@
         }
     }
 
-    fn send_cancel_reply(&mut self, is_not_run: bool) {
+    pub(super) fn send_cancel_reply(&mut self, is_not_run: bool) {
         self.gate.record_cancellation(self.id);
         self.response_sender
             .send_message(LinkMessage::CancelReply(CancelReply {
@@ -207,9 +240,12 @@
             }));
     }
 
-    fn handle_input(&mut self, input: CallInput) -> InputEffect {
+    pub(super) fn handle_input(&mut self, input: CallInput) -> InputEffect {
         match input {
             CallInput::RequestChunk(chunk) => {
+                if chunk.offset == self.body_feed.received_bytes() {
+                    self.identity.update(&chunk.data, chunk.is_last);
+                }
                 self.body_feed
                     .accept(chunk.offset, chunk.data, chunk.is_last);
             }
@@ -266,7 +302,11 @@
             return false;
         };
         let started_at = Instant::now();
+        self.gate.watch_run(self.id, &self.identity, self.is_trial);
         let result = self.exchange_with_backend(&client, body).await;
+        let gate = Rc::clone(&self.gate);
+        gate.end_watched_run(&client, self.id, &self.identity, run_end(&result))
+            .await;
         let work_result = match result {
             Ok(()) => WorkResult::Completed {
                 latency: started_at.elapsed(),
@@ -437,3 +477,16 @@
         }
     }
 }
+
+/// What the end of a run shows of the backend server.
+fn run_end(result: &Result<(), RunError>) -> RunEnd {
+    match result {
+        Ok(()) => RunEnd::Completed,
+        Err(RunError::Failed(ErrorKind::BackendFailed)) => RunEnd::ConnectionLost,
+        Err(RunError::Failed(ErrorKind::BackendUnreachable)) => RunEnd::Unreachable,
+        Err(RunError::Refused { .. } | RunError::Failed(ErrorKind::BackendRefused)) => {
+            RunEnd::NotRun
+        }
+        Err(RunError::Cancelled | RunError::Failed(_)) => RunEnd::GivenUp,
+    }
+}
--- a/src/gate/dispatch.rs
+++ b/src/gate/dispatch.rs
@@ -111,6 +111,10 @@
                 link.send(LinkMessage::Pong(LinkPing { load }));
                 return;
             }
+            LinkMessage::Quarantine(update) => {
+                self.quarantine.merge(&update);
+                return;
+            }
             LinkMessage::RequestChunk(chunk) => self.forward_request_chunk(ingress, chunk),
             LinkMessage::Credit(credit) => self.forward_input(
                 call_id(credit.sequence),
--- a/src/gate/links.rs
+++ b/src/gate/links.rs
@@ -118,6 +118,7 @@
     let (sender, outgoing) = message_channel();
     gate.record_known_statement(hello);
     let link_number = gate.register_link_sender(&sender);
+    let _registration = gate.quarantine.register_link(&sender);
     let reading = async {
         while let Some(message) = read_frame(&mut stream).await? {
             gate.handle_message(hello.incarnation, message, &sender);
--- a/src/gate/tests.rs
+++ b/src/gate/tests.rs
@@ -54,6 +54,7 @@
         let (status, _) = tokio::sync::watch::channel(GateStatus::default());
         let incarnation = NodeIncarnation::try_from(7).unwrap();
         let settings = GateSettings {
+            quarantine: Arc::default(),
             dialect: &DEFAULT_DIALECT,
             admission: AdmissionOptions::default(),
             load_polls_per_second,
--- a/src/ingress.rs
+++ b/src/ingress.rs
@@ -41,6 +41,7 @@
 use crate::link::messages::KnownBackendStatement;
 use crate::link::pool::LinkPool;
 use crate::metrics::NodeMetrics;
+use crate::quarantine::QuarantineHub;
 use crate::rate_limit::{KnownStatement, StartRate};
 use crate::retry::{RetryOptions, RetryPolicy};
 use crate::routes::SplitSelector;
@@ -102,6 +103,8 @@
     pub max_immediate_offers: u32,
     /// Counters and histograms.
     pub metrics: Arc<NodeMetrics>,
+    /// Evidence against requests that crash backend servers.
+    pub quarantine: Arc<QuarantineHub>,
     started_at: Instant,
     next_call_number: AtomicU64,
     in_flight_requests: AtomicU64,
@@ -124,6 +127,8 @@
     pub retry_options: RetryOptions,
     /// Counters and histograms.
     pub metrics: Arc<NodeMetrics>,
+    /// Evidence against requests that crash backend servers.
+    pub quarantine: Arc<QuarantineHub>,
     /// Start of the node, from which its clock counts.
     pub started_at: Instant,
 }
@@ -152,6 +157,7 @@
             local_service: settings.local_service,
             max_immediate_offers: settings.max_immediate_offers,
             metrics: settings.metrics,
+            quarantine: settings.quarantine,
             started_at: settings.started_at,
             next_call_number: AtomicU64::new(1),
             in_flight_requests: AtomicU64::new(0),
--- a/src/ingress/body.rs
+++ b/src/ingress/body.rs
@@ -6,6 +6,7 @@
 
 use crate::error::ErrorKind;
 use crate::link::window::{INITIAL_WINDOW_BYTES, MAX_CHUNK_BYTES};
+use crate::quarantine::PREFIX_BYTES;
 
 /// Bytes of a body that are buffered for another attempt.
 const REPLAY_BUFFER_BYTES: usize = INITIAL_WINDOW_BYTES as usize;
@@ -71,6 +72,30 @@
         Ok(body)
     }
 
+    /// Reads on until the replay buffer is full or the body ends.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the body is malformed, truncated or too long.
+    pub async fn fill_replay_buffer(&mut self) -> Result<(), ErrorKind> {
+        while !self.is_ended && self.unsent.is_empty() {
+            if let Some(data) = self.receive().await? {
+                self.replay_buffer.extend_from_slice(&data);
+            }
+            let buffered_length = self.replay_buffer.len().min(REPLAY_BUFFER_BYTES);
+            self.unsent = self.replay_buffer.split_off(buffered_length).freeze();
+        }
+        Ok(())
+    }
+
+    /// Start of the body, and whether all of it that counts for the request's identity is
+    /// there.
+    pub fn identity_prefix(&self) -> (&[u8], bool) {
+        let is_ended = self.is_ended && self.unsent.is_empty();
+        let is_known = is_ended || self.replay_buffer.len() >= PREFIX_BYTES;
+        (&self.replay_buffer, is_known)
+    }
+
     /// Copy of a body that has been read to its end and is completely buffered.
     pub fn complete_copy(&self) -> Option<Self> {
         let (start, is_whole) = self.opening_bytes();
--- a/src/ingress/call.rs
+++ b/src/ingress/call.rs
@@ -3,6 +3,7 @@
 
 mod choice;
 mod offer;
+mod quarantine;
 mod record;
 mod second_copy;
 mod share;
@@ -23,6 +24,7 @@
 use crate::ingress::returns::CallerRequest;
 use crate::ingress::{IngressWorker, lock};
 use crate::ledger::attempt::CallHistory;
+use crate::quarantine::{HeadDigest, RequestFingerprint};
 use crate::retry::{AttemptFailure, RetryContext, RetryDecision};
 use crate::routing::RouteChoice;
 
@@ -74,6 +76,8 @@
     last_error: Option<AttemptError>,
     history: CallHistory,
     search: GateSearch,
+    head_digest: HeadDigest,
+    fingerprint: Option<RequestFingerprint>,
 }
 
 impl CallDriver {
@@ -89,6 +93,7 @@
             sequence: worker.shared.reserve_call_sequence(),
         };
         let search = GateSearch::new(worker.shared.max_immediate_offers);
+        let head_digest = request.head_digest();
         let target_left = original_target_left(&worker, &request).unwrap_or(request.target_latency);
         Self {
             started_at: arrived_at,
@@ -104,6 +109,8 @@
             last_error: None,
             history: CallHistory::default(),
             search,
+            head_digest,
+            fingerprint: None,
         }
     }
 
@@ -127,6 +134,8 @@
         let service = &self.request.service;
         lock(&self.worker.shared.retry_policy).record_first_attempt(service);
         loop {
+            self.identify_request(&mut body).await?;
+            self.check_quarantine()?;
             let choice = match self.next_offer() {
                 Ok(choice) => choice,
                 Err(error) if self.may_wait_for_upstream(error) => {
--- a/src/ingress/call/choice.rs
+++ b/src/ingress/call/choice.rs
@@ -31,6 +31,9 @@
         if self.offer_count + 1 >= MAX_OFFERS {
             return Err(AttemptError::not_run(ErrorKind::Overloaded));
         }
+        if let Some(fingerprint) = self.suspect_fingerprint() {
+            return self.trial_offer(fingerprint);
+        }
         loop {
             let time_budget = self.time_budget();
             let (choice, max_occupancy_percent) = match self.search.next_step(time_budget) {
@@ -99,7 +102,7 @@
         }
     }
 
-    fn choose_node(&self, node: &NodeId) -> Result<RouteChoice, ErrorKind> {
+    pub(super) fn choose_node(&self, node: &NodeId) -> Result<RouteChoice, ErrorKind> {
         let now = self.worker.shared.now();
         let mut router = lock(&self.worker.shared.router);
         let choice = router.select_node(now, &self.request.service, node);
--- a/src/ingress/call/offer.rs
+++ b/src/ingress/call/offer.rs
@@ -109,6 +109,11 @@
             max_occupancy_percent: 0,
             class: self.request.class(),
             is_hedge: false,
+            head_digest: Bytes::copy_from_slice(self.head_digest.as_bytes()),
+            fingerprint: self
+                .fingerprint
+                .map(|fingerprint| Bytes::copy_from_slice(fingerprint.as_bytes()))
+                .unwrap_or_default(),
         }
     }
 
--- a/src/ingress/call/second_copy.rs
+++ b/src/ingress/call/second_copy.rs
@@ -132,7 +132,10 @@
     /// Takes a hedged attempt out of the service's retry budget; false if the
     /// budget is spent.
     fn try_spend_hedge(&self) -> bool {
-        lock(&self.worker.shared.retry_policy).try_spend_token_for_hedge(&self.request.service)
+        // Two runs of a suspect may cost two backend servers.
+        self.suspect_fingerprint().is_none()
+            && lock(&self.worker.shared.retry_policy)
+                .try_spend_token_for_hedge(&self.request.service)
     }
 
     /// Finds a gate that starts the hedged attempt at once, and waits for its
--- a/src/ingress/request.rs
+++ b/src/ingress/request.rs
@@ -11,6 +11,7 @@
 use crate::http1::head::field_text;
 use crate::ids::ServiceName;
 use crate::link::messages::HeaderField;
+use crate::quarantine::HeadDigest;
 use crate::routes::{RequestKind, Route, RouteConfig, RouteTarget, SplitSelector};
 use crate::table::{RoutingTable, ServiceRule};
 
@@ -251,6 +252,16 @@
 }
 
 impl ResolvedRequest {
+    /// Digest by which the request is known in all its attempts.
+    pub fn head_digest(&self) -> HeadDigest {
+        // Without routes the host may name a node.
+        let host = match &self.route {
+            Some(_) => field_text(&self.fields, "host").unwrap_or_default(),
+            None => self.service.as_str(),
+        };
+        HeadDigest::new(host, &self.method, &self.path, &self.fields)
+    }
+
     /// Class of requests with similar latency: the route, or an empty name
     /// without one.
     pub fn class(&self) -> String {
--- a/src/ingress/tests.rs
+++ b/src/ingress/tests.rs
@@ -19,6 +19,7 @@
     let (tables, table) = watch::channel(Arc::default());
     let (_, stop_phase) = watch::channel(StopPhase::Serving);
     let settings = IngressSettings {
+        quarantine: std::sync::Arc::default(),
         dialect: &DEFAULT_DIALECT,
         uses_routes: true,
         local_service: None,
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -32,6 +32,7 @@
 pub mod node;
 pub mod options;
 pub mod platform;
+pub mod quarantine;
 pub mod rate_limit;
 pub mod replay;
 pub mod retry;
--- a/src/link/call_link.rs
+++ b/src/link/call_link.rs
@@ -16,6 +16,7 @@
 use crate::ids::{NodeId, NodeIncarnation};
 use crate::link::endpoint::{LinkReceiver, LinkSender, read_frame};
 use crate::link::messages::{LinkMessage, LinkPing, LoadSnapshot};
+use crate::quarantine::LinkRegistration;
 
 /// Time without messages after which a link with outstanding calls is pinged.
 const PING_AFTER_SILENCE: Duration = Duration::from_millis(40);
@@ -184,6 +185,7 @@
     link: Rc<CallLink>,
     mut stream: SplitStream<FramedPeerStream>,
     upstream_events: UnboundedSender<(NodeId, UpstreamEvent)>,
+    registration: LinkRegistration,
 ) {
     loop {
         let frame = tokio::select! {
@@ -193,6 +195,10 @@
         let Ok(Some(message)) = frame else {
             break;
         };
+        if let LinkMessage::Quarantine(update) = &message {
+            // Before the calls hear of the crash behind it.
+            registration.hub().merge(update);
+        }
         handle_message(&link, message, &upstream_events);
     }
     link.mark_lost();
@@ -226,6 +232,7 @@
         | LinkMessage::Resume(_)
         | LinkMessage::Acknowledge(_)
         | LinkMessage::Ping(_) => (None, None),
+        LinkMessage::Quarantine(_) => (None, None),
     };
     if let Some(load) = load {
         let event = UpstreamEvent::Load(link.incarnation, load);
--- a/src/link/messages.rs
+++ b/src/link/messages.rs
@@ -149,6 +149,14 @@
     /// Whether this is the second of two attempts at the same time.
     #[prost(bool, tag = "17")]
     pub is_hedge: bool,
+    /// [`HeadDigest`](crate::quarantine::HeadDigest) of the request; older builds leave
+    /// it out.
+    #[prost(bytes = "bytes", tag = "18")]
+    pub head_digest: Bytes,
+    /// [`RequestFingerprint`](crate::quarantine::RequestFingerprint) of the request;
+    /// empty if too little of its body has arrived.
+    #[prost(bytes = "bytes", tag = "19")]
+    pub fingerprint: Bytes,
 }
 
 /// Part of a request or response body.
@@ -323,6 +331,40 @@
     pub load: Option<LoadSnapshot>,
 }
 
+/// Evidence against requests that crash backend servers; sent in both directions.
+#[derive(Clone, PartialEq, Message)]
+pub struct QuarantineUpdate {
+    /// Changed records, or all of them on a new link.
+    #[prost(message, repeated, tag = "1")]
+    pub records: Vec<QuarantineRecord>,
+}
+
+/// Encoded [`CrashRecord`](crate::quarantine::CrashRecord).
+#[derive(Clone, PartialEq, Message)]
+pub struct QuarantineRecord {
+    /// Fingerprint of the request.
+    #[prost(bytes = "bytes", tag = "1")]
+    pub fingerprint: Bytes,
+    /// Digest of the request's head.
+    #[prost(bytes = "bytes", tag = "2")]
+    pub head: Bytes,
+    /// Clearances so far; a record with more of them replaces one with fewer.
+    #[prost(uint32, tag = "3")]
+    pub epoch: u32,
+    /// Crashes with several suspects.
+    #[prost(fixed64, repeated, tag = "4")]
+    pub shared_crashes: Vec<u64>,
+    /// Crashes with this request as the only suspect.
+    #[prost(fixed64, repeated, tag = "5")]
+    pub sole_crashes: Vec<u64>,
+    /// Time since the newest evidence, in milliseconds.
+    #[prost(uint64, tag = "6")]
+    pub age_ms: u64,
+    /// Service at which the request was last seen.
+    #[prost(string, tag = "7")]
+    pub service: String,
+}
+
 /// Any message on an open link.
 #[derive(Clone, PartialEq, Oneof)]
 pub enum LinkMessage {
@@ -371,6 +413,9 @@
     /// Gate to ingress: this upstream accepts no new calls.
     #[prost(message, tag = "15")]
     Leaving(LinkPing),
+    /// Both directions: evidence against requests.
+    #[prost(message, tag = "16")]
+    Quarantine(QuarantineUpdate),
 }
 
 /// Frame that carries one [`LinkMessage`].
@@ -379,7 +424,7 @@
     /// `None` if the message type is unknown, such as one from a newer version.
     #[prost(
         oneof = "LinkMessage",
-        tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15"
+        tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16"
     )]
     pub message: Option<LinkMessage>,
 }
--- a/src/link/pool.rs
+++ b/src/link/pool.rs
@@ -9,6 +9,7 @@
 use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
@@ -23,6 +24,7 @@
 use crate::link::call_link::{CallLink, UpstreamEvent, receive_local, receive_remote};
 use crate::link::endpoint::{LinkReceiver, LinkSender, message_channel, write_frames};
 use crate::link::messages::{KnownBackendStatement, LinkHello, LinkMessage, LinkPing, LinkWelcome};
+use crate::quarantine::QuarantineHub;
 
 /// Time limit for opening a link, including the wait for its [`LinkWelcome`].
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(100);
@@ -77,6 +79,7 @@
     identity: LinkIdentity,
     local_connector: LocalConnector,
     statement_lookup: StatementLookup,
+    quarantine: Arc<QuarantineHub>,
     entries: RefCell<BTreeMap<NodeId, Rc<PoolEntry>>>,
     generation: Cell<u64>,
     upstream_events: UnboundedSender<(NodeId, UpstreamEvent)>,
@@ -89,12 +92,14 @@
         identity: LinkIdentity,
         local: LocalConnector,
         statement_lookup: StatementLookup,
+        quarantine: Arc<QuarantineHub>,
     ) -> (Rc<Self>, UnboundedReceiver<(NodeId, UpstreamEvent)>) {
         let (upstream_events, receiver) = unbounded_channel();
         let pool = Rc::new(Self {
             identity,
             local_connector: local,
             statement_lookup,
+            quarantine,
             entries: RefCell::new(BTreeMap::new()),
             generation: Cell::new(0),
             upstream_events,
@@ -238,6 +243,7 @@
     ) -> Rc<CallLink> {
         let (sink, stream) = framed.split();
         let (sender, outgoing) = message_channel();
+        let registration = self.quarantine.register_link(&sender);
         let link = Rc::new(CallLink::new(
             gate,
             incarnation,
@@ -248,6 +254,7 @@
             Rc::clone(&link),
             stream,
             self.upstream_events.clone(),
+            registration,
         ));
         let written_link = Rc::clone(&link);
         ntex::rt::spawn(async move {
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -49,6 +49,9 @@
     rate_limit: Gauge<f64, AtomicU64>,
     limited_refusals: Counter,
     statements: CounterFamily,
+    backend_crashes: Counter,
+    quarantine_refusals: Counter,
+    held_requests: Gauge,
 }
 
 fn new_latency_histogram() -> Histogram {
@@ -71,6 +74,9 @@
             rate_limit: Gauge::default(),
             limited_refusals: Counter::default(),
             statements: Family::default(),
+            backend_crashes: Counter::default(),
+            quarantine_refusals: Counter::default(),
+            held_requests: Gauge::default(),
             registry: Registry::default(),
         };
         registry.register(
@@ -115,6 +121,21 @@
             "Version of the route configuration in force; 0 before the first one",
             metrics.config_version.clone(),
         );
+        registry.register(
+            "backend_crashes",
+            "Ends of the own backend server while calls ran",
+            metrics.backend_crashes.clone(),
+        );
+        registry.register(
+            "quarantine_refusals",
+            "Callers' requests refused as held",
+            metrics.quarantine_refusals.clone(),
+        );
+        registry.register(
+            "held_requests",
+            "Requests that are held, as upstreams crashed while they ran them",
+            metrics.held_requests.clone(),
+        );
         metrics.set_rate_limit(None);
         registry.register(
             "rate_limit",
@@ -213,6 +234,22 @@
         self.statements.get_or_create(&labels).inc();
     }
 
+    /// Counts an end of the own backend server while calls ran.
+    pub fn count_backend_crash(&self) {
+        self.backend_crashes.inc();
+    }
+
+    /// Counts a caller's request that was refused as held.
+    pub fn count_quarantine_refusal(&self) {
+        self.quarantine_refusals.inc();
+    }
+
+    /// Sets the number of requests that are held.
+    pub fn set_held_requests(&self, count: usize) {
+        self.held_requests
+            .set(i64::try_from(count).unwrap_or(i64::MAX));
+    }
+
     /// Encodes all metrics in the OpenMetrics text format.
     pub fn encode_text(&self) -> String {
         let mut text = String::new();
--- a/src/node.rs
+++ b/src/node.rs
@@ -48,6 +48,7 @@
 use crate::node::listener::{WorkerSettings, start_ingress};
 use crate::options::{NODE_COMMAND, NodeOptions, options_from_process};
 use crate::platform::{PLATFORM, PlatformStore};
+use crate::quarantine::QuarantineHub;
 use crate::retry::RetryOptions;
 use crate::routes::{RoutesHandle, RoutesSettings};
 use crate::routing::{NodeLocality, RouterState, RoutingOptions};
@@ -202,8 +203,10 @@
         platform_adapter.dialect
     });
     let metrics = Arc::new(NodeMetrics::default());
+    let quarantine = Arc::new(QuarantineHub::new(Arc::clone(&metrics)));
     let gate_settings = GateSettings {
         metrics: Arc::clone(&metrics),
+        quarantine: Arc::clone(&quarantine),
         dialect,
         admission: options.admission,
         load_polls_per_second: options.load_polls_per_second,
@@ -221,6 +224,7 @@
             local_service: options.local_service.clone(),
             max_immediate_offers: options.max_immediate_offers,
             metrics: Arc::clone(&metrics),
+            quarantine,
             retry_options: RetryOptions {
                 are_gate_refusals_free: options.max_immediate_offers > 0,
                 ..options.retry
--- a/src/node/listener.rs
+++ b/src/node/listener.rs
@@ -104,7 +104,12 @@
     let statements_source = Arc::clone(shared);
     let statement_lookup =
         Rc::new(move |node: &NodeId| known_backend_statement(&statements_source, node));
-    let (pool, notices) = LinkPool::new(identity, connect_local, statement_lookup);
+    let (pool, notices) = LinkPool::new(
+        identity,
+        connect_local,
+        statement_lookup,
+        Arc::clone(&shared.quarantine),
+    );
     ntex::rt::spawn(apply_upstream_notices(Arc::clone(shared), notices));
     ntex::rt::spawn(close_unused_links(Arc::clone(shared), Rc::clone(&pool)));
     Rc::new(IngressWorker {
--- /dev/null
+++ b/src/quarantine/tests.rs
@@ -0,0 +1,4 @@
+//! Tests of the quarantine.
+
+mod fleet;
+mod rules;
