List and clear held requests; count a second crash of a server that came back unnoticed

An operator can list suspects and held requests and clear one at all nodes (currantlift-ctl quarantine, clear), and explain shows the crashes behind a refused request. The test of it found a fault: a gate recorded the end of its backend server once, and took a next start at the same address under the same id for the one that had ended. After a clearance 15 crashes went by and the request was not held again.

--- a/src/admin/messages.rs
+++ b/src/admin/messages.rs
@@ -14,6 +14,7 @@
     BackendId, BackendKey, ConnectionCount, NodeId, NodeIncarnation, RegionName, ServiceName,
     SlotCount, TicketNumber, ZoneName,
 };
+use crate::quarantine::RequestFingerprint;
 use crate::rate_limit::StartRate;
 use crate::table::{ServiceRule, UpstreamState};
 use crate::tickets::TicketView;
@@ -67,6 +68,13 @@
     ListServices,
     /// Lists the nodes that this node knows.
     ListMembers,
+    /// Lists the requests that are suspected of crashing backend servers, or held.
+    ListQuarantine,
+    /// Clears a suspected or held request at all nodes.
+    ClearQuarantine {
+        /// Fingerprint of the request.
+        fingerprint: RequestFingerprint,
+    },
     /// Returns the state of this node.
     ShowStatus,
     /// Returns whether this node accepts work.
@@ -87,6 +95,8 @@
     Services(BTreeMap<ServiceName, ServiceView>),
     /// Nodes that this node knows. Status 200.
     Members(BTreeMap<NodeId, MemberView>),
+    /// Suspected and held requests by fingerprint. Status 200.
+    Quarantine(BTreeMap<String, SuspectView>),
     /// State of this node. Status 200.
     Status(Box<StatusView>),
     /// Whether this node accepts work. Status 200 or 503.
@@ -253,6 +263,23 @@
     pub service: Option<ServiceName>,
 }
 
+/// Request that may have crashed backend servers.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct SuspectView {
+    /// `suspect` or `held`.
+    pub standing: String,
+    /// Service at which it was last seen.
+    pub service: ServiceName,
+    /// Crashes that it may have caused.
+    pub crashes: usize,
+    /// Crashes among them while it ran in a trial.
+    pub trial_crashes: usize,
+    /// Milliseconds since the newest evidence.
+    pub evidence_age_ms: u64,
+    /// Milliseconds until the next half-open trial; 0 unless it is held.
+    pub retry_after_ms: u64,
+}
+
 /// Backend server beside this node.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct BackendView {
--- a/src/admin/replies.rs
+++ b/src/admin/replies.rs
@@ -107,6 +107,7 @@
         AdminReply::Ticket(outcome) => json_response(ticket_outcome_status(&outcome), &outcome),
         AdminReply::TicketContent(ticket) => json_response(StatusCode::OK, &ticket),
         AdminReply::Services(services) => json_response(StatusCode::OK, &services),
+        AdminReply::Quarantine(suspects) => json_response(StatusCode::OK, &suspects),
         AdminReply::Members(members) => json_response(StatusCode::OK, &members),
         AdminReply::Status(status) => json_response(StatusCode::OK, &status),
         AdminReply::Health(health) => {
@@ -120,7 +121,7 @@
         AdminReply::NotFound => {
             let body = ErrorBody {
                 field: "path".to_string(),
-                reason: "no backend server or ticket of that name".to_string(),
+                reason: "no backend server, ticket or suspected request of that name".to_string(),
             };
             json_response(StatusCode::NOT_FOUND, &body)
         }
--- a/src/admin/routes.rs
+++ b/src/admin/routes.rs
@@ -20,6 +20,7 @@
 use super::replies::{ApiError, reply_to_response};
 use crate::ids::{BackendId, TicketNumber};
 use crate::options::SecretToken;
+use crate::quarantine::RequestFingerprint;
 
 /// Request size limit, equal to the value size limit of the platform's store.
 const MAX_BODY_BYTES: usize = 1024 * 1024;
@@ -86,6 +87,11 @@
         )
         .service(web::resource("/v1/services").route(web::get().to(get_services)))
         .service(web::resource("/v1/members").route(web::get().to(get_members)))
+        .service(web::resource("/v1/quarantine").route(web::get().to(get_quarantine)))
+        .service(
+            web::resource("/v1/quarantine/{fingerprint}")
+                .route(web::delete().to(delete_quarantine)),
+        )
         .service(web::resource("/v1/status").route(web::get().to(get_status)))
         .service(web::resource("/v1/health").route(web::get().to(get_health)))
         .service(web::resource("/{path}*").to(unknown_path));
@@ -158,6 +164,19 @@
     send_to_control(&api_state, AdminRequest::ListMembers).await
 }
 
+async fn get_quarantine(api_state: State<AdminApiState>) -> Result<HttpResponse, ApiError> {
+    send_to_control(&api_state, AdminRequest::ListQuarantine).await
+}
+
+async fn delete_quarantine(
+    request: HttpRequest,
+    api_state: State<AdminApiState>,
+) -> Result<HttpResponse, ApiError> {
+    check_token(&request, &api_state)?;
+    let fingerprint = path_parameter::<RequestFingerprint>(&request, "fingerprint")?;
+    send_to_control(&api_state, AdminRequest::ClearQuarantine { fingerprint }).await
+}
+
 async fn get_status(api_state: State<AdminApiState>) -> Result<HttpResponse, ApiError> {
     send_to_control(&api_state, AdminRequest::ShowStatus).await
 }
--- a/src/control/admin.rs
+++ b/src/control/admin.rs
@@ -2,12 +2,13 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
+use std::time::Duration;
 
 use tokio::sync::mpsc::Receiver;
 
 use crate::admin::{
     AdminCall, AdminReply, AdminRequest, BackendAnnouncement, BackendView, FieldError, HealthView,
-    MemberView, RefusalReason, ServiceView, StatusView, TicketOutcome, UpstreamView,
+    MemberView, RefusalReason, ServiceView, StatusView, SuspectView, TicketOutcome, UpstreamView,
 };
 use crate::control::state::{AnnouncementOutcome, ControlState};
 use crate::ids::{BackendId, NodeId, ServiceName, TicketNumber};
@@ -50,6 +51,14 @@
         AdminRequest::CheckTicket { number, body } => check_ticket(control, number, &body).await,
         AdminRequest::ShowTicket { number } => show_ticket(control, number).await,
         AdminRequest::ListServices => AdminReply::Services(service_views(control)),
+        AdminRequest::ListQuarantine => AdminReply::Quarantine(suspect_views(control)),
+        AdminRequest::ClearQuarantine { fingerprint } => {
+            if control.ingress.quarantine.clear(fingerprint) {
+                AdminReply::Done
+            } else {
+                AdminReply::NotFound
+            }
+        }
         AdminRequest::ListMembers => AdminReply::Members(member_views(control)),
         AdminRequest::ShowStatus => AdminReply::Status(Box::new(status_view(control))),
         AdminRequest::CheckHealth => AdminReply::Health(health_view(control)),
@@ -216,6 +225,24 @@
     }
 }
 
+fn suspect_views(control: &ControlState) -> BTreeMap<String, SuspectView> {
+    let to_ms = |time: Duration| u64::try_from(time.as_millis()).unwrap_or(u64::MAX);
+    let suspects = control.ingress.quarantine.suspects().into_iter();
+    suspects
+        .map(|(fingerprint, record, standing)| {
+            let view = SuspectView {
+                standing: standing.name().to_string(),
+                service: record.service.clone(),
+                crashes: record.crashes.len(),
+                trial_crashes: record.trial_crashes(),
+                evidence_age_ms: to_ms(standing.evidence_age()),
+                retry_after_ms: to_ms(standing.retry_after()),
+            };
+            (fingerprint.to_string(), view)
+        })
+        .collect()
+}
+
 fn member_views(control: &ControlState) -> BTreeMap<NodeId, MemberView> {
     let state = control.membership.state().borrow();
     let members = state.members().iter();
--- a/src/ctl.rs
+++ b/src/ctl.rs
@@ -117,6 +117,14 @@
         }
     }
 
+    fn delete(path: String) -> Self {
+        Self {
+            method: Method::DELETE,
+            path,
+            body: None,
+        }
+    }
+
     fn put(path: String, body: String) -> Self {
         Self {
             method: Method::PUT,
@@ -148,6 +156,11 @@
         CtlCommand::Members => get("/v1/members"),
         CtlCommand::Status => get("/v1/status"),
         CtlCommand::Health => get("/v1/health"),
+        CtlCommand::Quarantine => get("/v1/quarantine"),
+        CtlCommand::Clear { fingerprint } => {
+            let path = format!("/v1/quarantine/{fingerprint}");
+            CommandPlan::QueryNode(ApiRequest::delete(path))
+        }
         CtlCommand::Explain { subject, log_files } => {
             let mut text = String::new();
             for file in log_files {
--- a/src/ctl/explain.rs
+++ b/src/ctl/explain.rs
@@ -12,6 +12,10 @@
 const LEADING_FIELDS: [&str; 5] = ["at", "node", "target", "message", "call"];
 /// Log field with the identifier of the call or attempt.
 const CALL_ID_FIELD: &str = "call";
+/// Log field with the fingerprint of a request that may have crashed backend servers.
+const FINGERPRINT_FIELD: &str = "fingerprint";
+/// Log field with the fingerprints, separated by spaces, of all suspects of a crash.
+const SUSPECTS_FIELD: &str = "suspects";
 /// Log field with the caller's identifier of the request.
 const REQUEST_ID_FIELD: &str = "request_id";
 
@@ -33,7 +37,8 @@
     }
 }
 
-/// Formats the log lines about a call or request and its attempts, ordered by time.
+/// Formats the log lines about a call or request and its attempts, ordered by time, and
+/// those on crashes for which its request was suspected.
 ///
 /// `logs` holds JSON lines of any number of nodes; other lines are skipped.
 /// Lines of different nodes are ordered by the nodes' own clocks.
@@ -44,9 +49,18 @@
     });
     let log_lines: Vec<Map<String, Value>> = log_lines.collect();
     let calls = matching_calls(subject, &log_lines);
+    let is_about_calls = |fields: &Map<String, Value>| {
+        call_of_line(fields).is_some_and(|call| calls.contains(&call))
+    };
+    let fingerprints: BTreeSet<String> = log_lines
+        .iter()
+        .filter(|fields| is_about_calls(fields))
+        .map(|fields| field_text(fields, FINGERPRINT_FIELD))
+        .filter(|fingerprint| !fingerprint.is_empty())
+        .collect();
     let mut output_lines: BTreeMap<(String, usize), String> = BTreeMap::new();
     for (index, fields) in log_lines.iter().enumerate() {
-        if call_of_line(fields).is_some_and(|call| calls.contains(&call)) {
+        if is_about_calls(fields) || is_evidence(fields, &fingerprints) {
             output_lines.insert((field_text(fields, "at"), index), format_line(fields));
         }
     }
@@ -56,6 +70,16 @@
     output_lines.into_values().collect()
 }
 
+/// Whether a line about no call tells of the evidence against one of these requests.
+fn is_evidence(fields: &Map<String, Value>, fingerprints: &BTreeSet<String>) -> bool {
+    let suspects = field_text(fields, SUSPECTS_FIELD);
+    let mut named = suspects
+        .split(' ')
+        .map(ToString::to_string)
+        .chain([field_text(fields, FINGERPRINT_FIELD)]);
+    call_of_line(fields).is_none() && named.any(|fingerprint| fingerprints.contains(&fingerprint))
+}
+
 fn matching_calls(subject: &ExplainSubject, lines: &[Map<String, Value>]) -> BTreeSet<CallId> {
     match subject {
         ExplainSubject::Call(call) => BTreeSet::from([call_of_attempt(*call)]),
--- a/src/ctl/options.rs
+++ b/src/ctl/options.rs
@@ -7,6 +7,7 @@
 use crate::options::{
     BaseUrl, CommandSpec, FlagArity, FlagSpec, RawOptions, SecretToken, SettingError,
 };
+use crate::quarantine::RequestFingerprint;
 
 const CTL_FLAGS: &[FlagSpec] = &[
     FlagSpec::single(
@@ -19,7 +20,7 @@
         "token",
         "TOKEN",
         "at least 8 printable ASCII characters without space",
-        "bearer token for submit and check",
+        "bearer token for submit, check and clear",
     ),
     FlagSpec::single(
         "log",
@@ -31,10 +32,12 @@
 ];
 
 const TICKET_NUMBER_FORMAT: &str = "a whole number from 1";
+const FINGERPRINT_FORMAT: &str = "32 hexadecimal digits";
 const CALL_ID_FORMAT: &str = "a call id such as 00000000000000ff-1a";
 
 /// Command names for error messages.
-const COMMAND_NAMES: &str = "submit, check, show, services, members, status, health or explain";
+const COMMAND_NAMES: &str =
+    "submit, check, show, services, members, status, health, quarantine, clear or explain";
 
 /// Command line of `currantlift-ctl`.
 pub const CTL_COMMAND: CommandSpec = CommandSpec {
@@ -49,6 +52,8 @@
             \x20 members                       nodes that the node knows\n\
             \x20 status                        state of the node\n\
             \x20 health                        whether the node accepts work\n\
+            \x20 quarantine                    requests that are suspected of crashing upstreams, or held\n\
+            \x20 clear FINGERPRINT             let such a request run again at all nodes\n\
             \x20 explain CALL_ID --log FILE    log lines about a call and its attempts\n\
             \x20 explain request ID --log FILE  same for all calls with the caller's request id\n\
             \n\
@@ -91,6 +96,13 @@
     Status,
     /// Shows whether the node accepts work.
     Health,
+    /// Lists the requests that are suspected of crashing backend servers, or held.
+    Quarantine,
+    /// Clears a suspected or held request at all nodes.
+    Clear {
+        /// Fingerprint of the request.
+        fingerprint: RequestFingerprint,
+    },
     /// Explains the handling of a call or request.
     Explain {
         /// Call or request to explain.
@@ -105,7 +117,7 @@
 pub struct CtlOptions {
     /// Administration API to send the request to; `None` only for `explain`.
     pub admin_url: Option<BaseUrl>,
-    /// Bearer token sent with the request; the API requires it for submit and check.
+    /// Bearer token sent with the request; the API requires it for changes.
     pub token: Option<SecretToken>,
     /// Command with its parsed arguments.
     pub command: CtlCommand,
@@ -153,6 +165,10 @@
             ["members"] => Ok(Self::Members),
             ["status"] => Ok(Self::Status),
             ["health"] => Ok(Self::Health),
+            ["quarantine"] => Ok(Self::Quarantine),
+            ["clear", fingerprint] => Ok(Self::Clear {
+                fingerprint: parse_argument("FINGERPRINT", FINGERPRINT_FORMAT, fingerprint)?,
+            }),
             ["explain", call] => Ok(Self::Explain {
                 subject: ExplainSubject::Call(parse_argument("CALL_ID", CALL_ID_FORMAT, call)?),
                 log_files: raw.required_list("log")?,
--- a/src/ctl/tests.rs
+++ b/src/ctl/tests.rs
@@ -30,6 +30,21 @@
     assert!(text.starts_with("no log line names call"));
 }
 
+#[test]
+fn explains_a_held_request_by_the_crashes_behind_it() {
+    const LOGS: &str = r#"
+{"at":"2026-12-03T10:00:00.001Z","node":"b","target":"quarantine","message":"backend server ended while calls ran","calls":"00000000000000fe-20 00000000000000fe-30","suspects":"aa bb"}
+{"at":"2026-12-03T10:00:00.002Z","node":"b","target":"quarantine","message":"evidence against a request changed","fingerprint":"bb","standing":"held"}
+{"at":"2026-12-03T10:00:00.003Z","node":"b","target":"quarantine","message":"evidence against a request changed","fingerprint":"cc","standing":"suspect"}
+{"at":"2026-12-03T10:00:00.004Z","node":"a","target":"quarantine","message":"held request refused","call":"00000000000000ff-20","request_id":"r1","fingerprint":"bb"}
+{"at":"2026-12-03T10:00:00.005Z","node":"a","target":"quarantine","message":"held request refused","call":"00000000000000ff-30","request_id":"r2","fingerprint":"bb"}
+"#;
+    let text = explain(&ExplainSubject::Request("r1".to_string()), LOGS);
+    let headers = text.lines().filter(|line| !line.starts_with(' '));
+    let times: Vec<&str> = headers.map(|line| &line[20..23]).collect();
+    assert_eq!(times, ["001", "002", "004"]);
+}
+
 #[test]
 fn result_distinguishes_unknown_from_refused() {
     let cases = [
--- a/src/gate/crashes.rs
+++ b/src/gate/crashes.rs
@@ -122,7 +122,12 @@
         end: RunEnd,
     ) {
         let now = self.now();
-        self.crashes.watch.borrow_mut().end_run(now, call, end);
+        let is_known = self.crashes.watch.borrow_mut().end_run(now, call, end);
+        let has_connected = matches!(end, RunEnd::Completed | RunEnd::ConnectionLost);
+        if is_known && has_connected {
+            // It began after the end that is recorded: there is another start.
+            self.crashes.is_end_recorded.set(false);
+        }
         match end {
             RunEnd::Completed => {
                 if let Some(fingerprint) = identity.fingerprint() {
--- a/src/quarantine/hub.rs
+++ b/src/quarantine/hub.rs
@@ -123,10 +123,12 @@
         finding: &CrashFinding,
     ) {
         let calls: Vec<String> = finding.calls.iter().map(ToString::to_string).collect();
+        let suspects = finding.suspects.iter();
+        let suspects: Vec<String> = suspects.map(|(suspect, _)| suspect.to_string()).collect();
         log::warn!(
             target: "quarantine",
             crash:%, backend:%, service:%, calls = calls.join(" "),
-            suspects = finding.suspects.len(), blame:% = finding.blame;
+            suspects = suspects.join(" "), blame:% = finding.blame;
             "backend server ended while calls ran"
         );
         self.metrics.count_backend_crash();
--- a/src/quarantine/state.rs
+++ b/src/quarantine/state.rs
@@ -183,6 +183,22 @@
 }
 
 impl RequestStanding {
+    /// Time since the newest evidence; zero without any.
+    pub fn evidence_age(self) -> Duration {
+        match self {
+            Self::Unsuspected => Duration::ZERO,
+            Self::Suspect { evidence_age, .. } | Self::Held { evidence_age, .. } => evidence_age,
+        }
+    }
+
+    /// Time until the next half-open trial; zero unless the request is held.
+    pub fn retry_after(self) -> Duration {
+        match self {
+            Self::Unsuspected | Self::Suspect { .. } => Duration::ZERO,
+            Self::Held { retry_after, .. } => retry_after,
+        }
+    }
+
     /// Name for log lines.
     pub fn name(self) -> &'static str {
         match self {
--- a/src/quarantine/watch.rs
+++ b/src/quarantine/watch.rs
@@ -76,12 +76,12 @@
         self.running.insert(call, run);
     }
 
-    /// Records the end of a run.
-    pub fn end_run(&mut self, now: Duration, call: CallId, end: RunEnd) {
+    /// Records the end of a run; false if it was taken by a crash.
+    pub fn end_run(&mut self, now: Duration, call: CallId, end: RunEnd) -> bool {
         self.recent
             .retain(|ended| now.saturating_sub(ended.at) < RESTART_WINDOW);
         let Some(run) = self.running.remove(&call) else {
-            return;
+            return false;
         };
         if matches!(end, RunEnd::ConnectionLost | RunEnd::GivenUp) {
             self.recent.push(EndedRun {
@@ -91,6 +91,7 @@
                 run,
             });
         }
+        true
     }
 
     /// The backend server has ended: nothing listens at its address.
--- a/tests/crashes/drill.rs
+++ b/tests/crashes/drill.rs
@@ -29,6 +29,8 @@
 const UPLOAD_BYTES: usize = 300_000;
 /// Code in the response to a held request.
 const QUARANTINE_CODE: &str = "request-quarantined";
+/// Users' time from the third crash until the bound on further arrivals holds.
+const USERS_SPREAD_TIME: Duration = Duration::from_secs(3);
 
 /// Request that crashes the backend server that runs it.
 #[derive(Debug, Clone, Copy)]
@@ -102,6 +104,17 @@
     next_number: u64,
     crash_count: usize,
     down_since: BTreeMap<usize, Instant>,
+    faults: Vec<NodeFault>,
+    spread_time: Duration,
+}
+
+/// Signal to a node and its end, as times since the start of a drill.
+#[derive(Debug, Clone, Copy)]
+pub struct NodeFault {
+    pub index: usize,
+    pub signal: &'static str,
+    pub begin: Duration,
+    pub end: Duration,
 }
 
 impl CrashDrill {
@@ -117,6 +130,54 @@
             next_number: 0,
             crash_count: 0,
             down_since: BTreeMap::new(),
+            faults: Vec::new(),
+            spread_time: SPREAD_TIME,
+        }
+    }
+
+    /// Checks the fingerprints that a node lists as held, and clears them.
+    pub async fn clear_held(&self) -> usize {
+        let held = self.fleet.upstreams[0]
+            .held_requests(&self.fleet.client)
+            .await;
+        for fingerprint in &held {
+            let upstream = &self.fleet.upstreams[0];
+            upstream
+                .clear_request(&self.fleet.client, fingerprint)
+                .await;
+        }
+        held.len()
+    }
+
+    /// Begins and ends the faults of nodes that are due.
+    fn poll_faults(&mut self, elapsed: Duration, begun: &mut [bool]) {
+        let faults = self.faults.clone();
+        for (fault, is_begun) in faults.iter().zip(begun.iter_mut()) {
+            let upstream = &mut self.fleet.upstreams[fault.index];
+            if !*is_begun && elapsed >= fault.begin {
+                *is_begun = true;
+                upstream.signal_node(fault.signal);
+                if fault.signal == "KILL" {
+                    upstream.node = None;
+                }
+            }
+        }
+        let ended = faults
+            .iter()
+            .zip(begun.iter())
+            .filter(|(fault, is_begun)| **is_begun && elapsed >= fault.end);
+        for (fault, _) in ended {
+            let upstream = &mut self.fleet.upstreams[fault.index];
+            if fault.signal == "STOP" {
+                upstream.signal_node("CONT");
+            } else if upstream
+                .node
+                .as_mut()
+                .is_none_or(crate::process::Process::has_exited)
+            {
+                upstream.node = None;
+                upstream.start_node();
+            }
         }
     }
 
@@ -142,6 +203,18 @@
         self.run_drill(time, Some(crashing), 0).await
     }
 
+    /// Sends the crashing request and others while faults of nodes come in series.
+    pub async fn run_with_faults(
+        &mut self,
+        time: Duration,
+        crashing: CrashingRequest,
+        faults: Vec<NodeFault>,
+    ) -> DrillReport {
+        self.faults = faults;
+        self.spread_time = USERS_SPREAD_TIME;
+        self.run_drill(time, Some(crashing), 0).await
+    }
+
     /// Kills backend servers at even intervals while others send requests.
     pub async fn run_with_kills(&mut self, time: Duration, kill_count: u32) -> DrillReport {
         self.run_drill(time, None, kill_count).await
@@ -158,17 +231,19 @@
         let crashes_before = self.crash_count;
         let (mut next_other, mut next_crashing) = (started_at, started_at);
         let mut kills = 0;
+        let mut begun = vec![false; self.faults.len()];
         // Runs of the crashing request when the third crash has to be known.
         let mut third_crash: Option<(Instant, Option<u32>)> = None;
         while started_at.elapsed() < time {
             let now = Instant::now();
             self.poll_backends(now);
+            self.poll_faults(started_at.elapsed(), &mut begun);
             let crashes = self.crash_count - crashes_before;
             let is_third_known = crashes >= 3;
             let (third_at, runs_at_bound) = third_crash.get_or_insert((now, None));
             if !is_third_known {
                 third_crash = None;
-            } else if runs_at_bound.is_none() && now >= *third_at + SPREAD_TIME {
+            } else if runs_at_bound.is_none() && now >= *third_at + self.spread_time {
                 *runs_at_bound = Some(self.crashing_runs());
             }
             let is_after = third_crash.is_some_and(|(at, _)| now >= at + 2 * BACKEND_DOWN_TIME);
@@ -187,6 +262,8 @@
             }
             sleep(POLL_INTERVAL).await;
         }
+        // A soak may end in the middle of a fault.
+        self.poll_faults(Duration::MAX, &mut begun);
         // Calls of the last moments.
         sleep(Duration::from_millis(1_500)).await;
         let mut report = report.borrow().clone();
--- a/tests/support/fleet.rs
+++ b/tests/support/fleet.rs
@@ -194,6 +194,25 @@
         client.get(url).send().await.unwrap().json().await.unwrap()
     }
 
+    /// Fingerprints of the requests that the node lists as held.
+    pub async fn held_requests(&self, client: &Client) -> Vec<String> {
+        let url = format!("http://{}/v1/quarantine", self.node_addresses.admin_listen);
+        let response = client.get(url).send().await.unwrap();
+        let suspects: BTreeMap<String, Value> = response.json().await.unwrap();
+        let held = suspects.into_iter();
+        held.filter(|(_, view)| view["standing"] == "held")
+            .map(|(fingerprint, _)| fingerprint)
+            .collect()
+    }
+
+    /// Clears a request through the node's administration API.
+    pub async fn clear_request(&self, client: &Client, fingerprint: &str) {
+        let address = self.node_addresses.admin_listen;
+        let url = format!("http://{address}/v1/quarantine/{fingerprint}");
+        let response = client.delete(url).send().await.unwrap();
+        assert!(response.status().is_success());
+    }
+
     /// Replaces the faults of the backend server.
     pub async fn set_backend_faults(&self, client: &Client, faults: &Value) {
         let url = format!("http://{}/standin/faults", self.backend_address);
