--- a/tests/crashes.rs
+++ b/tests/crashes.rs
@@ -111,6 +111,28 @@
     assert_eq!(drill.clear_held().await, 1);
 }
 
+#[ntex::test]
+async fn crashing_request_is_held_although_links_go_silent_for_good() {
+    let mut drill = CrashDrill::start().await;
+    let silence = |index, begin_ms| {
+        let begin = Duration::from_millis(begin_ms);
+        NodeFault {
+            index,
+            signal: drill::SILENCE_LINKS,
+            begin,
+            end: begin,
+        }
+    };
+    // Before the first crash, and while the evidence spreads.
+    let moments = [0, 60, 450, 900];
+    let faults = (0..drill::UPSTREAM_COUNT)
+        .flat_map(|index| moments.map(|moment| silence(index, moment)))
+        .collect();
+    let crashing = CrashingRequest::small(100);
+    let report = drill.run_with_faults(DRILL_TIME, crashing, faults).await;
+    assert_is_contained(&report);
+}
+
 const CI_SEEDS: [u64; 2] = [1, 2];
 const SOAK_TIME: Duration = Duration::from_secs(12);
 
@@ -133,7 +155,9 @@
     for index in 0..drill::UPSTREAM_COUNT - 1 {
         let mut at_ms = rng.random_range(0..4_000);
         while at_ms < SOAK_TIME.as_millis() as u64 {
-            let signal = ["KILL", "STOP", "TERM"].choose(rng).unwrap();
+            let signal = ["KILL", "STOP", "TERM", drill::SILENCE_LINKS]
+                .choose(rng)
+                .unwrap();
             let end_ms = at_ms + rng.random_range(200..2_000);
             faults.push(NodeFault {
                 index,
--- a/tests/crashes/drill.rs
+++ b/tests/crashes/drill.rs
@@ -108,6 +108,9 @@
     spread_time: Duration,
 }
 
+/// Fault that leaves the open links to a node silent, without a signal.
+pub const SILENCE_LINKS: &str = "silence";
+
 /// Signal to a node and its end, as times since the start of a drill.
 #[derive(Debug, Clone, Copy)]
 pub struct NodeFault {
@@ -156,7 +159,11 @@
             let upstream = &mut self.fleet.upstreams[fault.index];
             if !*is_begun && elapsed >= fault.begin {
                 *is_begun = true;
-                upstream.signal_node(fault.signal);
+                if fault.signal == SILENCE_LINKS {
+                    upstream.relay.send_command("silence");
+                } else {
+                    upstream.signal_node(fault.signal);
+                }
                 if fault.signal == "KILL" {
                     upstream.node = None;
                 }
@@ -168,7 +175,9 @@
             .filter(|(fault, is_begun)| **is_begun && elapsed >= fault.end);
         for (fault, _) in ended {
             let upstream = &mut self.fleet.upstreams[fault.index];
-            if fault.signal == "STOP" {
+            if fault.signal == SILENCE_LINKS {
+                // Connections that are open stay silent.
+            } else if fault.signal == "STOP" {
                 upstream.signal_node("CONT");
             } else if upstream
                 .node
--- a/tests/routes.rs
+++ b/tests/routes.rs
@@ -63,6 +63,20 @@
     fleet.wait_in_force(IN_FORCE_LIMIT).await;
 }
 
+#[ntex::test]
+async fn changes_and_entries_outlast_store_connections_that_went_silent_for_good() {
+    let mut fleet = Fleet::start(8, 2).await;
+    fleet.wait_for_watches().await;
+    fleet.wait_for_entries(2, Duration::from_secs(20)).await;
+    for pause_ms in [0, 1_500, 4_500] {
+        fleet.silence_store_connections();
+        ntex::time::sleep(Duration::from_millis(pause_ms)).await;
+        fleet.write_next_version().await;
+        fleet.wait_in_force(IN_FORCE_LIMIT).await;
+        assert_eq!(fleet.entry_count().await, 2, "after {pause_ms} ms");
+    }
+}
+
 #[ntex::test]
 async fn changes_are_in_force_in_time_in_a_series_of_overlapping_faults() {
     for seed in drill::seeds() {
--- a/tests/routes/fleet.rs
+++ b/tests/routes/fleet.rs
@@ -52,6 +52,9 @@
     client: Client,
     store_address: String,
     _store: Process,
+    /// Between the nodes and the store.
+    store_relay: Process,
+    relay_address: String,
     version: u64,
 }
 
@@ -99,12 +102,19 @@
         command.args(["--listen", "127.0.0.1:0"]);
         let store = Process::start("store", &mut command, &RunsByRequest::default());
         let store_address = store.next_line();
+        let mut command = Command::new(env!("CARGO_BIN_EXE_standin-relay"));
+        let mut store_relay =
+            Process::start("store-relay", &mut command, &RunsByRequest::default());
+        let relay_address = store_relay.next_line();
+        store_relay.send_command(&format!("target {store_address}"));
         let client = currantlift::admin::http_client(CALLER_TIMEOUT).await;
         let mut fleet = Self {
             nodes: Vec::new(),
             client: client.unwrap(),
             store_address,
             _store: store,
+            store_relay,
+            relay_address,
             version: 0,
         };
         fleet.write_next_version().await;
@@ -125,6 +135,11 @@
         fleet
     }
 
+    /// Leaves all connections from nodes to the store silent that are open now.
+    pub fn silence_store_connections(&mut self) {
+        self.store_relay.send_command("silence");
+    }
+
     /// Starts a node, on its earlier addresses if it has run before.
     pub fn start_node(&mut self, index: usize) {
         let node = &mut self.nodes[index];
@@ -148,7 +163,7 @@
             ])
             .args(["--listen", &listen, "--peer-listen", &peer_listen])
             .args(["--admin-listen", &admin_listen, "--threads", "1"])
-            .args(["--platform", &self.store_address, "--log-level", log_level]);
+            .args(["--platform", &self.relay_address, "--log-level", log_level]);
         let process = Process::start(&node.name, &mut command, &RunsByRequest::default());
         node.addresses = Some(serde_json::from_str(&process.next_line()).unwrap());
         node.process = Some(process);
