Tell all ingresses at once that a limit has ended or changed

Cause: an ingress that was refused at a named rate pauses for up to 1 s and hears of the limit's end with its next offer only, although the gate knows it from the first response. Change: the gate sends its load over all links when the limit changes.

--- a/src/gate/statements.rs
+++ b/src/gate/statements.rs
@@ -201,6 +201,16 @@
             "limit of the backend server changed"
         );
         self.set_start_rate(new);
+        self.send_load_to_ingresses();
+    }
+
+    /// Sends the load to all ingresses: after refusals at a limit they may pause for
+    /// longer than the limit lasts.
+    fn send_load_to_ingresses(&self) {
+        let load = self.current_load();
+        for sender in self.link_senders.borrow().values() {
+            sender.send(LinkMessage::Pong(LinkPing { load: Some(load) }));
+        }
     }
 
     fn set_start_rate(self: &Rc<Self>, rate: Option<StartRate>) {
