--- a/src/admin/messages.rs
+++ b/src/admin/messages.rs
@@ -276,7 +276,7 @@
     pub trial_crashes: usize,
     /// Milliseconds since the newest evidence.
     pub evidence_age_ms: u64,
-    /// Milliseconds until the next half-open trial; 0 unless it is held.
+    /// Milliseconds until it may run, for a held request in a half-open trial.
     pub retry_after_ms: u64,
 }
 
--- a/src/gate.rs
+++ b/src/gate.rs
@@ -12,10 +12,12 @@
 mod crashes;
 mod dispatch;
 mod feed;
+mod identity;
 mod links;
 mod meter;
 mod record;
 mod statements;
+mod trials;
 mod turns;
 
 use std::cell::{Cell, RefCell};
@@ -41,6 +43,7 @@
 use crate::gate::meter::LoadPoller;
 use crate::gate::record::{log_admission, log_queued_refusal};
 use crate::gate::statements::BackendStatements;
+use crate::gate::trials::TrialQueue;
 use crate::gate::turns::TurnTimer;
 use crate::ids::{BackendKey, CallId, NodeIncarnation, ServiceName, SlotCount};
 use crate::ledger::{CachedResponse, CallLedger, LedgerLimits, RunPermit};
@@ -175,6 +178,7 @@
     statements: BackendStatements,
     quarantine: Arc<QuarantineHub>,
     crashes: CrashMonitor,
+    trials: TrialQueue,
     turn_timer: TurnTimer,
     status: tokio::sync::watch::Sender<GateStatus>,
 }
@@ -205,6 +209,7 @@
         statements: BackendStatements::default(),
         quarantine: settings.quarantine,
         crashes: CrashMonitor::default(),
+        trials: TrialQueue::default(),
         turn_timer: TurnTimer::default(),
         status,
     });
--- a/src/ingress/call/quarantine.rs
+++ b/src/ingress/call/quarantine.rs
@@ -44,15 +44,22 @@
             })
     }
 
-    /// Fails the call if its request is held.
+    /// Fails the call if its request is held, or if its trial would come too late.
     pub(super) fn check_quarantine(&self) -> Result<(), CallFailure> {
-        let RequestStanding::Held {
-            crashes,
-            evidence_age,
-            retry_after,
-        } = self.standing()
-        else {
-            return Ok(());
+        let (crashes, evidence_age, retry_after) = match self.standing() {
+            RequestStanding::Held {
+                crashes,
+                evidence_age,
+                retry_after,
+            } => (crashes, evidence_age, retry_after),
+            RequestStanding::Suspect { trial_in, .. } if trial_in >= self.time_left() => {
+                return Err(CallFailure {
+                    outcome: self.history.outcome(),
+                    retry_after: trial_in,
+                    ..self.failure(ErrorKind::WaitTooLong)
+                });
+            }
+            RequestStanding::Suspect { .. } | RequestStanding::Unsuspected => return Ok(()),
         };
         self.worker.shared.metrics.count_quarantine_refusal();
         log::info!(
--- a/src/quarantine.rs
+++ b/src/quarantine.rs
@@ -24,6 +24,7 @@
 mod state;
 mod trial;
 mod watch;
+mod wire;
 
 pub use fingerprint::{
     FingerprintHasher, HeadDigest, PREFIX_BYTES, RequestFingerprint, RequestIdentity,
--- a/src/quarantine/record.rs
+++ b/src/quarantine/record.rs
@@ -16,6 +16,9 @@
 /// Crashes among them that happened in trials. One may be chance: a backend server that
 /// ends for another reason during the trial of an innocent.
 const HOLD_TRIAL_CRASHES: usize = 2;
+/// Pause after a crash in a trial. Backend servers that end one shortly after the other for
+/// another reason would else blame the same innocent twice.
+const TRIAL_PAUSE: Duration = Duration::from_secs(1);
 /// Time from the last crash to the next half-open trial, by the crashes beyond the third.
 const HOLD_TIMES: [Duration; 3] = [
     Duration::from_secs(5 * 60),
@@ -93,6 +96,15 @@
         blames.filter(|blame| **blame == CrashBlame::Sole).count()
     }
 
+    /// Time from which a suspect may run in a trial.
+    pub fn next_trial_at(&self) -> Duration {
+        if self.trial_crashes() > 0 {
+            self.changed_at + TRIAL_PAUSE
+        } else {
+            self.changed_at
+        }
+    }
+
     /// Time at which the next half-open trial is due.
     pub fn hold_end(&self) -> Duration {
         let trials = self.crashes.len().saturating_sub(HOLD_CRASHES);
--- a/src/quarantine/state.rs
+++ b/src/quarantine/state.rs
@@ -31,6 +31,8 @@
         crashes: usize,
         /// Time since the newest evidence.
         evidence_age: Duration,
+        /// Time until it may run.
+        trial_in: Duration,
     },
     /// It is refused.
     Held {
@@ -72,6 +74,7 @@
             RequestStanding::Suspect {
                 crashes,
                 evidence_age,
+                trial_in: record.next_trial_at().saturating_sub(now),
             }
         }
     }
@@ -191,10 +194,11 @@
         }
     }
 
-    /// Time until the next half-open trial; zero unless the request is held.
+    /// Time until the request may run.
     pub fn retry_after(self) -> Duration {
         match self {
-            Self::Unsuspected | Self::Suspect { .. } => Duration::ZERO,
+            Self::Unsuspected => Duration::ZERO,
+            Self::Suspect { trial_in, .. } => trial_in,
             Self::Held { retry_after, .. } => retry_after,
         }
     }
