--- a/src/ctl/tests.rs
+++ b/src/ctl/tests.rs
@@ -36,8 +36,8 @@
 {"at":"2026-12-03T10:00:00.001Z","node":"b","target":"quarantine","message":"backend server ended while calls ran","calls":"00000000000000fe-20 00000000000000fe-30","suspects":"aa bb"}
 {"at":"2026-12-03T10:00:00.002Z","node":"b","target":"quarantine","message":"evidence against a request changed","fingerprint":"bb","standing":"held"}
 {"at":"2026-12-03T10:00:00.003Z","node":"b","target":"quarantine","message":"evidence against a request changed","fingerprint":"cc","standing":"suspect"}
-{"at":"2026-12-03T10:00:00.004Z","node":"a","target":"quarantine","message":"held request refused","call":"00000000000000ff-20","request_id":"r1","fingerprint":"bb"}
-{"at":"2026-12-03T10:00:00.005Z","node":"a","target":"quarantine","message":"held request refused","call":"00000000000000ff-30","request_id":"r2","fingerprint":"bb"}
+{"at":"2026-12-03T10:00:00.004Z","node":"a","target":"quarantine","message":"suspected request refused","call":"00000000000000ff-20","request_id":"r1","fingerprint":"bb"}
+{"at":"2026-12-03T10:00:00.005Z","node":"a","target":"quarantine","message":"suspected request refused","call":"00000000000000ff-30","request_id":"r2","fingerprint":"bb"}
 "#;
     let text = explain(&ExplainSubject::Request("r1".to_string()), LOGS);
     let headers = text.lines().filter(|line| !line.starts_with(' '));
--- a/src/gate/trials.rs
+++ b/src/gate/trials.rs
@@ -97,15 +97,12 @@
                         return TrialTurn::Ended;
                     }
                 }
-                RequestStanding::Suspect {
-                    crashes,
-                    evidence_age,
-                    ..
-                } => {
+                standing @ RequestStanding::Suspect { .. } => {
                     log::info!(
                         target: "quarantine",
-                        call:% = self.id(), fingerprint:%, crashes,
-                        evidence_age_ms = evidence_age.as_millis() as u64;
+                        call:% = self.id(), fingerprint:%,
+                        crashes = standing.crashes(),
+                        evidence_age_ms = standing.evidence_age().as_millis() as u64;
                         "suspect runs in a trial"
                     );
                     return TrialTurn::Granted(permit);
@@ -143,27 +140,20 @@
 
     fn refuse_held(&mut self, fingerprint: RequestFingerprint) -> TrialTurn {
         let standing = self.gate.quarantine.standing(fingerprint);
-        if let RequestStanding::Held {
-            crashes,
-            evidence_age,
+        let retry_after = standing.retry_after();
+        log::info!(
+            target: "quarantine",
+            call:% = self.id(), fingerprint:%,
+            standing = standing.name(),
+            crashes = standing.crashes(),
+            evidence_age_ms = standing.evidence_age().as_millis() as u64,
+            retry_after_ms = retry_after.as_millis() as u64;
+            "suspected request refused by the gate"
+        );
+        self.send_refusal(&GateRefusal {
             retry_after,
-        } = standing
-        {
-            log::info!(
-                target: "quarantine",
-                call:% = self.id(), fingerprint:%, crashes,
-                evidence_age_ms = evidence_age.as_millis() as u64,
-                retry_after_ms = retry_after.as_millis() as u64;
-                "held request refused by the gate"
-            );
-            self.send_refusal(&GateRefusal {
-                retry_after,
-                ..ErrorKind::Quarantined.into()
-            });
-        } else {
-            // It was cleared at this moment.
-            self.send_refusal(&ErrorKind::Overloaded.into());
-        }
+            ..ErrorKind::Quarantined.into()
+        });
         TrialTurn::Ended
     }
 }
--- a/src/ingress/call/quarantine.rs
+++ b/src/ingress/call/quarantine.rs
@@ -46,36 +46,33 @@
 
     /// Fails the call if its request is held, or if its trial would come too late.
     pub(super) fn check_quarantine(&self) -> Result<(), CallFailure> {
-        let (crashes, evidence_age, retry_after) = match self.standing() {
-            RequestStanding::Held {
-                crashes,
-                evidence_age,
-                retry_after,
-            } => (crashes, evidence_age, retry_after),
+        let standing = self.standing();
+        let kind = match standing {
+            RequestStanding::Held { .. } => ErrorKind::Quarantined,
             RequestStanding::Suspect { trial_in, .. } if trial_in >= self.time_left() => {
-                return Err(CallFailure {
-                    outcome: self.history.outcome(),
-                    retry_after: trial_in,
-                    ..self.failure(ErrorKind::WaitTooLong)
-                });
+                ErrorKind::WaitTooLong
             }
             RequestStanding::Suspect { .. } | RequestStanding::Unsuspected => return Ok(()),
         };
-        self.worker.shared.metrics.count_quarantine_refusal();
+        if kind == ErrorKind::Quarantined {
+            self.worker.shared.metrics.count_quarantine_refusal();
+        }
+        let retry_after = standing.retry_after();
         log::info!(
             target: "quarantine",
             call:% = self.id,
             request_id = self.request_id(),
             fingerprint = self.fingerprint.map(|fingerprint| fingerprint.to_string()),
-            crashes,
-            evidence_age_ms = evidence_age.as_millis() as u64,
+            standing = standing.name(),
+            crashes = standing.crashes(),
+            evidence_age_ms = standing.evidence_age().as_millis() as u64,
             retry_after_ms = retry_after.as_millis() as u64;
-            "held request refused"
+            "suspected request refused"
         );
         Err(CallFailure {
             outcome: self.history.outcome(),
             retry_after,
-            ..self.failure(ErrorKind::Quarantined)
+            ..self.failure(kind)
         })
     }
 
--- a/src/quarantine/state.rs
+++ b/src/quarantine/state.rs
@@ -186,6 +186,14 @@
 }
 
 impl RequestStanding {
+    /// Crashes that the request may have caused.
+    pub fn crashes(self) -> usize {
+        match self {
+            Self::Unsuspected => 0,
+            Self::Suspect { crashes, .. } | Self::Held { crashes, .. } => crashes,
+        }
+    }
+
     /// Time since the newest evidence; zero without any.
     pub fn evidence_age(self) -> Duration {
         match self {
