--- a/src/quarantine/tests/rules.rs
+++ b/src/quarantine/tests/rules.rs
@@ -5,7 +5,9 @@
 
 use assert_matches::assert_matches;
 use proptest::prelude::*;
+use prost::Message;
 
+use super::super::wire::{decode_record, encode_records};
 use super::super::*;
 use crate::ids::{CallId, NodeId, ServiceName};
 use crate::link::messages::HeaderField;
@@ -285,6 +287,35 @@
     );
 }
 
+#[test]
+fn all_records_fit_one_frame_and_read_back_with_their_age() {
+    /// Largest frame of a link, in bytes.
+    const MAX_FRAME_BYTES: usize = 4 * 1024 * 1024;
+    let mut state = QuarantineState::default();
+    for number in 0..1_024 {
+        let path = format!("/{number}");
+        for crash in 0..8 {
+            let crash = CrashId::from(u64::MAX - crash);
+            state.record_crash(NOW, crash, &service(), &finding(&[&path], CrashBlame::Sole));
+        }
+    }
+    let all: Vec<_> = state
+        .records()
+        .map(|(fingerprint, _)| *fingerprint)
+        .collect();
+    let update = encode_records(NOW + ms(1_500), &state, &all);
+    assert_eq!(update.records.len(), 1_024);
+    let size = update.encoded_len();
+    println!("{} bytes a record", size / 1_024);
+    assert!(size < MAX_FRAME_BYTES, "{size}");
+
+    let other_clock = NOW + ms(60_000);
+    let (read, record) = decode_record(other_clock, &update.records[7]).unwrap();
+    let sent = state.get(read).unwrap();
+    assert_eq!(record.crashes, sent.crashes);
+    assert_eq!(other_clock - record.changed_at, ms(1_500));
+}
+
 proptest! {
     #[test]
     fn evidence_merges_in_any_order_and_counts_once(
