Don't resend a request whose connection a listener check opened

Each request to a server that takes connections and closes them arrived twice within 1 ms.

Cause: the check whether the backend server has ended keeps its connection for the next request. That counted as reused, and an idempotent request whose reused connection closes without a response is sent once more, as the close may have crossed it. Change: only a connection that has carried a request counts as reused. Test: two arrivals before, one after.

--- a/src/backend.rs
+++ b/src/backend.rs
@@ -141,6 +141,9 @@
     connection: BackendConnection,
     idle_since: Instant,
     idle_timeout: Duration,
+    /// Whether it has carried a request; only then may its end be that of an idle
+    /// connection.
+    is_used: bool,
 }
 
 /// Result of sending a request.
@@ -239,10 +242,9 @@
         let framing = request_framing(open);
         let mut upload = RequestUpload::new(head.clone(), framing, body);
         let pooled = self.take_idle_connection(open.is_idempotent);
-        let is_reused = pooled.is_some();
-        let connection = match pooled {
-            Some(connection) => connection,
-            None => self.connect().await?,
+        let (connection, is_reused) = match pooled {
+            Some(idle) => (idle.connection, idle.is_used),
+            None => (self.connect().await?, false),
         };
         let first_result = self.exchange(connection, &mut upload, open).await;
         let may_resend = is_reused && open.is_idempotent && !upload.has_read_body();
@@ -276,7 +278,7 @@
         match connected {
             Ok(Ok(stream)) => {
                 if let Ok(connection) = BackendConnection::new(stream) {
-                    self.return_connection(connection, None);
+                    self.keep_connection(connection, DEFAULT_IDLE_TIMEOUT, false);
                 }
                 ListenerState::Listening
             }
@@ -299,7 +301,7 @@
         );
         end_head(&mut head);
         let mut connection = match self.take_idle_connection(true) {
-            Some(connection) => connection,
+            Some(idle) => idle.connection,
             None => self.connect().await.ok()?,
         };
         let response_head = connection.send_without_body(head).await?;
@@ -383,7 +385,7 @@
     }
 
     /// Takes the most recently used connection that can be reused.
-    fn take_idle_connection(&self, is_idempotent: bool) -> Option<BackendConnection> {
+    fn take_idle_connection(&self, is_idempotent: bool) -> Option<IdleConnection> {
         let mut idle = self.idle_connections.borrow_mut();
         idle.retain(|entry| entry.idle_since.elapsed() < entry.idle_timeout);
         if !is_idempotent {
@@ -396,7 +398,7 @@
         }
         while let Some(entry) = idle.pop() {
             if entry.connection.is_idle() {
-                return Some(entry.connection);
+                return Some(entry);
             }
         }
         None
@@ -406,12 +408,22 @@
         let idle_timeout = stated_timeout.map_or(DEFAULT_IDLE_TIMEOUT, |stated| {
             stated.mul_f64(KEEP_ALIVE_FRACTION).min(MAX_IDLE_TIMEOUT)
         });
+        self.keep_connection(connection, idle_timeout, true);
+    }
+
+    fn keep_connection(
+        &self,
+        connection: BackendConnection,
+        idle_timeout: Duration,
+        is_used: bool,
+    ) {
         let mut idle = self.idle_connections.borrow_mut();
         if idle.len() < usize::try_from(self.target.max_connections.get()).unwrap_or(usize::MAX) {
             idle.push(IdleConnection {
                 connection,
                 idle_since: Instant::now(),
                 idle_timeout,
+                is_used,
             });
         }
     }
--- a/src/backend/tests.rs
+++ b/src/backend/tests.rs
@@ -366,3 +366,13 @@
     let (result, ()) = futures_util::future::join(fixture.send(false), pause).await;
     assert_eq!(result, expected_response());
 }
+
+#[ntex::test]
+async fn request_on_a_connection_of_a_listener_check_is_not_resent() {
+    let closes = || vec![None];
+    let fixture = start_backend(vec![closes(), closes(), closes()]).await;
+    let state = fixture.client.check_listener().await;
+    assert_eq!(state, ListenerState::Listening);
+    assert_matches!(fixture.send(true).await, Err(BackendError::Failed { .. }));
+    assert_eq!(fixture.request_count(), 1);
+}
