Log and count how far a request body got in attempts and runs

`attempt failed` now states the body bytes that the attempt has sent, whether their end was sent, and whether the body can still be sent from its start. A gate logs one line for a run that failed or ended before its body was whole: bytes received, bytes written to the backend server, and how the end of the body is known. `currantlift_incomplete_bodies_total` counts such runs by reason.

No logic has changed.

--- a/src/gate/call.rs
+++ b/src/gate/call.rs
@@ -326,10 +326,43 @@
             Err(RunError::Refused { .. }) => (ErrorKind::BackendRefused.code(), None),
         };
         self.gate.metrics.record_run(result_label, elapsed);
+        self.record_body_end(result_label);
         self.gate.finish_call(self.id, work_result);
         self.complete_run(permit, &result)
     }
 
+    /// Counts the body of a run that ended before the whole body was received and written,
+    /// and logs how the body of such a run or of a failed one ended.
+    fn record_body_end(&self, result_label: &str) {
+        let body_end = self.body_feed.body_end();
+        let received_bytes = self.body_feed.received_bytes();
+        let written_bytes = self.body_feed.written_bytes();
+        let is_complete = body_end.is_whole() && written_bytes == received_bytes;
+        if !is_complete {
+            let reason = if body_end.is_whole() {
+                "not-written".to_string()
+            } else {
+                body_end.to_string()
+            };
+            self.gate.metrics.count_incomplete_body(reason);
+        }
+        let has_body = received_bytes > 0 || !body_end.is_whole();
+        if has_body && (!is_complete || result_label != "answered") {
+            log::info!(
+                target: "gate",
+                call:% = self.id,
+                request_id = self.open.request_id.as_str(),
+                result = result_label,
+                received_bytes,
+                written_bytes,
+                stated_length = self.open.body_length,
+                body_end:% = body_end,
+                is_complete;
+                "request body of a run that failed or ended early"
+            );
+        }
+    }
+
     /// Reports the end of the run to the ledger and the ingress. Returns
     /// whether there is a response to keep outside the ledger: one that took
     /// several frames.
--- a/src/ingress/attempt.rs
+++ b/src/ingress/attempt.rs
@@ -49,6 +49,17 @@
     pub estimated_response_time: Option<Duration>,
     /// Whether the gate would queue the call past its target latency.
     pub admits_past_target: bool,
+    /// What the attempt has sent of the request body.
+    pub sent_body: SentBody,
+}
+
+/// Part of a request body that an attempt has sent to its gate.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct SentBody {
+    /// Bytes sent.
+    pub bytes: u64,
+    /// Whether the end of the body was sent.
+    pub has_end: bool,
 }
 
 impl AttemptError {
@@ -87,6 +98,7 @@
             retry_after: None,
             estimated_response_time: None,
             admits_past_target: false,
+            sent_body: SentBody::default(),
         }
     }
 }
@@ -230,7 +242,13 @@
         &mut self,
         body: &mut RequestBody,
     ) -> Result<ResponseStart, AttemptError> {
-        let result = self.exchange_until_head(body).await;
+        let result = self
+            .exchange_until_head(body)
+            .await
+            .map_err(|error| AttemptError {
+                sent_body: self.sent_body(),
+                ..error
+            });
         match &result {
             Ok(head) => {
                 self.has_response_head = true;
@@ -254,6 +272,13 @@
         result
     }
 
+    fn sent_body(&self) -> SentBody {
+        SentBody {
+            bytes: self.request_window.sent_bytes(),
+            has_end: self.request_window.is_ended(),
+        }
+    }
+
     async fn exchange_until_head(
         &mut self,
         body: &mut RequestBody,
@@ -374,6 +399,7 @@
                     || refusal.load.is_some_and(|load| {
                         load.start_rate.is_none() && load.in_flight + load.queued < load.limit
                     }),
+                sent_body: SentBody::default(),
             }),
             LinkMessage::Abort(abort) => Err(self
                 .state
--- a/src/ingress/call.rs
+++ b/src/ingress/call.rs
@@ -388,6 +388,9 @@
             attempt = self.offer_count,
             kind = error.failure.kind().code(),
             outcome:% = error.failure.outcome(),
+            body_sent_bytes = error.sent_body.bytes,
+            is_body_end_sent = error.sent_body.has_end,
+            is_body_replayable = body.is_replayable(),
             is_free,
             decision:% = decision.name();
             "attempt failed"
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -56,6 +56,7 @@
     admissions: CounterFamily,
     rank_admissions: CounterFamily,
     runs: CounterFamily,
+    incomplete_bodies: CounterFamily,
     run_seconds: HistogramFamily,
     load_polls: CounterFamily,
     config_version: Gauge,
@@ -97,6 +98,7 @@
             admissions: Family::default(),
             rank_admissions: Family::default(),
             runs: Family::default(),
+            incomplete_bodies: Family::default(),
             run_seconds: Family::new_with_constructor(new_histogram),
             load_polls: Family::default(),
             config_version: Gauge::default(),
@@ -153,6 +155,11 @@
             "Requests handed to the backend server by result",
             metrics.runs.clone(),
         );
+        registry.register(
+            "incomplete_bodies",
+            "Runs at the backend server that ended before it was sent the whole request body",
+            metrics.incomplete_bodies.clone(),
+        );
         registry.register_with_unit(
             "run",
             "Time of whole runs at the backend server",
@@ -478,6 +485,12 @@
         }
     }
 
+    /// Counts a run that ended before the whole request body was written.
+    pub fn count_incomplete_body(&self, reason: String) {
+        let labels = vec![("reason", reason)];
+        self.incomplete_bodies.get_or_create(&labels).inc();
+    }
+
     /// Counts body bytes sent to another zone or received from there.
     pub fn count_cross_zone_bytes(&self, service: &str, bytes: u64) {
         let labels = vec![("service", service.to_string())];
