Failing test: an upload is run without its middle after a refusal

Of two upstreams, attempts to connect to the first one's backend server time out. The gate has granted credit before it connects, so that the ingress takes all 200,000 bytes from the caller until the attempt is refused as `backend-unreachable`. The retry then sends the 64 KiB that are kept and the end of the body.

assertion `left == right` failed: lengths of bodies taken for whole left: [65413] right: []

--- /dev/null
+++ b/tests/uploads/fleet.rs
@@ -0,0 +1,142 @@
+//! Node processes around backend servers that the test itself serves: a node that serves
+//! only as ingress, and one node beside each backend server.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::process::Command;
+use std::time::{Duration, Instant};
+
+use currantlift::admin::{BackendAnnouncement, ServiceView, http_client};
+use currantlift::table::UpstreamState;
+use ntex::client::Client;
+use serde::Deserialize;
+use serde_json::json;
+
+use crate::process::{Process, RunsByRequest, logs_are_kept};
+
+pub const SERVICE: &str = "tillpost";
+const READY_TIMEOUT: Duration = Duration::from_secs(30);
+const POLL_INTERVAL: Duration = Duration::from_millis(20);
+const HEARTBEAT_INTERVAL: Duration = Duration::from_secs(1);
+const LOOPBACK_ANY_PORT: &str = "127.0.0.1:0";
+
+#[derive(Clone, Copy, Deserialize)]
+struct NodeAddresses {
+    listen: SocketAddr,
+    peer_listen: SocketAddr,
+    admin_listen: SocketAddr,
+}
+
+pub struct Fleet {
+    pub ingress: Process,
+    pub ingress_address: SocketAddr,
+    admin_address: SocketAddr,
+    client: Client,
+    _others: Vec<Process>,
+}
+
+fn start_node(name: &str, store_url: &str, peer: Option<SocketAddr>) -> (Process, NodeAddresses) {
+    let log_level = if logs_are_kept() { "info" } else { "off" };
+    let mut command = Command::new(env!("CARGO_BIN_EXE_currantlift-node"));
+    command
+        .args(["--node-id", name, "--region", "oyo-west"])
+        .args(["--zone", "ogbomoso-a", "--store", store_url])
+        .args(["--listen", LOOPBACK_ANY_PORT, "--threads", "1"])
+        .args(["--peer-listen", LOOPBACK_ANY_PORT])
+        .args(["--admin-listen", LOOPBACK_ANY_PORT])
+        .args(["--log-level", log_level])
+        .args(["--asks", "3", "--slot-limit", "fixed"]);
+    if let Some(peer) = peer {
+        command.args(["--peer", &peer.to_string()]);
+    }
+    let process = Process::start(name, &mut command, &RunsByRequest::default());
+    let addresses = serde_json::from_str(&process.next_line()).unwrap();
+    (process, addresses)
+}
+
+impl Fleet {
+    /// Starts the nodes and waits until the ingress can route to all backend servers.
+    pub async fn start(backends: &[SocketAddr]) -> Self {
+        let mut command = Command::new(env!("CARGO_BIN_EXE_standin-store"));
+        command.args(["--listen", LOOPBACK_ANY_PORT]);
+        let store = Process::start("store", &mut command, &RunsByRequest::default());
+        let store_url = format!("http://{}", store.next_line());
+        let (ingress, addresses) = start_node("edge-1", &store_url, None);
+        let client = http_client(Duration::from_secs(20)).await.unwrap();
+        let mut others = vec![store];
+        for (index, backend) in backends.iter().enumerate() {
+            let name = format!("{SERVICE}-{}", index + 1);
+            let (gate, gate_addresses) = start_node(&name, &store_url, Some(addresses.peer_listen));
+            announce(&client, gate_addresses.admin_listen, &name, *backend).await;
+            others.push(gate);
+        }
+        let fleet = Self {
+            ingress,
+            ingress_address: addresses.listen,
+            admin_address: addresses.admin_listen,
+            client,
+            _others: others,
+        };
+        fleet.submit_ticket().await;
+        fleet.wait_until_ready(backends.len()).await;
+        fleet
+    }
+
+    async fn submit_ticket(&self) {
+        let rule = json!({ "method": "POST", "path": "/orders", "idempotent": false });
+        let service = json!({ "timeout_ms": 5000, "attempts": 3, "requests": [rule] });
+        let ticket = json!({ "services": { SERVICE: service } });
+        let url = format!("http://{}/v1/tickets/1", self.admin_address);
+        let response = self.client.put(url).send_json(&ticket).await.unwrap();
+        assert!(response.status().is_success());
+    }
+
+    async fn wait_until_ready(&self, count: usize) {
+        let url = format!("http://{}/v1/services", self.admin_address);
+        let deadline = Instant::now() + READY_TIMEOUT;
+        loop {
+            let response = self.client.get(&url).send().await;
+            let services: BTreeMap<String, ServiceView> = response.unwrap().json().await.unwrap();
+            let ready = services.get(SERVICE).map_or(0, |service| {
+                let upstreams = service.upstreams.values();
+                let is_ready = |state| state == UpstreamState::Ready;
+                upstreams
+                    .filter(|upstream| is_ready(upstream.state))
+                    .count()
+            });
+            if ready == count {
+                return;
+            }
+            assert!(
+                Instant::now() < deadline,
+                "only {ready} upstreams are ready"
+            );
+            ntex::time::sleep(POLL_INTERVAL).await;
+        }
+    }
+}
+
+/// Announces a backend server to its node, now and then periodically.
+async fn announce(client: &Client, node: SocketAddr, id: &str, address: SocketAddr) {
+    let url = format!("http://{node}/v1/backends/{id}");
+    let announcement = BackendAnnouncement {
+        service: SERVICE.parse().unwrap(),
+        address,
+        slots: "6".parse().unwrap(),
+        connections: "100".parse().unwrap(),
+        state: UpstreamState::Ready,
+        order: None,
+        warmup_left_ms: 0,
+        rate_limit: None,
+    };
+    let response = client.put(&url).send_json(&announcement).await.unwrap();
+    assert!(response.status().is_success());
+    let client = client.clone();
+    ntex::rt::spawn(async move {
+        loop {
+            ntex::time::sleep(HEARTBEAT_INTERVAL).await;
+            // Fails once the node has ended with the test.
+            let _ = client.put(&url).send_json(&announcement).await;
+        }
+    });
+}
