Failing test: a planned stop ends an upload for its caller, and it is run

While a node that stops writes the response with which it will close a connection, it still reads the next request of that connection. After the response the future that reads the upload is dropped, and with it the sender of the body. The call takes that for the end of the body, its gate writes the last chunk, and the backend server runs what has arrived.

--- a/tests/uploads.rs
+++ b/tests/uploads.rs
@@ -18,7 +18,7 @@
 
 use std::time::{Duration, Instant};
 
-use backends::{RecordingBackend, UnreachableBackend};
+use backends::{LONG_RESPONSE_DELAY, LONG_RESPONSE_PATH, RecordingBackend, UnreachableBackend};
 use fleet::{Fleet, SERVICE};
 use raw::RawCaller;
 
@@ -29,6 +29,8 @@
 const MAX_UPLOADS: usize = 20;
 /// Shortest time of an upload whose first attempt waits for a connection in vain.
 const REFUSED_UPLOAD_TIME: Duration = Duration::from_millis(900);
+/// Time in which what was sent has been processed.
+const SETTLE_TIME: Duration = Duration::from_millis(300);
 
 fn upload_head() -> String {
     format!("POST /orders HTTP/1.1\r\nhost: {SERVICE}\r\ntransfer-encoding: chunked\r\n\r\n")
@@ -78,3 +80,28 @@
     assert_eq!(refused.status, 503, "{refused:?}");
     assert_eq!(outcome.map(String::as_str), Some("not-run"));
 }
+
+/// Guards against ending the body of a request for its caller, as the connection is closed
+/// with the last response of a planned stop.
+#[ntex::test]
+async fn upload_cut_off_by_the_last_response_of_a_connection_is_not_run() {
+    let recording = RecordingBackend::start().await;
+    let fleet = Fleet::start(&[recording.address]).await;
+    let mut caller = RawCaller::connect(fleet.ingress_address).await;
+    caller
+        .send(&format!(
+            "GET {LONG_RESPONSE_PATH} HTTP/1.1\r\nhost: {SERVICE}\r\n\r\n"
+        ))
+        .await;
+    ntex::time::sleep(LONG_RESPONSE_DELAY / 2).await;
+    fleet.ingress.signal("TERM");
+    // The response has begun, with `connection: close`, and fills the socket buffers.
+    ntex::time::sleep(LONG_RESPONSE_DELAY / 2 + SETTLE_TIME).await;
+    caller.send(&upload_head()).await;
+    caller.send("5\r\norder\r\n").await;
+    ntex::time::sleep(SETTLE_TIME).await;
+    let long_response = caller.read_response().await.unwrap();
+    assert_eq!(long_response.status, 200);
+    ntex::time::sleep(2 * SETTLE_TIME).await;
+    assert_eq!(recording.whole_uploads(), [0_usize; 0]);
+}
