Start an attempt only with a body that it can send from its start

Seen by callers: a backend server ran an upload that lacked its middle.

Cause: the ingress keeps the first 64 KiB of a body for another attempt. That a longer body allows none was passed to the retry policy as its number of attempts, but refusals that cost no token (`--asks`: unreachable backend server, lost link, load; always: drain, evacuation) were retried before that number was looked at. The next attempt sent the 64 KiB, what the first one had not taken, and the end.

Change: an attempt takes its bytes from a `ReplayableBody`, which a `RequestBody` gives out only while it holds every byte that was taken; once there are too many, the buffer is dropped and nothing can be opened with it. `RetryContext` states whether the body is replayable, and a free retry has to be as safe as any other: it needs such a body, and no earlier attempt of a non-idempotent call may have run. The latter was bypassed in the policy too; the ingress ends such a call before, so that no caller has met it. The limit on attempts doesn't apply to free retries on purpose: they are bounded by the search for a gate, 15 offers. The caller gets the refusal with `not-run`.

--- a/src/decisions/replay/attempts.rs
+++ b/src/decisions/replay/attempts.rs
@@ -273,6 +273,7 @@
         let context = RetryContext {
             is_idempotent: call.is_idempotent,
             may_have_run: call.may_have_run,
+            is_body_replayable: true,
             attempts_made: call.current_attempt - call.uncounted_offers,
             max_attempts: call.max_attempts,
             time_left: call.deadline.saturating_sub(self.now),
--- a/src/ingress/attempt.rs
+++ b/src/ingress/attempt.rs
@@ -18,7 +18,7 @@
 
 use crate::error::ErrorKind;
 use crate::ids::{CallId, NodeId, RegionName, ServiceName};
-use crate::ingress::body::RequestBody;
+use crate::ingress::body::BodyRest;
 use crate::ingress::placing::GateEstimate;
 use crate::ingress::{IngressWorker, lock};
 use crate::ledger::attempt::{AttemptState, DeadlineAction};
@@ -240,7 +240,7 @@
     /// Fails with the cause and whether the call may have run.
     pub async fn wait_for_response_head(
         &mut self,
-        body: &mut RequestBody,
+        body: &mut BodyRest<'_>,
     ) -> Result<ResponseStart, AttemptError> {
         let result = self
             .exchange_until_head(body)
@@ -281,7 +281,7 @@
 
     async fn exchange_until_head(
         &mut self,
-        body: &mut RequestBody,
+        body: &mut BodyRest<'_>,
     ) -> Result<ResponseStart, AttemptError> {
         loop {
             self.send_deferred_body();
--- a/src/ingress/call.rs
+++ b/src/ingress/call.rs
@@ -146,6 +146,9 @@
             self.identify_request(&mut body).await?;
             self.check_quarantine()?;
             self.check_rank()?;
+            let Some(replayable_body) = body.replayable() else {
+                return Err(self.unplaced_failure(AttemptError::not_run(ErrorKind::NoUpstream)));
+            };
             self.take_quota_token().await?;
             let choice = match self.next_offer() {
                 Ok(choice) => choice,
@@ -156,7 +159,7 @@
                 Err(error) => return Err(self.unplaced_failure(error)),
             };
             self.quota.spend();
-            match self.run_attempt_with_hedge(choice, &mut body).await {
+            match self.run_attempt_with_hedge(choice, replayable_body).await {
                 Ok(response) if !self.should_retry_response(&response) => return Ok(response),
                 Ok(response) => {
                     let error = AttemptError::backend_failed();
@@ -364,16 +367,12 @@
         self.last_error = Some(error);
         self.history.record_failure(error.failure);
         self.quota.record_failure(error.failure);
-        let attempts_limit = if body.is_replayable() {
-            self.request.attempts_limit
-        } else {
-            self.attempt_count()
-        };
         let facts = RetryContext {
             is_idempotent: self.request.is_idempotent,
             may_have_run: self.history.may_have_run(),
+            is_body_replayable: body.is_replayable(),
             attempts_made: self.attempt_count(),
-            max_attempts: attempts_limit,
+            max_attempts: self.request.attempts_limit,
             time_left: self.time_left(),
         };
         let mut retries = lock(&self.worker.shared.retry_policy);
--- a/src/ingress/call/offer.rs
+++ b/src/ingress/call/offer.rs
@@ -11,7 +11,7 @@
 use crate::ingress::attempt::{
     AttemptError, AttemptPlan, CallAttempt, DeferredBody, FIRST_SERVER_ERROR_STATUS,
 };
-use crate::ingress::body::RequestBody;
+use crate::ingress::body::{BodyOpening, ReplayableBody};
 use crate::link::messages::{CallOpen, HeaderField, ResponseStart};
 use crate::link::pool::GateTarget;
 
@@ -40,17 +40,18 @@
     pub(super) fn run_attempt<'a>(
         &self,
         offer: GateOffer,
-        body: &'a mut RequestBody,
+        body: ReplayableBody<'a>,
     ) -> impl Future<Output = Result<AttemptResponse, AttemptError>> + use<'a> {
         let choice = offer.choice;
         let id = CallId {
             sequence: self.id.sequence + u64::from(self.offer_count),
             ..self.id
         };
+        let (opening, mut rest) = body.open();
         let mut open = CallOpen {
             max_occupancy_percent: offer.max_occupancy_percent,
             is_hedge: offer.is_hedge,
-            ..self.open_message(id, body)
+            ..self.open_message(id, opening)
         };
         let is_body_deferred =
             offer.max_occupancy_percent > 0 && open.body.len() > MAX_IMMEDIATE_OFFER_BODY_BYTES;
@@ -76,7 +77,7 @@
         async move {
             let started = Instant::now();
             let mut attempt = CallAttempt::open(worker, plan, open, deferred_body).await?;
-            let head = attempt.wait_for_response_head(body).await?;
+            let head = attempt.wait_for_response_head(&mut rest).await?;
             Ok(AttemptResponse {
                 attempt,
                 head,
@@ -85,8 +86,7 @@
         }
     }
 
-    fn open_message(&self, id: CallId, body: &RequestBody) -> CallOpen {
-        let (body_start, is_last) = body.opening_bytes();
+    fn open_message(&self, id: CallId, opening: BodyOpening) -> CallOpen {
         let time_left = self.time_left().as_micros();
         CallOpen {
             sequence: id.sequence,
@@ -102,8 +102,8 @@
                 .max(1),
             is_idempotent: self.request.is_idempotent,
             body_length: self.request.body_length,
-            body: body_start,
-            is_body_complete: is_last,
+            body: opening.data,
+            is_body_complete: opening.is_whole,
             request_id: self.request.request_id.clone().unwrap_or_default(),
             rank: self.request.rank,
             target_left_us: u64::try_from(self.target_left().as_micros()).ok(),
--- a/src/ingress/call/second_copy.rs
+++ b/src/ingress/call/second_copy.rs
@@ -13,7 +13,7 @@
 use crate::ids::NodeId;
 use crate::ingress::answer::CallResponse;
 use crate::ingress::attempt::AttemptError;
-use crate::ingress::body::RequestBody;
+use crate::ingress::body::{ReplayableBody, RequestBody};
 use crate::ingress::lock;
 use crate::retry::AttemptFailure;
 use crate::routing::SkippedUpstreams;
@@ -46,9 +46,9 @@
     pub(super) async fn run_attempt_with_hedge(
         &mut self,
         offer: GateOffer,
-        body: &mut RequestBody,
+        body: ReplayableBody<'_>,
     ) -> Result<CallResponse, AttemptError> {
-        let body_copy = self.copy_body_for_hedge(body);
+        let body_copy = self.copy_body_for_hedge(&body);
         let delay = self.hedge_delay().filter(|_| body_copy.is_some());
         let node = offer.choice.node.clone();
         let first = self.run_attempt(offer, body);
@@ -126,7 +126,7 @@
     }
 
     /// Copy of the body for a hedged attempt, if the call may have one.
-    fn copy_body_for_hedge(&self, body: &RequestBody) -> Option<RequestBody> {
+    fn copy_body_for_hedge(&self, body: &ReplayableBody<'_>) -> Option<RequestBody> {
         let may_hedge = self.worker.shared.max_immediate_offers > 0
             && self.request.is_idempotent
             && self.attempt_count() < self.request.attempts_limit;
@@ -154,6 +154,9 @@
             if self.offer_count + 1 >= MAX_OFFERS {
                 break;
             }
+            let Some(body) = body.replayable() else {
+                break;
+            };
             let Ok(choice) = self.choose_upstream(SkippedUpstreams::Limited) else {
                 break;
             };
--- a/src/ledger/tests/ingress.rs
+++ b/src/ledger/tests/ingress.rs
@@ -108,6 +108,7 @@
         let context = RetryContext {
             is_idempotent: entry.is_idempotent,
             may_have_run: entry.history.may_have_run(),
+            is_body_replayable: true,
             attempts_made: entry.attempt_count,
             max_attempts: MAX_ATTEMPTS_PER_CALL,
             time_left: Duration::from_secs(1),
--- a/src/retry.rs
+++ b/src/retry.rs
@@ -5,7 +5,8 @@
 //! attempts add tokens to the budget. Under overload the budget is soon empty
 //! and failures are returned to the caller, so that retries can't multiply the
 //! load. A non-idempotent call is retried only while every earlier attempt is
-//! known not to have run.
+//! known not to have run, and no call once the start of its body is gone. A
+//! retry that costs no token has to be as safe as any other.
 
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -102,6 +103,8 @@
     pub is_idempotent: bool,
     /// Whether an earlier attempt may have run.
     pub may_have_run: bool,
+    /// Whether another attempt can send the whole request body.
+    pub is_body_replayable: bool,
     /// Attempts made so far, the failed one included; sent along with the call.
     pub attempts_made: u32,
     /// Attempts allowed in total.
@@ -110,6 +113,21 @@
     pub time_left: Duration,
 }
 
+impl RetryContext {
+    /// Why another attempt would be unsafe, if it would be.
+    fn unsafe_reason(&self, failure: AttemptFailure) -> Option<GiveUpReason> {
+        if self.has_possible_run(failure) && !self.is_idempotent {
+            return Some(GiveUpReason::MayHaveRun);
+        }
+        (!self.is_body_replayable).then_some(GiveUpReason::BodyNotReplayable)
+    }
+
+    /// Whether this or an earlier attempt may have run.
+    fn has_possible_run(&self, failure: AttemptFailure) -> bool {
+        self.may_have_run || matches!(failure, AttemptFailure::Unknown(_))
+    }
+}
+
 /// Why an attempt failed and whether it may have run.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum AttemptFailure {
@@ -173,6 +191,9 @@
     /// A non-idempotent call may have run.
     #[display("may-have-run")]
     MayHaveRun,
+    /// Part of the request body was sent and is no longer buffered.
+    #[display("body-not-replayable")]
+    BodyNotReplayable,
     /// The call has made all its allowed attempts.
     #[display("attempts-used-up")]
     AttemptsUsedUp,
@@ -211,7 +232,9 @@
         };
         let is_free_kind = matches!(kind, ErrorKind::Draining | ErrorKind::ZoneEvacuated)
             || (self.options.are_gate_refusals_free && is_gate_refusal(kind));
-        is_free_kind && context.time_left >= MIN_RETRY_TIME_LEFT
+        is_free_kind
+            && context.unsafe_reason(failure).is_none()
+            && context.time_left >= MIN_RETRY_TIME_LEFT
     }
 
     /// Adds the tokens of a call's first attempt to its service's budget.
@@ -230,13 +253,10 @@
         if self.is_free_retry(context, failure) {
             return RetryDecision::Retry;
         }
-        let may_have_run = matches!(failure, AttemptFailure::Unknown(_)) || context.may_have_run;
-        let Some(reason) =
-            self.spend_token_or_give_up(service, context, failure.kind(), may_have_run)
-        else {
+        let Some(reason) = self.spend_token_or_give_up(service, context, failure) else {
             return RetryDecision::Retry;
         };
-        let outcome = if may_have_run {
+        let outcome = if context.has_possible_run(failure) {
             RunOutcome::Unknown
         } else {
             RunOutcome::NotRun
@@ -276,14 +296,13 @@
         &mut self,
         service: &ServiceName,
         context: &RetryContext,
-        kind: ErrorKind,
-        may_have_run: bool,
+        failure: AttemptFailure,
     ) -> Option<GiveUpReason> {
-        if !is_retryable(kind) {
+        if !is_retryable(failure.kind()) {
             return Some(GiveUpReason::NotRetryable);
         }
-        if may_have_run && !context.is_idempotent {
-            return Some(GiveUpReason::MayHaveRun);
+        if let Some(reason) = context.unsafe_reason(failure) {
+            return Some(reason);
         }
         if context.attempts_made >= context.max_attempts {
             return Some(GiveUpReason::AttemptsUsedUp);
--- a/src/retry/tests.rs
+++ b/src/retry/tests.rs
@@ -25,10 +25,12 @@
 }
 
 fn any_context() -> impl Strategy<Value = RetryContext> {
-    (any::<bool>(), any::<bool>(), 1..5_u32, 0..50_u64).prop_map(
-        |(is_idempotent, may_have_run, attempt, left_ms)| RetryContext {
+    let flags = any::<(bool, bool, bool)>();
+    (flags, 1..5_u32, 0..50_u64).prop_map(
+        |((is_idempotent, may_have_run, is_body_replayable), attempt, left_ms)| RetryContext {
             is_idempotent,
             may_have_run,
+            is_body_replayable,
             attempts_made: attempt,
             max_attempts: 3,
             time_left: Duration::from_millis(left_ms),
@@ -75,6 +77,8 @@
                     AttemptFailure::NotRun(ErrorKind::Draining | ErrorKind::ZoneEvacuated)
                 ));
                 prop_assert!(!context.time_left.is_zero());
+                prop_assert!(context.is_body_replayable);
+                prop_assert!(context.is_idempotent || !may_have_run);
                 prop_assert_eq!(
                     policy.decide(&service(), &context, failure),
                     RetryDecision::Retry
@@ -85,6 +89,7 @@
             match policy.decide(&service(), &context, failure) {
                 RetryDecision::Retry => {
                     retries += 1;
+                    prop_assert!(context.is_body_replayable);
                     prop_assert!(context.is_idempotent || !may_have_run);
                     prop_assert!(context.attempts_made < context.max_attempts);
                     prop_assert!(!context.time_left.is_zero());
@@ -105,6 +110,7 @@
     let context = RetryContext {
         is_idempotent: false,
         may_have_run: false,
+        is_body_replayable: true,
         attempts_made: 1,
         max_attempts: 3,
         time_left: Duration::from_secs(1),
@@ -139,6 +145,7 @@
     let context = RetryContext {
         is_idempotent: false,
         may_have_run: false,
+        is_body_replayable: true,
         attempts_made: 1,
         max_attempts: 3,
         time_left: Duration::from_secs(1),
@@ -169,6 +176,7 @@
     let context = RetryContext {
         is_idempotent: false,
         may_have_run: false,
+        is_body_replayable: true,
         attempts_made: 3,
         max_attempts: 3,
         time_left: Duration::from_millis(50),
@@ -181,3 +189,64 @@
     }
     assert!((policy.tokens(&service()) - tokens).abs() < f64::EPSILON);
 }
+
+fn refused_context() -> RetryContext {
+    RetryContext {
+        is_idempotent: false,
+        may_have_run: false,
+        is_body_replayable: true,
+        attempts_made: 1,
+        max_attempts: 3,
+        time_left: Duration::from_secs(1),
+    }
+}
+
+fn policy_with_free_refusals() -> RetryPolicy {
+    RetryPolicy::new(RetryOptions {
+        are_gate_refusals_free: true,
+        ..RetryOptions::default()
+    })
+}
+
+/// Guards against a free retry that sends a body without its start.
+#[test]
+fn refusal_after_the_start_of_the_body_is_gone_is_not_retried() {
+    let context = RetryContext {
+        is_body_replayable: false,
+        ..refused_context()
+    };
+    for kind in ErrorKind::ALL {
+        let refusal = AttemptFailure::NotRun(kind);
+        let mut policy = policy_with_free_refusals();
+        assert!(!policy.is_free_retry(&context, refusal), "{kind:?}");
+        assert_matches!(
+            policy.decide(&service(), &context, refusal),
+            RetryDecision::GiveUp {
+                outcome: RunOutcome::NotRun,
+                ..
+            }
+        );
+    }
+}
+
+/// Guards against a free retry of a non-idempotent call that an earlier attempt may have run.
+#[test]
+fn refusal_after_an_attempt_that_may_have_run_is_not_retried() {
+    let context = RetryContext {
+        may_have_run: true,
+        ..refused_context()
+    };
+    for kind in [ErrorKind::Draining, ErrorKind::BackendUnreachable] {
+        let refusal = AttemptFailure::NotRun(kind);
+        let mut policy = policy_with_free_refusals();
+        assert!(!policy.is_free_retry(&context, refusal), "{kind:?}");
+        assert_matches!(
+            policy.decide(&service(), &context, refusal),
+            RetryDecision::GiveUp {
+                outcome: RunOutcome::Unknown,
+                reason: GiveUpReason::MayHaveRun,
+                ..
+            }
+        );
+    }
+}
