--- a/src/ingress/attempt.rs
+++ b/src/ingress/attempt.rs
@@ -18,7 +18,7 @@
 
 use crate::error::ErrorKind;
 use crate::ids::{CallId, NodeId, RegionName, ServiceName};
-use crate::ingress::body::RequestBody;
+use crate::ingress::body::BodyRest;
 use crate::ingress::placing::GateEstimate;
 use crate::ingress::{IngressWorker, lock};
 use crate::ledger::attempt::{AttemptState, DeadlineAction};
@@ -49,6 +49,17 @@
     pub estimated_response_time: Option<Duration>,
     /// Whether the gate would queue the call past its target latency.
     pub admits_past_target: bool,
+    /// What the attempt has sent of the request body.
+    pub sent_body: SentBody,
+}
+
+/// Part of a request body that an attempt has sent to its gate.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct SentBody {
+    /// Bytes sent.
+    pub bytes: u64,
+    /// Whether the end of the body was sent.
+    pub has_end: bool,
 }
 
 impl AttemptError {
@@ -87,6 +98,7 @@
             retry_after: None,
             estimated_response_time: None,
             admits_past_target: false,
+            sent_body: SentBody::default(),
         }
     }
 }
@@ -228,9 +240,15 @@
     /// Fails with the cause and whether the call may have run.
     pub async fn wait_for_response_head(
         &mut self,
-        body: &mut RequestBody,
+        body: &mut BodyRest<'_>,
     ) -> Result<ResponseStart, AttemptError> {
-        let result = self.exchange_until_head(body).await;
+        let result = self
+            .exchange_until_head(body)
+            .await
+            .map_err(|error| AttemptError {
+                sent_body: self.sent_body(),
+                ..error
+            });
         match &result {
             Ok(head) => {
                 self.has_response_head = true;
@@ -254,9 +272,16 @@
         result
     }
 
+    fn sent_body(&self) -> SentBody {
+        SentBody {
+            bytes: self.request_window.sent_bytes(),
+            has_end: self.request_window.is_ended(),
+        }
+    }
+
     async fn exchange_until_head(
         &mut self,
-        body: &mut RequestBody,
+        body: &mut BodyRest<'_>,
     ) -> Result<ResponseStart, AttemptError> {
         loop {
             self.send_deferred_body();
@@ -374,6 +399,7 @@
                     || refusal.load.is_some_and(|load| {
                         load.start_rate.is_none() && load.in_flight + load.queued < load.limit
                     }),
+                sent_body: SentBody::default(),
             }),
             LinkMessage::Abort(abort) => Err(self
                 .state
