Planned stops: tell why a stop ended when it did, and what was left

Callers whose request a stopping node had read saw a closed connection. The log had one line at the signal and one at the limit with all counters, which name no request.

The steps of a stop now log the time since the signal and the requests, connections, running and queued calls that are left; the end of the stop logs its reason, idle or limit. At the limit each request that is left has a line with its id, call, state, age and time limit, the oldest 64 of them. The counters `stops` and `stop_leftovers` count the same.

--- a/src/ingress.rs
+++ b/src/ingress.rs
@@ -12,6 +12,7 @@
 pub mod connection;
 pub mod hedge;
 pub mod identity;
+pub mod in_flight;
 pub mod placing;
 pub mod request;
 pub mod returns;
@@ -37,6 +38,9 @@
 use crate::ingress::call::CallDriver;
 use crate::ingress::connection::CallResult;
 use crate::ingress::hedge::ResponseLatencies;
+use crate::ingress::in_flight::{
+    InFlightGuard, InFlightRequest, InFlightRequests, RequestProgress,
+};
 use crate::ingress::request::{RequestResolver, ResolvedRequest};
 use crate::ingress::returns::CallerRetryTracker;
 use crate::link::call_link::UpstreamEvent;
@@ -112,7 +116,7 @@
     pub quotas: Arc<QuotaHub>,
     started_at: Instant,
     next_call_number: AtomicU64,
-    in_flight_requests: AtomicU64,
+    in_flight: InFlightRequests,
     open_connections: AtomicU64,
 }
 
@@ -166,7 +170,7 @@
             quotas: Arc::new(QuotaHub::without_peers(settings.started_at)),
             started_at: settings.started_at,
             next_call_number: AtomicU64::new(1),
-            in_flight_requests: AtomicU64::new(0),
+            in_flight: InFlightRequests::default(),
             open_connections: AtomicU64::new(0),
         }
     }
@@ -215,7 +219,12 @@
 
     /// Callers' requests whose response has not been fully written.
     pub fn in_flight_requests(&self) -> u64 {
-        self.in_flight_requests.load(Ordering::Relaxed)
+        self.in_flight.count()
+    }
+
+    /// Requests in flight, the oldest first, at most `limit`.
+    pub fn oldest_requests(&self, limit: usize) -> Vec<InFlightRequest> {
+        self.in_flight.oldest(limit)
     }
 
     /// Callers' connections on which a request may still have to be answered.
@@ -241,23 +250,7 @@
 
     /// Counts a request as in flight while the guard lives.
     pub fn track_request(self: &Arc<Self>) -> InFlightGuard {
-        self.in_flight_requests.fetch_add(1, Ordering::Relaxed);
-        InFlightGuard {
-            shared: Arc::clone(self),
-        }
-    }
-}
-
-/// Counts one request as in flight until it is dropped.
-pub struct InFlightGuard {
-    shared: Arc<IngressState>,
-}
-
-impl Drop for InFlightGuard {
-    fn drop(&mut self) {
-        self.shared
-            .in_flight_requests
-            .fetch_sub(1, Ordering::Relaxed);
+        InFlightGuard::new(Arc::clone(self))
     }
 }
 
@@ -298,13 +291,18 @@
     worker: Rc<IngressWorker>,
     head: RequestHead,
     body: Option<BodyReceiver>,
+    progress: RequestProgress,
 ) -> CallResult {
     let arrived_at = tokio::time::Instant::now();
     let target = head.target.clone();
     worker.shared.wait_for_routes().await;
     match resolve_request(&worker, head) {
         Ok(request) => {
-            CallDriver::new(worker, request, body, arrived_at)
+            progress.update(|record| {
+                record.request_id = request.request_id.clone().unwrap_or_default();
+                record.time_limit = Some(request.timeout);
+            });
+            CallDriver::new(worker, request, body, arrived_at, progress)
                 .run()
                 .await
         }
--- a/src/ingress/call.rs
+++ b/src/ingress/call.rs
@@ -24,6 +24,7 @@
 use crate::ingress::answer::{CallFailure, CallResponse};
 use crate::ingress::attempt::{AttemptError, FIRST_SERVER_ERROR_STATUS};
 use crate::ingress::body::{BodyReceiver, RequestBody};
+use crate::ingress::in_flight::{RequestProgress, RequestState};
 use crate::ingress::placing::{CallTimeBudget, GateSearch};
 use crate::ingress::request::ResolvedRequest;
 use crate::ingress::returns::CallerRequest;
@@ -84,6 +85,7 @@
     head_digest: HeadDigest,
     fingerprint: Option<RequestFingerprint>,
     quota: QuotaUse,
+    progress: RequestProgress,
 }
 
 impl CallDriver {
@@ -93,11 +95,13 @@
         request: ResolvedRequest,
         pieces: Option<BodyReceiver>,
         arrived_at: Instant,
+        progress: RequestProgress,
     ) -> Self {
         let id = CallId {
             ingress_incarnation: worker.shared.incarnation.get(),
             sequence: worker.shared.reserve_call_sequence(),
         };
+        progress.update(|request| request.call = Some(id));
         let search = GateSearch::new(worker.shared.max_immediate_offers);
         let head_digest = request.head_digest();
         let target_left = original_target_left(&worker, &request).unwrap_or(request.target_latency);
@@ -117,6 +121,7 @@
             search,
             head_digest,
             fingerprint: None,
+            progress,
             quota: QuotaUse::default(),
         }
     }
@@ -139,6 +144,7 @@
     async fn run_until_response(&mut self) -> Result<CallResponse, CallFailure> {
         self.check_upstreams()?;
         let mut body = self.read_body_start().await?;
+        self.progress.set_state(RequestState::Calling);
         let _share = self.reserve_shares()?;
         let service = &self.request.service;
         lock(&self.worker.shared.retry_policy).record_first_attempt(service);
--- a/src/ingress/connection.rs
+++ b/src/ingress/connection.rs
@@ -30,7 +30,8 @@
     CallFailure, CallResponse, ResponseOptions, put_failure_response, put_response_head,
 };
 use crate::ingress::body::BodyReceiver;
-use crate::ingress::{InFlightGuard, IngressWorker, StopPhase, serve_call};
+use crate::ingress::in_flight::{InFlightGuard, RequestProgress, RequestState};
+use crate::ingress::{IngressWorker, StopPhase, serve_call};
 use crate::routes::CallerLimits;
 
 /// Requests of one connection that are in progress or wait for their response
@@ -68,7 +69,7 @@
     /// Whether the request body has been read to its end.
     body_progress: Rc<BodyProgress>,
     /// Counts the request as in flight until its response is written.
-    _guard: InFlightGuard,
+    guard: InFlightGuard,
 }
 
 #[derive(Debug, Default)]
@@ -288,16 +289,24 @@
                 .push_back(QueuedWrite::Continue);
         }
         let (result_sender, receiver) = oneshot::channel();
+        let guard = self.worker.shared.track_request();
+        let progress = guard.progress().clone();
         self.queue_response(PendingResponse {
             receiver,
             is_for_head: head.method == "HEAD",
             is_http10: head.is_http_1_0,
             is_last_response: !head.is_keep_alive,
             body_progress,
-            _guard: self.worker.shared.track_request(),
+            guard,
         });
         let worker = Rc::clone(&self.worker);
-        ntex::rt::spawn(run_call(worker, head, body_receiver, result_sender));
+        ntex::rt::spawn(run_call(
+            worker,
+            head,
+            body_receiver,
+            progress,
+            result_sender,
+        ));
         body_sender
     }
 
@@ -326,7 +335,7 @@
             is_http10: false,
             is_last_response: true,
             body_progress,
-            _guard: self.worker.shared.track_request(),
+            guard: self.worker.shared.track_request(),
         });
     }
 
@@ -400,6 +409,7 @@
             let body_read = pending.body_progress.completed.notified();
             let _ = tokio::time::timeout(BODY_DISCARD_TIMEOUT, body_read).await;
         }
+        pending.guard.progress().set_state(RequestState::Writing);
         let is_closing = pending.is_last_response
             || !pending.body_progress.is_complete.get()
             || (self.is_draining() && self.has_no_later_request());
@@ -489,11 +499,12 @@
     worker: Rc<IngressWorker>,
     head: Box<RequestHead>,
     body_receiver: Option<BodyReceiver>,
+    progress: RequestProgress,
     mut result_sender: oneshot::Sender<CallResult>,
 ) {
     let result = tokio::select! {
         biased;
-        result = serve_call(worker, *head, body_receiver) => result,
+        result = serve_call(worker, *head, body_receiver, progress) => result,
         () = result_sender.closed() => return,
     };
     // Fails if the caller has disconnected in the meantime.
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -80,6 +80,8 @@
     cross_zone_share: FloatGaugeFamily,
     zone_wait_seconds: FloatGaugeFamily,
     cross_zone_body_bytes: CounterFamily,
+    stops: CounterFamily,
+    stop_leftovers: CounterFamily,
 }
 
 fn new_latency_histogram() -> Histogram {
@@ -120,6 +122,8 @@
             cross_zone_share: Family::default(),
             zone_wait_seconds: Family::default(),
             cross_zone_body_bytes: Family::default(),
+            stops: Family::default(),
+            stop_leftovers: Family::default(),
             registry: Registry::default(),
         };
         registry.register(
@@ -236,6 +240,16 @@
             "Bytes of request and response bodies exchanged with other zones by service",
             metrics.cross_zone_body_bytes.clone(),
         );
+        registry.register(
+            "stops",
+            "Planned stops that ended, by reason: idle or limit",
+            metrics.stops.clone(),
+        );
+        registry.register(
+            "stop_leftovers",
+            "What was left when a planned stop ended, by kind",
+            metrics.stop_leftovers.clone(),
+        );
         metrics.set_rate_limit(None);
         registry.register(
             "rate_limit",
@@ -485,6 +499,16 @@
         counter.inc_by(bytes);
     }
 
+    /// Records the end of a planned stop and what was left, by kind.
+    pub fn record_stop_end(&self, reason: &str, leftovers: &[(&str, u64)]) {
+        let labels = vec![("reason", reason.to_string())];
+        self.stops.get_or_create(&labels).inc();
+        for (kind, count) in leftovers {
+            let labels = vec![("kind", (*kind).to_string())];
+            self.stop_leftovers.get_or_create(&labels).inc_by(*count);
+        }
+    }
+
     /// Encodes all metrics in the OpenMetrics text format.
     pub fn encode_text(&self) -> String {
         self.update_evacuation();
--- a/src/node.rs
+++ b/src/node.rs
@@ -6,6 +6,7 @@
 //! API and only translates between HTTP and control.
 
 mod listener;
+mod stop;
 
 use std::cell::RefCell;
 use std::collections::BTreeSet;
@@ -30,7 +31,7 @@
 use crate::admin::{
     AdminApiState, AdminCall, DEFAULT_ANNOUNCEMENT_DECODER, start_admin_server, start_health_server,
 };
-use crate::control::admin::{collect_counters, serve_admin};
+use crate::control::admin::serve_admin;
 use crate::control::evacuation::follow_evacuation;
 use crate::control::peers::accept_peers;
 use crate::control::state::{
@@ -49,6 +50,7 @@
 use crate::membership::{MemberIdentity, MembershipState};
 use crate::metrics::{NodeMetrics, publish_statsd_gauges, start_metrics_server};
 use crate::node::listener::{WorkerSettings, start_ingress};
+use crate::node::stop::stop_node;
 use crate::options::{NODE_COMMAND, NodeOptions, options_from_process};
 use crate::platform::{PLATFORM, PlatformStore};
 use crate::quarantine::QuarantineHub;
@@ -75,10 +77,6 @@
 const CALLER_LISTEN_BACKLOG: i32 = 4_096;
 /// Time to send the last replies of the administration API, which are short.
 const ADMIN_FLUSH_DELAY: Duration = Duration::from_millis(200);
-/// Fraction of the leave time for which the gate admits calls. The last of them
-/// have the rest of it, and the time until the drain limit, to end.
-const GATE_OPEN_FRACTION: f64 = 2.0 / 3.0;
-const IDLE_POLL_INTERVAL: Duration = Duration::from_millis(50);
 const MAX_PORT_ATTEMPTS: u32 = 16;
 const LOG_FLUSH_TIMEOUT: Duration = Duration::from_millis(500);
 /// Pause between store reads of a node that knows no other.
@@ -543,28 +541,3 @@
     });
     addresses
 }
-
-/// Graceful shutdown. Callers are directed to other nodes; the gate stays open
-/// while they move, since its backend server still runs and other nodes may be
-/// stopping too. Then gate and ingress accept nothing new, and calls in progress
-/// end, at the latest at the drain limit.
-async fn stop_node(control: &ControlState, options: &NodeOptions) {
-    control.begin_stop(options.drain_limit);
-    let gate_open_time = options.leave_time.mul_f64(GATE_OPEN_FRACTION);
-    tokio::time::sleep(gate_open_time).await;
-    control.close_gate();
-    tokio::time::sleep(options.leave_time - gate_open_time).await;
-    control.close_ingress();
-    let all_calls_ended = async {
-        while !control.is_idle() {
-            tokio::time::sleep(IDLE_POLL_INTERVAL).await;
-        }
-    };
-    let time_left = options.drain_limit.saturating_sub(options.leave_time);
-    if tokio::time::timeout(time_left, all_calls_ended)
-        .await
-        .is_err()
-    {
-        log::error!(target: "node", counters:? = collect_counters(control); "stop limit passed");
-    }
-}
