Run no request behind a response that closes its connection

A caller that pipelines saw, during a planned stop, a response with `connection: close`; its next request ran and got no answer.

The decision to close is taken before the response is written. While the socket took the response, the reading future still started the next request, as it checked the decision only before it read the head. The future was then dropped, but the connection lived on in the lingering close, and with it the channel that would have cancelled the call.

The decision is checked again once a head has been read: such a request isn't run, so its caller, who was told that the connection closes, can send it again. Nothing is awaited between that check and the start of the call, and both halves run on one thread, so no decision falls between them. The state of the connection is dropped before the lingering close, so that no call outlives it.

--- a/src/ingress/connection.rs
+++ b/src/ingress/connection.rs
@@ -134,6 +134,8 @@
         end = connection.read_until_closed(&mut input, &mut buffer) => end,
     };
     drop(guard);
+    // Calls whose response can no longer be written are cancelled.
+    drop(connection);
     match result {
         Ok(()) => close_lingering(input, output).await,
         Err(error) => log::debug!(target: "ingress", "closing a caller's connection: {error}"),
@@ -198,6 +200,11 @@
                     return Ok(ReadEndReason::NoMoreRequests);
                 }
             };
+            if self.is_closing.get() {
+                // The last response says that the connection closes, so the
+                // caller knows that this request was not run.
+                return Ok(ReadEndReason::NoMoreRequests);
+            }
             let is_kept = head.is_keep_alive;
             let framing = head.framing;
             let body_progress = Rc::new(BodyProgress::default());
