Let a stopping node wait for the lingering close of its connections

Callers of a stopping node saw a reset in the middle of its last response: 12,346 bytes received of over 307,200 in the test.

A connection stopped to count as open when its lingering close began. If it was the last one, the process exited some 0.3 s later, while the response was still in the buffer of the socket. Any input that the process had not read then makes the kernel reset the connection and discard the response.

The connection counts until the lingering close has ended, which reads that input for at most 1 s, as before.

--- a/src/ingress.rs
+++ b/src/ingress.rs
@@ -227,7 +227,7 @@
         self.in_flight.oldest(limit)
     }
 
-    /// Callers' connections on which a request may still have to be answered.
+    /// Callers' connections that are not closed yet.
     pub fn open_connections(&self) -> u64 {
         self.open_connections.load(Ordering::Relaxed)
     }
--- a/src/ingress/connection.rs
+++ b/src/ingress/connection.rs
@@ -117,7 +117,9 @@
         return;
     }
     let (mut input, mut output) = stream.into_split();
-    let guard = worker.shared.track_connection();
+    // Held until the connection is closed, so that the process doesn't exit
+    // while the last response is on its way.
+    let _guard = worker.shared.track_connection();
     let connection = CallerConnection {
         worker,
         write_queue: RefCell::default(),
@@ -133,7 +135,6 @@
         result = connection.write_responses(&mut output) => result,
         end = connection.read_until_closed(&mut input, &mut buffer) => end,
     };
-    drop(guard);
     // Calls whose response can no longer be written are cancelled.
     drop(connection);
     match result {
