--- a/src/ingress/connection.rs
+++ b/src/ingress/connection.rs
@@ -30,7 +30,8 @@
     CallFailure, CallResponse, ResponseOptions, put_failure_response, put_response_head,
 };
 use crate::ingress::body::BodyReceiver;
-use crate::ingress::{InFlightGuard, IngressWorker, StopPhase, serve_call};
+use crate::ingress::in_flight::{InFlightGuard, RequestProgress, RequestState};
+use crate::ingress::{IngressWorker, StopPhase, serve_call};
 use crate::routes::CallerLimits;
 
 /// Requests of one connection that are in progress or wait for their response
@@ -68,7 +69,7 @@
     /// Whether the request body has been read to its end.
     body_progress: Rc<BodyProgress>,
     /// Counts the request as in flight until its response is written.
-    _guard: InFlightGuard,
+    guard: InFlightGuard,
 }
 
 #[derive(Debug, Default)]
@@ -116,7 +117,9 @@
         return;
     }
     let (mut input, mut output) = stream.into_split();
-    let guard = worker.shared.track_connection();
+    // Held until the connection is closed, so that the process doesn't exit
+    // while the last response is on its way.
+    let _guard = worker.shared.track_connection();
     let connection = CallerConnection {
         worker,
         write_queue: RefCell::default(),
@@ -132,7 +135,8 @@
         result = connection.write_responses(&mut output) => result,
         end = connection.read_until_closed(&mut input, &mut buffer) => end,
     };
-    drop(guard);
+    // Calls whose response can no longer be written are cancelled.
+    drop(connection);
     match result {
         Ok(()) => close_lingering(input, output).await,
         Err(error) => log::debug!(target: "ingress", "closing a caller's connection: {error}"),
@@ -197,6 +201,11 @@
                     return Ok(ReadEndReason::NoMoreRequests);
                 }
             };
+            if self.is_closing.get() {
+                // The last response says that the connection closes, so the
+                // caller knows that this request was not run.
+                return Ok(ReadEndReason::NoMoreRequests);
+            }
             let is_kept = head.is_keep_alive;
             let framing = head.framing;
             let body_progress = Rc::new(BodyProgress::default());
@@ -288,16 +297,24 @@
                 .push_back(QueuedWrite::Continue);
         }
         let (result_sender, receiver) = oneshot::channel();
+        let guard = self.worker.shared.track_request();
+        let progress = guard.progress().clone();
         self.queue_response(PendingResponse {
             receiver,
             is_for_head: head.method == "HEAD",
             is_http10: head.is_http_1_0,
             is_last_response: !head.is_keep_alive,
             body_progress,
-            _guard: self.worker.shared.track_request(),
+            guard,
         });
         let worker = Rc::clone(&self.worker);
-        ntex::rt::spawn(run_call(worker, head, body_receiver, result_sender));
+        ntex::rt::spawn(run_call(
+            worker,
+            head,
+            body_receiver,
+            progress,
+            result_sender,
+        ));
         body_sender
     }
 
@@ -326,7 +343,7 @@
             is_http10: false,
             is_last_response: true,
             body_progress,
-            _guard: self.worker.shared.track_request(),
+            guard: self.worker.shared.track_request(),
         });
     }
 
@@ -400,6 +417,7 @@
             let body_read = pending.body_progress.completed.notified();
             let _ = tokio::time::timeout(BODY_DISCARD_TIMEOUT, body_read).await;
         }
+        pending.guard.progress().set_state(RequestState::Writing);
         let is_closing = pending.is_last_response
             || !pending.body_progress.is_complete.get()
             || (self.is_draining() && self.has_no_later_request());
@@ -489,11 +507,12 @@
     worker: Rc<IngressWorker>,
     head: Box<RequestHead>,
     body_receiver: Option<BodyReceiver>,
+    progress: RequestProgress,
     mut result_sender: oneshot::Sender<CallResult>,
 ) {
     let result = tokio::select! {
         biased;
-        result = serve_call(worker, *head, body_receiver) => result,
+        result = serve_call(worker, *head, body_receiver, progress) => result,
         () = result_sender.closed() => return,
     };
     // Fails if the caller has disconnected in the meantime.
