Test that a stopping node refuses what it does not accept

Callers who connect to a node late in its planned stop hang: the soak saw orders on new connections reset without an answer 1.1 s after they were sent. None of them ran.

The worker settings keep the listening socket open until the process exits, while the accept loops end earlier. The kernel goes on taking connections.

--- a/tests/http/raw.rs
+++ b/tests/http/raw.rs
@@ -4,7 +4,7 @@
 //! from a complete one.
 
 use std::collections::BTreeMap;
-use std::io::ErrorKind;
+use std::io::{self, ErrorKind};
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -43,13 +43,16 @@
 
 impl RawCaller {
     pub async fn connect(address: SocketAddr) -> Self {
-        let stream = TcpStream::connect(address).await.unwrap();
-        let (input, output) = stream.into_split();
+        Self::try_connect(address).await.unwrap()
+    }
+
+    pub async fn try_connect(address: SocketAddr) -> io::Result<Self> {
+        let (input, output) = TcpStream::connect(address).await?.into_split();
         let unread = Vec::new();
-        Self {
+        Ok(Self {
             sender: RawSender { output },
             reader: RawReader { input, unread },
-        }
+        })
     }
 
     pub async fn send(&mut self, text: &str) {
--- a/tests/stop.rs
+++ b/tests/stop.rs
@@ -14,6 +14,7 @@
 #[path = "http/raw.rs"]
 mod raw;
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use ntex::time::sleep;
@@ -199,6 +200,47 @@
     assert_eq!(node.wait_for_exit().await, Some(0));
 }
 
+/// Service time of an order that keeps a stopping node's process from ending.
+const HOLDING_WORK: (&str, &str) = ("standin-work-us", "3000000");
+
+/// Waits until a node serves its own callers; it learns of upstreams later than the
+/// ingress.
+async fn wait_until_served(address: SocketAddr) {
+    loop {
+        let mut caller = RawCaller::connect(address).await;
+        caller
+            .send("POST /orders HTTP/1.1\r\nhost: tillpost\r\ncontent-length: 0\r\n\r\n")
+            .await;
+        if caller.read_response().await.unwrap().status == 200 {
+            return;
+        }
+        sleep(Duration::from_millis(50)).await;
+    }
+}
+
+/// A connection that is taken but never accepted hangs until the process ends.
+#[ntex::test]
+async fn stopping_node_refuses_connections_that_it_does_not_accept() {
+    let mut fleet = Fleet::start(2).await;
+    let address = fleet.upstreams[0].listen_address();
+    wait_until_served(address).await;
+    let (name, value) = HOLDING_WORK;
+    let mut caller = RawCaller::connect(address).await;
+    caller
+        .send(&format!(
+            "POST /orders HTTP/1.1\r\nhost: tillpost\r\ncontent-length: 5\r\n\
+             currantlift-timeout-ms: 4000\r\n{name}: {value}\r\n\r\norder"
+        ))
+        .await;
+    sleep(Duration::from_millis(100)).await;
+    fleet.upstreams[0].signal_node("TERM");
+    sleep(WAIT_PAST_LISTENER_CLOSE).await;
+    let connected = RawCaller::try_connect(address).await;
+    assert!(!fleet.upstreams[0].node.as_mut().unwrap().has_exited());
+    assert!(connected.is_err(), "a connection was taken");
+    assert_eq!(caller.read_response().await.unwrap().status, 200);
+}
+
 /// Fleet whose nodes take as long to leave as on the users' platform.
 const SLOW_LEAVE_FLEET: FleetConfig = FleetConfig {
     upstream_count: UPSTREAM_COUNT,
