Fault soak: broken uploads, early answers, stops that overlap

Three callers now end uploads at random bytes. Two more upstreams stop as planned in series that overlap, with callers on kept connections until the process is gone, and their backend servers close connections within heads, fail requests before the body is in, or send failures twice. Planned restarts of the other nodes overlap as well, and all nodes have the deployed limits of a stop. The new events come from generators of their own.

--- a/src/standin/backend/handlers.rs
+++ b/src/standin/backend/handlers.rs
@@ -33,6 +33,13 @@
 pub const CRASH_MARKER: &[u8] = b"standin-crash";
 /// Time from the start of such a run to the end of the process.
 const CRASH_DELAY: Duration = Duration::from_millis(30);
+/// Failure response that is written without the HTTP library.
+const RAW_FAILURE: &[u8] = b"HTTP/1.1 500 Internal Server Error\r\ncontent-length: 5\r\n\r\nfails";
+/// Start of a response head.
+const PARTIAL_HEAD: &[u8] = b"HTTP/1.1 200 OK\r\ncontent-le";
+/// Time for which nothing is read of a body after an early response, and for which the
+/// connection stays open after the body.
+const READ_PAUSE: Duration = Duration::from_millis(50);
 /// Time for the first half of a truncated response to be sent.
 const FLUSH_DELAY: Duration = Duration::from_millis(20);
 
@@ -93,6 +100,9 @@
         put_fault_fields(&mut response, &faults);
         return response.body("fails fast");
     }
+    if faults.answer_early || faults.repeat_failure {
+        return fail_at_head(&request, payload, &faults).await;
+    }
     // A request with an incomplete body is not run.
     let Ok(body) = read_body(payload).await else {
         return HttpResponse::BadRequest().finish();
@@ -112,6 +122,10 @@
     if faults.silent {
         std::future::pending::<()>().await;
     }
+    if faults.cut_head {
+        write_raw(&request, PARTIAL_HEAD);
+        return close_after(&request, FLUSH_DELAY).await;
+    }
     let (status, body) = nested.unwrap_or_else(|| (StatusCode::OK, echo_body(&request, body)));
     build_response(
         &request,
@@ -122,6 +136,38 @@
     )
 }
 
+/// Writes bytes to the connection past the HTTP library.
+fn write_raw(request: &HttpRequest, bytes: &[u8]) {
+    if let Some(io) = request.io()
+        && let Err(error) = io.encode_slice(bytes)
+    {
+        eprintln!("connection closed before a response was written: {error}");
+    }
+}
+
+/// Closes the connection after a while; its handler ends with it.
+async fn close_after(request: &HttpRequest, delay: Duration) -> HttpResponse {
+    tokio::time::sleep(delay).await;
+    if let Some(io) = request.io() {
+        io.terminate();
+    }
+    std::future::pending().await
+}
+
+async fn fail_at_head(
+    request: &HttpRequest,
+    payload: Payload,
+    faults: &FaultSettings,
+) -> HttpResponse {
+    let copies = if faults.repeat_failure { 2 } else { 1 };
+    write_raw(request, &RAW_FAILURE.repeat(copies));
+    tokio::time::sleep(READ_PAUSE).await;
+    if let Err(error) = read_body(payload).await {
+        eprintln!("request body after an early response not complete: {error}");
+    }
+    close_after(request, READ_PAUSE).await
+}
+
 fn contains_crash_marker(body: &[u8]) -> bool {
     body.windows(CRASH_MARKER.len())
         .any(|window| window == CRASH_MARKER)
--- a/src/standin/backend/options.rs
+++ b/src/standin/backend/options.rs
@@ -84,8 +84,8 @@
             as JSON), standin-nest: N (N levels of nested calls through --via).\n\
             A request whose body contains standin-crash ends the process while it runs.\n\
             GET /standin/runs counts runs by request-id; PUT /standin/faults sets\n\
-            {\"slowdown\", \"fail_fast\", \"cut\", \"silent\", \"ignore_slots\",\n\
-            \"draining\"}.",
+            {\"slowdown\", \"fail_fast\", \"cut\", \"cut_head\", \"answer_early\",\n\
+            \"repeat_failure\", \"silent\", \"ignore_slots\", \"draining\"}.",
     flags: STANDIN_FLAGS,
 };
 
--- a/src/standin/backend/state.rs
+++ b/src/standin/backend/state.rs
@@ -22,6 +22,14 @@
     pub fail_fast: bool,
     /// Close the connection halfway through the response.
     pub cut: bool,
+    /// Close the connection within the head of the response.
+    pub cut_head: bool,
+    /// Respond at once with status 500, without running the request, and read its body
+    /// later.
+    pub answer_early: bool,
+    /// Respond at once with status 500, without running the request, and send the
+    /// response twice.
+    pub repeat_failure: bool,
     /// Run the request, but never respond.
     pub silent: bool,
     /// Run more requests concurrently than there are slots.
@@ -38,6 +46,9 @@
             slowdown: 1.0,
             fail_fast: false,
             cut: false,
+            cut_head: false,
+            answer_early: false,
+            repeat_failure: false,
             silent: false,
             ignore_slots: false,
             draining: false,
--- a/tests/faults/script.rs
+++ b/tests/faults/script.rs
@@ -43,6 +43,13 @@
     TruncateResponses,
     /// The backend server runs requests and never responds.
     WithholdResponses,
+    /// The backend server runs requests and closes connections within the heads of its
+    /// responses.
+    TruncateHeads,
+    /// The backend server fails requests before their bodies are in.
+    AnswerEarly,
+    /// The backend server fails requests and sends each response twice.
+    RepeatFailures,
 }
 
 /// Index of an upstream, with its fault.
@@ -83,7 +90,10 @@
         Fault::SlowBackend
         | Fault::FailBackend
         | Fault::TruncateResponses
-        | Fault::WithholdResponses => {
+        | Fault::WithholdResponses
+        | Fault::TruncateHeads
+        | Fault::AnswerEarly
+        | Fault::RepeatFailures => {
             upstream
                 .set_backend_faults(&client, &backend_fault_settings(fault))
                 .await;
@@ -97,6 +107,9 @@
         Fault::FailBackend => json!({ "fail_fast": true }),
         Fault::TruncateResponses => json!({ "cut": true }),
         Fault::WithholdResponses => json!({ "silent": true }),
+        Fault::TruncateHeads => json!({ "cut_head": true }),
+        Fault::AnswerEarly => json!({ "answer_early": true }),
+        Fault::RepeatFailures => json!({ "repeat_failure": true }),
         _ => json!({}),
     }
 }
@@ -120,7 +133,10 @@
         Fault::SlowBackend
         | Fault::FailBackend
         | Fault::TruncateResponses
-        | Fault::WithholdResponses => {
+        | Fault::WithholdResponses
+        | Fault::TruncateHeads
+        | Fault::AnswerEarly
+        | Fault::RepeatFailures => {
             upstream.set_backend_faults(&client, &json!({})).await;
         }
     }
--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -7,7 +7,9 @@
 //!   gets a truncated response or that of another order as if it were its own.
 //! - The ticket in force never reverts to a lower one, and the last accepted
 //!   ticket is in force at the end.
-//! - A planned stop ends with exit code 0.
+//! - A planned stop ends with exit code 0, and each request that the node has read is
+//!   answered.
+//! - An upload that its caller didn't finish doesn't run.
 //! - A draining backend server gets no new order after the users' bound.
 //! - A backend server that names a limit gets no more requests than the users allow.
 //! - Orders are answered again after the last fault.
@@ -20,6 +22,8 @@
 #![allow(clippy::unwrap_used, reason = "helpers of tests fail as the tests do")]
 #![allow(dead_code, reason = "the fleet is shared with other tests")]
 
+#[path = "soak/callers.rs"]
+mod callers;
 #[path = "support/fleet.rs"]
 mod fleet;
 #[path = "support/load.rs"]
@@ -28,6 +32,8 @@
 mod plan;
 #[path = "support/process.rs"]
 mod process;
+#[path = "http/raw.rs"]
+mod raw;
 #[path = "faults/script.rs"]
 mod script;
 
@@ -40,17 +46,26 @@
 
 use fleet::{Fleet, FleetConfig};
 use load::{LONG_ORDER_TIMEOUT, ORDER_TIMEOUT, OrderLoad};
-use plan::{SoakEvent, make_schedule};
+use plan::{STOPPED_UPSTREAMS, SoakEvent, make_schedule};
 use script::{clear_fault, inject_fault};
 
 /// Upstreams with faults and drains if `SOAK_UPSTREAMS` is not set; one more names
-/// limits.
+/// limits, and [`STOPPED_UPSTREAMS`] more stop as planned.
 const DEFAULT_UPSTREAM_COUNT: usize = 4;
 /// Fleet that offers calls to gates as on the users' platform. Orders take long
 /// enough that every fault hits some that run and some that are queued.
 const FLEET_CONFIG: FleetConfig = FleetConfig {
-    upstream_count: DEFAULT_UPSTREAM_COUNT + 1,
-    node_flags: &["--asks", "3", "--slot-limit", "fixed"],
+    upstream_count: DEFAULT_UPSTREAM_COUNT + 1 + STOPPED_UPSTREAMS,
+    node_flags: &[
+        "--asks",
+        "3",
+        "--slot-limit",
+        "fixed",
+        "--leave-seconds",
+        "3",
+        "--drain-seconds",
+        "5",
+    ],
     work_ms: "60",
 };
 /// Duration of the faults for each seed if `SOAK_SECONDS` is not set.
@@ -146,6 +161,8 @@
     runs_at_drain_bound: RunsAtDrainBound,
     /// When limited backend servers first named their limits.
     limited_since: BTreeMap<usize, Instant>,
+    /// Groups of callers of nodes that stop.
+    started_callers: u64,
 }
 
 async fn name_limit(fleet: &Fleet, index: usize, monitor: &mut SoakMonitor) {
@@ -176,7 +193,13 @@
     }
 }
 
-async fn apply_event(fleet: &mut Fleet, event: SoakEvent, monitor: &mut SoakMonitor, seed: u64) {
+async fn apply_event(
+    fleet: &mut Fleet,
+    event: SoakEvent,
+    load: &OrderLoad,
+    monitor: &mut SoakMonitor,
+    seed: u64,
+) {
     match event {
         SoakEvent::BeginDrain(index) => set_draining(fleet, index, true).await,
         SoakEvent::DrainBoundReached(index) => {
@@ -198,8 +221,14 @@
         SoakEvent::EndLimit(index) => end_limit(fleet, index, monitor, seed).await,
         SoakEvent::BeginFault(index, fault) => inject_fault(fleet, index, fault).await,
         SoakEvent::EndFault(index, fault) => clear_fault(fleet, index, fault).await,
-        SoakEvent::RestartNode(index) => {
-            fleet.upstreams[index].signal_node("TERM");
+        SoakEvent::BeginCalls(index) => {
+            monitor.started_callers += 1;
+            let caller_seed = seed.wrapping_mul(1_000) + monitor.started_callers;
+            let address = fleet.upstreams[index].listen_address();
+            callers::use_node_until_it_is_gone(load, address, caller_seed);
+        }
+        SoakEvent::BeginStop(index) => fleet.upstreams[index].signal_node("TERM"),
+        SoakEvent::EndStop(index) => {
             let mut node = fleet.upstreams[index].node.take().unwrap();
             assert_eq!(
                 node.wait_for_exit().await,
@@ -238,11 +267,12 @@
 async fn run_soak(seed: u64) {
     let upstream_count = configured_upstream_count();
     let config = FleetConfig {
-        upstream_count: upstream_count + 1,
+        upstream_count: upstream_count + 1 + STOPPED_UPSTREAMS,
         ..FLEET_CONFIG
     };
     let mut fleet = Fleet::start_with(config).await;
     let load = OrderLoad::start(&fleet, &[ORDER_TIMEOUT, LONG_ORDER_TIMEOUT]);
+    callers::break_off_uploads(&load, fleet.ingress_address, seed);
     let mut monitor = SoakMonitor {
         tickets: TicketMonitor {
             submitted: 1,
@@ -251,12 +281,13 @@
         },
         runs_at_drain_bound: RunsAtDrainBound::new(),
         limited_since: BTreeMap::new(),
+        started_callers: 0,
     };
     let schedule = make_schedule(seed, upstream_count, configured_fault_time());
     let started_at = Instant::now();
     for (offset, event) in &schedule {
         sleep(offset.saturating_sub(started_at.elapsed())).await;
-        apply_event(&mut fleet, *event, &mut monitor, seed).await;
+        apply_event(&mut fleet, *event, &load, &mut monitor, seed).await;
     }
     let whole_before = load.whole_count();
     wait_for("service", RECOVERY_BOUND, async || {
--- a/tests/soak/plan.rs
+++ b/tests/soak/plan.rs
@@ -2,7 +2,8 @@
 //!
 //! Each upstream but one gets a series of overlapping faults, restarts and
 //! drains. Faults of the store and new tickets come in between. One further upstream
-//! names limits while its node is killed, frozen or cut off.
+//! names limits while its node is killed, frozen or cut off, and [`STOPPED_UPSTREAMS`]
+//! more stop in series that overlap, with callers on kept connections.
 
 use std::time::Duration;
 
@@ -20,6 +21,19 @@
 /// Longest pause between two series of faults, restarts or drains of one
 /// upstream.
 const MAX_FAULT_GAP_MS: u64 = 2_000;
+/// Upstreams whose nodes stop in series, after the one that names limits.
+pub const STOPPED_UPSTREAMS: usize = 2;
+/// Time from a planned stop until the node is started again, if it has exited by then,
+/// and longest time until the next stop.
+const STOP_MS: (u64, u64) = (5_500, 1_500);
+/// Time for which callers use a node before it stops.
+const CALLS_BEFORE_STOP_MS: u64 = 300;
+/// Faults of the backend servers beside nodes that stop.
+const STOP_FAULTS: [Fault; 3] = [
+    Fault::TruncateHeads,
+    Fault::AnswerEarly,
+    Fault::RepeatFailures,
+];
 /// Longest pause between two faults of the store or submitted tickets.
 const MAX_CONTROL_EVENT_GAP_MS: u64 = 2_500;
 /// Longest delay until each of several overlapping faults begins. It is short so
@@ -46,8 +60,12 @@
 pub enum SoakEvent {
     BeginFault(usize, Fault),
     EndFault(usize, Fault),
-    /// Stop a node gracefully, and start it again.
-    RestartNode(usize),
+    /// Have callers use a node, on connections that they keep.
+    BeginCalls(usize),
+    /// Stop the node gracefully, while its callers go on.
+    BeginStop(usize),
+    /// Wait until the node has exited and start it again.
+    EndStop(usize),
     /// Have a backend server announce that it drains.
     BeginDrain(usize),
     /// The users' bound has passed: no new order may arrive from now on.
@@ -85,8 +103,9 @@
         let mut at_ms = rng.random_range(0..MAX_FAULT_GAP_MS);
         while at_ms < end_ms {
             if rng.random_bool(0.1) {
-                schedule.push((at_ms, SoakEvent::RestartNode(index)));
+                schedule.push((at_ms, SoakEvent::BeginStop(index)));
                 at_ms += FAULT_DURATION_MS.1;
+                schedule.push((at_ms, SoakEvent::EndStop(index)));
             } else if rng.random_bool(0.1) {
                 schedule.push((at_ms, SoakEvent::BeginDrain(index)));
                 schedule.push((
@@ -119,6 +138,9 @@
         }
     }
     add_limits(seed, &mut schedule, upstream_count, end_ms);
+    for number in 0..STOPPED_UPSTREAMS {
+        add_stops(seed, &mut schedule, upstream_count + 1 + number, end_ms);
+    }
     schedule.sort();
     let events = schedule.into_iter();
     events
@@ -145,6 +167,25 @@
     }
 }
 
+/// Adds planned stops of one upstream's node, and faults of its backend server.
+fn add_stops(seed: u64, schedule: &mut Vec<(u64, SoakEvent)>, index: usize, end_ms: u64) {
+    let mut rng = StdRng::seed_from_u64(!seed ^ index as u64);
+    let mut at_ms = rng.random_range(0..STOP_MS.1);
+    while at_ms < end_ms {
+        schedule.push((at_ms, SoakEvent::BeginCalls(index)));
+        let stop_ms = at_ms + CALLS_BEFORE_STOP_MS;
+        schedule.push((stop_ms, SoakEvent::BeginStop(index)));
+        let fault = *STOP_FAULTS.choose(&mut rng).unwrap();
+        let begin_ms = at_ms + rng.random_range(0..FAULT_DURATION_MS.1);
+        let end_fault_ms = begin_ms + rng.random_range(FAULT_DURATION_MS.0..FAULT_DURATION_MS.1);
+        schedule.push((begin_ms, SoakEvent::BeginFault(index, fault)));
+        schedule.push((end_fault_ms, SoakEvent::EndFault(index, fault)));
+        at_ms = stop_ms + STOP_MS.0;
+        schedule.push((at_ms, SoakEvent::EndStop(index)));
+        at_ms += rng.random_range(0..STOP_MS.1);
+    }
+}
+
 /// Adds overlapping faults of one to three groups; returns when the last ends.
 fn add_overlapping_faults(
     rng: &mut StdRng,
--- a/tests/support/load.rs
+++ b/tests/support/load.rs
@@ -47,14 +47,34 @@
     Foreign,
     /// No response.
     NoAnswer,
+    /// A kept connection was closed as the order was sent, so that it must not have run.
+    Unread,
 }
 
 #[derive(Debug)]
-struct FinishedOrder {
-    id: String,
-    outcome: OrderOutcome,
-    time_limit: Duration,
-    latency: Duration,
+pub struct FinishedOrder {
+    pub id: String,
+    pub outcome: OrderOutcome,
+    /// Whether the caller sent all of it.
+    pub is_sent: bool,
+    pub time_limit: Duration,
+    pub latency: Duration,
+}
+
+/// Where a caller records its orders, until the load stops.
+pub struct OrderRecorder {
+    finished_orders: Rc<RefCell<Vec<FinishedOrder>>>,
+    is_stopping: Rc<Cell<bool>>,
+}
+
+impl OrderRecorder {
+    pub fn record(&self, order: FinishedOrder) {
+        self.finished_orders.borrow_mut().push(order);
+    }
+
+    pub fn is_stopping(&self) -> bool {
+        self.is_stopping.get()
+    }
 }
 
 /// Running load, with the orders that have finished so far.
@@ -70,32 +90,38 @@
         let load = Self {
             finished_orders: Rc::default(),
             is_stopping: Rc::default(),
-            active_callers: Rc::new(Cell::new(CALLER_COUNT)),
+            active_callers: Rc::default(),
         };
         for (caller, &time_limit) in (0..CALLER_COUNT).zip(time_limits.iter().cycle()) {
-            let (finished_orders, active_callers) = (
-                Rc::clone(&load.finished_orders),
-                Rc::clone(&load.active_callers),
-            );
-            let is_stopping = Rc::clone(&load.is_stopping);
-            let (client, url) = (
-                fleet.client.clone(),
-                format!("{}/orders", fleet.ingress_url),
-            );
-            ntex::rt::spawn(async move {
+            let client = fleet.client.clone();
+            let url = format!("{}/orders", fleet.ingress_url);
+            load.add_caller(async move |recorder| {
                 let mut number = 0;
-                while !is_stopping.get() {
+                while !recorder.is_stopping() {
                     let order = place_order(&client, &url, time_limit, (caller, number)).await;
-                    finished_orders.borrow_mut().push(order);
+                    recorder.record(order);
                     number += 1;
                     sleep(PAUSE_BETWEEN_ORDERS).await;
                 }
-                active_callers.set(active_callers.get() - 1);
             });
         }
         load
     }
 
+    /// Starts a further caller, which the end of the load waits for.
+    pub fn add_caller(&self, caller: impl AsyncFnOnce(OrderRecorder) + 'static) {
+        let recorder = OrderRecorder {
+            finished_orders: Rc::clone(&self.finished_orders),
+            is_stopping: Rc::clone(&self.is_stopping),
+        };
+        let active_callers = Rc::clone(&self.active_callers);
+        active_callers.set(active_callers.get() + 1);
+        ntex::rt::spawn(async move {
+            caller(recorder).await;
+            active_callers.set(active_callers.get() - 1);
+        });
+    }
+
     /// Number of orders that have finished, whatever their outcome.
     pub fn finished_count(&self) -> usize {
         self.finished_orders.borrow().len()
@@ -151,6 +177,7 @@
     FinishedOrder {
         id,
         outcome,
+        is_sent: true,
         time_limit,
         latency: started_at.elapsed(),
     }
@@ -194,12 +221,22 @@
         let mut report = FaultReport::default();
         for order in &self.orders {
             let run_count = runs.get(&order.id).copied().unwrap_or(0);
+            report.hung += u32::from(order.latency > order.time_limit + HUNG_ORDER_MARGIN);
+            if !order.is_sent {
+                report.broken_uploads += 1;
+                let is_served = order.outcome == OrderOutcome::Whole || run_count > 0;
+                report.run_in_part += u32::from(is_served);
+                continue;
+            }
+            if order.outcome == OrderOutcome::NoAnswer {
+                println!("no answer, runs {run_count}: {order:?}");
+            }
+            report.unanswered += u32::from(order.outcome == OrderOutcome::Unread && run_count > 0);
             *report.outcomes.entry(order.outcome).or_default() += 1;
             report.lost += u32::from(order.outcome == OrderOutcome::Whole && run_count == 0);
             report.doubled += u32::from(run_count > 1);
             report.false_not_run +=
                 u32::from(order.outcome == OrderOutcome::NotRun && run_count > 0);
-            report.hung += u32::from(order.latency > order.time_limit + HUNG_ORDER_MARGIN);
             report.slowest = report.slowest.max(order.latency);
         }
         report
@@ -218,6 +255,12 @@
     pub false_not_run: u32,
     /// Finished after the time limit and the margin.
     pub hung: u32,
+    /// Run, and then not answered as a node stopped.
+    pub unanswered: u32,
+    /// Orders that their callers didn't send completely.
+    pub broken_uploads: u32,
+    /// Those of them that ran, or were answered as if they had.
+    pub run_in_part: u32,
     /// Longest latency of an order.
     pub slowest: Duration,
 }
@@ -231,10 +274,17 @@
     /// Panics if a guarantee was broken, or if half of the orders or more got no
     /// complete response.
     pub fn assert_guarantees(&self) {
-        let violations = [self.lost, self.doubled, self.false_not_run, self.hung];
+        let violations = [
+            self.lost,
+            self.doubled,
+            self.false_not_run,
+            self.hung,
+            self.unanswered,
+            self.run_in_part,
+        ];
         assert_eq!(
-            violations, [0; 4],
-            "lost, doubled, false not-run, hung: {self}"
+            violations, [0; 6],
+            "lost, doubled, false not-run, hung, unanswered, run in part: {self}"
         );
         assert_eq!(self.count(OrderOutcome::Foreign), 0, "{self}");
         assert_eq!(self.count(OrderOutcome::NoAnswer), 0, "{self}");
@@ -248,8 +298,17 @@
         let total: u32 = self.outcomes.values().sum();
         write!(
             formatter,
-            "orders {total} {:?} lost {} doubled {} false not-run {} hung {} slowest {:?}",
-            self.outcomes, self.lost, self.doubled, self.false_not_run, self.hung, self.slowest
+            "orders {total} {:?} lost {} doubled {} false not-run {} hung {} unanswered {} \
+             broken uploads {} run in part {} slowest {:?}",
+            self.outcomes,
+            self.lost,
+            self.doubled,
+            self.false_not_run,
+            self.hung,
+            self.unanswered,
+            self.broken_uploads,
+            self.run_in_part,
+            self.slowest
         )
     }
 }
