Close the listening socket of a stopping node with its accept loops

Cause: the settings of the worker threads kept the listening socket open until the process exited, while the accept loops had ended; the kernel went on taking connections. The settings now pass into the start of the workers.

--- a/src/node.rs
+++ b/src/node.rs
@@ -328,7 +328,7 @@
         shared: Arc::clone(&shared),
         gate_commands: gate_sender.clone(),
     };
-    start_ingress(&worker_settings, &worker_threads)?;
+    start_ingress(worker_settings, &worker_threads)?;
 
     log::info!(
         target: "node",
--- a/src/node/listener.rs
+++ b/src/node/listener.rs
@@ -41,20 +41,29 @@
 
 /// Starts an ingress worker on each of the threads.
 ///
+/// Takes the listening socket, so that it is closed once all threads have ended their
+/// accept loops and connections in its queue are reset rather than left to hang.
+///
 /// # Errors
 ///
 /// Fails if the listener can't be made non-blocking or duplicated.
-pub(super) fn start_ingress(settings: &WorkerSettings, threads: &[Arbiter]) -> io::Result<()> {
-    settings.caller_listener.set_nonblocking(true)?;
+pub(super) fn start_ingress(settings: WorkerSettings, threads: &[Arbiter]) -> io::Result<()> {
+    let WorkerSettings {
+        node_id,
+        incarnation,
+        caller_listener,
+        shared,
+        gate_commands,
+    } = settings;
+    caller_listener.set_nonblocking(true)?;
     for (worker_index, thread) in (0..).zip(threads) {
-        let listener = settings.caller_listener.try_clone()?;
+        let listener = caller_listener.try_clone()?;
         let identity = LinkIdentity {
-            node: settings.node_id.clone(),
-            incarnation: settings.incarnation,
+            node: node_id.clone(),
+            incarnation,
             worker: worker_index,
         };
-        let (shared, gate_commands) =
-            (Arc::clone(&settings.shared), settings.gate_commands.clone());
+        let (shared, gate_commands) = (Arc::clone(&shared), gate_commands.clone());
         thread.handle().spawn(async move {
             let worker = new_worker(&shared, &gate_commands, identity);
             ntex::rt::spawn(async move {
