State the end of a body instead of inferring it from a closed channel

Seen by callers: of an upload that was cut off, the backend server ran the part that had arrived, as if it were whole.

Cause: every stage that passes a body on signalled its end by dropping the sender, which happens as well when the stage is cancelled or fails. At a planned stop a connection is closed after a response while the next upload is being read; its call then took the dropped sender for the end and told the gate so. When a caller disconnects in mid body, the call is polled once before it is cancelled and does the same; there, the cancel overtakes the end on the link, so that it shows only if the two are sent apart.

Change: one module, `body_channel`, for bodies in both directions. The sender's `finish` states the end; the receiver's `next` returns it only then, and an error if the sender was dropped without it. Used from the caller's connection to the call, from the link to the backend server's connection (where a gap now drops the sender), and for the rest of a response to the caller's connection. A call whose body is truncated cancels its attempt and never sends the end, in the path that reads on for suspected requests too.

--- a/src/backend.rs
+++ b/src/backend.rs
@@ -21,11 +21,11 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use bytes::{Bytes, BytesMut};
+use bytes::BytesMut;
 use derive_more::{Display, Error};
 use tokio::net::TcpStream;
-use tokio::sync::mpsc::UnboundedReceiver;
 
+use crate::body_channel::{self, BodyReceiver, BodyTruncated};
 use crate::fields::HeaderDialect;
 use crate::http1::write::{end_head, put_field, put_fields, put_framing_field, put_request_line};
 use crate::http1::{BodyFraming, HeadLimits, ResponseHead};
@@ -125,16 +125,23 @@
 
 /// Request body for the backend server.
 pub struct RequestBodySource {
-    /// Chunks in order; an `Err` aborts the body.
-    pub chunks: UnboundedReceiver<Result<Bytes, RequestBodyIncomplete>>,
+    /// Chunks in order, up to the stated end.
+    pub chunks: BodyReceiver<BodyTruncated>,
     /// Called with the number of body bytes written to the connection.
     pub on_consumed: Box<dyn Fn(u64)>,
 }
 
-/// Part of the request body is missing, so the body was aborted.
-#[derive(Debug, Clone, Copy, Display, Error)]
-#[display("request body aborted: part of it is missing")]
-pub struct RequestBodyIncomplete;
+impl RequestBodySource {
+    /// Source of an empty body.
+    pub fn empty() -> Self {
+        let (sender, chunks) = body_channel::unbounded();
+        sender.finish();
+        Self {
+            chunks,
+            on_consumed: Box::new(|_| {}),
+        }
+    }
+}
 
 /// Pooled connection between two exchanges.
 struct IdleConnection {
--- a/src/backend/connection.rs
+++ b/src/backend/connection.rs
@@ -6,7 +6,6 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
-use tokio::sync::mpsc::unbounded_channel;
 
 use super::{BackendError, ExchangeError, RESPONSE_HEAD_LIMITS, RequestBodySource};
 use crate::http1::write::{LAST_CHUNK, put_body};
@@ -216,12 +215,7 @@
 
     /// Creates a request that consists of its head only.
     fn without_body(head: BytesMut) -> Self {
-        let (_, chunks) = unbounded_channel();
-        let source = RequestBodySource {
-            chunks,
-            on_consumed: Box::new(|_| {}),
-        };
-        Self::new(head, BodyFraming::Length(0), source)
+        Self::new(head, BodyFraming::Length(0), RequestBodySource::empty())
     }
 
     /// Whether nothing is left to send or sending has failed.
@@ -270,7 +264,8 @@
     }
 
     async fn read_chunk(&mut self) -> io::Result<()> {
-        let Some(chunk) = self.body_source.chunks.recv().await else {
+        let chunk = self.body_source.chunks.next().await;
+        let Some(data) = chunk.map_err(io::Error::other)? else {
             self.has_source_ended = true;
             if self.remaining_bytes.is_some_and(|remaining| remaining > 0) {
                 return Err(io::ErrorKind::UnexpectedEof.into());
@@ -280,7 +275,6 @@
             }
             return Ok(());
         };
-        let data = chunk.map_err(io::Error::other)?;
         self.has_read_body = true;
         if let Some(remaining) = &mut self.remaining_bytes {
             *remaining = remaining
--- a/src/backend/tests.rs
+++ b/src/backend/tests.rs
@@ -4,6 +4,7 @@
 use std::net::SocketAddr;
 
 use assert_matches::assert_matches;
+use bytes::Bytes;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpListener;
 use tokio::sync::mpsc::{UnboundedReceiver, unbounded_channel};
@@ -101,11 +102,7 @@
             is_body_complete: true,
             ..CallOpen::default()
         };
-        let (_, chunks) = unbounded_channel();
-        let source = RequestBodySource {
-            chunks,
-            on_consumed: Box::new(|_| {}),
-        };
+        let source = RequestBodySource::empty();
         let call = CallId {
             ingress_incarnation: 1,
             sequence: 1,
--- a/src/gate/feed.rs
+++ b/src/gate/feed.rs
@@ -5,9 +5,10 @@
 
 use bytes::Bytes;
 use derive_more::Display;
-use tokio::sync::mpsc::{UnboundedSender, unbounded_channel};
+use tokio::sync::mpsc::UnboundedSender;
 
-use crate::backend::{RequestBodyIncomplete, RequestBodySource};
+use crate::backend::RequestBodySource;
+use crate::body_channel::{self, BodyTruncated, UnboundedBodySender};
 use crate::gate::call::CallInput;
 use crate::link::messages::CallOpen;
 use crate::link::window::ReceiveWindow;
@@ -47,14 +48,14 @@
     written_bytes: Rc<Cell<u64>>,
     stated_length: Option<u64>,
     has_gap: bool,
-    chunk_sender: Option<UnboundedSender<Result<Bytes, RequestBodyIncomplete>>>,
+    chunk_sender: Option<UnboundedBodySender<BodyTruncated>>,
 }
 
 impl RequestBodyFeed {
     /// Creates the feed of a call and the source that the backend server's
     /// connection reads.
     pub fn new(open: &CallOpen, inputs: UnboundedSender<CallInput>) -> (Self, RequestBodySource) {
-        let (chunk_sender, chunks) = unbounded_channel();
+        let (chunk_sender, chunks) = body_channel::unbounded();
         let written_bytes = Rc::new(Cell::new(0));
         let mut feed = Self {
             window: ReceiveWindow::default(),
@@ -80,21 +81,21 @@
     /// Accepts a chunk. A gap aborts the body, since joining the parts around
     /// it would corrupt the request.
     pub fn accept(&mut self, offset: u64, data: Bytes, is_last: bool) {
-        let chunk = match self.window.accept(offset, data, is_last) {
-            Some(new_bytes) if new_bytes.is_empty() => None,
-            Some(new_bytes) => Some(Ok(new_bytes)),
-            None => {
-                self.has_gap = true;
-                Some(Err(RequestBodyIncomplete))
-            }
-        };
-        if let (Some(chunk), Some(sender)) = (chunk, &self.chunk_sender)
-            && sender.send(chunk).is_err()
-        {
+        let Some(new_bytes) = self.window.accept(offset, data, is_last) else {
+            self.has_gap = true;
             self.chunk_sender = None;
+            return;
+        };
+        let Some(sender) = self.chunk_sender.take() else {
+            return;
+        };
+        if !new_bytes.is_empty() && sender.send(new_bytes).is_err() {
+            return;
         }
         if self.window.is_ended() {
-            self.chunk_sender = None;
+            sender.finish();
+        } else {
+            self.chunk_sender = Some(sender);
         }
     }
 
--- a/src/ingress/answer.rs
+++ b/src/ingress/answer.rs
@@ -9,8 +9,8 @@
 use bytes::BytesMut;
 use derive_more::Display;
 use serde::Serialize;
-use tokio::sync::mpsc::Receiver;
 
+use crate::body_channel::{BodyReceiver, BodyTruncated};
 use crate::error::{ErrorKind, RunOutcome};
 use crate::fields::HeaderDialect;
 use crate::http1::BodyFraming;
@@ -29,8 +29,17 @@
     pub kind: ErrorKind,
 }
 
+impl From<BodyTruncated> for ResponseTruncated {
+    /// The task that relays the response ended without a reason.
+    fn from(_: BodyTruncated) -> Self {
+        Self {
+            kind: ErrorKind::Internal,
+        }
+    }
+}
+
 /// Rest of a response body, in order; an `Err` ends it early.
-pub type ResponseBodyReceiver = Receiver<Result<bytes::Bytes, ResponseTruncated>>;
+pub type ResponseBodyReceiver = BodyReceiver<ResponseTruncated>;
 
 /// Response of a backend server.
 #[derive(Debug)]
@@ -92,8 +101,8 @@
             return Ok(self);
         };
         let mut body = BytesMut::from(&self.head.body[..]);
-        while let Some(chunk) = remaining_body.recv().await {
-            body.extend_from_slice(&chunk?);
+        while let Some(chunk) = remaining_body.next().await? {
+            body.extend_from_slice(&chunk);
         }
         self.head.body_length = Some(body.len() as u64);
         self.head.body = body.freeze();
--- a/src/ingress/attempt/relay.rs
+++ b/src/ingress/attempt/relay.rs
@@ -1,10 +1,10 @@
 //! Relays the rest of a long response to the caller.
 
 use bytes::Bytes;
-use tokio::sync::mpsc::{Sender, channel};
 use tokio::time::Instant;
 
 use super::{CallAttempt, error_kind_from_code};
+use crate::body_channel::{BodySender, bounded};
 use crate::error::ErrorKind;
 use crate::ingress::answer::{ResponseBodyReceiver, ResponseTruncated};
 use crate::link::body_deadline::BodyDeadline;
@@ -18,13 +18,16 @@
 impl CallAttempt {
     /// Spawns a task that relays the rest of the response.
     pub fn relay_response_body(mut self) -> ResponseBodyReceiver {
-        let (sender, receiver) = channel(RESPONSE_QUEUE_CHUNKS);
+        let (sender, receiver) = bounded(RESPONSE_QUEUE_CHUNKS);
         ntex::rt::spawn(async move {
-            if let Err(kind) = self.relay_chunks(&sender).await {
-                self.cancel();
-                self.finish(AttemptResult::Failed(kind));
-                // Fails if the caller has disconnected and needs no error.
-                let _ = sender.send(Err(ResponseTruncated { kind })).await;
+            match self.relay_chunks(&sender).await {
+                Ok(()) => sender.finish(),
+                Err(kind) => {
+                    self.cancel();
+                    self.finish(AttemptResult::Failed(kind));
+                    // Fails if the caller has disconnected and needs no error.
+                    let _ = sender.fail(ResponseTruncated { kind }).await;
+                }
             }
         });
         receiver
@@ -32,7 +35,7 @@
 
     async fn relay_chunks(
         &mut self,
-        sender: &Sender<Result<Bytes, ResponseTruncated>>,
+        sender: &BodySender<ResponseTruncated>,
     ) -> Result<(), ErrorKind> {
         self.send_response_credit();
         let mut rest_deadline = BodyDeadline::new(self.plan.deadline, Instant::now());
@@ -47,10 +50,7 @@
                 }
             };
             if let Some(data) = self.handle_body_event(event).await? {
-                sender
-                    .send(Ok(data))
-                    .await
-                    .map_err(|_| ErrorKind::Cancelled)?;
+                sender.send(data).await.map_err(|_| ErrorKind::Cancelled)?;
                 self.send_response_credit();
                 rest_deadline.record_progress(Instant::now());
             }
--- a/src/ingress/body.rs
+++ b/src/ingress/body.rs
@@ -2,8 +2,8 @@
 //! sent again.
 
 use bytes::{Bytes, BytesMut};
-use tokio::sync::mpsc::Receiver;
 
+use crate::body_channel::{self, BodyTruncated};
 use crate::error::ErrorKind;
 use crate::link::window::{INITIAL_WINDOW_BYTES, MAX_CHUNK_BYTES};
 use crate::quarantine::PREFIX_BYTES;
@@ -12,9 +12,15 @@
 const REPLAY_BUFFER_BYTES: usize = INITIAL_WINDOW_BYTES as usize;
 
 /// Chunks of a request body as the caller's connection reads them; an `Err`
-/// says why no more will follow. The channel closes at the end of a complete
-/// body.
-pub type BodyReceiver = Receiver<Result<Bytes, ErrorKind>>;
+/// says why no more will follow.
+pub type BodyReceiver = body_channel::BodyReceiver<ErrorKind>;
+
+impl From<BodyTruncated> for ErrorKind {
+    /// The caller's connection ended in the body of its request.
+    fn from(_: BodyTruncated) -> Self {
+        Self::Cancelled
+    }
+}
 
 /// Request body as it arrives.
 ///
@@ -159,10 +165,10 @@
 
     async fn receive(&mut self) -> Result<Option<Bytes>, ErrorKind> {
         let chunk = match &mut self.body_receiver {
-            Some(pieces) => pieces.recv().await,
+            Some(receiver) => receiver.next().await?,
             None => None,
         };
-        let Some(data) = chunk.transpose()? else {
+        let Some(data) = chunk else {
             self.is_ended = true;
             return Ok(None);
         };
--- a/src/ingress/body/tests.rs
+++ b/src/ingress/body/tests.rs
@@ -1,8 +1,7 @@
 //! Tests of what attempts get of a request body.
 
-use tokio::sync::mpsc::channel;
-
 use super::*;
+use crate::body_channel::bounded;
 
 /// Longer than the replay buffer.
 const LONG_BODY_CHUNKS: usize = 5;
@@ -11,12 +10,12 @@
 
 /// Body of unstated length whose chunks and end have arrived.
 async fn body_of(chunk_count: usize) -> RequestBody {
-    let (sender, receiver) = channel(chunk_count + 1);
+    let (sender, receiver) = bounded(chunk_count + 1);
     for index in 0..chunk_count {
         let chunk = Bytes::from(vec![index as u8; CHUNK_BYTES]);
-        sender.send(Ok(chunk)).await.unwrap();
+        sender.send(chunk).await.unwrap();
     }
-    drop(sender);
+    sender.finish();
     RequestBody::read_body_start(Some(receiver), None, LIMIT_BYTES)
         .await
         .unwrap()
@@ -67,3 +66,24 @@
         assert!(chunk.iter().all(|byte| usize::from(*byte) == index));
     }
 }
+
+/// Guards against sending the end of a body whose caller has gone away in it.
+#[ntex::test]
+async fn body_cut_off_by_its_caller_has_no_end() {
+    for stated_length in [None, Some(100)] {
+        let (sender, receiver) = bounded(1);
+        sender.send(Bytes::from("order")).await.unwrap();
+        drop(sender);
+        let body = RequestBody::read_body_start(Some(receiver), stated_length, LIMIT_BYTES).await;
+        let Ok(mut body) = body else {
+            assert!(stated_length.is_some());
+            continue;
+        };
+        assert!(!body.identity_prefix().1);
+        let filled = body.fill_replay_buffer().await;
+        assert_eq!(filled, Err(ErrorKind::Cancelled));
+        let (opening, mut rest) = body.replayable().unwrap().open();
+        assert!(!opening.is_whole);
+        assert_eq!(rest.next_chunk(100).await, Err(ErrorKind::Cancelled));
+    }
+}
--- a/src/ingress/connection.rs
+++ b/src/ingress/connection.rs
@@ -16,13 +16,13 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use bytes::{Bytes, BytesMut};
+use bytes::BytesMut;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
-use tokio::sync::mpsc::{Sender, channel};
 use tokio::sync::{Notify, oneshot};
 
+use crate::body_channel::{self, BodySender};
 use crate::error::ErrorKind;
 use crate::http1::write::{CONTINUE_RESPONSE, LAST_CHUNK, put_body};
 use crate::http1::{BodyDecoder, BodyEvent, BodyFraming, HeadError, HeadLimits, RequestHead};
@@ -280,8 +280,8 @@
         &self,
         head: Box<RequestHead>,
         body_progress: Rc<BodyProgress>,
-    ) -> Option<BodySender> {
-        let (body_sender, body_receiver) = body_channel(head.framing);
+    ) -> Option<BodySender<ErrorKind>> {
+        let (body_sender, body_receiver) = request_body_channel(head.framing);
         if head.expects_continue() && body_sender.is_some() {
             self.write_queue
                 .borrow_mut()
@@ -337,7 +337,7 @@
         input: &mut OwnedReadHalf,
         buffer: &mut BytesMut,
         framing: BodyFraming,
-        body_sender: BodySender,
+        body_sender: BodySender<ErrorKind>,
     ) -> io::Result<bool> {
         let mut decoder = BodyDecoder::new(framing);
         let mut open_sender = Some(body_sender);
@@ -347,12 +347,17 @@
                     // The call has ended; the rest of the body is still read to
                     // reach the next request.
                     if let Some(sender) = &open_sender
-                        && sender.send(Ok(data)).await.is_err()
+                        && sender.send(data).await.is_err()
                     {
                         open_sender = None;
                     }
                 }
-                Ok(BodyEvent::End) => return Ok(true),
+                Ok(BodyEvent::End) => {
+                    if let Some(sender) = open_sender {
+                        sender.finish();
+                    }
+                    return Ok(true);
+                }
                 Ok(BodyEvent::NeedMore) => {
                     buffer.reserve(READ_BUFFER_BYTES);
                     if input.read_buf(buffer).await? == 0 {
@@ -362,7 +367,7 @@
                 Err(_) => {
                     if let Some(sender) = open_sender {
                         // Fails if the call has ended in the meantime.
-                        let _ = sender.send(Err(ErrorKind::BadRequest)).await;
+                        let _ = sender.fail(ErrorKind::BadRequest).await;
                     }
                     return Ok(false);
                 }
@@ -454,8 +459,7 @@
             return output.write_all(&buffer).await;
         };
         output.write_all(&buffer).await?;
-        while let Some(chunk) = remaining_body.recv().await {
-            let data: Bytes = chunk.map_err(io::Error::other)?;
+        while let Some(data) = remaining_body.next().await.map_err(io::Error::other)? {
             buffer.clear();
             put_body(&mut buffer, framing, &data);
             output.write_all(&buffer).await?;
@@ -473,13 +477,13 @@
     Ended(ReadEndReason),
 }
 
-type BodySender = Sender<Result<Bytes, ErrorKind>>;
-
-fn body_channel(framing: BodyFraming) -> (Option<BodySender>, Option<BodyReceiver>) {
+fn request_body_channel(
+    framing: BodyFraming,
+) -> (Option<BodySender<ErrorKind>>, Option<BodyReceiver>) {
     if framing == BodyFraming::Length(0) {
         return (None, None);
     }
-    let (body_sender, body_receiver) = channel(BODY_CHANNEL_CHUNKS);
+    let (body_sender, body_receiver) = body_channel::bounded(BODY_CHANNEL_CHUNKS);
     (Some(body_sender), Some(body_receiver))
 }
 
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod admin;
 pub mod admission;
 pub mod backend;
+pub mod body_channel;
 pub mod control;
 pub mod ctl;
 pub mod decisions;
