--- a/src/ingress/call.rs
+++ b/src/ingress/call.rs
@@ -129,7 +129,9 @@
     pub async fn run(mut self) -> Result<CallResponse, CallFailure> {
         let result = self.run_until_response().await;
         if let Err(failure) = &result {
-            self.record_refusal();
+            if failure.kind != ErrorKind::Cancelled {
+                self.record_refusal();
+            }
             self.return_quota_token(failure);
         }
         self.log_result(&result);
