Tests of uploads and reused connections; one fails

A connection whose upload was answered early is not reused, and a dropped sender does not end an upload: both tests pass. A third one fails: an idempotent request with an empty chunked body, whose reused connection turns out to be closed, is sent again without its last chunk. If the backend server answered it early, the next request on that connection would be read as part of its body.

An ingress sends an empty body as complete, so that no caller can cause this today.

--- a/src/backend/tests.rs
+++ b/src/backend/tests.rs
@@ -10,6 +10,7 @@
 use tokio::sync::mpsc::{UnboundedReceiver, unbounded_channel};
 
 use super::*;
+use crate::body_channel::UnboundedBodySender;
 use crate::fields::DEFAULT_DIALECT;
 
 /// Dialect whose fields identify the request and sign the response.
@@ -94,15 +95,24 @@
 
 impl Fixture {
     async fn send(&self, is_idempotent: bool) -> Result<(u16, Bytes), BackendError> {
+        let source = RequestBodySource::empty();
+        self.send_body(is_idempotent, true, source).await
+    }
+
+    async fn send_body(
+        &self,
+        is_idempotent: bool,
+        is_body_complete: bool,
+        source: RequestBodySource,
+    ) -> Result<(u16, Bytes), BackendError> {
         let open = CallOpen {
             method: "GET".to_string(),
             path: "/slots".to_string(),
             request_id: "r1".to_string(),
             is_idempotent,
-            is_body_complete: true,
+            is_body_complete,
             ..CallOpen::default()
         };
-        let source = RequestBodySource::empty();
         let call = CallId {
             ingress_incarnation: 1,
             sequence: 1,
@@ -442,3 +452,106 @@
     let call_statement = DEFAULT_DIALECT.backend_statement(&[]);
     assert_eq!(call_statement.warm_up_left, None);
 }
+
+/// Source of a body whose first chunk has arrived, and the sender of the rest.
+fn begun_body() -> (UnboundedBodySender<BodyTruncated>, RequestBodySource) {
+    let (sender, chunks) = body_channel::unbounded();
+    sender.send(Bytes::from("order")).unwrap();
+    let source = RequestBodySource {
+        chunks,
+        on_consumed: Box::new(|_| {}),
+    };
+    (sender, source)
+}
+
+/// Guards against a request whose first bytes are read as the rest of an upload that was
+/// answered early.
+#[ntex::test]
+async fn connection_of_an_upload_that_was_answered_early_is_not_reused() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let client = new_client(listener.local_addr().unwrap(), None);
+    let fixture = Fixture {
+        client,
+        requests: Rc::default(),
+    };
+    let after_upload = ntex::rt::spawn(async move {
+        let (mut first, _) = listener.accept().await.unwrap();
+        read_through(&mut first, b"5\r\norder\r\n").await;
+        first.write_all(MATCHING_RESPONSE.as_bytes()).await.unwrap();
+        let (mut second, _) = listener.accept().await.unwrap();
+        read_through(&mut second, b"\r\n\r\n").await;
+        let response = MATCHING_RESPONSE.as_bytes();
+        second.write_all(response).await.unwrap();
+        read_through(&mut first, b"\r\n\r\n").await
+    });
+    let (sender, source) = begun_body();
+    let answered = fixture.send_body(false, false, source).await;
+    assert_eq!(answered, expected_response());
+    drop(sender);
+    let next = tokio::time::timeout(Duration::from_secs(5), fixture.send(false)).await;
+    assert_eq!(next.unwrap(), expected_response());
+    assert!(after_upload.await.unwrap().is_empty());
+}
+
+/// Reads until `end` has arrived or the connection ends.
+async fn read_through(stream: &mut tokio::net::TcpStream, end: &[u8]) -> Vec<u8> {
+    let mut received = Vec::new();
+    while !received.ends_with(end) && matches!(stream.read_buf(&mut received).await, Ok(1..)) {}
+    received
+}
+
+/// Guards against writing the end of a body whose sender was dropped.
+#[ntex::test]
+async fn upload_whose_sender_was_dropped_is_not_ended() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let client = new_client(listener.local_addr().unwrap(), None);
+    let fixture = Fixture {
+        client,
+        requests: Rc::default(),
+    };
+    let (sender, source) = begun_body();
+    drop(sender);
+    let sending = tokio::time::timeout(
+        Duration::from_millis(300),
+        fixture.send_body(false, false, source),
+    );
+    let receiving = async {
+        let (mut stream, _) = listener.accept().await.unwrap();
+        read_through(&mut stream, b"\r\n0\r\n\r\n").await
+    };
+    let (result, received) = tokio::join!(sending, receiving);
+    assert!(result.is_err(), "{result:?}");
+    assert!(received.ends_with(b"5\r\norder\r\n"), "{received:?}");
+}
+
+/// Guards against a second copy of a request that lacks the end of its body, so that the
+/// next request on the connection would be read as part of it.
+#[ntex::test]
+async fn resent_request_with_an_empty_chunked_body_is_ended() {
+    const LAST_CHUNK: &[u8] = b"\r\n0\r\n\r\n";
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let client = new_client(listener.local_addr().unwrap(), None);
+    let fixture = Fixture {
+        client,
+        requests: Rc::default(),
+    };
+    ntex::rt::spawn(async move {
+        let (mut first, _) = listener.accept().await.unwrap();
+        read_through(&mut first, b"\r\n\r\n").await;
+        first.write_all(MATCHING_RESPONSE.as_bytes()).await.unwrap();
+        read_through(&mut first, LAST_CHUNK).await;
+        drop(first);
+        let (mut second, _) = listener.accept().await.unwrap();
+        let request = read_through(&mut second, LAST_CHUNK).await;
+        if request.ends_with(LAST_CHUNK) {
+            second
+                .write_all(MATCHING_RESPONSE.as_bytes())
+                .await
+                .unwrap();
+        }
+    });
+    assert_eq!(fixture.send(true).await, expected_response());
+    let resent = fixture.send_body(true, false, RequestBodySource::empty());
+    let resent = tokio::time::timeout(Duration::from_secs(5), resent).await;
+    assert_eq!(resent.unwrap(), expected_response());
+}
