Bound a planned stop by the time to the kill, and end its calls with an answer

Callers saw connections closed without an answer 5.0 s after the SIGTERM of the node that had read their requests, although the platform would have waited for 6 or 10 s.

The limit of a stop was a constant of the deploy file, and no deadline of a call knew of it: at the limit the process exited, and the kernel closed the connections.

Calls end 0.2 s before the limit: new ones have at most that deadline, which gates see as their time left and refuse what they can't end by then; those in progress are cancelled at their gate then, wherever it is, and their callers are told `draining` with what is known of the run (503 if not run, 502 if unknown). Bodies that are still being read are bounded by the same time. A response whose head has come is relayed on until the limit; nothing is given up sooner than before.

--- a/src/control/state.rs
+++ b/src/control/state.rs
@@ -326,15 +326,18 @@
         true
     }
 
-    /// Begins a graceful shutdown that ends within `time_limit`: callers are
-    /// directed to other nodes, and the gate only admits calls that end in time.
-    pub fn begin_stop(&self, time_limit: Duration) {
+    /// Begins a graceful shutdown: callers are directed to other nodes, the gate
+    /// only admits calls that end in time, and calls end after `call_limit` at the
+    /// latest.
+    pub fn begin_stop(&self, call_limit: Duration) {
         log::info!(
-            target: "placement", limit_ms = time_limit.as_millis() as u64;
+            target: "placement", limit_ms = call_limit.as_millis() as u64;
             "planned stop begins"
         );
         self.stop_phase.send_replace(StopPhase::Draining);
-        self.send_to_gate(GateCommand::PrepareStop(time_limit));
+        let calls_end = tokio::time::Instant::now() + call_limit;
+        self.ingress.end_calls_at(calls_end);
+        self.send_to_gate(GateCommand::PrepareStop(call_limit));
     }
 
     /// Stops admission at the gate and leaves the membership; running calls end
--- a/src/ingress.rs
+++ b/src/ingress.rs
@@ -117,6 +117,8 @@
     started_at: Instant,
     next_call_number: AtomicU64,
     in_flight: InFlightRequests,
+    /// Time at which a planned stop ends all calls; `None` if none is planned.
+    calls_end: watch::Sender<Option<tokio::time::Instant>>,
     open_connections: AtomicU64,
 }
 
@@ -171,6 +173,7 @@
             started_at: settings.started_at,
             next_call_number: AtomicU64::new(1),
             in_flight: InFlightRequests::default(),
+            calls_end: watch::Sender::new(None),
             open_connections: AtomicU64::new(0),
         }
     }
@@ -248,6 +251,32 @@
         let _ = phase.wait_for(|phase| *phase == StopPhase::Closed).await;
     }
 
+    /// Ends all calls at `at` at the latest, as the node stops soon after.
+    pub fn end_calls_at(&self, at: tokio::time::Instant) {
+        self.calls_end.send_replace(Some(at));
+    }
+
+    /// Deadline of a call, or the time at which a planned stop ends it if that
+    /// is earlier.
+    pub fn bound_by_stop(&self, deadline: tokio::time::Instant) -> tokio::time::Instant {
+        let calls_end = *self.calls_end.borrow();
+        calls_end.map_or(deadline, |end| end.min(deadline))
+    }
+
+    /// Waits until `deadline`, or until a planned stop ends the calls; the stop
+    /// may begin meanwhile.
+    pub async fn wait_for_deadline(&self, deadline: tokio::time::Instant) {
+        let mut calls_end = self.calls_end.subscribe();
+        loop {
+            let bounded = self.bound_by_stop(deadline);
+            tokio::select! {
+                () = tokio::time::sleep_until(bounded) => return,
+                // The sender lives as long as `self`.
+                _ = calls_end.changed() => {}
+            }
+        }
+    }
+
     /// Counts a request as in flight while the guard lives.
     pub fn track_request(self: &Arc<Self>) -> InFlightGuard {
         InFlightGuard::new(Arc::clone(self))
--- a/src/ingress/attempt.rs
+++ b/src/ingress/attempt.rs
@@ -10,6 +10,7 @@
 use std::collections::BTreeSet;
 use std::io;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -156,9 +157,14 @@
         open: CallOpen,
         deferred_body: Option<DeferredBody>,
     ) -> Result<Self, AttemptError> {
-        let connecting = worker.pool.get_or_open(&plan.target);
-        let connected = tokio::time::timeout_at(plan.deadline, connecting).await;
-        let link = match connected.unwrap_or_else(|_| Err(io::ErrorKind::TimedOut.into())) {
+        let connected = tokio::select! {
+            biased;
+            connected = worker.pool.get_or_open(&plan.target) => connected,
+            () = worker.shared.wait_for_deadline(plan.deadline) => {
+                Err(io::ErrorKind::TimedOut.into())
+            }
+        };
+        let link = match connected {
             Ok(link) => link,
             Err(error) => {
                 log::warn!(target: "link", call:% = plan.id, gate:% = plan.target.node; "no link: {error}");
@@ -263,10 +269,15 @@
             let window_room = self.request_window.available_bytes();
             let has_body =
                 !self.request_window.is_ended() && window_room > 0 && !self.state.is_cancelled();
-            let timer_at = if self.state.is_cancelled() {
-                self.plan.deadline
-            } else {
-                self.cancel_at
+            let is_cancelled = self.state.is_cancelled();
+            let (cancel_at, deadline) = (self.cancel_at, self.plan.deadline);
+            let shared = Arc::clone(&self.worker.shared);
+            let timer = async move {
+                if is_cancelled {
+                    tokio::time::sleep_until(deadline).await;
+                } else {
+                    shared.wait_for_deadline(cancel_at).await;
+                }
             };
             let progress = tokio::select! {
                 biased;
@@ -275,7 +286,7 @@
                     self.forward_body_chunk(chunk)?;
                     Progress::Continue
                 }
-                () = tokio::time::sleep_until(timer_at) => {
+                () = timer => {
                     self.on_deadline_timer()?;
                     Progress::Continue
                 }
@@ -336,7 +347,12 @@
     /// deadline.
     fn on_deadline_timer(&mut self) -> Result<(), AttemptError> {
         match self.state.on_deadline_timer() {
-            DeadlineAction::Cancel => self.cancel(),
+            DeadlineAction::Cancel => {
+                // A planned stop may end the call before its own deadline.
+                let reply_deadline = Instant::now() + MAX_CANCEL_MARGIN;
+                self.plan.deadline = self.plan.deadline.min(reply_deadline);
+                self.cancel();
+            }
             DeadlineAction::GiveUp(failure) => return Err(failure.into()),
         }
         Ok(())
--- a/src/ingress/attempt/resume.rs
+++ b/src/ingress/attempt/resume.rs
@@ -78,9 +78,13 @@
     /// [`LostGate::should_give_up`] says otherwise.
     pub(super) async fn resume(&mut self) -> Result<(), AttemptError> {
         self.link.unregister_call(self.sequence());
-        let deadline = self.plan.deadline;
-        let reconnecting = tokio::time::timeout_at(deadline, self.reconnect()).await;
-        let link = reconnecting.unwrap_or_else(|_| Err(self.state.on_timeout().into()))?;
+        let link = tokio::select! {
+            biased;
+            link = self.reconnect() => link?,
+            () = self.worker.shared.wait_for_deadline(self.plan.deadline) => {
+                return Err(self.state.on_timeout().into());
+            }
+        };
         self.state.on_new_link(link.incarnation())?;
         log::info!(target: "link", call:% = self.plan.id; "resumed on a new link");
         self.events = link.register_call(self.sequence());
--- a/src/ingress/call.rs
+++ b/src/ingress/call.rs
@@ -71,6 +71,7 @@
     body_receiver: Option<BodyReceiver>,
     id: CallId,
     started_at: Instant,
+    /// End of the time limit.
     deadline: Instant,
     /// Moment of the target latency, which counts from the caller's first
     /// request.
@@ -133,6 +134,7 @@
     /// Fails with what the caller is told.
     pub async fn run(mut self) -> Result<CallResponse, CallFailure> {
         let result = self.run_until_response().await;
+        let result = result.map_err(|failure| self.name_stop(failure));
         if let Err(failure) = &result {
             self.record_refusal();
             self.return_quota_token(failure);
@@ -177,6 +179,18 @@
         }
     }
 
+    /// Names the planned stop as the cause if it ended the call before its time
+    /// limit.
+    fn name_stop(&self, failure: CallFailure) -> CallFailure {
+        let is_stop = self.deadline() < self.deadline && failure.kind == ErrorKind::TimedOut;
+        let kind = if is_stop {
+            ErrorKind::Draining
+        } else {
+            failure.kind
+        };
+        CallFailure { kind, ..failure }
+    }
+
     /// Fails the call, before any of its body is read, if no upstream in its allowed regions
     /// accepts calls. A node that has just started may not know all upstreams yet.
     fn check_upstreams(&self) -> Result<(), CallFailure> {
@@ -271,10 +285,20 @@
         let limit = self.request.rule.body_limit;
         let read_start =
             RequestBody::read_body_start(self.body_receiver.take(), stated_length, limit);
-        let body_start = tokio::time::timeout_at(self.deadline, read_start).await;
-        body_start
-            .unwrap_or(Err(ErrorKind::TimedOut))
-            .map_err(|kind| self.failure(kind))
+        let body_start = self.within_deadline(read_start).await;
+        body_start.map_err(|kind| self.failure(kind))
+    }
+
+    /// Result of reading the body, or a failure at the deadline.
+    async fn within_deadline<T>(
+        &self,
+        reading: impl Future<Output = Result<T, ErrorKind>>,
+    ) -> Result<T, ErrorKind> {
+        tokio::select! {
+            biased;
+            result = reading => result,
+            () = self.worker.shared.wait_for_deadline(self.deadline) => Err(ErrorKind::TimedOut),
+        }
     }
 
     fn record_result(
@@ -357,8 +381,13 @@
         }
     }
 
+    /// End of the time limit, or of the calls at a planned stop if that is earlier.
+    fn deadline(&self) -> Instant {
+        self.worker.shared.bound_by_stop(self.deadline)
+    }
+
     fn time_left(&self) -> Duration {
-        self.deadline.saturating_duration_since(Instant::now())
+        self.deadline().saturating_duration_since(Instant::now())
     }
 
     /// Returns if the call is tried again, or fails with what the caller is
--- a/src/ingress/call/offer.rs
+++ b/src/ingress/call/offer.rs
@@ -70,7 +70,7 @@
             may_retry: self.request.is_idempotent
                 && self.attempt_count() < self.request.attempts_limit,
             timeout: self.request.timeout,
-            deadline: self.deadline,
+            deadline: self.deadline(),
         };
         let worker = Rc::clone(&self.worker);
         async move {
--- a/src/ingress/call/quarantine.rs
+++ b/src/ingress/call/quarantine.rs
@@ -24,10 +24,8 @@
         let quarantine = &self.worker.shared.quarantine;
         let (_, is_known) = body.identity_prefix();
         if !is_known && quarantine.has_suspect_head(self.head_digest) {
-            let filled = tokio::time::timeout_at(self.deadline, body.fill_replay_buffer()).await;
-            filled
-                .unwrap_or(Err(ErrorKind::TimedOut))
-                .map_err(|kind| self.failure(kind))?;
+            let filled = self.within_deadline(body.fill_replay_buffer()).await;
+            filled.map_err(|kind| self.failure(kind))?;
         }
         let (prefix, is_known) = body.identity_prefix();
         let mut hasher = FingerprintHasher::new(self.head_digest);
--- a/src/node.rs
+++ b/src/node.rs
@@ -51,7 +51,7 @@
 use crate::metrics::{NodeMetrics, publish_statsd_gauges, start_metrics_server};
 use crate::node::listener::{WorkerSettings, start_ingress};
 use crate::node::stop::stop_node;
-use crate::options::{NODE_COMMAND, NodeOptions, options_from_process};
+use crate::options::{EXIT_MARGIN, NODE_COMMAND, NodeOptions, options_from_process};
 use crate::platform::{PLATFORM, PlatformStore};
 use crate::quarantine::QuarantineHub;
 use crate::quota::{MemberAddress, QuotaHub, follow_quotas};
@@ -77,6 +77,10 @@
 const CALLER_LISTEN_BACKLOG: i32 = 4_096;
 /// Time to send the last replies of the administration API, which are short.
 const ADMIN_FLUSH_DELAY: Duration = Duration::from_millis(200);
+// The process must be gone before it is killed.
+const _: () = assert!(
+    ADMIN_FLUSH_DELAY.as_millis() + LOG_FLUSH_TIMEOUT.as_millis() <= EXIT_MARGIN.as_millis()
+);
 const MAX_PORT_ATTEMPTS: u32 = 16;
 const LOG_FLUSH_TIMEOUT: Duration = Duration::from_millis(500);
 /// Pause between store reads of a node that knows no other.
--- a/src/node/stop.rs
+++ b/src/node/stop.rs
@@ -11,21 +11,26 @@
 /// have the rest of it, and the time until the drain limit, to end.
 const GATE_OPEN_FRACTION: f64 = 2.0 / 3.0;
 const IDLE_POLL_INTERVAL: Duration = Duration::from_millis(50);
+/// Time before the limit of a stop at which calls end, so that their answers can
+/// be written.
+const ANSWER_MARGIN: Duration = Duration::from_millis(200);
 /// Requests that are logged one by one at the limit of a stop.
 const MAX_LISTED_REQUESTS: usize = 64;
 
 /// Graceful shutdown. Callers are directed to other nodes; the gate stays open
 /// while they move, since its backend server still runs and other nodes may be
 /// stopping too. Then gate and ingress accept nothing new, and calls in progress
-/// end, at the latest at the drain limit.
+/// end, shortly before the drain limit at the latest.
 pub(super) async fn stop_node(control: &ControlState, options: &NodeOptions) {
     let signalled_at = Instant::now();
-    control.begin_stop(options.drain_limit);
-    let gate_open_time = options.leave_time.mul_f64(GATE_OPEN_FRACTION);
+    let call_limit = options.drain_limit.saturating_sub(ANSWER_MARGIN);
+    control.begin_stop(call_limit);
+    let leave_time = options.leave_time.min(call_limit);
+    let gate_open_time = leave_time.mul_f64(GATE_OPEN_FRACTION);
     tokio::time::sleep(gate_open_time).await;
     control.close_gate();
     log_step(control, signalled_at, "gate closed for the stop");
-    tokio::time::sleep(options.leave_time - gate_open_time).await;
+    tokio::time::sleep(leave_time - gate_open_time).await;
     control.close_ingress();
     log_step(control, signalled_at, "ingress closed for the stop");
     let all_calls_ended = async {
@@ -33,7 +38,7 @@
             tokio::time::sleep(IDLE_POLL_INTERVAL).await;
         }
     };
-    let time_left = options.drain_limit.saturating_sub(options.leave_time);
+    let time_left = options.drain_limit.saturating_sub(signalled_at.elapsed());
     let is_idle = tokio::time::timeout(time_left, all_calls_ended)
         .await
         .is_ok();
--- a/src/options.rs
+++ b/src/options.rs
@@ -13,7 +13,7 @@
 mod values;
 
 pub use error::SettingError;
-pub use node::{NODE_COMMAND, NodeOptions, QuotaTolerance, WarmUpTolerance};
+pub use node::{EXIT_MARGIN, NODE_COMMAND, NodeOptions, QuotaTolerance, WarmUpTolerance};
 pub use reader::{EXIT_USAGE, ParsedCommand, RawOptions, options_from_process, parse_command};
 pub use spec::{CommandSpec, FlagArity, FlagSpec};
 pub use values::{
--- a/src/options/node.rs
+++ b/src/options/node.rs
@@ -18,6 +18,9 @@
 
 const NAME_FORMAT: &str = "1 to 64 letters, digits, '-', '_' or '.'";
 const ADDRESS_FORMAT: &str = "IP:PORT";
+/// Time between the limit of a stop and the kill, for the last replies of the
+/// administration API and the last log lines.
+pub const EXIT_MARGIN: Duration = Duration::from_millis(700);
 const REACHABLE_ADDRESS_FORMAT: &str = "IP:PORT of one host, with a port from 1";
 
 const NODE_FLAGS: &[FlagSpec] = &[
@@ -123,6 +126,13 @@
         "maximum duration of a graceful shutdown, in seconds",
     )
     .with_default("30"),
+    FlagSpec::single(
+        "stop-grace-seconds",
+        "N",
+        "1 to 600",
+        "time from SIGTERM to the kill, in seconds; a graceful shutdown ends shortly before, \
+         whatever --drain-seconds says",
+    ),
     FlagSpec::single(
         "leave-seconds",
         "N",
@@ -253,7 +263,8 @@
     pub log_level: LevelFilter,
     /// Statsd server that receives metrics; `None` to send none.
     pub statsd_address: Option<SocketAddr>,
-    /// Maximum duration of a graceful shutdown.
+    /// Maximum duration of a graceful shutdown; it ends before the process would be
+    /// killed, if the time until then is set.
     pub drain_limit: Duration,
     /// Store of the users' platform; `None` disables its routes, heartbeats and
     /// header fields.
@@ -318,6 +329,7 @@
 
     fn try_from(raw: RawOptions) -> Result<Self, SettingError> {
         let drain_seconds: DurationSeconds = raw.required("drain-seconds")?;
+        let grace_seconds: Option<DecimalNumber<1, 600>> = raw.optional("stop-grace-seconds")?;
         let leave_seconds: DurationSeconds = raw.required("leave-seconds")?;
         let ttl_seconds: DurationSeconds = raw.required("backend-ttl-seconds")?;
         let immediate_offers: BoundedNumber<0, 8> = raw.required("asks")?;
@@ -345,7 +357,9 @@
             admin_token: raw.optional("admin-token")?,
             log_level: raw.required("log-level")?,
             statsd_address: raw.optional("statsd")?.map(ReachableAddress::get),
-            drain_limit: Duration::from_secs(drain_seconds.get()),
+            drain_limit: grace_seconds.map_or(Duration::from_secs(drain_seconds.get()), |grace| {
+                Duration::from_secs_f64(grace.get()).saturating_sub(EXIT_MARGIN)
+            }),
             platform_address: raw.optional("platform")?.map(ReachableAddress::get),
             local_service: raw.optional("service")?,
             ready_listen: raw.optional("ready-listen")?,
--- a/src/options/tests.rs
+++ b/src/options/tests.rs
@@ -1,9 +1,12 @@
 use std::collections::BTreeMap;
 use std::ffi::OsString;
+use std::time::Duration;
 
 use assert_matches::assert_matches;
 
-use super::{NODE_COMMAND, NodeOptions, ParsedCommand, SecretToken, SettingError, parse_command};
+use super::{
+    EXIT_MARGIN, NODE_COMMAND, NodeOptions, ParsedCommand, SecretToken, SettingError, parse_command,
+};
 
 const REQUIRED_FLAGS: &[&str] = &[
     "--node-id=a1",
@@ -49,6 +52,18 @@
     assert_eq!(options.store_url, None);
 }
 
+#[test]
+fn drain_limit_follows_from_the_grace_time_if_that_is_set() {
+    let drain = ["--drain-seconds", "9"];
+    let limit = |flags: &[&str]| parse_node_options(flags, &[]).unwrap().drain_limit;
+    assert_eq!(limit(&drain), Duration::from_secs(9));
+    let grace = ["--stop-grace-seconds", "6.5"];
+    let expected = Duration::from_secs_f64(6.5) - EXIT_MARGIN;
+    assert_eq!(limit(&grace), expected);
+    assert_eq!(limit(&[&drain[..], &grace[..]].concat()), expected);
+    assert!(parse_node_options(&["--stop-grace-seconds", "0.5"], &[]).is_err());
+}
+
 #[test]
 fn peers_are_read_from_repeated_flags_and_from_a_comma_separated_variable() {
     let from_flags =
