Keep the ingress of a stopping node open while its backend server works

The ingress now closes once the calls at the own gate have ended, or when the stop ends all calls; requests taken until then have the deadline of the stop. The gate admits nothing new by that time, so this doesn't prolong the stop: it had to wait for these calls before. Connections that wait to be accepted at the closing are still served, and only the worker threads hold the listener, so that later ones are refused at once.

connection_made_while_the_own_upstream_works_is_answered and connection_after_the_ingress_has_closed_is_refused_at_once fail without this change (one run: no byte of an answer; connection accepted) and pass with it.

--- a/src/control/state.rs
+++ b/src/control/state.rs
@@ -357,13 +357,17 @@
         self.stop_phase.send_replace(StopPhase::Closed);
     }
 
+    /// Whether calls run or wait at the gate.
+    pub fn is_gate_busy(&self) -> bool {
+        let status = *self.gate_status.borrow();
+        status.in_flight > 0 || status.queued > 0
+    }
+
     /// Whether no call is in progress at the gate or the ingress, and no caller's
     /// connection is left that may carry one.
     pub fn is_idle(&self) -> bool {
-        let status = *self.gate_status.borrow();
-        let is_gate_idle = status.in_flight == 0 && status.queued == 0;
         let ingress = &self.ingress;
-        is_gate_idle && ingress.in_flight_requests() == 0 && ingress.open_connections() == 0
+        !self.is_gate_busy() && ingress.in_flight_requests() == 0 && ingress.open_connections() == 0
     }
 
     /// Whether this node is first by name among the live nodes of its availability
--- a/src/node.rs
+++ b/src/node.rs
@@ -333,6 +333,9 @@
         gate_commands: gate_sender.clone(),
     };
     start_ingress(&worker_settings, &worker_threads)?;
+    // Only the workers hold the listener, so that connections are refused once
+    // they have closed it.
+    drop(worker_settings);
 
     log::info!(
         target: "node",
--- a/src/node/listener.rs
+++ b/src/node/listener.rs
@@ -39,7 +39,7 @@
     pub(super) gate_commands: UnboundedSender<GateCommand>,
 }
 
-/// Starts an ingress worker on each of the threads.
+/// Starts an ingress worker on each of the threads, with the listener of each.
 ///
 /// # Errors
 ///
@@ -67,11 +67,13 @@
     Ok(())
 }
 
-/// Accepts connections until a graceful shutdown closes the ingress.
+/// Accepts connections until a graceful shutdown closes the ingress; those that
+/// wait to be accepted by then are still served.
 async fn accept_connections(worker: Rc<IngressWorker>, listener: StdTcpListener) -> io::Result<()> {
     let listener = TcpListener::from_std(listener)?;
     loop {
         let accepted = tokio::select! {
+            biased;
             accepted = listener.accept() => accepted,
             () = worker.shared.wait_until_closed() => return Ok(()),
         };
--- a/src/node/stop.rs
+++ b/src/node/stop.rs
@@ -19,7 +19,8 @@
 
 /// Graceful shutdown. Callers are directed to other nodes; the gate stays open
 /// while they move, since its backend server still runs and other nodes may be
-/// stopping too. Then gate and ingress accept nothing new, and calls in progress
+/// stopping too. Then the gate accepts nothing new, and neither does the ingress
+/// once the backend server, whose nested calls it takes, is done. Calls in progress
 /// end, shortly before the drain limit at the latest.
 pub(super) async fn stop_node(control: &ControlState, options: &NodeOptions) {
     let signalled_at = Instant::now();
@@ -31,6 +32,11 @@
     control.close_gate();
     log_step(control, signalled_at, "gate closed for the stop");
     tokio::time::sleep(leave_time - gate_open_time).await;
+    // The upstream may call others through this node while it works.
+    let calls_end = signalled_at + call_limit;
+    while control.is_gate_busy() && Instant::now() < calls_end {
+        tokio::time::sleep(IDLE_POLL_INTERVAL).await;
+    }
     control.close_ingress();
     log_step(control, signalled_at, "ingress closed for the stop");
     let all_calls_ended = async {
--- a/tests/stop_limits.rs
+++ b/tests/stop_limits.rs
@@ -273,3 +273,62 @@
     drop(caller);
     stop_and_wait_for_exit(&mut fleet).await;
 }
+
+/// Stop that waits longer than the requests of its test take.
+const LONG_STOP_FLAGS: &[&str] = &["--leave-seconds", "1", "--drain-seconds", "6"];
+/// After the node of a long stop has stopped accepting requests of consumers.
+const AFTER_LEAVE: Duration = Duration::from_millis(1_500);
+/// Longest time for a refused connection to be noticed.
+const NOTICE_TIME: Duration = Duration::from_secs(2);
+
+/// Guards against nested calls of a running upstream that hang and are reset, as
+/// its node has closed its ingress.
+#[ntex::test]
+async fn connection_made_while_the_own_upstream_works_is_answered() {
+    let mut fleet = Fleet::start_with(FleetConfig {
+        upstream_count: 1,
+        node_flags: LONG_STOP_FLAGS,
+        work_ms: DEFAULT_WORK_MS,
+    })
+    .await;
+    let address = fleet.upstreams[0].listen_address();
+    let mut parent = wait_until_serving(address).await;
+    let work = Duration::from_secs(3);
+    parent
+        .send(&small_order("parent", work, LONG_TIMEOUT))
+        .await;
+    sleep(PLACING_TIME).await;
+    fleet.upstreams[0].signal_node("TERM");
+    sleep(AFTER_LEAVE).await;
+    let mut nested = RawCaller::connect(address).await;
+    nested
+        .send(&small_order("nested", Duration::ZERO, LONG_TIMEOUT))
+        .await;
+    let response = nested.read_response().await;
+    assert_honest(&response.expect("the response should be complete"));
+    let response = parent.read_response().await;
+    let response = response.expect("the response should be complete");
+    assert_eq!((response.status, &response.body[..]), (200, &b"order"[..]));
+    drop((parent, nested));
+    stop_and_wait_for_exit(&mut fleet).await;
+}
+
+/// Guards against connections that the kernel takes for a closed ingress, and
+/// that hang until the process exits.
+#[ntex::test]
+async fn connection_after_the_ingress_has_closed_is_refused_at_once() {
+    let mut fleet = start_fleet(LONG_STOP_FLAGS).await;
+    let address = fleet.upstreams[0].listen_address();
+    let mut upload = wait_until_serving(address).await;
+    let head = order_head("upload", Duration::ZERO, LONG_TIMEOUT, "content-length: 5");
+    upload.send(&head).await;
+    fleet.upstreams[0].signal_node("TERM");
+    sleep(AFTER_LEAVE).await;
+    let connecting = tokio::time::timeout(NOTICE_TIME, TcpStream::connect(address));
+    assert!(connecting.await.expect("no wait for the refusal").is_err());
+    upload.send("order").await;
+    let response = upload.read_response().await;
+    assert_honest(&response.expect("the response should be complete"));
+    drop(upload);
+    stop_and_wait_for_exit(&mut fleet).await;
+}
