--- a/src/control/state.rs
+++ b/src/control/state.rs
@@ -326,15 +326,18 @@
         true
     }
 
-    /// Begins a graceful shutdown that ends within `time_limit`: callers are
-    /// directed to other nodes, and the gate only admits calls that end in time.
-    pub fn begin_stop(&self, time_limit: Duration) {
+    /// Begins a graceful shutdown: callers are directed to other nodes, the gate
+    /// only admits calls that end in time, and calls end after `call_limit` at the
+    /// latest.
+    pub fn begin_stop(&self, call_limit: Duration) {
         log::info!(
-            target: "placement", limit_ms = time_limit.as_millis() as u64;
+            target: "placement", limit_ms = call_limit.as_millis() as u64;
             "planned stop begins"
         );
         self.stop_phase.send_replace(StopPhase::Draining);
-        self.send_to_gate(GateCommand::PrepareStop(time_limit));
+        let calls_end = tokio::time::Instant::now() + call_limit;
+        self.ingress.end_calls_at(calls_end);
+        self.send_to_gate(GateCommand::PrepareStop(call_limit));
     }
 
     /// Stops admission at the gate and leaves the membership; running calls end
@@ -354,13 +357,17 @@
         self.stop_phase.send_replace(StopPhase::Closed);
     }
 
+    /// Whether calls run or wait at the gate.
+    pub fn is_gate_busy(&self) -> bool {
+        let status = *self.gate_status.borrow();
+        status.in_flight > 0 || status.queued > 0
+    }
+
     /// Whether no call is in progress at the gate or the ingress, and no caller's
     /// connection is left that may carry one.
     pub fn is_idle(&self) -> bool {
-        let status = *self.gate_status.borrow();
-        let is_gate_idle = status.in_flight == 0 && status.queued == 0;
         let ingress = &self.ingress;
-        is_gate_idle && ingress.in_flight_requests() == 0 && ingress.open_connections() == 0
+        !self.is_gate_busy() && ingress.in_flight_requests() == 0 && ingress.open_connections() == 0
     }
 
     /// Whether this node is first by name among the live nodes of its availability
