--- a/tests/byte_faults.rs
+++ b/tests/byte_faults.rs
@@ -44,6 +44,8 @@
 const NODE_COUNT: usize = 4;
 const CALLER_COUNT: usize = 16;
 const REQUESTS_PER_CALLER: usize = 12;
+/// At least one in this many requests is served, so that whole exchanges are checked too.
+const MAX_REQUESTS_PER_SUCCESS: usize = 8;
 /// Wait after the last answer in which a delayed request may still arrive and run.
 const LATE_RUN_WAIT: Duration = Duration::from_millis(1_500);
 /// Statuses that state that the request has not run and never will.
@@ -211,6 +213,11 @@
     drop(requests);
     let counts = count_outcomes(&outcomes, &log);
     println!("{scenario:?} seed {seed}: {counts:?}");
+    let served = counts.get("status 200").copied().unwrap_or(0);
+    assert!(
+        served * MAX_REQUESTS_PER_SUCCESS >= CALLER_COUNT * REQUESTS_PER_CALLER,
+        "{scenario:?} seed {seed}: too few requests were served for a test"
+    );
     log.print_violations()
 }
 
