Take a caller's own time limit as the target of a call without a route

Seen: in every_backend_server_drains_under_load_without_a_failed_order orders whose callers wait 4 s were refused as wait-too-long (not-run) after 0.9 to 3.1 s.

Cause: without a route there is no target latency, and the time limit stands in for it. The limit was taken from the service (here 1 s), also where the caller stated a longer one that replaced it. Such a call counted as late after 1 s, and a gate with all slots in use refuses a late call, so that a stall of the machine of 1 s was enough. Class: a value derived from a default outlives the default that the caller replaced.

Change: the target of a call without a route is the time limit in force for it. A route's target latency stays as configured.

Why it works: a gate refuses a call for its target only if that ends before its time limit, and now both are equal unless a route says otherwise. A shorter limit of the caller shortens the target too, which a gate bounded by the time left already.

Test before the change: caller_that_waits_longer_than_the_service_limit_is_not_late_at_that_limit failed for the stated 4 s: "right: (4s, 4s)", left with a target of 1 s.

--- a/src/ingress/request.rs
+++ b/src/ingress/request.rs
@@ -46,7 +46,8 @@
     pub timeout: Duration,
     /// Time that the caller waits, if it stated that.
     pub requested_timeout: Option<Duration>,
-    /// Target latency, within which a response is worth most.
+    /// Target latency, within which a response is worth most; the time limit if there
+    /// is none.
     pub target_latency: Duration,
     /// Priority among the requests of the service; 0 goes first.
     pub rank: u32,
@@ -91,7 +92,8 @@
     route: Option<MatchedRoute>,
     rule: ServiceRule,
     timeout: Duration,
-    target_latency: Duration,
+    /// `None` without a route, as only routes have one.
+    target_latency: Option<Duration>,
     rank: u32,
     is_idempotent: bool,
     is_upload: bool,
@@ -119,19 +121,19 @@
             return Err(ErrorKind::BodyTooLarge);
         }
         let requested_timeout = self.parse_requested_timeout(&head)?;
+        let timeout = match (&rules.route, requested_timeout) {
+            // The operator's limit also holds for a caller that would wait longer.
+            (Some(_), Some(requested_timeout)) => requested_timeout.min(rules.timeout),
+            (None, Some(requested_timeout)) => requested_timeout,
+            (_, None) => rules.timeout,
+        };
         let attempts_limit = self.attempts_limit(&head, rules.rule.attempts)?;
         let id = self.dialect.request_id;
         let request_id = id.and_then(|name| field_text(&head.fields, name));
         Ok(ResolvedRequest {
-            timeout: match (&rules.route, requested_timeout) {
-                // The operator's limit also holds for a caller that would wait
-                // longer.
-                (Some(_), Some(requested_timeout)) => requested_timeout.min(rules.timeout),
-                (None, Some(requested_timeout)) => requested_timeout,
-                (_, None) => rules.timeout,
-            },
+            timeout,
             requested_timeout,
-            target_latency: rules.target_latency,
+            target_latency: rules.target_latency.unwrap_or(timeout),
             attempts_limit,
             request_id: request_id.map(ToString::to_string),
             service: rules.service,
@@ -164,7 +166,7 @@
             service,
             route: None,
             timeout,
-            target_latency: timeout,
+            target_latency: None,
             rank: 0,
             is_idempotent: rule.is_idempotent(&head.method, path),
             is_upload: false,
@@ -194,7 +196,7 @@
                 version: config.version.0,
             }),
             timeout: route.timeout(),
-            target_latency: route.target_latency(),
+            target_latency: Some(route.target_latency()),
             rank: identity.rank.unwrap_or(route.rank),
             is_idempotent: route.kind.is_idempotent(),
             is_upload: route.kind == RequestKind::Upload,
@@ -309,3 +311,6 @@
             .unwrap_or_default()
     }
 }
+
+#[cfg(test)]
+mod tests;
