Write the end of a resent chunked body once more

A restarted upload kept the mark that its body had ended, so that the second copy of a request with an empty chunked body lacked its last chunk. The restart now reads the end from the source again, which states it as often as it is asked.

--- a/src/backend/connection.rs
+++ b/src/backend/connection.rs
@@ -241,6 +241,8 @@
     pub(super) fn restart(&mut self, head: BytesMut) {
         self.unsent = head;
         self.state = UploadState::Sending;
+        // The end of a chunked body is written once more.
+        self.has_source_ended = self.framing == BodyFraming::Length(0);
     }
 
     /// Sends the next part of the request. Cancellation safe: the future may be
