Refuse the calls that are still queued at a gate when its node stops

Callers at other nodes were told 502 (outcome unknown) for requests that had never left the queue of a stopping gate: the node exited with them, and the lost link tells its ingress nothing about them.

When the time in which a planned stop lets calls end has passed, the gate refuses all queued calls as `draining`, which says that they did not run, so that they can be tried elsewhere. Runs in progress go on until the limit.

--- a/src/gate.rs
+++ b/src/gate.rs
@@ -18,6 +18,7 @@
 mod meter;
 mod record;
 mod statements;
+mod stop;
 mod trials;
 mod turns;
 mod warm_up;
@@ -189,6 +190,8 @@
     link_senders: RefCell<BTreeMap<u64, LinkSender>>,
     next_link_number: Cell<u64>,
     is_draining: Cell<bool>,
+    /// Whether the time in which a planned stop lets calls end has passed.
+    has_stopped: Cell<bool>,
     is_evacuated: Cell<bool>,
     evacuation_began: Notify,
     load_poller: LoadPoller,
@@ -225,6 +228,7 @@
         link_senders: RefCell::new(BTreeMap::new()),
         next_link_number: Cell::new(0),
         is_draining: Cell::new(false),
+        has_stopped: Cell::new(false),
         is_evacuated: Cell::new(false),
         evacuation_began: Notify::new(),
         load_poller: LoadPoller::new(settings.load_polls_per_second),
@@ -341,12 +345,6 @@
         }
     }
 
-    fn prepare_stop(&self, time_left: Duration) {
-        if let Some(admission) = self.admission.borrow_mut().as_mut() {
-            admission.set_stop_time(self.now() + time_left);
-        }
-    }
-
     fn start_drain(&self) {
         self.is_draining.set(true);
         for sender in self.link_senders.borrow().values() {
@@ -559,7 +557,7 @@
 
     /// Refusal of a queued call that expired or was evicted.
     pub fn wait_too_long_refusal(&self, id: CallId, open: &CallOpen) -> GateRefusal {
-        if self.statements.is_leaving() {
+        if self.statements.is_leaving() || self.has_stopped.get() {
             return ErrorKind::Draining.into();
         }
         if self.is_evacuated.get() {
--- a/src/gate/evacuation.rs
+++ b/src/gate/evacuation.rs
@@ -35,7 +35,7 @@
 
     /// Takes all waiting calls out of the queue. Dropping a slot grant makes its call send
     /// the refusal.
-    fn refuse_queued_calls(&self) {
+    pub(super) fn refuse_queued_calls(&self) {
         let waiting = std::mem::take(&mut *self.slot_grants.borrow_mut());
         let now = self.now();
         if let Some(admission) = self.admission.borrow_mut().as_mut() {
--- a/tests/stop_limits.rs
+++ b/tests/stop_limits.rs
@@ -332,3 +332,43 @@
     drop(upload);
     stop_and_wait_for_exit(&mut fleet).await;
 }
+
+/// Places of a backend server of the fleet.
+const SLOTS: usize = 6;
+/// Requests that wait at the gate while the others run.
+const QUEUED_COUNT: usize = 3;
+
+/// Guards against requests of unknown outcome that never left the queue of a
+/// gate, as its node stopped first.
+#[ntex::test]
+async fn request_queued_at_the_gate_until_its_node_stops_is_told_that_it_did_not_run() {
+    let mut fleet = Fleet::start_with(FleetConfig {
+        upstream_count: 1,
+        node_flags: SHORT_STOP_FLAGS,
+        work_ms: DEFAULT_WORK_MS,
+    })
+    .await;
+    let address = fleet.ingress_url.strip_prefix("http://").unwrap();
+    let address: SocketAddr = address.parse().unwrap();
+    wait_until_serving(address).await;
+    let mut callers = Vec::new();
+    for number in 0..SLOTS + QUEUED_COUNT {
+        let mut caller = RawCaller::connect(address).await;
+        let id = format!("order-{number}");
+        caller
+            .send(&small_order(&id, LONG_WORK, LONG_TIMEOUT))
+            .await;
+        callers.push(caller);
+    }
+    sleep(PLACING_TIME).await;
+    fleet.upstreams[0].signal_node("TERM");
+    let mut not_run_count = 0;
+    for caller in &mut callers {
+        let response = caller.read_response().await;
+        let response = response.expect("the response should be complete");
+        assert_honest(&response);
+        not_run_count += usize::from(response.status == 503);
+    }
+    assert_eq!(not_run_count, QUEUED_COUNT);
+    stop_and_wait_for_exit(&mut fleet).await;
+}
