Fault soak: count requests at a limit from its naming on

Seed 705337 reported 97 and 98 requests at a limit of 8. The check took the last arrival for the present. A node that is killed until the limit ends has its last arrival long before, so that the checked span reached back before the naming: named at 6,220 ms, ended at 12,601 ms, last arrival at 8,396 ms, 80 of the 102 counted arrivals before the naming and all before the grace time ended.

The span now ends at the present time of the backend server's clock. It still begins at the grace time after the naming, and the bound stays.

--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -73,8 +73,9 @@
 const CI_SEED: u64 = 1;
 /// Seeds that found a fault. In 160807, a node received SIGTERM before it had
 /// installed its signal handlers. In 520286, probably, a paused gate took a response
-/// that came before its request for its own.
-const REGRESSION_SEEDS: [u64; 2] = [160_807, 520_286];
+/// that came before its request for its own. 705337 showed that the check of limits
+/// counted requests from before a naming.
+const REGRESSION_SEEDS: [u64; 3] = [160_807, 520_286, 705_337];
 /// Requests per second that limited backend servers name.
 const NAMED_RATE: f64 = 8.0;
 /// Users' bound on the requests of a limited backend server in [`LIMIT_WINDOW`], from
@@ -180,8 +181,9 @@
     upstream.set_backend_faults(&fleet.client, &json!({})).await;
     let limited_for = monitor.limited_since.remove(&index).unwrap().elapsed();
     let checked_ms = limited_for.saturating_sub(LIMIT_GRACE).as_millis() as u64;
-    let last_ms = arrivals_ms.last().copied().unwrap_or_default();
-    let checked = |at: &&u64| last_ms.saturating_sub(**at) < checked_ms;
+    // The last arrival may be older, if the node was killed since.
+    let end_ms = upstream.backend_uptime().as_millis() as u64;
+    let checked = |at: &&u64| end_ms.saturating_sub(**at) < checked_ms;
     let arrivals_ms: Vec<u64> = arrivals_ms.iter().filter(checked).copied().collect();
     let window_ms = LIMIT_WINDOW.as_millis() as u64;
     for (first, start) in arrivals_ms.iter().enumerate() {
--- a/tests/support/fleet.rs
+++ b/tests/support/fleet.rs
@@ -56,6 +56,7 @@
     pub node: Option<Process>,
     pub backend: Option<Process>,
     backend_address: String,
+    backend_started_at: Instant,
 }
 
 impl Upstream {
@@ -90,6 +91,7 @@
             node: Some(node),
             backend: None,
             backend_address: String::new(),
+            backend_started_at: Instant::now(),
         };
         upstream.start_backend();
         upstream
@@ -158,6 +160,7 @@
             ]);
         let backend = Process::start(&name, &mut command, &self.runs);
         self.backend_address = backend.next_line();
+        self.backend_started_at = Instant::now();
         self.backend = Some(backend);
     }
 
@@ -188,6 +191,11 @@
         client.get(url).send().await.unwrap().json().await.unwrap()
     }
 
+    /// Time since the start of the backend server.
+    pub fn backend_uptime(&self) -> Duration {
+        self.backend_started_at.elapsed()
+    }
+
     /// Status of the node, as its administration API tells it.
     pub async fn status(&self, client: &Client) -> Value {
         let url = format!("http://{}/v1/status", self.node_addresses.admin_listen);
