Count a caller's connection from its acceptance on

A stop looks every 50 ms, from another thread, whether a connection is left. One that had been accepted was counted when its task first ran, so that a stop could take the node for idle in between. Found by reading; no run showed it.

The guard is now taken with the connection and passed to its task.

--- a/src/ingress/connection.rs
+++ b/src/ingress/connection.rs
@@ -31,7 +31,7 @@
 };
 use crate::ingress::body::BodyReceiver;
 use crate::ingress::in_flight::{InFlightGuard, RequestProgress, RequestState};
-use crate::ingress::{IngressWorker, StopPhase, serve_call};
+use crate::ingress::{ConnectionGuard, IngressWorker, StopPhase, serve_call};
 use crate::routes::CallerLimits;
 
 /// Requests of one connection that are in progress or wait for their response
@@ -108,7 +108,11 @@
 }
 
 /// Serves one connection until either side closes it.
-pub async fn serve_connection(worker: Rc<IngressWorker>, stream: TcpStream) {
+pub async fn serve_connection(
+    worker: Rc<IngressWorker>,
+    stream: TcpStream,
+    _guard: ConnectionGuard,
+) {
     if let Err(error) = stream.set_nodelay(true) {
         log::debug!(
             target: "ingress",
@@ -119,7 +123,6 @@
     let (mut input, mut output) = stream.into_split();
     // Held until the connection is closed, so that the process doesn't exit
     // while the last response is on its way.
-    let _guard = worker.shared.track_connection();
     let connection = CallerConnection {
         worker,
         write_queue: RefCell::default(),
--- a/src/node/listener.rs
+++ b/src/node/listener.rs
@@ -88,7 +88,9 @@
         };
         match accepted {
             Ok((stream, _)) => {
-                ntex::rt::spawn(serve_connection(Rc::clone(&worker), stream));
+                // Counted from here on, so that a stop waits for it before its task runs.
+                let guard = worker.shared.track_connection();
+                ntex::rt::spawn(serve_connection(Rc::clone(&worker), stream, guard));
             }
             Err(error) => {
                 log::warn!(target: "ingress", "failed to accept a connection of a caller; retrying: {error}");
