Let the workers accept what waits at the closing before a stop can end

A connection in the accept queue when the ingress closes is still served. The stop's first look for work came in the same instant as the closing, so that the process could end 0.2 s later with such a request. Found in review by reading; no run showed it. The first look now comes one interval (50 ms) later.

--- a/src/node/stop.rs
+++ b/src/node/stop.rs
@@ -40,6 +40,8 @@
     control.close_ingress();
     log_step(control, signalled_at, "ingress closed for the stop");
     let all_calls_ended = async {
+        // The workers first accept the connections that wait at the closing.
+        tokio::time::sleep(IDLE_POLL_INTERVAL).await;
         while !control.is_idle() {
             tokio::time::sleep(IDLE_POLL_INTERVAL).await;
         }
