Refuse requests that come too late in a planned stop to be served

Since the ingress of a stopping node stays open for nested calls while its backend server works, any caller's request was taken until the stop's end, and one that outlasted it was cut off with an unknown outcome instead of being tried elsewhere.

After the time in which callers leave, a request is taken only if the stop leaves it twice its target latency, which nested calls have; others get 503 draining (not run) at once. Callers elsewhere are unaffected.

--- a/src/control/state.rs
+++ b/src/control/state.rs
@@ -352,6 +352,11 @@
         *self.stop_phase.borrow() != StopPhase::Serving
     }
 
+    /// Refuses requests from now on that the stop leaves too little time for.
+    pub fn refuse_late_requests(&self) {
+        self.stop_phase.send_replace(StopPhase::Finishing);
+    }
+
     /// Stops accepting callers' connections and requests.
     pub fn close_ingress(&self) {
         self.stop_phase.send_replace(StopPhase::Closed);
--- a/src/ingress.rs
+++ b/src/ingress.rs
@@ -66,6 +66,11 @@
 /// routing table again.
 const TABLE_RECHECK_INTERVAL: Duration = Duration::from_millis(20);
 
+/// Multiple of its target latency that a stop must leave to a request that comes
+/// after the callers' time to leave: one that is cut is worse off than one that is
+/// refused.
+const LATE_REQUEST_TIME_FACTOR: u32 = 2;
+
 /// Phase of a planned stop.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub enum StopPhase {
@@ -74,6 +79,10 @@
     /// Requests are still served, but responses ask callers to use another
     /// connection next.
     Draining,
+    /// The time in which callers leave has passed. Only requests that the rest of
+    /// the stop leaves ample time for are still served, such as nested calls of the
+    /// own backend server.
+    Finishing,
     /// New connections and further requests are no longer accepted.
     Closed,
 }
@@ -263,6 +272,17 @@
         calls_end.map_or(deadline, |end| end.min(deadline))
     }
 
+    /// Whether a planned stop no longer leaves enough time for a request with this
+    /// target latency.
+    fn is_too_late_for(&self, target_latency: Duration) -> bool {
+        let Some(calls_end) = *self.calls_end.borrow() else {
+            return false;
+        };
+        let time_left = calls_end.saturating_duration_since(tokio::time::Instant::now());
+        *self.stop_phase.borrow() >= StopPhase::Finishing
+            && time_left < target_latency * LATE_REQUEST_TIME_FACTOR
+    }
+
     /// Waits until `deadline`, or until a planned stop ends the calls; the stop
     /// may begin meanwhile.
     pub async fn wait_for_deadline(&self, deadline: tokio::time::Instant) {
@@ -325,7 +345,13 @@
     let arrived_at = tokio::time::Instant::now();
     let target = head.target.clone();
     worker.shared.wait_for_routes().await;
-    match resolve_request(&worker, head) {
+    let resolved = resolve_request(&worker, head).and_then(|request| {
+        if worker.shared.is_too_late_for(request.target_latency) {
+            return Err(ErrorKind::Draining);
+        }
+        Ok(request)
+    });
+    match resolved {
         Ok(request) => {
             progress.update(|record| {
                 record.request_id = request.request_id.clone().unwrap_or_default();
--- a/src/node/stop.rs
+++ b/src/node/stop.rs
@@ -32,6 +32,7 @@
     control.close_gate();
     log_step(control, signalled_at, "gate closed for the stop");
     tokio::time::sleep(leave_time - gate_open_time).await;
+    control.refuse_late_requests();
     // The upstream may call others through this node while it works.
     let calls_end = signalled_at + call_limit;
     while control.is_gate_busy() && Instant::now() < calls_end {
