State the outcome of earlier attempts in each failure of a call

A call that is refused by the ingress itself in a later pass, as suspected or for its rank, was reported as not run although an earlier attempt may have run. Only idempotent calls get there. Found in review by reading; no run showed it.

CallDriver::failure now takes the outcome from the call's history, which is not-run until an attempt fails with an unknown outcome.

--- a/src/ingress/call.rs
+++ b/src/ingress/call.rs
@@ -281,6 +281,7 @@
     fn failure(&self, kind: ErrorKind) -> CallFailure {
         CallFailure {
             call_id: Some(self.id),
+            outcome: self.history.outcome(),
             ..CallFailure::from(kind)
         }
     }
