Tests of stops: check that what was told not to have run did not run

A 503 was taken at its word. The runs of the backend servers are now compared with it in three tests.

--- a/src/ingress/connection.rs
+++ b/src/ingress/connection.rs
@@ -107,7 +107,9 @@
     response_written: Notify,
 }
 
-/// Serves one connection until either side closes it.
+/// Serves one connection until either side closes it. The guard is held until the
+/// lingering close has ended, so that the process doesn't exit while the last response
+/// is on its way.
 pub async fn serve_connection(
     worker: Rc<IngressWorker>,
     stream: TcpStream,
@@ -121,8 +123,6 @@
         return;
     }
     let (mut input, mut output) = stream.into_split();
-    // Held until the connection is closed, so that the process doesn't exit
-    // while the last response is on its way.
     let connection = CallerConnection {
         worker,
         write_queue: RefCell::default(),
--- a/tests/stop_limits.rs
+++ b/tests/stop_limits.rs
@@ -126,6 +126,15 @@
     assert_eq!(node.wait_for_exit().await, Some(0));
 }
 
+/// Panics if a backend server ran one of the requests that were told they didn't run.
+fn assert_none_ran(fleet: Fleet, not_run: &[String]) {
+    let runs = fleet.shut_down();
+    let runs = runs.lock().unwrap();
+    for id in not_run {
+        assert!(!runs.contains_key(id), "{id} ran");
+    }
+}
+
 /// Guards against nodes that exit although the platform would still wait, with
 /// requests that they accepted shortly before.
 #[ntex::test]
@@ -164,16 +173,21 @@
         .await;
     sleep(PLACING_TIME).await;
     fleet.upstreams[0].signal_node("TERM");
-    for caller in [&mut new, &mut kept] {
+    let mut not_run = Vec::new();
+    for (id, caller) in [("new", &mut new), ("kept", &mut kept)] {
         let response = caller
             .read_response()
             .await
             .expect("the response should be complete");
         assert_honest(&response);
         assert_ne!(response.status, 200);
+        if response.status == 503 {
+            not_run.push(id.to_string());
+        }
     }
     drop((new, kept));
     stop_and_wait_for_exit(&mut fleet).await;
+    assert_none_ran(fleet, &not_run);
 }
 
 /// Guards against uploads that are cut without an answer at the end of a stop.
@@ -347,8 +361,7 @@
     }
     drop(callers);
     stop_and_wait_for_exit(&mut fleet).await;
-    let runs = fleet.shut_down();
-    assert!(!runs.lock().unwrap().contains_key("late"));
+    assert_none_ran(fleet, &["late".to_string()]);
 }
 
 /// Guards against connections that the kernel takes for a closed ingress, and
@@ -400,13 +413,16 @@
     }
     sleep(PLACING_TIME).await;
     fleet.upstreams[0].signal_node("TERM");
-    let mut not_run_count = 0;
-    for caller in &mut callers {
+    let mut not_run = Vec::new();
+    for (number, caller) in callers.iter_mut().enumerate() {
         let response = caller.read_response().await;
         let response = response.expect("the response should be complete");
         assert_honest(&response);
-        not_run_count += usize::from(response.status == 503);
+        if response.status == 503 {
+            not_run.push(format!("order-{number}"));
+        }
     }
-    assert_eq!(not_run_count, QUEUED_COUNT);
+    assert_eq!(not_run.len(), QUEUED_COUNT);
     stop_and_wait_for_exit(&mut fleet).await;
+    assert_none_ran(fleet, &not_run);
 }
