Test of refused connections: hold the stopping process without work at its gate

The test holds the process with an order of 3 s. When that order runs at the node's own backend server, the ingress rightly stays open for nested calls since, and accepts and answers new connections; when it runs at the other one, the ingress closes. That the order ran there in the failed run is inferred; no node logs were kept.

The process is now held by an order whose body is missing, so that no gate works and the ingress must have closed.

--- a/tests/stop.rs
+++ b/tests/stop.rs
@@ -200,9 +200,6 @@
     assert_eq!(node.wait_for_exit().await, Some(0));
 }
 
-/// Service time of an order that keeps a stopping node's process from ending.
-const HOLDING_WORK: (&str, &str) = ("standin-work-us", "3000000");
-
 /// Waits until a node serves its own callers; it learns of upstreams later than the
 /// ingress.
 async fn wait_until_served(address: SocketAddr) {
@@ -224,13 +221,13 @@
     let mut fleet = Fleet::start(2).await;
     let address = fleet.upstreams[0].listen_address();
     wait_until_served(address).await;
-    let (name, value) = HOLDING_WORK;
     let mut caller = RawCaller::connect(address).await;
+    // Its missing body keeps the process from ending, and no gate works meanwhile.
     caller
-        .send(&format!(
+        .send(
             "POST /orders HTTP/1.1\r\nhost: tillpost\r\ncontent-length: 5\r\n\
-             currantlift-timeout-ms: 4000\r\n{name}: {value}\r\n\r\norder"
-        ))
+             currantlift-timeout-ms: 4000\r\n\r\n",
+        )
         .await;
     sleep(Duration::from_millis(100)).await;
     fleet.upstreams[0].signal_node("TERM");
@@ -238,6 +235,7 @@
     let connected = RawCaller::try_connect(address).await;
     assert!(!fleet.upstreams[0].node.as_mut().unwrap().has_exited());
     assert!(connected.is_err(), "a connection was taken");
+    caller.send("order").await;
     assert_eq!(caller.read_response().await.unwrap().status, 200);
 }
 
