--- a/review/harness/consumer.py
+++ b/review/harness/consumer.py
@@ -14,6 +14,7 @@
         self.status = None  # `None`: no complete answer.
         self.answered = None
         self.is_upstreams = False
+        self.status_line = ""
 
 
 async def send(record, node, host, method, path, body, deadline_ms):
@@ -24,10 +25,14 @@
         "Deadline-Ms": str(deadline_ms),
         "Content-Type": "application/octet-stream",
     }
+    def on_head(line):
+        attempt.status_line = line
+
     try:
         limit = deadline_ms / 1000 + 2.0
+        address = node.settings["listen"]["outbound"]
         status, fields, _ = await asyncio.wait_for(
-            exchange(node.settings["listen"]["outbound"], method, path, body, headers), limit
+            exchange(address, method, path, body, headers, on_head), limit
         )
         attempt.status = status
         attempt.is_upstreams = "response-signature" in fields
--- a/review/harness/deployment.py
+++ b/review/harness/deployment.py
@@ -202,7 +202,7 @@
     return await asyncio.wait_for(exchange(address, method, path, body, headers), limit)
 
 
-async def exchange(address, method, path, body, headers):
+async def exchange(address, method, path, body, headers, on_head=lambda line: None):
     host, port = address.rsplit(":", 1)
     reader, writer = await asyncio.open_connection(host, int(port))
     try:
@@ -212,15 +212,19 @@
             fields.setdefault("Content-Type", "application/json")
         head = f"{method} {path} HTTP/1.1\r\n" + "".join(f"{name}: {text}\r\n" for name, text in fields.items())
         writer.write(head.encode() + b"\r\n" + body)
-        return await read_response(reader)
+        return await read_response(reader, on_head)
     finally:
         writer.close()
 
 
-async def read_response(reader):
-    """Reads one response; raises `EOFError` if it is not complete."""
+async def read_response(reader, on_head):
+    """Reads one response; raises `EOFError` if it is not complete.
+
+    `on_head` is called with the status line as it arrived.
+    """
     head = await reader.readuntil(b"\r\n\r\n")
     lines = head.decode("latin-1").split("\r\n")
+    on_head(lines[0])
     status = int(lines[0].split(" ")[1])
     fields = {}
     for line in lines[1:]:
--- a/review/harness/upstream.py
+++ b/review/harness/upstream.py
@@ -32,6 +32,7 @@
         self.runs = []
         self.extra_bytes = None  # Function that draws what follows a complete answer late.
         self.extra_count = 0
+        self.spoil_head = None  # Function from the head of an answer to the bytes that are sent.
         self.running = 0
         self.slowness = 100  # Working time in percent of the usual, stated in the load field.
         self.queue = []
@@ -214,8 +215,11 @@
         if status == 503:
             all_fields.setdefault("Retry-After", "0.1")
         head = f"HTTP/1.1 {status} x\r\n" + "".join(f"{name}: {text}\r\n" for name, text in all_fields.items())
+        data = head.encode() + b"\r\n" + body
+        if self.upstream.spoil_head and "Response-Signature" in fields:
+            data = self.upstream.spoil_head(fields["Attempt-Id"], data)
         if not self.transport.is_closing():
-            self.transport.write(head.encode() + b"\r\n" + body)
+            self.transport.write(data)
         asyncio.get_running_loop().call_soon(self.parse)
 
 
