--- a/review/5/case.py
+++ b/review/5/case.py
@@ -39,7 +39,7 @@
     for node in deployment.nodes:
         node.start()
     draw = random.Random(1)
-    work = lambda path: WORK_S * draw.uniform(0.95, 1.05)
+    work = lambda path: WORK_S * draw.uniform(0.98, 1.02)
     plans = [Upstream(deployment, node, "plans", SLOTS, work) for node in plans_nodes]
     trajet = [Upstream(deployment, node, "trajet", SLOTS, work) for node in consumer_nodes]
     for upstream in plans + trajet:
