--- a/review/harness/deployment.py
+++ b/review/harness/deployment.py
@@ -119,7 +119,6 @@
         self.role = deploy["roles"]["node"]
         self.nodes = []
         self.store = None
-        self.own_store = None
         self.store_address = None
         # Addresses of a subnet of the loopback network that is drawn for each run.
         self.subnet = f"127.{random.randrange(16, 240)}.{random.randrange(1, 250)}"
@@ -142,11 +141,6 @@
         self.nodes.append(node)
         return node
 
-    async def use_store(self, store):
-        """Uses a stand-in for the store in the process of the script."""
-        self.own_store = store
-        self.store_address = await store.start(f"{self.subnet}.1")
-
     async def write_config(self, version, routes, services, limits):
         config = {
             "version": f"{version:08x}",
@@ -154,10 +148,6 @@
             "services": table(services),
             "limits": limits,
         }
-        if self.own_store:
-            self.own_store.write_config(config)
-            self.record.write(f"operator: config {version:08x} acknowledged")
-            return
         value = base64.b64encode(json.dumps(config).encode()).decode()
         body = json.dumps({"expected": [], "puts": [{"key": "op/config", "value": value, "lease": 0}], "deletes": []})
         status, _, _ = await call(self.store_address, "POST", "/api/kv-txn", body.encode())
@@ -246,15 +236,16 @@
     return os.environ.get("TROUBLE", "1") != "0"
 
 
-def main(play, bounds, starts_store=True):
+def main(play, bounds):
     """Plays a case; `play(deployment)` returns why the rule was broken, or `None`."""
+    # The processes are ended as well if the script is told to stop.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(EXIT_NOT_RUN))
     record = Record(Path(sys.argv[1]) / "record.txt")
     deployment = Deployment(record, bounds)
     try:
-        if starts_store:
-            deployment.start_store()
+        deployment.start_store()
         broken = asyncio.run(play(deployment))
-    except (CannotRun, OSError) as error:
+    except Exception as error:  # Whatever fails in the script says nothing about the rule.
         record.write(f"case could not run: {error!r}")
         print(f"case could not run: {error!r}")
         return EXIT_NOT_RUN
