--- a/review/5/case.py
+++ b/review/5/case.py
@@ -1,100 +1,83 @@
-"""DRAIN: a gate goes on starting queued requests long after its upstream has begun to drain.
+"""MIXED: a spoiled status of an upstream reaches the consumer as bytes that are no answer.
 
-An upstream turns slow, its slots and the queue of its gate fill, and it is then drained as
-planned. With TROUBLE=0 the upstream does not turn slow.
+Some answers of an upstream are spoiled in one byte: the first digit of the status is 0. With
+TROUBLE=0 no answer is spoiled.
 """
 
 import asyncio
 import random
+import re
 import sys
 
 from consumer import send, send_steadily
 from deployment import CannotRun, has_trouble, main
 from upstream import Upstream
 
-BOUNDS = {"stableWindowS": 3, "drainS": 2.5, "graceS": 6, "heartbeatS": 1.5}
+BOUNDS = {"stableWindowS": 3, "drainS": 2, "graceS": 6, "heartbeatS": 1.5}
 LIMITS = {"maxHeaderBytes": 16384, "maxBodyBytes": 8388608, "headerTimeoutS": 3, "idleTimeoutS": 15.5}
-HOST = "archive.example"
-PATH = "/past/"
-SLOTS = 16
-WORK_S = 0.98
-SLOWDOWN = 4  # `srv_slow`: "work x (4) times as long"
-SERVES_ON_S = 5.0  # `drainS` "and a little longer (at times many seconds)"
-REQUESTS_PER_S = 51  # The three upstreams together serve 49.
-DRAIN_AFTER_S = 1.1
+HOST = "crew.example"
+PATH = "/filing/"
+REQUESTS_PER_S = 55  # As of `closure-filing`.
+GARBLE_X, GARBLE_FOR_S = 0.02, 5.5  # `garble`: share = 0.35, x = 0.02, for_s = 5.5
+# RFC 9112, section 4: a status code has three digits; RFC 9110, section 15: from 100 on.
+ANSWER_LINE = re.compile(r"HTTP/1\.[01] [1-9][0-9]{2}( .*)?")
 
 
 async def play(deployment):
     record = deployment.record
-    zones = ["qc-est-a", "qc-est-b", "qc-est-c", "qc-est-d", "qc-est-e"]
-    plans_nodes = [deployment.add_node(f"side-{n + 1}", zones[n], "qc-est", "plans") for n in range(3)]
-    consumer_nodes = [deployment.add_node(f"side-{n + 4}", zones[n], "qc-est", "trajet") for n in range(3)]
+    zones = ["qc-est-a", "qc-est-b", "qc-est-c"]
+    nodes = [deployment.add_node(f"side-{n + 1}", zones[n], "qc-est", "chantier") for n in range(3)]
+    consumers_node = deployment.add_node("side-4", zones[0], "qc-est", "trajet")
     await deployment.write_config(
         version=1,
-        routes=[{"name": "archive-read", "hostname": HOST, "prefix": PATH, "kind": "idempotent",
-                 "timeoutS": 4, "targetLatencyS": 2.5, "priority": 2, "maxAttempts": 2, "service": "plans"}],
-        services=[{"name": name, "healthCheckPath": "/healthz", "maxConnections": 1120} for name in ("plans", "trajet")],
+        routes=[{"name": "closure-filing", "hostname": HOST, "prefix": PATH, "kind": "non_idempotent",
+                 "timeoutS": 1.2, "targetLatencyS": 0.5, "priority": 1, "maxAttempts": 2, "service": "chantier"}],
+        services=[{"name": name, "healthCheckPath": "/healthz", "maxConnections": 240} for name in ("chantier", "trajet")],
         limits=LIMITS,
     )
     for node in deployment.nodes:
         node.start()
     draw = random.Random(1)
-    work = lambda path: WORK_S * draw.uniform(0.98, 1.02)
-    plans = [Upstream(deployment, node, "plans", SLOTS, work) for node in plans_nodes]
-    trajet = [Upstream(deployment, node, "trajet", SLOTS, work) for node in consumer_nodes]
-    for upstream in plans + trajet:
+    work = lambda path: 0.16 * draw.uniform(0.7, 1.3)
+    upstreams = [Upstream(deployment, node, node.service, 18, work) for node in deployment.nodes]
+    for upstream in upstreams:
         await upstream.start()
     await deployment.wait_ready()
-    await asyncio.sleep(10.0)  # Traffic starts 10 s after the machines do.
+    await asyncio.sleep(8.0)  # Traffic starts 8 s after the machines do.
 
-    leaving, leaving_node = plans[0], plans_nodes[0]
-    ends_at = record.now() + 16.0
-    senders = [
-        asyncio.create_task(send_steadily(
-            record, REQUESTS_PER_S / len(consumer_nodes), ends_at,
-            lambda node=node: send(record, node, HOST, "GET", PATH + "1", b"", 6000),
-        ))
-        for node in consumer_nodes
-    ]
-    await asyncio.sleep(6.0)
-    if has_trouble():
-        leaving.work_s = lambda path: SLOWDOWN * work(path)
-        record.write(f"{leaving.identity}: turns slow")
-    await asyncio.sleep(DRAIN_AFTER_S)
+    ends_at = record.now() + 3.0 + GARBLE_FOR_S + 2.0
+    traffic = asyncio.create_task(send_steadily(
+        record, REQUESTS_PER_S, ends_at,
+        lambda: send(record, consumers_node, HOST, "POST", PATH + "1", b"x" * 1200, 1200),
+    ))
+    await asyncio.sleep(3.0)
+    spoiled = set()
 
-    leaving.state = "draining"
-    status = await leaving.check_in(leaving.next_check_in())
-    if not 200 <= status < 300:
-        raise CannotRun(f"draining was not acknowledged: {status}")
-    acked_at = record.now()
-    record.write(f"{leaving.identity}: draining acknowledged")
-    await asyncio.sleep(SERVES_ON_S)
-    await leaving.deregister()
-    cut = leaving.exit()
-    attempts = [attempt for sent in await asyncio.gather(*senders) for attempt in sent]
+    def spoil(attempt, data):
+        if draw.random() >= GARBLE_X:
+            return data
+        spoiled.add(attempt)
+        return data.replace(b"HTTP/1.1 2", b"HTTP/1.1 0", 1)
 
-    for run in leaving.runs:
-        record.write(f"arrival of {run.attempt} at {run.arrived:.3f} at the leaving upstream: {run.outcome}")
-    for attempt in attempts:
-        record.write(f"attempt {attempt.identity} sent {attempt.sent:.3f} answered {attempt.answered:.3f}: {attempt.status}")
-    by_id = {attempt.identity: attempt for attempt in attempts}
-    late = [
-        run for run in leaving.runs
-        if run.arrived > acked_at + BOUNDS["drainS"] and leaving_node.is_in_touch(run.arrived)
-        and run.outcome != "other instance"
-    ]
-    for run in late:
-        attempt = by_id[run.attempt]
-        record.write(
-            f"late: {run.method} {run.attempt} sent {attempt.sent - acked_at:+.3f} s, reached the upstream {run.arrived - acked_at:+.3f} s "
-            f"from the ack, answered {attempt.status} after {attempt.answered - attempt.sent:.3f} s"
-        )
-    counts = {}
+    if has_trouble():
+        upstreams[0].spoil_head = spoil  # A share of 0.33 of the service.
+        record.write("one of three upstreams garbles")
+    await asyncio.sleep(GARBLE_FOR_S)
+    upstreams[0].spoil_head = None
+    attempts = await traffic
+
+    mixed, counts = [], {}
     for attempt in attempts:
-        counts[attempt.status] = counts.get(attempt.status, 0) + 1
-    record.write(f"answers: {counts}; cut at the exit: {len(cut)}")
-    print(f"{len(late)} arrivals later than drainS after the ack; answers {counts}")
-    return f"{len(late)} requests reached the upstream later than drainS after the ack" if late else None
+        mark = "; spoiled by the upstream" if attempt.identity in spoiled else ""
+        record.write(f"{attempt.identity} sent {attempt.sent:.3f} answered {attempt.answered:.3f}: {attempt.status_line!r}{mark}")
+        if attempt.status_line and not ANSWER_LINE.fullmatch(attempt.status_line):
+            mixed.append(attempt)
+        counts[attempt.status_line] = counts.get(attempt.status_line, 0) + 1
+    if has_trouble() and not spoiled:
+        raise CannotRun("no answer was spoiled")
+    record.write(f"answers: {counts}")
+    print(f"{len(mixed)} consumers got bytes that are no answer; {len(spoiled)} answers were spoiled; {counts}")
+    return f"{len(mixed)} consumers got bytes that are no answer in the protocol" if mixed else None
 
 
 sys.exit(main(play, BOUNDS))
--- a/review/harness/upstream.py
+++ b/review/harness/upstream.py
@@ -32,7 +32,9 @@
         self.runs = []
         self.extra_bytes = None  # Function that draws what follows a complete answer late.
         self.extra_count = 0
+        self.on_head = None  # Called with a path when the head of its request has been read.
         self.spoil_head = None  # Function from the head of an answer to the bytes that are sent.
+        self.is_gone = False
         self.running = 0
         self.slowness = 100  # Working time in percent of the usual, stated in the load field.
         self.queue = []
@@ -165,6 +167,8 @@
         if path != HEALTH_PATH and self.run is None:
             self.run = Run(fields.get("attempt-id"), method, path, self.upstream.record.now())
             self.upstream.runs.append(self.run)
+            if self.upstream.on_head:
+                self.upstream.on_head(path)
         rest = self.buffer[end + 4 :]
         body = take_body(fields, rest)
         if body is None:
