Reject responses whose status or framing can't be passed on

Cause: the status was a plain number between parser and writer. Any three digits were read; below 200 the response counted as one without a body, but its stated length was kept, and the number was written without its zeros.

FinalStatus holds 200 to 599. The parser creates it, the writer takes nothing else, and an ingress checks what a gate, which may be of an older build, sends it. An invalid head fails the attempt: 502. The same looseness is removed for 101, for interim responses and 204 that state a body, for contradicting lengths in 304 and in responses to HEAD, and for transfer codings in HTTP/1.0.

The test response_with_an_invalid_status_is_a_failure failed before the change: 000 was passed on.

--- a/src/backend.rs
+++ b/src/backend.rs
@@ -28,7 +28,7 @@
 use crate::body_channel::{self, BodyReceiver, BodyTruncated};
 use crate::fields::HeaderDialect;
 use crate::http1::write::{end_head, put_field, put_fields, put_framing_field, put_request_line};
-use crate::http1::{BodyFraming, HeadLimits, ResponseHead};
+use crate::http1::{BodyFraming, FinalStatus, HeadLimits, ResponseHead};
 use crate::ids::{BackendId, BackendKey, CallId, ConnectionCount, ServiceName, SlotCount};
 use crate::link::messages::CallOpen;
 use crate::rate_limit::BackendStatement;
@@ -103,7 +103,7 @@
     #[display("backend server refused with status {status}")]
     Refused {
         /// Status of its response.
-        status: u16,
+        status: FinalStatus,
         /// Time after which it says to retry; `None` if it doesn't say.
         retry_after: Option<Duration>,
     },
@@ -352,7 +352,7 @@
         let statement = self.dialect.backend_statement(&head.fields);
         let field = self.dialect.warm_up_left_ms;
         let is_absent = field.is_some_and(|name| !has_field(head, name));
-        let is_warm = is_absent && (200..300).contains(&head.status);
+        let is_warm = is_absent && head.status.is_success();
         BackendStatement {
             warm_up_left: statement
                 .warm_up_left
@@ -388,7 +388,7 @@
     }
 
     fn is_from_another_backend(&self, head: &ResponseHead) -> bool {
-        self.dialect.expected_backend.is_some() && head.status == 421
+        self.dialect.expected_backend.is_some() && head.status == FinalStatus::MISDIRECTED_REQUEST
     }
 
     fn load_from_head(&self, head: &ResponseHead) -> Option<BackendLoad> {
@@ -538,7 +538,7 @@
             }
             log::info!(
                 target: "gate",
-                request = open.request_id.as_str(), status = head.status;
+                request = open.request_id.as_str(), status:% = head.status;
                 "response to another request discarded, waiting for the matching one"
             );
             connection.discard_body(upload, head.framing).await?;
@@ -571,8 +571,10 @@
                 reason: "another backend server responded at the address".to_string(),
             });
         }
-        let is_success = (200..300).contains(&head.status);
-        if is_success && self.dialect.signature.is_some() && !has_named(self.dialect.signature) {
+        if head.status.is_success()
+            && self.dialect.signature.is_some()
+            && !has_named(self.dialect.signature)
+        {
             return Err(BackendError::failed(
                 &"successful response has no signature field",
             ));
--- a/src/backend/answer.rs
+++ b/src/backend/answer.rs
@@ -9,7 +9,7 @@
 use super::{BackendClient, BackendError, BackendLoad};
 use crate::fields::end_to_end_fields;
 use crate::http1::head::field_text;
-use crate::http1::{BodyDecoder, BodyFraming, ResponseHead};
+use crate::http1::{BodyDecoder, BodyFraming, FinalStatus, ResponseHead};
 use crate::link::messages::HeaderField;
 
 /// Response whose head has been read.
@@ -18,7 +18,7 @@
     connection: Option<BackendConnection>,
     upload: RequestUpload,
     decoder: BodyDecoder,
-    status: u16,
+    status: FinalStatus,
     fields: Vec<HeaderField>,
     load: Option<BackendLoad>,
     body_length: Option<u64>,
@@ -57,7 +57,7 @@
     }
 
     /// HTTP status code.
-    pub fn status(&self) -> u16 {
+    pub fn status(&self) -> FinalStatus {
         self.status
     }
 
--- a/src/backend/connection.rs
+++ b/src/backend/connection.rs
@@ -9,7 +9,7 @@
 
 use super::{BackendError, ExchangeError, RESPONSE_HEAD_LIMITS, RequestBodySource};
 use crate::http1::write::{LAST_CHUNK, put_body};
-use crate::http1::{BodyDecoder, BodyEvent, BodyFraming, ResponseHead};
+use crate::http1::{BodyDecoder, BodyEvent, BodyFraming, ParsedResponse, ResponseHead};
 
 /// Buffer space reserved for each read from the socket.
 const READ_RESERVE_BYTES: usize = 8 * 1024;
@@ -87,7 +87,7 @@
         loop {
             let parsed = ResponseHead::parse(&mut self.buffer, RESPONSE_HEAD_LIMITS, method);
             match parsed {
-                Ok(Some(head)) if head.is_interim() => {
+                Ok(Some(ParsedResponse::Interim)) => {
                     interim_responses += 1;
                     if interim_responses <= MAX_INTERIM_RESPONSES {
                         continue;
@@ -95,7 +95,7 @@
                     let error = BackendError::failed(&"too many interim responses");
                     return Err(ExchangeError::Failed(error));
                 }
-                Ok(Some(head)) => return Ok(head),
+                Ok(Some(ParsedResponse::Final(head))) => return Ok(head),
                 Ok(None) => {}
                 Err(error) => return Err(ExchangeError::Failed(BackendError::failed(&error))),
             }
--- a/src/backend/tests.rs
+++ b/src/backend/tests.rs
@@ -122,7 +122,7 @@
         while let Some(data) = response.next_chunk().await? {
             body.extend_from_slice(&data);
         }
-        Ok((response.status(), body.freeze()))
+        Ok((response.status().into(), body.freeze()))
     }
 
     fn request_count(&self) -> usize {
@@ -187,7 +187,7 @@
     let fixture = start_backend(vec![script(&[not_executed]), script(&[misdirected])]).await;
     let refused = fixture.send(false).await;
     let expected = BackendError::Refused {
-        status: 503,
+        status: FinalStatus::from_known(503),
         retry_after: Some(Duration::from_millis(250)),
     };
     assert_eq!(refused, Err(expected));
@@ -555,3 +555,14 @@
     let resent = tokio::time::timeout(Duration::from_secs(5), resent).await;
     assert_eq!(resent.unwrap(), expected_response());
 }
+
+/// Guards against passing on a status that callers can't read as an HTTP response.
+#[ntex::test]
+async fn response_with_an_invalid_status_is_a_failure() {
+    for status in ["000", "020", "099", "101", "600", "999"] {
+        let response = MATCHING_RESPONSE.replacen("200", status, 1);
+        let fixture = start_backend(vec![script(&[&response])]).await;
+        let result = fixture.send(false).await;
+        assert_matches!(result, Err(BackendError::Failed { .. }), "{status}");
+    }
+}
--- a/src/error.rs
+++ b/src/error.rs
@@ -7,6 +7,8 @@
 
 use derive_more::{Display, Error};
 
+use crate::http1::FinalStatus;
+
 /// Whether a request without a response from its backend server may have run.
 #[derive(Debug, Clone, Copy, Display, PartialEq, Eq, PartialOrd, Ord)]
 pub enum RunOutcome {
@@ -105,7 +107,7 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct ErrorResponse {
     /// HTTP status code.
-    pub status: u16,
+    pub status: FinalStatus,
     /// Whether the response has a `retry-after` field.
     pub has_retry_after: bool,
 }
@@ -143,7 +145,7 @@
 
     /// Response by the kind alone; see also [`response_for`](Self::response_for).
     pub fn response(self) -> ErrorResponse {
-        let (status, has_retry_after) = match self {
+        let (code, has_retry_after) = match self {
             Self::BadRequest | Self::BadTimeout => (400, false),
             Self::UnknownKey => (401, false),
             Self::UnknownService | Self::UnknownRoute => (404, false),
@@ -168,7 +170,7 @@
             Self::TimedOut => (504, true),
         };
         ErrorResponse {
-            status,
+            status: FinalStatus::from_known(code),
             has_retry_after,
         }
     }
@@ -180,12 +182,15 @@
     /// 502 if it may have run.
     pub fn response_for(self, outcome: RunOutcome) -> ErrorResponse {
         let response = self.response();
-        let status = match (response.status, outcome) {
+        let code = match (u16::from(response.status), outcome) {
             (502, RunOutcome::NotRun) => 503,
             (503 | 408, RunOutcome::Unknown) => 502,
-            (status, _) => status,
+            (code, _) => code,
         };
-        ErrorResponse { status, ..response }
+        ErrorResponse {
+            status: FinalStatus::from_known(code),
+            ..response
+        }
     }
 
     /// Stable code used in log lines, metrics, responses and link messages.
--- a/src/gate/call/relay.rs
+++ b/src/gate/call/relay.rs
@@ -32,7 +32,7 @@
         };
         self.response_sender.send_head(ResponseStart {
             sequence: self.open.sequence,
-            status: u32::from(response.status()),
+            status: response.status().into(),
             headers: response.take_fields(),
             body_length,
             body: first_chunk,
--- a/src/http1.rs
+++ b/src/http1.rs
@@ -7,10 +7,12 @@
 
 pub mod body;
 pub mod head;
+pub mod status;
 pub mod write;
 
 pub use body::{BodyDecoder, BodyEvent, BodyFraming};
-pub use head::{HeadError, HeadLimits, RequestHead, ResponseHead};
+pub use head::{HeadError, HeadLimits, ParsedResponse, RequestHead, ResponseHead};
+pub use status::FinalStatus;
 
 #[cfg(test)]
 mod tests;
--- a/src/http1/head.rs
+++ b/src/http1/head.rs
@@ -4,10 +4,14 @@
 use derive_more::{Display, Error};
 
 use super::body::BodyFraming;
+use super::status::FinalStatus;
 use crate::link::messages::HeaderField;
 
 /// Most header fields in one head.
 const MAX_FIELDS: usize = 96;
+/// Status of an interim response that changes the protocol of the connection. No request
+/// asks for that.
+const STATUS_SWITCHING_PROTOCOLS: u16 = 101;
 
 /// Why a head or the framing of a body is rejected.
 #[derive(Debug, Clone, Copy, Display, Error, PartialEq, Eq)]
@@ -46,11 +50,20 @@
     pub is_http_1_0: bool,
 }
 
-/// Head of a response.
+/// Result of parsing the head of a response.
+#[derive(Debug, Clone, PartialEq)]
+pub enum ParsedResponse {
+    /// An interim (1xx) response; another head follows it.
+    Interim,
+    /// The final response.
+    Final(ResponseHead),
+}
+
+/// Head of a final response.
 #[derive(Debug, Clone, PartialEq)]
 pub struct ResponseHead {
-    /// Three-digit status code.
-    pub status: u16,
+    /// Status code.
+    pub status: FinalStatus,
     /// Header fields in received order, names in lower case.
     pub fields: Vec<HeaderField>,
     /// How the end of the body is determined.
@@ -113,17 +126,23 @@
         buffer: &mut BytesMut,
         limits: HeadLimits,
         method: &str,
-    ) -> Result<Option<Self>, HeadError> {
+    ) -> Result<Option<ParsedResponse>, HeadError> {
         let mut headers = [httparse::EMPTY_HEADER; MAX_FIELDS];
         let mut response = httparse::Response::new(&mut headers);
         let parsed = response.parse(buffer);
         let Some(head_length) = checked_head_length(parsed, buffer, limits)? else {
             return Ok(None);
         };
-        let status = response.code.ok_or(HeadError::Malformed)?;
+        let code = response.code.ok_or(HeadError::Malformed)?;
         let is_http_1_0 = response.version == Some(0);
         let fields = copy_fields(response.headers);
-        let framing = response_framing(&fields, status, method)?;
+        if (100..200).contains(&code) {
+            check_interim_head(code, &fields)?;
+            buffer.advance(head_length);
+            return Ok(Some(ParsedResponse::Interim));
+        }
+        let status = FinalStatus::try_from(u32::from(code)).map_err(|_| HeadError::Malformed)?;
+        let framing = response_framing(&fields, status, method, is_http_1_0)?;
         let head = Self {
             status,
             is_keep_alive: allows_keep_alive(&fields, is_http_1_0)
@@ -132,12 +151,7 @@
             framing,
         };
         buffer.advance(head_length);
-        Ok(Some(head))
-    }
-
-    /// Whether this is an interim (1xx) response; another head follows it.
-    pub fn is_interim(&self) -> bool {
-        (100..200).contains(&self.status)
+        Ok(Some(ParsedResponse::Final(head)))
     }
 }
 
@@ -232,20 +246,40 @@
     }
 }
 
+/// Rejects an interim response after which the next head can't be found: one with a body, or
+/// one that ends the use of HTTP.
+fn check_interim_head(code: u16, fields: &[HeaderField]) -> Result<(), HeadError> {
+    let has_body = is_chunked(fields)? || content_length(fields)?.is_some_and(|length| length > 0);
+    if code == STATUS_SWITCHING_PROTOCOLS || has_body {
+        return Err(HeadError::Malformed);
+    }
+    Ok(())
+}
+
+/// Framing of a response body. A head that states a body where there can be none, or two
+/// lengths, is rejected: what follows it could be taken for another response.
 fn response_framing(
     fields: &[HeaderField],
-    status: u16,
+    status: FinalStatus,
     method: &str,
+    is_http_1_0: bool,
 ) -> Result<BodyFraming, HeadError> {
-    if method == "HEAD" || status < 200 || status == 204 || status == 304 {
-        return Ok(BodyFraming::Length(0));
+    let stated = match (is_chunked(fields)?, content_length(fields)?) {
+        (true, Some(_)) => return Err(HeadError::Malformed),
+        // HTTP/1.0 has no transfer codings (RFC 9112, section 6.1).
+        (true, None) if is_http_1_0 => return Err(HeadError::Malformed),
+        (true, None) => BodyFraming::Chunked,
+        (false, Some(length)) => BodyFraming::Length(length),
+        (false, None) => BodyFraming::UntilClose,
+    };
+    let is_empty = matches!(stated, BodyFraming::Length(0) | BodyFraming::UntilClose);
+    if status == FinalStatus::NO_CONTENT && !is_empty {
+        return Err(HeadError::Malformed);
     }
-    match (is_chunked(fields)?, content_length(fields)?) {
-        (true, Some(_)) => Err(HeadError::Malformed),
-        (true, None) => Ok(BodyFraming::Chunked),
-        (false, Some(length)) => Ok(BodyFraming::Length(length)),
-        (false, None) => Ok(BodyFraming::UntilClose),
+    if method == "HEAD" || status.is_bodiless() {
+        return Ok(BodyFraming::Length(0));
     }
+    Ok(stated)
 }
 
 fn is_chunked(fields: &[HeaderField]) -> Result<bool, HeadError> {
--- a/src/http1/tests.rs
+++ b/src/http1/tests.rs
@@ -2,7 +2,7 @@
 use bytes::BytesMut;
 
 use super::body::{BodyDecoder, BodyEvent, BodyFraming};
-use super::head::{HeadError, HeadLimits, RequestHead, ResponseHead, field_text};
+use super::head::{HeadError, HeadLimits, ParsedResponse, RequestHead, ResponseHead, field_text};
 
 const LIMITS: HeadLimits = HeadLimits { max_bytes: 1_024 };
 
@@ -11,7 +11,16 @@
 }
 
 fn parse_response(text: &str) -> Result<Option<ResponseHead>, HeadError> {
-    ResponseHead::parse(&mut BytesMut::from(text), LIMITS, "GET")
+    parse_response_to("GET", text)
+}
+
+/// Head of a final response to a `method` request; `None` if it is interim or incomplete.
+fn parse_response_to(method: &str, text: &str) -> Result<Option<ResponseHead>, HeadError> {
+    let parsed = ResponseHead::parse(&mut BytesMut::from(text), LIMITS, method)?;
+    Ok(match parsed {
+        Some(ParsedResponse::Final(head)) => Some(head),
+        Some(ParsedResponse::Interim) | None => None,
+    })
 }
 
 /// Decodes a body from text that arrives byte by byte; `None` if it is incomplete.
@@ -89,12 +98,50 @@
         framing("HTTP/1.1 200 OK\r\nContent-Length: 7\r\n\r\n"),
         BodyFraming::Length(7)
     );
-    let mut buffer = BytesMut::from("HTTP/1.1 200 OK\r\nContent-Length: 7\r\n\r\n");
-    let head = ResponseHead::parse(&mut buffer, LIMITS, "HEAD").unwrap();
-    assert_eq!(head.unwrap().framing, BodyFraming::Length(0));
+    let head = parse_response_to("HEAD", "HTTP/1.1 200 OK\r\nContent-Length: 7\r\n\r\n");
+    assert_eq!(head.unwrap().unwrap().framing, BodyFraming::Length(0));
     assert_eq!(parse_response("garbage\r\n\r\n"), Err(HeadError::Malformed));
 }
 
+/// Guards against a head whose end, or that of its body, callers would read otherwise.
+#[test]
+fn response_heads_without_a_definite_end_are_rejected() {
+    let cases = [
+        "1.1 000 OK\r\nContent-Length: 7",
+        "1.1 099 OK",
+        "1.1 600 OK\r\nContent-Length: 7",
+        "1.1 20 OK",
+        "1.1 2000 OK",
+        "1.1 200 O\u{1}K\r\nContent-Length: 7",
+        "1.1 200 OK\r\nA\u{0}: b\r\nContent-Length: 7",
+        "1.1 200 OK\r\na: b\u{7}\r\nContent-Length: 7",
+        "1.1 200 OK\r\na b: c\r\nContent-Length: 7",
+        "1.1 200 OK\r\nContent-Length: 7\r\nContent-Length: 8",
+        "1.1 200 OK\r\nContent-Length: 7\r\nTransfer-Encoding: chunked",
+        "1.1 200 OK\r\nContent-Length: 99999999999999999999",
+        "1.1 200 OK\r\nContent-Length: -1",
+        "1.0 200 OK\r\nTransfer-Encoding: chunked",
+        "1.1 204 No Content\r\nContent-Length: 7",
+        "1.1 204 No Content\r\nTransfer-Encoding: chunked",
+        "1.1 304 Not Modified\r\nContent-Length: 7\r\nContent-Length: 8",
+        "1.1 101 Switching Protocols",
+        "1.1 100 Continue\r\nContent-Length: 7",
+        "1.1 103 Early Hints\r\nTransfer-Encoding: chunked",
+    ];
+    for case in cases {
+        for method in ["GET", "HEAD"] {
+            let found = parse_response_to(method, &format!("HTTP/{case}\r\n\r\n"));
+            assert_eq!(found, Err(HeadError::Malformed), "{method}: {case}");
+        }
+    }
+    for case in ["100 Continue", "103 Early Hints\r\nContent-Length: 0"] {
+        let mut buffer = BytesMut::from(format!("HTTP/1.1 {case}\r\n\r\n").as_str());
+        let found = ResponseHead::parse(&mut buffer, LIMITS, "GET");
+        assert_eq!(found, Ok(Some(ParsedResponse::Interim)), "{case}");
+        assert!(buffer.is_empty());
+    }
+}
+
 #[test]
 fn keep_alive_depends_on_version_and_connection_field() {
     let keeps_alive = |text: &str| parse_request(text).unwrap().unwrap().is_keep_alive;
--- a/src/http1/write.rs
+++ b/src/http1/write.rs
@@ -3,6 +3,7 @@
 use bytes::{BufMut, Bytes, BytesMut};
 
 use super::body::BodyFraming;
+use super::status::FinalStatus;
 use crate::link::messages::HeaderField;
 
 /// Last chunk of a chunked body, without trailer fields.
@@ -19,8 +20,8 @@
 }
 
 /// Writes a status line; the reason phrase is empty for unregistered codes.
-pub fn put_status_line(output: &mut BytesMut, status: u16) {
-    let reason = ntex::http::StatusCode::from_u16(status)
+pub fn put_status_line(output: &mut BytesMut, status: FinalStatus) {
+    let reason = ntex::http::StatusCode::from_u16(status.into())
         .ok()
         .and_then(|status| status.canonical_reason())
         .unwrap_or("");
--- a/src/ingress.rs
+++ b/src/ingress.rs
@@ -369,7 +369,7 @@
                 target: "ingress",
                 path = target.as_str(),
                 kind = kind.code(), outcome:% = RunOutcome::NotRun,
-                status = kind.response().status,
+                status:% = kind.response().status,
                 table = worker.shared.table.borrow().version;
                 "request rejected"
             );
--- a/src/ingress/answer.rs
+++ b/src/ingress/answer.rs
@@ -6,20 +6,18 @@
 
 use std::time::Duration;
 
-use bytes::BytesMut;
+use bytes::{Bytes, BytesMut};
 use derive_more::Display;
 use serde::Serialize;
 
 use crate::body_channel::{BodyReceiver, BodyTruncated};
 use crate::error::{ErrorKind, RunOutcome};
 use crate::fields::HeaderDialect;
-use crate::http1::BodyFraming;
+use crate::http1::status::InvalidStatus;
 use crate::http1::write::{end_head, put_field, put_fields, put_framing_field, put_status_line};
+use crate::http1::{BodyFraming, FinalStatus};
 use crate::ids::{CallId, NodeId};
-use crate::link::messages::ResponseStart;
-
-/// Statuses whose responses have no body and no stated length.
-const BODILESS_STATUSES: [u32; 2] = [204, 304];
+use crate::link::messages::{HeaderField, ResponseStart};
 
 /// The response body ended before it was complete.
 #[derive(Debug, Clone, Copy, Display, derive_more::Error)]
@@ -41,6 +39,35 @@
 /// Rest of a response body, in order; an `Err` ends it early.
 pub type ResponseBodyReceiver = BodyReceiver<ResponseTruncated>;
 
+/// Head of a backend server's response, with the start of its body.
+#[derive(Debug)]
+pub struct CallHead {
+    /// HTTP status.
+    pub status: FinalStatus,
+    /// End-to-end header fields.
+    pub fields: Vec<HeaderField>,
+    /// Length of the body in bytes; `None` if the backend server didn't state it.
+    pub body_length: Option<u64>,
+    /// Start of the body.
+    pub body: Bytes,
+    /// Whether `body` is the whole body.
+    pub is_body_complete: bool,
+}
+
+impl TryFrom<ResponseStart> for CallHead {
+    type Error = InvalidStatus;
+
+    fn try_from(start: ResponseStart) -> Result<Self, Self::Error> {
+        Ok(Self {
+            status: FinalStatus::try_from(start.status)?,
+            fields: start.headers,
+            body_length: start.body_length,
+            body: start.body,
+            is_body_complete: start.is_body_complete,
+        })
+    }
+}
+
 /// Response of a backend server.
 #[derive(Debug)]
 pub struct CallResponse {
@@ -49,7 +76,7 @@
     /// Node of the upstream that answered.
     pub upstream: NodeId,
     /// Head, with the first bytes of the body.
-    pub head: ResponseStart,
+    pub head: CallHead,
     /// Rest of the body; `None` if it came completely with the head.
     pub remaining_body: Option<ResponseBodyReceiver>,
 }
@@ -190,14 +217,13 @@
     options: ResponseOptions,
 ) -> BodyFraming {
     let head = &response.head;
-    let status = u16::try_from(head.status).unwrap_or(502);
-    put_status_line(output, status);
-    put_fields(output, &head.headers);
+    put_status_line(output, head.status);
+    put_fields(output, &head.fields);
     if let Some(name) = dialect.call_id {
         put_field(output, name, response.call_id.to_string().as_bytes());
     }
     let framing = response_framing(response, options);
-    if !BODILESS_STATUSES.contains(&head.status) {
+    if !head.status.is_bodiless() {
         match head.body_length {
             Some(length) if options.is_for_head => {
                 put_framing_field(output, BodyFraming::Length(length));
@@ -213,7 +239,7 @@
 
 fn response_framing(response: &CallResponse, options: ResponseOptions) -> BodyFraming {
     let head = &response.head;
-    if options.is_for_head || BODILESS_STATUSES.contains(&head.status) {
+    if options.is_for_head || head.status.is_bodiless() {
         return BodyFraming::Length(0);
     }
     match (head.body_length, &response.remaining_body) {
@@ -222,3 +248,6 @@
         (None, Some(_)) => BodyFraming::Chunked,
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/src/ingress/attempt.rs
+++ b/src/ingress/attempt.rs
@@ -19,6 +19,7 @@
 
 use crate::error::ErrorKind;
 use crate::ids::{CallId, NodeId, RegionName, ServiceName};
+use crate::ingress::answer::CallHead;
 use crate::ingress::body::BodyRest;
 use crate::ingress::placing::GateEstimate;
 use crate::ingress::{IngressWorker, lock};
@@ -36,9 +37,6 @@
 /// The cancel margin is at most the call's time limit divided by this.
 const CANCEL_MARGIN_DIVISOR: u32 = 10;
 
-/// Lowest HTTP status by which a backend server reports a failure of its own.
-pub const FIRST_SERVER_ERROR_STATUS: u32 = 500;
-
 /// Failure of an attempt, with what the gate stated when it refused.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct AttemptError {
@@ -154,7 +152,7 @@
 /// Result of one step of the wait for the response head.
 enum Progress {
     Continue,
-    Head(ResponseStart),
+    Head(CallHead),
 }
 
 impl CallAttempt {
@@ -247,7 +245,7 @@
     pub async fn wait_for_response_head(
         &mut self,
         body: &mut BodyRest<'_>,
-    ) -> Result<ResponseStart, AttemptError> {
+    ) -> Result<CallHead, AttemptError> {
         let result = self
             .exchange_until_head(body)
             .await
@@ -258,7 +256,7 @@
         match &result {
             Ok(head) => {
                 self.has_response_head = true;
-                if head.status >= FIRST_SERVER_ERROR_STATUS {
+                if head.status.is_server_error() {
                     // Reported as an error, so that an upstream that fails fast
                     // doesn't look idle.
                     self.completed_result = AttemptResult::AnsweredServerError;
@@ -288,7 +286,7 @@
     async fn exchange_until_head(
         &mut self,
         body: &mut BodyRest<'_>,
-    ) -> Result<ResponseStart, AttemptError> {
+    ) -> Result<CallHead, AttemptError> {
         loop {
             self.send_deferred_body();
             let window_room = self.request_window.available_bytes();
@@ -404,7 +402,12 @@
                     self.response_window
                         .accept(0, head.body.clone(), head.is_body_complete);
                 let body = accepted.unwrap_or_default();
-                Ok(Progress::Head(ResponseStart { body, ..head }))
+                let head = CallHead::try_from(ResponseStart { body, ..head });
+                let head = head.map_err(|error| {
+                    log::warn!(target: "ingress", gate:% = self.gate(); "{error}");
+                    AttemptError::backend_failed()
+                })?;
+                Ok(Progress::Head(head))
             }
             LinkMessage::Refusal(refusal) => Err(AttemptError {
                 failure: self.state.on_refused(refusal_kind(&refusal.kind)),
--- a/src/ingress/attempt/tests.rs
+++ b/src/ingress/attempt/tests.rs
@@ -8,7 +8,7 @@
 #[test]
 fn a_refusal_by_a_gate_of_another_service_is_no_404() {
     let kind = refusal_kind(ErrorKind::UnknownService.code());
-    assert_eq!(kind.response().status, 503);
+    assert_eq!(u16::from(kind.response().status), 503);
     assert_eq!(
         refusal_kind(ErrorKind::Draining.code()),
         ErrorKind::Draining
--- a/src/ingress/call.rs
+++ b/src/ingress/call.rs
@@ -22,7 +22,7 @@
 use crate::error::ErrorKind;
 use crate::ids::{CallId, NodeId};
 use crate::ingress::answer::{CallFailure, CallResponse};
-use crate::ingress::attempt::{AttemptError, FIRST_SERVER_ERROR_STATUS};
+use crate::ingress::attempt::AttemptError;
 use crate::ingress::body::{BodyReceiver, RequestBody};
 use crate::ingress::in_flight::{RequestProgress, RequestState};
 use crate::ingress::placing::{CallTimeBudget, GateSearch};
@@ -275,7 +275,7 @@
     /// Whether another upstream should be tried in place of a server error
     /// response.
     fn should_retry_response(&self, response: &CallResponse) -> bool {
-        self.request.is_idempotent && response.head.status >= FIRST_SERVER_ERROR_STATUS
+        self.request.is_idempotent && response.head.status.is_server_error()
     }
 
     fn failure(&self, kind: ErrorKind) -> CallFailure {
@@ -325,7 +325,7 @@
             }
         })?;
         let head = start.head;
-        if head.status < FIRST_SERVER_ERROR_STATUS {
+        if !head.status.is_server_error() {
             let mut latencies = lock(&self.worker.shared.latencies);
             latencies.record(&self.request.class(), start.time_to_head);
         }
--- a/src/ingress/call/offer.rs
+++ b/src/ingress/call/offer.rs
@@ -8,11 +8,10 @@
 
 use super::{CallDriver, GateOffer};
 use crate::ids::CallId;
-use crate::ingress::attempt::{
-    AttemptError, AttemptPlan, CallAttempt, DeferredBody, FIRST_SERVER_ERROR_STATUS,
-};
+use crate::ingress::answer::CallHead;
+use crate::ingress::attempt::{AttemptError, AttemptPlan, CallAttempt, DeferredBody};
 use crate::ingress::body::{BodyOpening, ReplayableBody};
-use crate::link::messages::{CallOpen, HeaderField, ResponseStart};
+use crate::link::messages::{CallOpen, HeaderField};
 use crate::link::pool::GateTarget;
 
 /// Largest body that is sent along with an offer for an immediate start.
@@ -21,14 +20,14 @@
 /// Response whose head has arrived.
 pub(super) struct AttemptResponse {
     pub(super) attempt: CallAttempt,
-    pub(super) head: ResponseStart,
+    pub(super) head: CallHead,
     pub(super) time_to_head: Duration,
 }
 
 impl AttemptResponse {
     /// Whether the backend server did not report a failure of its own.
     pub(super) fn is_usable(&self) -> bool {
-        self.head.status < FIRST_SERVER_ERROR_STATUS
+        !self.head.status.is_server_error()
     }
 }
 
--- a/src/ingress/call/record.rs
+++ b/src/ingress/call/record.rs
@@ -46,7 +46,7 @@
             Ok(response) => log::info!(
                 target: "ingress",
                 call:%, request_id, path, route = route_name, config_version, service:%,
-                status = response.head.status, upstream:% = response.upstream,
+                status:% = response.head.status, upstream:% = response.upstream,
                 elapsed_ms, placements, attempts;
                 "call answered"
             ),
@@ -54,7 +54,7 @@
                 target: "ingress",
                 call:%, request_id, path, route = route_name, config_version, service:%,
                 kind = failure.kind.code(), outcome:% = failure.outcome,
-                status = failure.kind.response_for(failure.outcome).status,
+                status:% = failure.kind.response_for(failure.outcome).status,
                 retry_after_ms = failure.retry_after.as_millis() as u64,
                 elapsed_ms, placements, attempts;
                 "call refused or failed"
