Keep acknowledged departures beyond the process that acknowledged them

Cause: withdrawals, and the order of announcements at a drain, were in the memory of one process. Peers don't have them either: a new process replaces the record of its node.

Before a departure is acknowledged, a record of it goes to the store and to two peers in parallel, for at most 0.5 s. A new process reads the records before it applies an announcement that says ready. Either the store or a peer is enough.

--- a/src/control/admin.rs
+++ b/src/control/admin.rs
@@ -7,16 +7,21 @@
 use tokio::sync::mpsc::Receiver;
 
 use crate::admin::{
-    AdminCall, AdminReply, AdminRequest, BackendAnnouncement, BackendView, FieldError, HealthView,
-    MemberView, RefusalReason, ServiceView, StatusView, SuspectView, TicketOutcome, UpstreamView,
+    AdminCall, AdminReply, AdminRequest, BackendAnnouncement, BackendView, BackendWithdrawal,
+    FieldError, HealthView, MemberView, RefusalReason, ServiceView, StatusView, SuspectView,
+    TicketOutcome, UpstreamView,
 };
-use crate::control::state::{AnnouncementOutcome, ControlState};
+use crate::control::state::{AnnouncementOutcome, ControlState, WithdrawalOutcome};
 use crate::ids::{BackendId, NodeId, ServiceName, TicketNumber};
 use crate::ingress::lock;
 use crate::membership::MemberRecord;
 use crate::table::{ServiceEntry, UpstreamState};
 use crate::tickets::{ChangeTicket, RefusalReason as TicketRefusal, SubmitOutcome, TicketStatus};
 
+/// Longest wait of an announcement for the departures that earlier processes acknowledged. A
+/// backend server waits a second for its acknowledgement.
+const RECOVERY_TIMEOUT: Duration = Duration::from_millis(700);
+
 /// Serves administration requests until their channel closes.
 pub async fn serve_admin(control: Rc<ControlState>, mut calls: Receiver<AdminCall>) {
     while let Some(call) = calls.recv().await {
@@ -36,17 +41,11 @@
         AdminRequest::AnnounceBackend {
             backend,
             announcement,
-        } => announce_backend(control, backend, announcement),
+        } => announce_backend(control, backend, announcement).await,
         AdminRequest::WithdrawBackend {
             backend,
             withdrawal,
-        } => {
-            if control.apply_withdrawal(&backend, withdrawal) {
-                AdminReply::Done
-            } else {
-                AdminReply::NotFound
-            }
-        }
+        } => withdraw_backend(control, &backend, withdrawal).await,
         AdminRequest::SubmitTicket { number, body } => submit_ticket(control, number, &body).await,
         AdminRequest::CheckTicket { number, body } => check_ticket(control, number, &body).await,
         AdminRequest::ShowTicket { number } => show_ticket(control, number).await,
@@ -72,7 +71,7 @@
     })
 }
 
-fn announce_backend(
+async fn announce_backend(
     control: &ControlState,
     backend: BackendId,
     announcement: BackendAnnouncement,
@@ -80,14 +79,41 @@
     if announcement.state == UpstreamState::Gone {
         return bad_input_reply("state", "must be joining, ready or draining");
     }
-    match control.apply_announcement(backend, announcement) {
-        AnnouncementOutcome::Accepted | AnnouncementOutcome::Outdated => AdminReply::Done,
+    let is_draining = announcement.state == UpstreamState::Draining;
+    let recovery = tokio::time::timeout(RECOVERY_TIMEOUT, control.recover_presence()).await;
+    if recovery.is_err() && !is_draining {
+        return AdminReply::Unavailable("departures of earlier processes not read yet".to_string());
+    }
+    match control.apply_announcement(backend.clone(), announcement.clone()) {
+        AnnouncementOutcome::Accepted => {
+            if is_draining {
+                control.record_draining(&backend, &announcement).await;
+            }
+            AdminReply::Done
+        }
+        AnnouncementOutcome::Outdated => AdminReply::Done,
         AnnouncementOutcome::ConflictingBackend => {
             bad_input_reply("id", "another backend server is beside this node")
         }
     }
 }
 
+async fn withdraw_backend(
+    control: &ControlState,
+    backend: &BackendId,
+    withdrawal: BackendWithdrawal,
+) -> AdminReply {
+    match control.apply_withdrawal(backend, withdrawal) {
+        WithdrawalOutcome::Applied(record) => {
+            if let Some(record) = record {
+                control.departures.record(record).await;
+            }
+            AdminReply::Done
+        }
+        WithdrawalOutcome::UnknownBackend => AdminReply::NotFound,
+    }
+}
+
 fn parse_ticket(number: TicketNumber, body: &str) -> Result<ChangeTicket, AdminReply> {
     ChangeTicket::parse(number, body.as_bytes())
         .map_err(|error| bad_input_reply(&error.field, &error.reason))
--- a/src/control/peers.rs
+++ b/src/control/peers.rs
@@ -65,10 +65,11 @@
         ControlTopic::Membership => control.membership.handle_sync(&request.payload),
         ControlTopic::Routes => control.routes.handle_peer_request(&request),
         ControlTopic::Tickets => control.tickets.handle_peer_request(request.payload),
+        ControlTopic::Departures => control.departures.handle_peer_request(request.payload),
     };
     let evacuated_zones = match request_topic {
         ControlTopic::Routes => control.routes.evacuation().current().to_wire(),
-        ControlTopic::Membership | ControlTopic::Tickets => None,
+        ControlTopic::Membership | ControlTopic::Tickets | ControlTopic::Departures => None,
     };
     let reply = ControlReply {
         payload,
--- a/src/control/presence.rs
+++ b/src/control/presence.rs
@@ -8,6 +8,7 @@
 use std::collections::BTreeMap;
 
 use crate::admin::AnnouncementOrder;
+use crate::departures::DepartureRecord;
 use crate::ids::BackendId;
 
 /// Maximum number of backend servers whose withdrawal is recorded.
@@ -17,18 +18,17 @@
 #[derive(Debug, Default)]
 pub struct BackendPresence {
     latest_announcement: Option<AnnouncementOrder>,
-    /// Start time, in Unix milliseconds, of the latest withdrawn start by backend
-    /// server.
-    withdrawn_starts: BTreeMap<BackendId, u64>,
+    /// Position from which announcements of a backend server that has withdrawn, or whose
+    /// departure an earlier process acknowledged, are valid.
+    valid_from: BTreeMap<BackendId, AnnouncementOrder>,
 }
 
 impl BackendPresence {
     /// Records an announcement; false if a later announcement of any backend server
     /// or the withdrawal of this start is known.
     pub fn accept_announcement(&mut self, id: &BackendId, order: AnnouncementOrder) -> bool {
-        let withdrawn_start = self.withdrawn_starts.get(id);
-        let is_withdrawn =
-            withdrawn_start.is_some_and(|started_at_ms| order.started_at_ms <= *started_at_ms);
+        let valid_from = self.valid_from.get(id);
+        let is_withdrawn = valid_from.is_some_and(|valid_from| order < *valid_from);
         let is_late = self
             .latest_announcement
             .is_some_and(|latest| order < latest);
@@ -41,39 +41,60 @@
 
     /// Records a withdrawal, whether or not the backend server is known.
     ///
-    /// Without `started_at_ms` it applies to all starts up to `now_ms`. Returns
-    /// false if a later start of any backend server is known.
+    /// Without `started_at_ms` it applies to all starts up to `now_ms`. Returns the record to
+    /// keep, or `None` if a later start of any backend server is known.
     pub fn accept_withdrawal(
         &mut self,
         id: &BackendId,
         started_at_ms: Option<u64>,
         now_ms: u64,
-    ) -> bool {
+    ) -> Option<DepartureRecord> {
         let started_at_ms = started_at_ms.unwrap_or(now_ms);
         let is_outdated = self
             .latest_announcement
             .is_some_and(|latest| started_at_ms < latest.started_at_ms);
         if is_outdated {
-            return false;
+            return None;
         }
-        let withdrawn_start = self.withdrawn_starts.entry(id.clone()).or_default();
-        *withdrawn_start = started_at_ms.max(*withdrawn_start);
-        if self.withdrawn_starts.len() > MAX_RECORDED_WITHDRAWALS {
+        let record = withdrawal_record(id, started_at_ms);
+        self.restore(record.clone());
+        Some(record)
+    }
+
+    /// Applies the record of a departure that this node has acknowledged, whether in this
+    /// process or in an earlier one.
+    pub fn restore(&mut self, record: DepartureRecord) {
+        let valid_from = self
+            .valid_from
+            .entry(record.backend)
+            .or_insert(record.valid_from);
+        *valid_from = record.valid_from.max(*valid_from);
+        if self.valid_from.len() > MAX_RECORDED_WITHDRAWALS {
             self.remove_oldest_withdrawal();
         }
-        true
     }
 
     fn remove_oldest_withdrawal(&mut self) {
         let oldest = self
-            .withdrawn_starts
+            .valid_from
             .iter()
-            .min_by_key(|(_, started)| **started);
+            .min_by_key(|(_, valid_from)| **valid_from);
         if let Some(id) = oldest.map(|(id, _)| id.clone()) {
-            self.withdrawn_starts.remove(&id);
+            self.valid_from.remove(&id);
         }
     }
 }
 
+/// Record of a withdrawal, which outdates all announcements of the start.
+fn withdrawal_record(id: &BackendId, started_at_ms: u64) -> DepartureRecord {
+    DepartureRecord {
+        backend: id.clone(),
+        valid_from: AnnouncementOrder {
+            started_at_ms: started_at_ms.saturating_add(1),
+            sequence: 0,
+        },
+    }
+}
+
 #[cfg(test)]
 mod tests;
--- a/src/control/presence/tests.rs
+++ b/src/control/presence/tests.rs
@@ -27,7 +27,11 @@
 fn a_heartbeat_after_the_withdrawal_is_rejected() {
     let mut presence = BackendPresence::default();
     assert!(presence.accept_announcement(&id("a"), order(100, 1)));
-    assert!(presence.accept_withdrawal(&id("a"), Some(100), 500));
+    assert!(
+        presence
+            .accept_withdrawal(&id("a"), Some(100), 500)
+            .is_some()
+    );
     assert!(!presence.accept_announcement(&id("a"), order(100, 2)));
     // A restart under the same identifier is accepted.
     assert!(presence.accept_announcement(&id("a"), order(600, 1)));
@@ -39,7 +43,11 @@
 fn a_withdrawal_without_a_known_announcement_is_recorded() {
     for started_at_ms in [Some(100), None] {
         let mut presence = BackendPresence::default();
-        assert!(presence.accept_withdrawal(&id("a"), started_at_ms, 500));
+        assert!(
+            presence
+                .accept_withdrawal(&id("a"), started_at_ms, 500)
+                .is_some()
+        );
         assert!(!presence.accept_announcement(&id("a"), order(100, 19)));
         assert!(presence.accept_announcement(&id("b"), order(100, 19)));
     }
@@ -49,6 +57,31 @@
 fn a_late_withdrawal_does_not_apply_to_a_newer_start() {
     let mut presence = BackendPresence::default();
     assert!(presence.accept_announcement(&id("a"), order(200, 1)));
-    assert!(!presence.accept_withdrawal(&id("a"), Some(100), 500));
+    assert!(
+        presence
+            .accept_withdrawal(&id("a"), Some(100), 500)
+            .is_none()
+    );
     assert!(presence.accept_announcement(&id("a"), order(200, 2)));
 }
+
+/// Guards against a late heartbeat at a process that has just started, after an earlier one
+/// acknowledged the departure.
+#[test]
+fn a_heartbeat_from_before_a_recovered_departure_is_rejected() {
+    let mut presence = BackendPresence::default();
+    let withdrawal = presence
+        .accept_withdrawal(&id("a"), Some(100), 500)
+        .unwrap();
+    let draining = DepartureRecord {
+        backend: id("b"),
+        valid_from: order(100, 7),
+    };
+    let mut presence = BackendPresence::default();
+    presence.restore(withdrawal);
+    presence.restore(draining);
+    assert!(!presence.accept_announcement(&id("a"), order(100, 6)));
+    assert!(!presence.accept_announcement(&id("b"), order(100, 6)));
+    assert!(presence.accept_announcement(&id("b"), order(100, 7)));
+    assert!(presence.accept_announcement(&id("a"), order(600, 1)));
+}
--- a/src/control/state.rs
+++ b/src/control/state.rs
@@ -14,9 +14,12 @@
 use crate::control::evacuation::drain_evacuated_zones;
 use crate::control::placement::{build_routing_table, log_upstream_changes};
 use crate::control::presence::BackendPresence;
+use crate::departures::{DepartureHandle, DepartureRecord};
 use crate::discovery::{FleetRole, RoleAssignment};
 use crate::gate::{GateCommand, GateStatus};
-use crate::ids::{BackendId, NodeId, NodeIncarnation, RegionName, ServiceName, ZoneName};
+use crate::ids::{
+    BackendId, BackendKey, NodeId, NodeIncarnation, RegionName, ServiceName, ZoneName,
+};
 use crate::ingress::{IngressState, StopPhase, lock};
 use crate::membership::driver::MembershipHandle;
 use crate::membership::{BackendRecord, MembershipEvent};
@@ -66,6 +69,15 @@
     ConflictingBackend,
 }
 
+/// Result of a withdrawal.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum WithdrawalOutcome {
+    /// The withdrawal was applied; the record of it is to be kept if there is one.
+    Applied(Option<DepartureRecord>),
+    /// No such backend server is known.
+    UnknownBackend,
+}
+
 /// State of the control thread.
 pub struct ControlState {
     /// Identity of this node.
@@ -76,6 +88,8 @@
     pub tickets: TicketsHandle,
     /// Handle to the route configuration.
     pub routes: RoutesHandle,
+    /// Records of acknowledged departures.
+    pub departures: DepartureHandle,
     /// Commands to the gate thread.
     pub gate_commands: UnboundedSender<GateCommand>,
     /// Load and limit of the gate.
@@ -93,6 +107,10 @@
     role_assignment: RefCell<RoleAssignment>,
     backend_ttl: Duration,
     presence: RefCell<BackendPresence>,
+    /// Whether `presence` knows the departures that earlier processes acknowledged.
+    is_presence_recovered: Cell<bool>,
+    /// Start of the draining backend server whose departure has been recorded.
+    recorded_draining: Cell<Option<BackendKey>>,
     table_sender: watch::Sender<Arc<RoutingTable>>,
     table_version: Cell<u64>,
     table_inputs_changed: Notify,
@@ -108,6 +126,8 @@
     pub tickets: TicketsHandle,
     /// Handle to the route configuration.
     pub routes: RoutesHandle,
+    /// Records of acknowledged departures.
+    pub departures: DepartureHandle,
     /// Commands to the gate thread.
     pub gate_commands: UnboundedSender<GateCommand>,
     /// Load and limit of the gate.
@@ -133,6 +153,7 @@
             membership: parts.membership,
             tickets: parts.tickets,
             routes: parts.routes,
+            departures: parts.departures,
             gate_commands: parts.gate_commands,
             gate_status: parts.gate_status,
             ingress: parts.ingress,
@@ -143,6 +164,8 @@
             role_assignment: RefCell::new(RoleAssignment::new(Duration::ZERO)),
             backend_ttl: parts.backend_ttl,
             presence: RefCell::default(),
+            is_presence_recovered: Cell::new(false),
+            recorded_draining: Cell::new(None),
             table_sender: parts.table_sender,
             table_version: Cell::new(0),
             table_inputs_changed: Notify::new(),
@@ -293,12 +316,53 @@
         }
     }
 
-    /// Applies the withdrawal of a backend server; false if it is unknown.
+    /// Waits for the departures that earlier processes of this node acknowledged.
+    pub async fn recover_presence(&self) {
+        if self.is_presence_recovered.get() {
+            return;
+        }
+        let records = self.departures.recovered().await;
+        if self.is_presence_recovered.replace(true) {
+            return;
+        }
+        let mut presence = self.presence.borrow_mut();
+        for record in records {
+            log::info!(
+                target: "control",
+                backend:% = record.backend, valid_from:serde = record.valid_from;
+                "departure acknowledged by an earlier process"
+            );
+            presence.restore(record);
+        }
+    }
+
+    /// Records that the local backend server drains, once for each of its starts.
+    pub async fn record_draining(&self, id: &BackendId, announcement: &BackendAnnouncement) {
+        let key = announcement.backend_key(id);
+        let Some(order) = announcement.order else {
+            return;
+        };
+        if self.recorded_draining.replace(Some(key)) == Some(key) {
+            return;
+        }
+        let record = DepartureRecord {
+            backend: id.clone(),
+            valid_from: order,
+        };
+        self.departures.record(record).await;
+    }
+
+    /// Applies the withdrawal of a backend server.
     ///
     /// Its requests in progress end normally. A backend server with ordered
     /// announcements may be unknown to a node that has just started; its withdrawal
     /// is recorded nevertheless and counts as applied.
-    pub fn apply_withdrawal(&self, id: &BackendId, withdrawal: BackendWithdrawal) -> bool {
+    pub fn apply_withdrawal(
+        &self,
+        id: &BackendId,
+        withdrawal: BackendWithdrawal,
+    ) -> WithdrawalOutcome {
+        let mut record = None;
         let mut backend = self.backend.borrow_mut();
         let known = backend.as_ref().filter(|known| known.id == *id);
         let is_ordered = withdrawal.announcements_are_ordered
@@ -306,9 +370,10 @@
         if is_ordered {
             let mut presence = self.presence.borrow_mut();
             let started_at_ms = withdrawal.started_at_ms;
-            if !presence.accept_withdrawal(id, started_at_ms, unix_millis()) {
+            record = presence.accept_withdrawal(id, started_at_ms, unix_millis());
+            if record.is_none() {
                 log::info!(target: "control", backend:% = id; "outdated withdrawal ignored");
-                return true;
+                return WithdrawalOutcome::Applied(None);
             }
         }
         if known.is_none() {
@@ -316,14 +381,17 @@
                 target: "control", backend:% = id, is_ordered;
                 "unknown backend server withdrew"
             );
-            return is_ordered;
+            return match is_ordered {
+                true => WithdrawalOutcome::Applied(record),
+                false => WithdrawalOutcome::UnknownBackend,
+            };
         }
         log::info!(target: "control", backend:% = id; "backend server withdrew");
         *backend = None;
         drop(backend);
         self.send_to_gate(GateCommand::ClearBackend);
         self.membership.withdraw();
-        true
+        WithdrawalOutcome::Applied(record)
     }
 
     /// Begins a graceful shutdown: callers are directed to other nodes, the gate
--- /dev/null
+++ b/src/departures/driver.rs
@@ -0,0 +1,341 @@
+//! Task that writes departure records to the store and to peers, and reads them back after
+//! a start.
+
+use std::cell::{Cell, RefCell};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use futures_util::future::{join, join_all};
+use prost::Message;
+use tokio::sync::{mpsc, oneshot, watch};
+
+use super::{DepartureRecord, HeldDepartures, RECORD_TTL, WireDeparture, WireDepartures};
+use crate::exchange::{ControlRequest, ControlTopic, PeerHello, send_request};
+use crate::ids::NodeId;
+use crate::membership::driver::MembershipHandle;
+use crate::store::{ConfigStore, LeaseId, ReadFreshness, StoreError};
+
+/// Key prefix of the records, followed by the name of the node.
+const RECORD_PREFIX: &str = "currantlift/departures/";
+/// Time for which one lease serves for further records.
+const LEASE_REUSE_TIME: Duration = Duration::from_secs(10);
+/// Longest wait for a record to be written. A backend server waits a second for its
+/// acknowledgement.
+const WRITE_TIMEOUT: Duration = Duration::from_millis(500);
+/// Longest wait for the store when records are read.
+const READ_TIMEOUT: Duration = Duration::from_millis(500);
+/// Longest wait for the replies of peers.
+const PEER_TIMEOUT: Duration = Duration::from_millis(300);
+/// Peers that hold a record.
+const HOLDER_COUNT: usize = 2;
+/// Peers that are asked for records. More than hold them, since a node that has just started
+/// may not know all of its peers yet.
+const ASKED_PEER_COUNT: usize = 4;
+/// Time after its start for which a node that knows no peer waits for one.
+const PEER_DISCOVERY_TIME: Duration = Duration::from_millis(500);
+/// Rounds without a reply of any peer after which a node serves without the records. Peers
+/// of an older build know none.
+const MAX_UNANSWERED_ROUNDS: u32 = 5;
+/// Pause between two attempts to read the records.
+const RETRY_PAUSE: Duration = Duration::from_millis(100);
+
+/// Identity of the node whose departures are recorded.
+#[derive(Debug, Clone)]
+pub struct DepartureSettings {
+    /// Name of the node.
+    pub node: NodeId,
+    /// Hello of its connections to peers.
+    pub hello: PeerHello,
+    /// Start time of the process.
+    pub started_at: Instant,
+}
+
+/// Access to the departure records; their task ends with the last handle.
+#[derive(Clone)]
+pub struct DepartureHandle {
+    held: Rc<RefCell<HeldDepartures>>,
+    started_at: Instant,
+    writes: mpsc::UnboundedSender<DepartureWrite>,
+    recovered: watch::Receiver<Option<Vec<DepartureRecord>>>,
+}
+
+struct DepartureWrite {
+    record: DepartureRecord,
+    written: oneshot::Sender<()>,
+}
+
+struct DepartureDriver<S> {
+    settings: DepartureSettings,
+    store: Rc<S>,
+    membership: MembershipHandle,
+    lease: RefCell<Option<(LeaseId, Instant)>>,
+    write_count: Cell<u64>,
+}
+
+impl DepartureHandle {
+    /// Handle of a node that has no store: nothing is recorded, nothing is recovered.
+    pub fn disabled(started_at: Instant) -> Self {
+        let (writes, _) = mpsc::unbounded_channel();
+        let (_, recovered) = watch::channel(Some(Vec::new()));
+        Self {
+            held: Rc::default(),
+            started_at,
+            writes,
+            recovered,
+        }
+    }
+
+    /// Starts to read the records of earlier processes, and to write new ones.
+    pub fn start<S: ConfigStore + 'static>(
+        settings: DepartureSettings,
+        store: Rc<S>,
+        membership: MembershipHandle,
+    ) -> Self {
+        let (writes, write_receiver) = mpsc::unbounded_channel();
+        let (recovered_sender, recovered) = watch::channel(None);
+        let handle = Self {
+            held: Rc::default(),
+            started_at: settings.started_at,
+            writes,
+            recovered,
+        };
+        let driver = Rc::new(DepartureDriver {
+            settings,
+            store,
+            membership,
+            lease: RefCell::default(),
+            write_count: Cell::new(0),
+        });
+        ntex::rt::spawn(serve_writes(Rc::clone(&driver), write_receiver));
+        ntex::rt::spawn(async move {
+            tokio::select! {
+                () = recovered_sender.closed() => {}
+                records = driver.recover() => {
+                    recovered_sender.send_replace(Some(records));
+                }
+            }
+        });
+        handle
+    }
+
+    /// Writes a record. Returns once it is written, or when the time for that has passed.
+    pub async fn record(&self, record: DepartureRecord) {
+        let (written, waiter) = oneshot::channel();
+        if self.writes.send(DepartureWrite { record, written }).is_ok() {
+            // Fails if the write ended without a result, which it has logged.
+            let _ = waiter.await;
+        }
+    }
+
+    /// Waits for the records of earlier processes of this node.
+    pub async fn recovered(&self) -> Vec<DepartureRecord> {
+        let mut recovered = self.recovered.clone();
+        let records = recovered.wait_for(Option::is_some).await;
+        records
+            .ok()
+            .and_then(|records| records.clone())
+            .unwrap_or_default()
+    }
+
+    /// Holds the records of a peer and returns all that are held for it.
+    pub fn handle_peer_request(&self, payload: Bytes) -> Bytes {
+        let request = WireDepartures::decode(payload).unwrap_or_default();
+        let Ok(node) = request.node.parse::<NodeId>() else {
+            return Bytes::new();
+        };
+        let now = self.started_at.elapsed();
+        let mut held = self.held.borrow_mut();
+        for record in decode_records(request.records) {
+            held.hold(now, &node, record);
+        }
+        let records = held.records_of(now, &node);
+        let reply = WireDepartures {
+            node: request.node,
+            records: records.iter().map(WireDeparture::from).collect(),
+            is_reply: true,
+        };
+        Bytes::from(reply.encode_to_vec())
+    }
+}
+
+fn decode_records(records: Vec<WireDeparture>) -> Vec<DepartureRecord> {
+    let decoded = records.into_iter().filter_map(|wire| {
+        DepartureRecord::try_from(wire)
+            .inspect_err(|error| {
+                log::warn!(target: "control", "departure record not readable, skipping it: {error}");
+            })
+            .ok()
+    });
+    decoded.collect()
+}
+
+async fn serve_writes<S: ConfigStore + 'static>(
+    driver: Rc<DepartureDriver<S>>,
+    mut writes: mpsc::UnboundedReceiver<DepartureWrite>,
+) {
+    while let Some(write) = writes.recv().await {
+        let driver = Rc::clone(&driver);
+        ntex::rt::spawn(async move {
+            driver.write(&write.record).await;
+            // Fails if nobody waits for the write any more.
+            let _ = write.written.send(());
+        });
+    }
+}
+
+impl<S: ConfigStore> DepartureDriver<S> {
+    async fn write(&self, record: &DepartureRecord) {
+        let to_store = tokio::time::timeout(WRITE_TIMEOUT, self.write_to_store(record));
+        let peers = self.peer_addresses(HOLDER_COUNT);
+        let (stored, replies) = join(to_store, self.exchange_with_peers(&peers, &[record])).await;
+        let is_stored = matches!(stored, Ok(Ok(())));
+        if is_stored && !replies.is_empty() {
+            return;
+        }
+        let error = match stored {
+            Ok(Ok(())) => String::new(),
+            Ok(Err(error)) => error.to_string(),
+            Err(_) => "timed out".to_string(),
+        };
+        log::warn!(
+            target: "control",
+            backend:% = record.backend, is_stored, error, holders = replies.len();
+            "departure acknowledged with fewer copies than usual"
+        );
+    }
+
+    async fn write_to_store(&self, record: &DepartureRecord) -> Result<(), StoreError> {
+        let value = serde_json::to_vec(record).map_err(|error| StoreError::NoEffect {
+            reason: error.to_string(),
+        })?;
+        let number = self.write_count.get();
+        self.write_count.set(number + 1);
+        let DepartureSettings { node, hello, .. } = &self.settings;
+        // Never written by another process, so it can't be held by another lease.
+        let key = format!("{RECORD_PREFIX}{node}/{}-{number}", hello.incarnation);
+        let lease = self.current_lease().await?;
+        let acquired = self.store.acquire(&key, Bytes::from(value), &lease).await;
+        if acquired.is_err() {
+            self.lease.borrow_mut().take();
+        }
+        acquired.map(|_| ())
+    }
+
+    async fn current_lease(&self) -> Result<LeaseId, StoreError> {
+        let known = self.lease.borrow().clone();
+        if let Some((lease, granted_at)) = known
+            && granted_at.elapsed() < LEASE_REUSE_TIME
+        {
+            return Ok(lease);
+        }
+        let granted_at = Instant::now();
+        let lease = self
+            .store
+            .grant_lease(RECORD_TTL + LEASE_REUSE_TIME)
+            .await?;
+        *self.lease.borrow_mut() = Some((lease.clone(), granted_at));
+        Ok(lease)
+    }
+
+    /// Reads the records of earlier processes from the store and from peers. A node that
+    /// reaches neither belongs to no fleet yet, and waits.
+    async fn recover(&self) -> Vec<DepartureRecord> {
+        let mut unanswered_rounds = 0;
+        loop {
+            let listing = tokio::time::timeout(READ_TIMEOUT, self.list_records()).await;
+            let stored = match listing {
+                Ok(Ok(records)) => Some(records),
+                Ok(Err(error)) => {
+                    log::debug!(target: "control", "departure records not read from the store: {error}");
+                    None
+                }
+                Err(_) => None,
+            };
+            self.wait_for_peer().await;
+            let peers = self.peer_addresses(ASKED_PEER_COUNT);
+            let replies = self.exchange_with_peers(&peers, &[]).await;
+            if stored.is_some() || !replies.is_empty() {
+                let replied = replies.into_iter().flatten();
+                return stored.into_iter().flatten().chain(replied).collect();
+            }
+            unanswered_rounds += u32::from(!peers.is_empty());
+            if unanswered_rounds == MAX_UNANSWERED_ROUNDS {
+                log::warn!(target: "control", "no peer knows departure records, serving without them");
+                return Vec::new();
+            }
+            tokio::time::sleep(RETRY_PAUSE).await;
+        }
+    }
+
+    async fn list_records(&self) -> Result<Vec<DepartureRecord>, StoreError> {
+        let prefix = format!("{RECORD_PREFIX}{}/", self.settings.node);
+        let listed = self
+            .store
+            .list_state(&prefix, ReadFreshness::Current)
+            .await?;
+        let records = listed.changes.into_iter().filter_map(|change| {
+            serde_json::from_slice(&change.value?.bytes)
+                .inspect_err(|error| {
+                    log::warn!(
+                        target: "control", key = change.key.as_str();
+                        "departure record not readable, skipping it: {error}"
+                    );
+                })
+                .ok()
+        });
+        Ok(records.collect())
+    }
+
+    async fn wait_for_peer(&self) {
+        while self.peer_addresses(1).is_empty()
+            && self.settings.started_at.elapsed() < PEER_DISCOVERY_TIME
+        {
+            tokio::time::sleep(RETRY_PAUSE).await;
+        }
+    }
+
+    /// Addresses of the live members that follow this node by name.
+    fn peer_addresses(&self, count: usize) -> Vec<SocketAddr> {
+        let state = self.membership.state().borrow();
+        let members = state.members();
+        let following = members.range(self.settings.node.clone()..);
+        let preceding = members.range(..self.settings.node.clone());
+        following
+            .chain(preceding)
+            .filter(|(node, member)| **node != self.settings.node && member.is_live())
+            .map(|(_, member)| member.peer_address)
+            .take(count)
+            .collect()
+    }
+
+    /// Sends records to peers; returns what each peer that replied holds for this node.
+    async fn exchange_with_peers(
+        &self,
+        peers: &[SocketAddr],
+        records: &[&DepartureRecord],
+    ) -> Vec<Vec<DepartureRecord>> {
+        let message = WireDepartures {
+            node: self.settings.node.to_string(),
+            records: records.iter().copied().map(WireDeparture::from).collect(),
+            is_reply: false,
+        };
+        let request = ControlRequest {
+            payload: Bytes::from(message.encode_to_vec()),
+            topic: ControlTopic::Departures.into(),
+            forward_to: Vec::new(),
+            evacuated_zones: None,
+        };
+        let exchanges = peers.iter().map(|peer| {
+            let exchange = send_request(*peer, &self.settings.hello, &request);
+            tokio::time::timeout(PEER_TIMEOUT, exchange)
+        });
+        let replies = join_all(exchanges).await.into_iter();
+        let replies = replies.filter_map(|reply| {
+            let reply = WireDepartures::decode(reply.ok()?.ok()?.payload).ok()?;
+            reply.is_reply.then(|| decode_records(reply.records))
+        });
+        replies.collect()
+    }
+}
--- a/src/exchange.rs
+++ b/src/exchange.rs
@@ -75,6 +75,8 @@
     Tickets = 1,
     /// Fetch or push of the route configuration.
     Routes = 2,
+    /// Departures of backend servers that the sender acknowledged.
+    Departures = 3,
 }
 
 /// Peer connection with its length-delimited framing.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod control;
 pub mod ctl;
 pub mod decisions;
+pub mod departures;
 pub mod discovery;
 pub mod error;
 pub mod evacuation;
--- a/src/node.rs
+++ b/src/node.rs
@@ -38,6 +38,7 @@
     ControlParts, ControlState, NodeIdentity, follow_leaving_backend, follow_membership,
     follow_routes, follow_tickets, publish_tables,
 };
+use crate::departures::{DepartureHandle, DepartureSettings};
 use crate::discovery::{DiscoverySettings, FleetRole, run_discovery};
 use crate::exchange::PeerHello;
 use crate::fields::DEFAULT_DIALECT;
@@ -46,7 +47,7 @@
 use crate::ingress::zones::publish_zone_loads;
 use crate::ingress::{IngressSettings, IngressState, StopPhase, lock};
 use crate::logs::start_logging;
-use crate::membership::driver::spawn_membership;
+use crate::membership::driver::{MembershipHandle, spawn_membership};
 use crate::membership::{MemberIdentity, MembershipState};
 use crate::metrics::{NodeMetrics, publish_statsd_gauges, start_metrics_server};
 use crate::node::listener::{WorkerSettings, start_ingress};
@@ -267,8 +268,11 @@
     );
     let tickets = start_tickets(&options, &identity, own_peer_address).await?;
     let (role_sender, role) = watch::channel(FleetRole::Starting);
-    let (routes, discovered) =
-        start_platform_sync(&options, &identity, own_peer_address, role).await?;
+    let PlatformSync {
+        routes,
+        discovered,
+        departures,
+    } = start_platform_sync(&options, &identity, &membership, own_peer_address, role).await?;
 
     ntex::rt::spawn(follow_quotas(
         quotas,
@@ -282,6 +286,7 @@
         membership,
         tickets,
         routes,
+        departures,
         gate_commands: gate_sender.clone(),
         gate_status,
         ingress: Arc::clone(&shared),
@@ -413,26 +418,46 @@
     Ok(TicketsHandle::start(settings, store))
 }
 
-/// Starts reading routes and the addresses of other nodes from the store of
-/// the users' platform, if the node runs on one.
+/// What the node reads from the store of the users' platform.
+struct PlatformSync {
+    routes: RoutesHandle,
+    discovered: watch::Receiver<BTreeSet<SocketAddr>>,
+    departures: DepartureHandle,
+}
+
+/// Starts reading routes, the addresses of other nodes and the records of departures from
+/// the store of the users' platform, if the node runs on one.
 async fn start_platform_sync(
     options: &NodeOptions,
     identity: &NodeIdentity,
+    membership: &MembershipHandle,
     peer_address: SocketAddr,
     role: watch::Receiver<FleetRole>,
-) -> io::Result<(RoutesHandle, watch::Receiver<BTreeSet<SocketAddr>>)> {
+) -> io::Result<PlatformSync> {
     let (discovered_sender, discovered) = watch::channel(BTreeSet::new());
     let Some(address) = options.platform_address else {
-        return Ok((RoutesHandle::disabled(), discovered));
+        return Ok(PlatformSync {
+            routes: RoutesHandle::disabled(),
+            discovered,
+            departures: DepartureHandle::disabled(identity.started_at),
+        });
     };
     let store = PlatformStore::connect(&format!("http://{address}")).await;
     let store = Rc::new(store.map_err(io::Error::other)?);
+    let hello = PeerHello {
+        node: identity.node.to_string(),
+        incarnation: identity.incarnation.get(),
+        is_call_link: false,
+    };
+    let departure_settings = DepartureSettings {
+        node: identity.node.clone(),
+        hello: hello.clone(),
+        started_at: identity.started_at,
+    };
+    let departures =
+        DepartureHandle::start(departure_settings, Rc::clone(&store), membership.clone());
     let routes_settings = RoutesSettings {
-        hello: PeerHello {
-            node: identity.node.to_string(),
-            incarnation: identity.incarnation.get(),
-            is_call_link: false,
-        },
+        hello,
         source: PLATFORM.config,
     };
     let routes = RoutesHandle::start(routes_settings, Rc::clone(&store), role.clone());
@@ -446,7 +471,11 @@
         role,
         discovered_sender,
     ));
-    Ok((routes, discovered))
+    Ok(PlatformSync {
+        routes,
+        discovered,
+        departures,
+    })
 }
 
 /// Joins through each discovered address that belongs to no live member.
--- /dev/null
+++ b/tests/departures.rs
@@ -0,0 +1,103 @@
+//! Departures that a node has acknowledged, on real node processes with a simulated store.
+//!
+//! The tests guard against a backend server that gets requests again after its node, which
+//! had acknowledged its departure, was killed: heartbeats from before the departure go on
+//! arriving at the new process.
+
+#![allow(clippy::unwrap_used, reason = "helpers of tests fail as the tests do")]
+#![allow(dead_code, reason = "processes are shared with other tests")]
+
+#[path = "evacuation/fleet.rs"]
+mod fleet;
+#[path = "support/process.rs"]
+mod process;
+
+use std::time::{Duration, Instant};
+
+use ntex::http::StatusCode;
+
+use fleet::Fleet;
+
+/// Time after a departure within which requests may still reach the backend server.
+const DRAIN_TIME: Duration = Duration::from_secs(2);
+/// Time for which a backend server that has left is watched: several heartbeats.
+const QUIET_TIME: Duration = Duration::from_secs(4);
+/// Longest wait of a backend server for its acknowledgement.
+const ACK_LIMIT: Duration = Duration::from_secs(1);
+const PLACES: [(&str, &str); 4] = [
+    ("north", "zone-a"),
+    ("north", "zone-b"),
+    ("north", "zone-a"),
+    ("north", "zone-b"),
+];
+/// Node whose backend server leaves.
+const LEFT: usize = 1;
+
+#[derive(Clone, Copy)]
+enum Departure {
+    Drain,
+    Withdrawal,
+}
+
+async fn depart(fleet: &Fleet, departure: Departure) {
+    let sent_at = Instant::now();
+    let status = match departure {
+        Departure::Drain => fleet.drain_backend(LEFT).await,
+        Departure::Withdrawal => fleet.withdraw_backend(LEFT).await,
+    };
+    assert_eq!(status, StatusCode::OK);
+    let elapsed = sent_at.elapsed();
+    println!("MEASURE acknowledged after {elapsed:?}");
+    assert!(elapsed < ACK_LIMIT, "{elapsed:?}");
+}
+
+/// No request reaches the backend server that has left, and the others serve.
+async fn assert_left(fleet: &Fleet) {
+    ntex::time::sleep(DRAIN_TIME).await;
+    let before = fleet.arrivals().await;
+    ntex::time::sleep(QUIET_TIME).await;
+    let after = fleet.arrivals().await;
+    assert_eq!(after[LEFT] - before[LEFT], 0, "requests after a departure");
+    for index in (0..PLACES.len()).filter(|index| *index != LEFT) {
+        assert!(after[index] > before[index], "upstream {index} got none");
+    }
+}
+
+#[ntex::test]
+async fn backend_server_that_left_stays_away_after_its_node_was_killed() {
+    for departure in [Departure::Drain, Departure::Withdrawal] {
+        let mut fleet = Fleet::start(&PLACES, &[]).await;
+        let _load = fleet.start_load(&["/any/x", "/once/x"]);
+        depart(&fleet, departure).await;
+        fleet.kill_node(LEFT);
+        fleet.start_node(LEFT);
+        assert_left(&fleet).await;
+    }
+}
+
+#[ntex::test]
+async fn backend_server_that_left_stays_away_after_all_nodes_were_killed() {
+    let mut fleet = Fleet::start(&PLACES, &[]).await;
+    let _load = fleet.start_load(&["/any/x", "/once/x"]);
+    depart(&fleet, Departure::Withdrawal).await;
+    for index in 0..PLACES.len() {
+        fleet.kill_node(index);
+    }
+    for index in 0..PLACES.len() {
+        fleet.start_node(index);
+    }
+    assert_left(&fleet).await;
+}
+
+#[ntex::test]
+async fn backend_server_that_left_while_the_store_was_down_stays_away() {
+    let mut fleet = Fleet::start(&PLACES, &[]).await;
+    let _load = fleet.start_load(&["/any/x", "/once/x"]);
+    fleet.set_store_away(true).await;
+    depart(&fleet, Departure::Withdrawal).await;
+    fleet.kill_node(LEFT);
+    fleet.start_node(LEFT);
+    assert_left(&fleet).await;
+    fleet.set_store_away(false).await;
+    assert_left(&fleet).await;
+}
--- a/tests/evacuation/fleet.rs
+++ b/tests/evacuation/fleet.rs
@@ -26,6 +26,8 @@
 const MAX_QUERIES: u32 = 3;
 const HOST: &str = "shop.example";
 const LOOPBACK_ANY_PORT: &str = "127.0.0.1:0";
+/// Start of all backend servers in Unix milliseconds.
+const BACKEND_STARTED_AT_MS: u64 = 1_700_000_000_000;
 /// Region that has no node.
 pub const EMPTY_REGION: &str = "west";
 
@@ -203,7 +205,7 @@
             ntex::rt::spawn(async move {
                 for sequence in 1.. {
                     let heartbeat = json!({
-                        "address": backend_address, "born": 1_700_000_000_000_u64,
+                        "address": backend_address, "born": BACKEND_STARTED_AT_MS,
                         "info": { "service": "slotbook", "slots": 8 },
                         "status": { "state": "ready", "sequence": sequence },
                     });
@@ -219,6 +221,31 @@
         }
     }
 
+    /// Tells a node that its backend server drains; the other heartbeats count as late then.
+    pub async fn drain_backend(&self, index: usize) -> StatusCode {
+        let node = &self.nodes[index];
+        let heartbeat = json!({
+            "address": node.backend_address, "born": BACKEND_STARTED_AT_MS,
+            "info": { "service": "slotbook", "slots": 8 },
+            "status": { "state": "draining", "sequence": 1_000_000 },
+        });
+        let request = self.client.put(self.backend_url(index));
+        request.send_json(&heartbeat).await.unwrap().status()
+    }
+
+    /// Tells a node that its backend server leaves; all heartbeats count as late then.
+    pub async fn withdraw_backend(&self, index: usize) -> StatusCode {
+        let withdrawal = json!({ "born": BACKEND_STARTED_AT_MS });
+        let request = self.client.delete(self.backend_url(index));
+        request.send_json(&withdrawal).await.unwrap().status()
+    }
+
+    fn backend_url(&self, index: usize) -> String {
+        let node = &self.nodes[index];
+        let address = node.addresses.unwrap().admin_listen;
+        format!("http://{address}/v1/backends/{}-backend", node.name)
+    }
+
     pub fn kill_node(&mut self, index: usize) {
         self.nodes[index].process = None;
     }
