Keep the answers of requests behind one that breaks off

Cause: an answer whose start has been sent can only end with the connection, and requests behind it were started as soon as they had been read.

While an answer is passed on, no further request is started.

--- a/src/ingress/answer.rs
+++ b/src/ingress/answer.rs
@@ -107,6 +107,15 @@
 }
 
 impl CallFailure {
+    /// Failure of a call whose response broke off before any of it was sent to the caller.
+    pub fn truncated(call_id: CallId, truncated: ResponseTruncated) -> Self {
+        Self {
+            call_id: Some(call_id),
+            outcome: RunOutcome::Unknown,
+            ..Self::from(truncated.kind)
+        }
+    }
+
     /// Failure by an internal error; the request may have run.
     pub fn internal() -> Self {
         Self {
@@ -117,23 +126,27 @@
 }
 
 impl CallResponse {
-    /// Waits for the complete body, for a caller that could not tell a
-    /// truncated response from a complete one.
+    /// Reads the body into the head until it is complete or `max_bytes` of it are buffered.
+    /// Cancellation safe: what has been read is kept.
     ///
     /// # Errors
     ///
     /// Fails if the response is truncated.
-    pub async fn collect_body(mut self) -> Result<Self, ResponseTruncated> {
-        let Some(mut remaining_body) = self.remaining_body.take() else {
-            return Ok(self);
-        };
-        let mut body = BytesMut::from(&self.head.body[..]);
-        while let Some(chunk) = remaining_body.next().await? {
+    pub async fn buffer_body(&mut self, max_bytes: usize) -> Result<(), ResponseTruncated> {
+        while let Some(remaining_body) = &mut self.remaining_body {
+            if self.head.body.len() >= max_bytes {
+                return Ok(());
+            }
+            let Some(chunk) = remaining_body.next().await? else {
+                self.remaining_body = None;
+                return Ok(());
+            };
+            let body = std::mem::take(&mut self.head.body).try_into_mut();
+            let mut body = body.unwrap_or_else(|shared| BytesMut::from(&shared[..]));
             body.extend_from_slice(&chunk);
+            self.head.body = body.freeze();
         }
-        self.head.body_length = Some(body.len() as u64);
-        self.head.body = body.freeze();
-        Ok(self)
+        Ok(())
     }
 }
 
--- a/src/ingress/connection.rs
+++ b/src/ingress/connection.rs
@@ -7,8 +7,11 @@
 //! cancelled.
 //!
 //! A truncated response ends the connection, so that the caller can't take it
-//! for complete. A response with `Connection: close` is sent only if no later
-//! request has been read: that request would be lost.
+//! for complete. Later requests on the connection would be lost with it. So a
+//! response is buffered while later requests are in progress, and no request is
+//! started while a response is being passed on whose end has not arrived. A
+//! response with `Connection: close` is sent only if no later request has been
+//! read.
 
 use std::cell::{Cell, RefCell};
 use std::collections::VecDeque;
@@ -32,6 +35,7 @@
 use crate::ingress::body::BodyReceiver;
 use crate::ingress::in_flight::{InFlightGuard, RequestProgress, RequestState};
 use crate::ingress::{ConnectionGuard, IngressWorker, StopPhase, serve_call};
+use crate::link::window::WINDOW_BYTES;
 use crate::routes::CallerLimits;
 
 /// Requests of one connection that are in progress or wait for their response
@@ -41,6 +45,8 @@
 const BODY_CHANNEL_CHUNKS: usize = 2;
 /// Bytes requested from the socket per read.
 const READ_BUFFER_BYTES: usize = 16 * 1024;
+/// Bytes from which on nothing is read ahead of a request that waits.
+const MAX_READ_AHEAD_BYTES: usize = 4 * READ_BUFFER_BYTES;
 /// Longest time that a failure response waits for the rest of a short request
 /// body. Sent earlier, it would close the connection while the caller is still
 /// sending.
@@ -50,6 +56,13 @@
 /// response.
 const LINGER_TIMEOUT: Duration = Duration::from_secs(1);
 
+/// Most bytes of a response that are buffered while later requests are in progress; as
+/// many as may be in transit from the gate.
+const MAX_BUFFERED_RESPONSE_BYTES: usize = WINDOW_BYTES as usize;
+/// Longest time for which a response of unknown length is buffered. It may be a stream whose
+/// caller waits for each part.
+const UNKNOWN_LENGTH_BUFFER_TIME: Duration = Duration::from_secs(1);
+
 /// Response to one request, or the failure that the caller is told.
 pub type CallResult = Result<CallResponse, CallFailure>;
 
@@ -103,6 +116,8 @@
     is_reading_request: Cell<bool>,
     /// Whether no further requests are read.
     is_closing: Cell<bool>,
+    /// Whether a response whose end has not arrived is being written.
+    is_streaming: Cell<bool>,
     write_queued: Notify,
     response_written: Notify,
 }
@@ -129,6 +144,7 @@
         unanswered_count: Cell::new(0),
         is_reading_request: Cell::new(false),
         is_closing: Cell::new(false),
+        is_streaming: Cell::new(false),
         write_queued: Notify::new(),
         response_written: Notify::new(),
     };
@@ -209,6 +225,12 @@
                 // caller knows that this request was not run.
                 return Ok(ReadEndReason::NoMoreRequests);
             }
+            if !self.wait_for_end_of_stream(input, buffer).await? {
+                return Ok(ReadEndReason::CallerClosed);
+            }
+            if self.is_closing.get() {
+                return Ok(ReadEndReason::NoMoreRequests);
+            }
             let is_kept = head.is_keep_alive;
             let framing = head.framing;
             let body_progress = Rc::new(BodyProgress::default());
@@ -234,6 +256,28 @@
         }
     }
 
+    /// Waits while a response is being written whose end has not arrived, and reads ahead;
+    /// returns false if the caller closes the connection.
+    async fn wait_for_end_of_stream(
+        &self,
+        input: &mut OwnedReadHalf,
+        buffer: &mut BytesMut,
+    ) -> io::Result<bool> {
+        while self.is_streaming.get() {
+            buffer.reserve(READ_BUFFER_BYTES);
+            tokio::select! {
+                biased;
+                () = self.response_written.notified() => {}
+                read = input.read_buf(buffer), if buffer.len() < MAX_READ_AHEAD_BYTES => {
+                    if read? == 0 {
+                        return Ok(false);
+                    }
+                }
+            }
+        }
+        Ok(true)
+    }
+
     /// Reads a request head; an idle connection ends after its timeout.
     async fn read_head(
         &self,
@@ -437,7 +481,9 @@
             is_http10: pending.is_http10,
             closes_connection: is_closing,
         };
+        let result = self.buffer_response(result, options).await;
         self.write_result(output, result, options).await?;
+        self.is_streaming.set(false);
         self.unanswered_count.set(self.unanswered_count.get() - 1);
         self.response_written.notify_one();
         Ok(is_closing)
@@ -453,6 +499,35 @@
         self.unanswered_count.get() == 1 && !self.is_reading_request.get()
     }
 
+    /// Buffers a response while later requests are in progress, up to a limit, and a response
+    /// to an HTTP/1.0 caller, who could not tell that it is truncated, completely. One that is
+    /// truncated becomes a failure, after which the connection can go on.
+    async fn buffer_response(&self, result: CallResult, options: ResponseOptions) -> CallResult {
+        let mut response = result?;
+        let has_later_request = self.unanswered_count.get() > 1;
+        if options.is_for_head || !(has_later_request || options.is_http10) {
+            return Ok(response);
+        }
+        let call_id = response.call_id;
+        let buffered = if options.is_http10 {
+            response.buffer_body(usize::MAX).await
+        } else if response.head.body_length.is_some() {
+            response.buffer_body(MAX_BUFFERED_RESPONSE_BYTES).await
+        } else {
+            let buffering = response.buffer_body(MAX_BUFFERED_RESPONSE_BYTES);
+            let buffered = tokio::time::timeout(UNKNOWN_LENGTH_BUFFER_TIME, buffering).await;
+            buffered.unwrap_or(Ok(()))
+        };
+        buffered.map_err(|truncated| {
+            log::info!(
+                target: "ingress", call:% = call_id, kind = truncated.kind.code();
+                "response broke off before any of it was sent to the caller"
+            );
+            CallFailure::truncated(call_id, truncated)
+        })?;
+        Ok(response)
+    }
+
     async fn write_result(
         &self,
         output: &mut OwnedWriteHalf,
@@ -462,9 +537,6 @@
         let dialect = self.worker.shared.dialect;
         let mut buffer = BytesMut::new();
         let response = match result {
-            Ok(response) if options.is_http10 => {
-                response.collect_body().await.map_err(io::Error::other)?
-            }
             Ok(response) => response,
             Err(failure) => {
                 put_failure_response(&mut buffer, dialect, &failure, options);
@@ -479,6 +551,7 @@
         let Some(mut remaining_body) = response.remaining_body else {
             return output.write_all(&buffer).await;
         };
+        self.is_streaming.set(true);
         output.write_all(&buffer).await?;
         while let Some(data) = remaining_body.next().await.map_err(io::Error::other)? {
             buffer.clear();
--- a/tests/byte_faults/script.rs
+++ b/tests/byte_faults/script.rs
@@ -117,6 +117,8 @@
     pub read_pause: Duration,
     /// Share of the answer after which the connection ends.
     pub cut: Option<(f64, ConnectionEnd)>,
+    /// Pause between the part of an answer before its cut and the end of the connection.
+    pub pause_at_cut: Duration,
     /// Delay after which the answer is sent a second time.
     pub copy_after: Option<Duration>,
     /// How the connection ends after an answer that came before the body.
@@ -134,6 +136,8 @@
         begins_at_head: false,
         read_pause: Duration::ZERO,
         cut: None,
+        // A reset discards what has not been sent.
+        pause_at_cut: Duration::from_millis(2),
         copy_after: None,
         end_after: None,
         says_close: false,
--- a/tests/byte_faults/upstream.rs
+++ b/tests/byte_faults/upstream.rs
@@ -5,7 +5,6 @@
 use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::Duration;
 
 use ntex::time::sleep;
 use tokio::io::{AsyncBufReadExt, AsyncReadExt, AsyncWriteExt, BufReader};
@@ -313,8 +312,7 @@
                 length %= head_bytes;
             }
             write_all(writer, &answer[..length]).await?;
-            // A reset discards what has not been sent.
-            sleep(Duration::from_millis(2)).await;
+            sleep(script.pause_at_cut).await;
             return Ok(Some(end));
         }
         write_all(writer, answer).await?;
