Skip items of the store that can't be read

A node stopped following the store, or finding its peers, if one item had a field of another type, a number too large or a value that is no base64, or if a page held two values of the greatest size: the whole listing or watch failed, again at each attempt.

Items are read one at a time. One that can't be read is skipped with a log line, a value that can't be decoded counts as empty, and a response may have 4 MiB.

odd_item_is_skipped_and_the_others_hold, value_that_is_no_base64_counts_as_empty and page_of_large_values_is_read failed before.

--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -4,6 +4,9 @@
 //! store. Status 503 means that the call had no effect. Any other call that gets
 //! no response may have taken effect, or may still do so later if its condition
 //! holds. Revisions and lease numbers hold for one era of the store only.
+//!
+//! Others write to the store, too. An item that can't be read is skipped, and a value
+//! that can't be decoded counts as empty, so that the other items stay usable.
 
 use std::fmt::Write as _;
 use std::time::Duration;
@@ -13,6 +16,7 @@
 use bytes::Bytes;
 use ntex::http::{Method, StatusCode};
 use serde::{Deserialize, Serialize};
+use serde_json::value::RawValue;
 
 use crate::store::http::{StoreHttpClient, StoreRequest, StoreResponse, no_effect, unknown_effect};
 use crate::store::{
@@ -67,7 +71,7 @@
 #[derive(Debug, Deserialize)]
 #[serde(rename_all = "camelCase")]
 struct RangeResponse {
-    items: Vec<StoreItem>,
+    items: Vec<Box<RawValue>>,
     #[serde(default)]
     has_more: bool,
     /// Revision of the whole store when the response was made.
@@ -78,7 +82,7 @@
 #[derive(Debug, Deserialize)]
 #[serde(rename_all = "camelCase")]
 struct WatchResponse {
-    events: Vec<StoreItem>,
+    events: Vec<Box<RawValue>>,
     as_of: u64,
 }
 
@@ -124,35 +128,44 @@
     lease: u64,
 }
 
-impl TryFrom<StoreItem> for StoredValue {
-    type Error = StoreError;
-
-    fn try_from(raw: StoreItem) -> Result<Self, StoreError> {
+impl From<StoreItem> for StoredValue {
+    fn from(raw: StoreItem) -> Self {
         let text = raw.value.unwrap_or_default();
-        let bytes = STANDARD.decode(text).map_err(|error| no_effect(&error))?;
-        Ok(Self {
+        let bytes = STANDARD.decode(text).unwrap_or_else(|error| {
+            log::warn!(
+                target: "store", key = raw.key.as_str();
+                "value in the store can't be decoded, taking it for empty: {error}"
+            );
+            Vec::new()
+        });
+        Self {
             revision: KeyRevision(raw.revision),
             bytes: Bytes::from(bytes),
-        })
+        }
     }
 }
 
-impl TryFrom<StoreItem> for KeyChange {
-    type Error = StoreError;
-
-    fn try_from(mut raw: StoreItem) -> Result<Self, StoreError> {
-        Ok(Self {
-            key: std::mem::take(&mut raw.key),
+impl From<StoreItem> for KeyChange {
+    fn from(raw: StoreItem) -> Self {
+        Self {
+            key: raw.key.clone(),
             revision: KeyRevision(raw.revision),
-            value: if raw.tombstone {
-                None
-            } else {
-                Some(StoredValue::try_from(raw)?)
-            },
-        })
+            value: (!raw.tombstone).then(|| StoredValue::from(raw)),
+        }
     }
 }
 
+/// Items of a response; those that can't be read are skipped.
+fn readable_items(items: &[Box<RawValue>]) -> impl Iterator<Item = StoreItem> + '_ {
+    items.iter().filter_map(|item| {
+        serde_json::from_str(item.get())
+            .inspect_err(|error| {
+                log::warn!(target: "store", "item in the store can't be read, skipping it: {error}");
+            })
+            .ok()
+    })
+}
+
 impl PlatformStore {
     /// Creates a client for the store at `base_url`, such as `http://10.0.0.1:8309`.
     ///
@@ -218,7 +231,7 @@
                 era: response.era,
                 revision: found.as_of,
             },
-            value: Some(StoredValue::try_from(found.item)?),
+            value: Some(StoredValue::from(found.item)),
             is_unchanged: false,
         })
     }
@@ -241,11 +254,12 @@
                 era: response.era,
                 revision: page.as_of,
             });
-            let is_last = !page.has_more || page.items.is_empty();
-            for item in page.items {
-                last_key.clone_from(&item.key);
-                changes.push(KeyChange::try_from(item)?);
-            }
+            let known_changes = changes.len();
+            changes.extend(readable_items(&page.items).map(KeyChange::from));
+            let page_end = changes[known_changes..].last();
+            let page_end = page_end.map(|change: &KeyChange| change.key.clone());
+            let is_last = !page.has_more || page_end.is_none();
+            last_key = page_end.unwrap_or_default();
             if is_last {
                 return Ok(PrefixUpdate {
                     changes,
@@ -274,8 +288,8 @@
             return self.list_prefix(prefix, "").await;
         }
         let found: WatchResponse = parse_json(&response)?;
-        let changes = found.events.into_iter().map(KeyChange::try_from);
-        let mut changes: Vec<KeyChange> = changes.collect::<Result<_, _>>()?;
+        let changes = readable_items(&found.events).map(KeyChange::from);
+        let mut changes: Vec<KeyChange> = changes.collect();
         changes.sort_by_key(|change| change.revision);
         Ok(PrefixUpdate {
             changes,
@@ -305,12 +319,12 @@
             return self.read_key(key).await;
         }
         let found: WatchResponse = parse_json(&response)?;
-        let key_events = found.events.into_iter().filter(|event| event.key == key);
+        let key_events = readable_items(&found.events).filter(|event| event.key == key);
         let last_event = key_events.max_by_key(|event| event.revision);
         let is_unchanged = last_event.is_none();
         let current = last_event.filter(|event| !event.tombstone);
         Ok(WatchResult {
-            value: current.map(StoredValue::try_from).transpose()?,
+            value: current.map(StoredValue::from),
             position: WatchPosition {
                 revision: found.as_of,
                 ..position
--- a/src/platform/tests.rs
+++ b/src/platform/tests.rs
@@ -300,6 +300,87 @@
     }
 }
 
+/// Nesting that a parser with a stack frame for each level can't read.
+const NESTING_LEVELS: usize = 15_000;
+
+/// Items that another writer may have left among the others.
+fn odd_items() -> Vec<String> {
+    let nested = format!(
+        "{}1{}",
+        "[".repeat(NESTING_LEVELS),
+        "]".repeat(NESTING_LEVELS)
+    );
+    vec![
+        format!(r#"{{"key":"n/b","value":{nested},"revision":2}}"#),
+        r#"{"key":"n/b","value":"YQ==","revision":99999999999999999999}"#.to_string(),
+        r#"{"key":"n/b","value":"YQ==","revision":-1}"#.to_string(),
+        r#"{"key":["n/b"],"value":"YQ==","revision":2}"#.to_string(),
+        r#"{"value":"YQ==","revision":2}"#.to_string(),
+        "17".to_string(),
+        "null".to_string(),
+    ]
+}
+
+/// Guards against nodes that stop following the store because of one entry of another
+/// writer.
+#[ntex::test]
+async fn odd_item_is_skipped_and_the_others_hold() {
+    for odd in odd_items() {
+        let page = format!(
+            r#"{{"items":[{{"key":"n/a","value":"YQ==","revision":1}},{odd}],"hasMore":true,"asOf":9}}"#
+        );
+        let last_page = r#"{"items":[{"key":"n/c","value":"Yw==","revision":3}],"asOf":9}"#;
+        let events = format!(
+            r#"{{"events":[{odd},{{"key":"n/d","value":"ZA==","revision":10}}],"asOf":10}}"#
+        );
+        let responses = [
+            (200, &*page.leak()),
+            (200, last_page),
+            (200, &*events.leak()),
+        ];
+        let (stub, store, _server) = StubStore::start(responses).await;
+        let limit = Duration::from_millis(700);
+        let keys_after = async |position| {
+            let update = store.watch_prefix("n/", position, limit).await.unwrap();
+            let keys = update.changes.into_iter().map(|change| change.key);
+            (keys.collect::<Vec<_>>(), update.position)
+        };
+        let (keys, position) = keys_after(WatchPosition::default()).await;
+        assert_eq!(keys.first().map(String::as_str), Some("n/a"), "{odd:.80}");
+        assert_eq!(keys.last().map(String::as_str), Some("n/c"), "{odd:.80}");
+        let (keys, position) = keys_after(position).await;
+        assert_eq!(keys, ["n/d"], "{odd:.80}");
+        assert_eq!((position.revision, stub.requests().len()), (10, 3));
+    }
+}
+
+/// Guards against a value that can't be decoded hiding that its key exists.
+#[ntex::test]
+async fn value_that_is_no_base64_counts_as_empty() {
+    let page = r#"{"items":[{"key":"op/evacuate/a","value":"?","revision":1},
+        {"key":"op/evacuate/b","value":"e30=","revision":2}],"asOf":9}"#;
+    let (_stub, store, _server) = StubStore::start([(200, page)]).await;
+    let listed = store.list("op/").await.unwrap();
+    let listed = listed
+        .iter()
+        .map(|entry| (entry.key.as_str(), entry.value.bytes.len()));
+    let listed: Vec<_> = listed.collect();
+    assert_eq!(listed, [("op/evacuate/a", 0), ("op/evacuate/b", 2)]);
+}
+
+/// Guards against a listing that fails because of the largest values that the store takes.
+#[ntex::test]
+async fn page_of_large_values_is_read() {
+    let value = base64::Engine::encode(
+        &base64::engine::general_purpose::STANDARD,
+        vec![0; crate::store::MAX_VALUE_BYTES],
+    );
+    let item = |key: &str| format!(r#"{{"key":"{key}","value":"{value}","revision":1}}"#);
+    let page = format!(r#"{{"items":[{},{}],"asOf":9}}"#, item("n/a"), item("n/b"));
+    let (_stub, store, _server) = StubStore::start([(200, &*page.leak())]).await;
+    assert_eq!(store.list("n/").await.unwrap().len(), 2);
+}
+
 #[ntex::test]
 async fn key_is_acquired_under_a_lease() {
     let responses = [
--- a/src/store/http.rs
+++ b/src/store/http.rs
@@ -18,8 +18,9 @@
 use super::era::EraTracker;
 use super::{MAX_VALUE_BYTES, StoreEra, StoreError};
 
-/// Response size limit: a value of maximum size in base64 with its JSON envelope.
-const MAX_RESPONSE_BYTES: usize = MAX_VALUE_BYTES * 2;
+/// Response size limit: a page of 1 MB and one more value of maximum size, in base64 with
+/// their JSON envelopes.
+const MAX_RESPONSE_BYTES: usize = MAX_VALUE_BYTES * 4;
 /// Concurrent connections to the store.
 const MAX_CONNECTIONS: usize = 16;
 const CONNECT_TIMEOUT: Millis = Millis(1_000);
