Reject heartbeats that would outdate all true ones

One heartbeat with a start or a sequence number far beyond any true one was acknowledged, and the upstream was out of use until it started again, as its own heartbeats counted as late. The port 0 was taken for an address.

A withdrawal with such a start counts as one without it.

--- a/src/admin.rs
+++ b/src/admin.rs
@@ -20,7 +20,7 @@
 pub use messages::{
     AdminCall, AdminReply, AdminRequest, AnnouncementOrder, BackendAnnouncement, BackendView,
     BackendWithdrawal, FieldError, HealthView, MemberView, RefusalReason, ServiceView, StatusView,
-    SuspectView, TicketOutcome, UpstreamView,
+    SuspectView, TicketOutcome, UpstreamView, is_plausible_start,
 };
 pub use routes::{AdminApiState, configure, start_admin_server, start_health_server};
 
--- a/src/admin/messages.rs
+++ b/src/admin/messages.rs
@@ -168,6 +168,29 @@
     pub sequence: u64,
 }
 
+/// Greatest time by which the start of a backend server may lie ahead of the node's clock,
+/// which may have been set back since.
+const MAX_START_LEAD_MS: u64 = 24 * 60 * 60 * 1_000;
+/// Time that a backend server needs for an announcement, at the least.
+const MIN_ANNOUNCEMENT_INTERVAL_MS: u64 = 10;
+
+/// Whether a backend server can have started at this time, given the present time, both in
+/// Unix milliseconds.
+pub fn is_plausible_start(started_at_ms: u64, now_ms: u64) -> bool {
+    started_at_ms <= now_ms.saturating_add(MAX_START_LEAD_MS)
+}
+
+impl AnnouncementOrder {
+    /// Whether a backend server can have sent this announcement by the given Unix time in
+    /// milliseconds. One that can't be true would outdate all true ones.
+    pub fn is_plausible(self, now_ms: u64) -> bool {
+        let latest_ms = now_ms.saturating_add(MAX_START_LEAD_MS);
+        let age_ms = latest_ms.saturating_sub(self.started_at_ms);
+        is_plausible_start(self.started_at_ms, now_ms)
+            && self.sequence <= age_ms / MIN_ANNOUNCEMENT_INTERVAL_MS
+    }
+}
+
 /// Body of a withdrawal; the identifier is in the request path.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct BackendWithdrawal {
--- a/src/control/admin.rs
+++ b/src/control/admin.rs
@@ -11,7 +11,7 @@
     FieldError, HealthView, MemberView, RefusalReason, ServiceView, StatusView, SuspectView,
     TicketOutcome, UpstreamView,
 };
-use crate::control::state::{AnnouncementOutcome, ControlState, WithdrawalOutcome};
+use crate::control::state::{AnnouncementOutcome, ControlState, WithdrawalOutcome, unix_millis};
 use crate::ids::{BackendId, NodeId, ServiceName, TicketNumber};
 use crate::ingress::lock;
 use crate::membership::MemberRecord;
@@ -79,6 +79,15 @@
     if announcement.state == UpstreamState::Gone {
         return bad_input_reply("state", "must be joining, ready or draining");
     }
+    if announcement.address.port() == 0 {
+        return bad_input_reply("address", "must have a port");
+    }
+    if announcement
+        .order
+        .is_some_and(|order| !order.is_plausible(unix_millis()))
+    {
+        return bad_input_reply("order", "start or sequence number too large");
+    }
     let is_draining = announcement.state == UpstreamState::Draining;
     let recovery = tokio::time::timeout(RECOVERY_TIMEOUT, control.recover_presence()).await;
     if recovery.is_err() && !is_draining {
--- a/src/control/presence/tests.rs
+++ b/src/control/presence/tests.rs
@@ -85,3 +85,27 @@
     assert!(presence.accept_announcement(&id("b"), order(100, 7)));
     assert!(presence.accept_announcement(&id("a"), order(600, 1)));
 }
+
+/// Guards against an announcement that outdates all true ones, and against one that is
+/// rejected although its backend server has merely started before its clock was set back.
+#[test]
+fn only_possible_starts_and_sequence_numbers_are_plausible() {
+    const NOW_MS: u64 = 1_796_470_000_000;
+    const HOUR_MS: u64 = 3_600_000;
+    for possible in [
+        order(0, 4),
+        order(NOW_MS - 20 * HOUR_MS, 48_000),
+        order(NOW_MS + 2 * HOUR_MS, 40_000),
+    ] {
+        assert!(possible.is_plausible(NOW_MS), "{possible:?}");
+    }
+    for impossible in [
+        order(u64::MAX, 1),
+        order(99_999_999_999_999, 1),
+        order(NOW_MS + 25 * HOUR_MS, 1),
+        order(NOW_MS, u64::MAX),
+        order(NOW_MS - HOUR_MS, 1 << 53),
+    ] {
+        assert!(!impossible.is_plausible(NOW_MS), "{impossible:?}");
+    }
+}
--- a/src/control/state.rs
+++ b/src/control/state.rs
@@ -9,7 +9,7 @@
 use tokio::sync::mpsc::{Receiver, UnboundedSender};
 use tokio::sync::{Notify, watch};
 
-use crate::admin::{BackendAnnouncement, BackendWithdrawal};
+use crate::admin::{BackendAnnouncement, BackendWithdrawal, is_plausible_start};
 use crate::backend::BackendTarget;
 use crate::control::evacuation::drain_evacuated_zones;
 use crate::control::placement::{build_routing_table, log_upstream_changes};
@@ -369,8 +369,10 @@
             || known.is_some_and(|known| known.announcement.order.is_some());
         if is_ordered {
             let mut presence = self.presence.borrow_mut();
-            let started_at_ms = withdrawal.started_at_ms;
-            record = presence.accept_withdrawal(id, started_at_ms, unix_millis());
+            let now_ms = unix_millis();
+            let stated_start = withdrawal.started_at_ms;
+            let started_at_ms = stated_start.filter(|start| is_plausible_start(*start, now_ms));
+            record = presence.accept_withdrawal(id, started_at_ms, now_ms);
             if record.is_none() {
                 log::info!(target: "control", backend:% = id; "outdated withdrawal ignored");
                 return WithdrawalOutcome::Applied(None);
@@ -504,7 +506,7 @@
 }
 
 /// Current Unix time in milliseconds.
-fn unix_millis() -> u64 {
+pub(super) fn unix_millis() -> u64 {
     let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH);
     let millis = since_epoch.unwrap_or_default().as_millis();
     u64::try_from(millis).unwrap_or(u64::MAX)
--- a/tests/evacuation/fleet.rs
+++ b/tests/evacuation/fleet.rs
@@ -221,6 +221,31 @@
         }
     }
 
+    /// Sends a heartbeat with changed fields to a node, under the identifier of its backend
+    /// server or another one.
+    pub async fn send_odd_heartbeat(
+        &self,
+        index: usize,
+        id: Option<&str>,
+        odd: &Value,
+    ) -> StatusCode {
+        let mut heartbeat = json!({
+            "address": self.nodes[index].backend_address, "born": BACKEND_STARTED_AT_MS,
+            "info": { "service": "slotbook", "slots": 8 },
+            "status": { "state": "ready", "sequence": 1 },
+        });
+        for (field, value) in odd.as_object().unwrap() {
+            heartbeat[field] = value.clone();
+        }
+        let url = self.backend_url(index);
+        let url = match id {
+            Some(id) => format!("{}/{id}", url.rsplit_once('/').unwrap().0),
+            None => url,
+        };
+        let response = self.client.put(url).send_json(&heartbeat).await;
+        response.unwrap().status()
+    }
+
     /// Tells a node that its backend server drains; the other heartbeats count as late then.
     pub async fn drain_backend(&self, index: usize) -> StatusCode {
         let node = &self.nodes[index];
