Write a departure record again if the store has ended the lease

A lease that the store had lost, or that was of an earlier era, made every record fail for up to 10 s: the write was taken for done, or the same lease was used again. The record is written once more under another lease.

A node that has just started waits 0.3 s for a peer instead of 0.5 s, so that a heartbeat is answered within its second in any case.

Found by reading. The test of the lost lease is record_is_written_under_another_lease_and_recovered_by_the_next_process.

--- a/src/departures/driver.rs
+++ b/src/departures/driver.rs
@@ -24,6 +24,8 @@
 /// Longest wait for a record to be written. A backend server waits a second for its
 /// acknowledgement.
 const WRITE_TIMEOUT: Duration = Duration::from_millis(500);
+/// Attempts to write a record, each with another lease.
+const MAX_WRITE_ATTEMPTS: u32 = 2;
 /// Longest wait for the store when records are read.
 const READ_TIMEOUT: Duration = Duration::from_millis(500);
 /// Longest wait for the replies of peers.
@@ -34,7 +36,7 @@
 /// may not know all of its peers yet.
 const ASKED_PEER_COUNT: usize = 4;
 /// Time after its start for which a node that knows no peer waits for one.
-const PEER_DISCOVERY_TIME: Duration = Duration::from_millis(500);
+const PEER_DISCOVERY_TIME: Duration = Duration::from_millis(300);
 /// Rounds without a reply of any peer after which a node serves without the records. Peers
 /// of an older build know none.
 const MAX_UNANSWERED_ROUNDS: u32 = 5;
@@ -210,17 +212,30 @@
         let value = serde_json::to_vec(record).map_err(|error| StoreError::NoEffect {
             reason: error.to_string(),
         })?;
+        let value = Bytes::from(value);
+        let mut last_error = None;
+        for _ in 0..MAX_WRITE_ATTEMPTS {
+            let lease = self.current_lease().await?;
+            let key = self.next_key();
+            match self.store.acquire(&key, value.clone(), &lease).await {
+                Ok(true) => return Ok(()),
+                // The store has ended the lease before its time.
+                Ok(false) => {}
+                Err(error) => last_error = Some(error),
+            }
+            self.lease.borrow_mut().take();
+        }
+        Err(last_error.unwrap_or_else(|| StoreError::NoEffect {
+            reason: "lease ended".to_string(),
+        }))
+    }
+
+    /// Key that no other record has, so that no other lease holds it.
+    fn next_key(&self) -> String {
         let number = self.write_count.get();
         self.write_count.set(number + 1);
         let DepartureSettings { node, hello, .. } = &self.settings;
-        // Never written by another process, so it can't be held by another lease.
-        let key = format!("{RECORD_PREFIX}{node}/{}-{number}", hello.incarnation);
-        let lease = self.current_lease().await?;
-        let acquired = self.store.acquire(&key, Bytes::from(value), &lease).await;
-        if acquired.is_err() {
-            self.lease.borrow_mut().take();
-        }
-        acquired.map(|_| ())
+        format!("{RECORD_PREFIX}{node}/{}-{number}", hello.incarnation)
     }
 
     async fn current_lease(&self) -> Result<LeaseId, StoreError> {
--- a/src/departures/tests.rs
+++ b/src/departures/tests.rs
@@ -42,3 +42,64 @@
     assert_eq!(records.len(), MAX_HELD_RECORDS);
     assert!(records.contains(&record(&format!("x{}", count - 1), count - 1, 0)));
 }
+
+mod driver_on_memory_store {
+    use std::cell::RefCell;
+    use std::rc::Rc;
+    use std::time::Instant;
+
+    use tokio::net::UdpSocket;
+    use tokio::sync::mpsc;
+
+    use super::*;
+    use crate::exchange::PeerHello;
+    use crate::ids::NodeIncarnation;
+    use crate::membership::driver::spawn_membership;
+    use crate::membership::{MemberIdentity, MembershipState};
+    use crate::store::memory::{MemoryStore, ScriptedOutcome};
+
+    /// Starts the driver of a node that knows no peer.
+    async fn start(store: &MemoryStore, incarnation: u64) -> DepartureHandle {
+        let socket = UdpSocket::bind("127.0.0.1:0").await.unwrap();
+        let identity = MemberIdentity {
+            node: "a".parse().unwrap(),
+            incarnation: NodeIncarnation::try_from(incarnation).unwrap(),
+            region: "r".parse().unwrap(),
+            zone: "z".parse().unwrap(),
+            peer_address: socket.local_addr().unwrap(),
+        };
+        let state = MembershipState::new(Duration::ZERO, identity);
+        let started_at = Instant::now();
+        let clock = move || started_at.elapsed();
+        let (events, _) = mpsc::channel(8);
+        let membership = spawn_membership(Rc::new(RefCell::new(state)), socket, clock, events);
+        let settings = DepartureSettings {
+            node: "a".parse().unwrap(),
+            hello: PeerHello {
+                node: "a".to_string(),
+                incarnation,
+                is_call_link: false,
+            },
+            started_at,
+        };
+        DepartureHandle::start(settings, Rc::new(store.clone()), membership)
+    }
+
+    /// Guards against a record that is not written since the store has lost the lease.
+    #[ntex::test]
+    async fn record_is_written_under_another_lease_and_recovered_by_the_next_process() {
+        use ScriptedOutcome::{KnownFailure, Success};
+        // The listing, then a lease and the write that fails.
+        let store = MemoryStore::new([Success, Success, KnownFailure]);
+        let first = start(&store, 1).await;
+        assert_eq!(first.recovered().await, []);
+        first.record(record("x", 100, 7)).await;
+        first.record(record("y", 5, 0)).await;
+        assert_eq!(store.key_count(), 2);
+        let next = start(&store, 2).await;
+        assert_eq!(
+            next.recovered().await,
+            [record("x", 100, 7), record("y", 5, 0)]
+        );
+    }
+}
