Apply announcements as soon as the store has told the departures

The store's answer is enough to go on. What only peers hold is applied when they tell it, also to a backend server that has announced itself meanwhile; requests may reach it for seconds after its departure anyway.

backend_server_that_left_before_the_store_was_back_stays_away covers a record that only peers hold.

--- a/src/control/admin.rs
+++ b/src/control/admin.rs
@@ -89,7 +89,7 @@
         return bad_input_reply("order", "start or sequence number too large");
     }
     let is_draining = announcement.state == UpstreamState::Draining;
-    let recovery = tokio::time::timeout(RECOVERY_TIMEOUT, control.recover_presence()).await;
+    let recovery = tokio::time::timeout(RECOVERY_TIMEOUT, control.wait_until_recovered()).await;
     if recovery.is_err() && !is_draining {
         return AdminReply::Unavailable("departures of earlier processes not read yet".to_string());
     }
--- a/src/control/presence.rs
+++ b/src/control/presence.rs
@@ -27,18 +27,22 @@
     /// Records an announcement; false if a later announcement of any backend server
     /// or the withdrawal of this start is known.
     pub fn accept_announcement(&mut self, id: &BackendId, order: AnnouncementOrder) -> bool {
-        let valid_from = self.valid_from.get(id);
-        let is_withdrawn = valid_from.is_some_and(|valid_from| order < *valid_from);
         let is_late = self
             .latest_announcement
             .is_some_and(|latest| order < latest);
-        if is_withdrawn || is_late {
+        if self.has_left(id, order) || is_late {
             return false;
         }
         self.latest_announcement = Some(order);
         true
     }
 
+    /// Whether the backend server's departure after this announcement is known.
+    pub fn has_left(&self, id: &BackendId, order: AnnouncementOrder) -> bool {
+        let valid_from = self.valid_from.get(id);
+        valid_from.is_some_and(|valid_from| order < *valid_from)
+    }
+
     /// Records a withdrawal, whether or not the backend server is known.
     ///
     /// Without `started_at_ms` it applies to all starts up to `now_ms`. Returns the record to
--- a/src/control/state.rs
+++ b/src/control/state.rs
@@ -108,7 +108,7 @@
     backend_ttl: Duration,
     presence: RefCell<BackendPresence>,
     /// Whether `presence` knows the departures that earlier processes acknowledged.
-    is_presence_recovered: Cell<bool>,
+    is_presence_recovered: watch::Sender<bool>,
     /// Start of the draining backend server whose departure has been recorded.
     recorded_draining: Cell<Option<BackendKey>>,
     table_sender: watch::Sender<Arc<RoutingTable>>,
@@ -164,7 +164,7 @@
             role_assignment: RefCell::new(RoleAssignment::new(Duration::ZERO)),
             backend_ttl: parts.backend_ttl,
             presence: RefCell::default(),
-            is_presence_recovered: Cell::new(false),
+            is_presence_recovered: watch::Sender::new(false),
             recorded_draining: Cell::new(None),
             table_sender: parts.table_sender,
             table_version: Cell::new(0),
@@ -317,22 +317,33 @@
     }
 
     /// Waits for the departures that earlier processes of this node acknowledged.
-    pub async fn recover_presence(&self) {
-        if self.is_presence_recovered.get() {
-            return;
-        }
-        let records = self.departures.recovered().await;
-        if self.is_presence_recovered.replace(true) {
-            return;
-        }
-        let mut presence = self.presence.borrow_mut();
+    pub async fn wait_until_recovered(&self) {
+        let mut is_recovered = self.is_presence_recovered.subscribe();
+        // The sender is a field of this state, so it isn't closed.
+        let _ = is_recovered.wait_for(|is_recovered| *is_recovered).await;
+    }
+
+    /// Applies departures that earlier processes of this node acknowledged, also to a backend
+    /// server that has announced itself in the meantime.
+    fn restore_departures(&self, records: &[DepartureRecord]) {
         for record in records {
             log::info!(
                 target: "control",
                 backend:% = record.backend, valid_from:serde = record.valid_from;
                 "departure acknowledged by an earlier process"
             );
-            presence.restore(record);
+            self.presence.borrow_mut().restore(record.clone());
+        }
+        self.is_presence_recovered.send_replace(true);
+        let mut backend = self.backend.borrow_mut();
+        let has_left = backend.as_ref().is_some_and(|known| {
+            let order = known.announcement.order;
+            order.is_some_and(|order| self.presence.borrow().has_left(&known.id, order))
+        });
+        if has_left {
+            *backend = None;
+            self.send_to_gate(GateCommand::ClearBackend);
+            self.membership.withdraw();
         }
     }
 
@@ -559,6 +570,19 @@
     }
 }
 
+/// Applies the departures that earlier processes acknowledged, until all are told.
+pub async fn follow_departures(control: Rc<ControlState>) {
+    let mut recovered = control.departures.recovered();
+    loop {
+        if let Some(records) = &*recovered.borrow_and_update() {
+            control.restore_departures(records);
+        }
+        if recovered.changed().await.is_err() {
+            return;
+        }
+    }
+}
+
 /// Processes membership events until their channel closes.
 pub async fn follow_membership(control: Rc<ControlState>, mut events: Receiver<MembershipEvent>) {
     while let Some(event) = events.recv().await {
--- a/src/departures/driver.rs
+++ b/src/departures/driver.rs
@@ -114,9 +114,7 @@
         ntex::rt::spawn(async move {
             tokio::select! {
                 () = recovered_sender.closed() => {}
-                records = driver.recover() => {
-                    recovered_sender.send_replace(Some(records));
-                }
+                () = driver.recover(&recovered_sender) => {}
             }
         });
         handle
@@ -131,14 +129,10 @@
         }
     }
 
-    /// Waits for the records of earlier processes of this node.
-    pub async fn recovered(&self) -> Vec<DepartureRecord> {
-        let mut recovered = self.recovered.clone();
-        let records = recovered.wait_for(Option::is_some).await;
-        records
-            .ok()
-            .and_then(|records| records.clone())
-            .unwrap_or_default()
+    /// Records of earlier processes of this node; `None` until the store or a peer has told
+    /// them. Those that peers alone hold may follow.
+    pub fn recovered(&self) -> watch::Receiver<Option<Vec<DepartureRecord>>> {
+        self.recovered.clone()
     }
 
     /// Holds the records of a peer and returns all that are held for it.
@@ -254,9 +248,9 @@
         Ok(lease)
     }
 
-    /// Reads the records of earlier processes from the store and from peers. A node that
-    /// reaches neither belongs to no fleet yet, and waits.
-    async fn recover(&self) -> Vec<DepartureRecord> {
+    /// Reads the records of earlier processes from the store and from peers, and publishes
+    /// them as they are told. A node that reaches neither belongs to no fleet yet, and waits.
+    async fn recover(&self, recovered: &watch::Sender<Option<Vec<DepartureRecord>>>) {
         let mut unanswered_rounds = 0;
         loop {
             let listing = tokio::time::timeout(READ_TIMEOUT, self.list_records()).await;
@@ -268,17 +262,28 @@
                 }
                 Err(_) => None,
             };
+            let is_stored = stored.is_some();
+            if is_stored {
+                recovered.send_replace(stored);
+            }
             self.wait_for_peer().await;
             let peers = self.peer_addresses(ASKED_PEER_COUNT);
             let replies = self.exchange_with_peers(&peers, &[]).await;
-            if stored.is_some() || !replies.is_empty() {
-                let replied = replies.into_iter().flatten();
-                return stored.into_iter().flatten().chain(replied).collect();
+            if !replies.is_empty() {
+                recovered.send_modify(|records| {
+                    let replied = replies.into_iter().flatten();
+                    records.get_or_insert_default().extend(replied);
+                });
+                return;
+            }
+            if is_stored {
+                return;
             }
             unanswered_rounds += u32::from(!peers.is_empty());
             if unanswered_rounds == MAX_UNANSWERED_ROUNDS {
                 log::warn!(target: "control", "no peer knows departure records, serving without them");
-                return Vec::new();
+                recovered.send_replace(Some(Vec::new()));
+                return;
             }
             tokio::time::sleep(RETRY_PAUSE).await;
         }
--- a/src/departures/tests.rs
+++ b/src/departures/tests.rs
@@ -85,6 +85,12 @@
         DepartureHandle::start(settings, Rc::new(store.clone()), membership)
     }
 
+    async fn recovered(handle: &DepartureHandle) -> Vec<DepartureRecord> {
+        let mut recovered = handle.recovered();
+        let records = recovered.wait_for(Option::is_some).await.unwrap();
+        records.clone().unwrap()
+    }
+
     /// Guards against a record that is not written since the store has lost the lease.
     #[ntex::test]
     async fn record_is_written_under_another_lease_and_recovered_by_the_next_process() {
@@ -92,13 +98,13 @@
         // The listing, then a lease and the write that fails.
         let store = MemoryStore::new([Success, Success, KnownFailure]);
         let first = start(&store, 1).await;
-        assert_eq!(first.recovered().await, []);
+        assert_eq!(recovered(&first).await, []);
         first.record(record("x", 100, 7)).await;
         first.record(record("y", 5, 0)).await;
         assert_eq!(store.key_count(), 2);
         let next = start(&store, 2).await;
         assert_eq!(
-            next.recovered().await,
+            recovered(&next).await,
             [record("x", 100, 7), record("y", 5, 0)]
         );
     }
--- a/src/node.rs
+++ b/src/node.rs
@@ -35,8 +35,8 @@
 use crate::control::evacuation::follow_evacuation;
 use crate::control::peers::accept_peers;
 use crate::control::state::{
-    ControlParts, ControlState, NodeIdentity, follow_leaving_backend, follow_membership,
-    follow_routes, follow_tickets, publish_tables,
+    ControlParts, ControlState, NodeIdentity, follow_departures, follow_leaving_backend,
+    follow_membership, follow_routes, follow_tickets, publish_tables,
 };
 use crate::departures::{DepartureHandle, DepartureSettings};
 use crate::discovery::{DiscoverySettings, FleetRole, run_discovery};
@@ -295,6 +295,7 @@
         role_sender,
         backend_ttl: options.backend_ttl,
     }));
+    ntex::rt::spawn(follow_departures(Rc::clone(&control)));
     ntex::rt::spawn(follow_membership(Rc::clone(&control), membership_events));
     ntex::rt::spawn(follow_tickets(Rc::clone(&control)));
     ntex::rt::spawn(publish_tables(Rc::clone(&control)));
--- a/tests/departures.rs
+++ b/tests/departures.rs
@@ -101,3 +101,16 @@
     fleet.set_store_away(false).await;
     assert_left(&fleet).await;
 }
+
+/// The store answers again, but knows nothing of the departure: the peers alone do.
+#[ntex::test]
+async fn backend_server_that_left_before_the_store_was_back_stays_away() {
+    let mut fleet = Fleet::start(&PLACES, &[]).await;
+    let _load = fleet.start_load(&["/any/x", "/once/x"]);
+    fleet.set_store_away(true).await;
+    depart(&fleet, Departure::Drain).await;
+    fleet.set_store_away(false).await;
+    fleet.kill_node(LEFT);
+    fleet.start_node(LEFT);
+    assert_left(&fleet).await;
+}
