--- a/src/control/state.rs
+++ b/src/control/state.rs
@@ -70,7 +70,7 @@
 }
 
 /// Result of a withdrawal.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug)]
 pub enum WithdrawalOutcome {
     /// The withdrawal was applied; the record of it is to be kept if there is one.
     Applied(Option<DepartureRecord>),
--- a/src/departures.rs
+++ b/src/departures.rs
@@ -27,7 +27,7 @@
 const MAX_HELD_RECORDS: usize = 1_024;
 
 /// Acknowledged departure of a backend server.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct DepartureRecord {
     /// Backend server that leaves or has withdrawn.
     pub backend: BackendId,
--- a/src/departures/driver.rs
+++ b/src/departures/driver.rs
@@ -44,7 +44,7 @@
 const RETRY_PAUSE: Duration = Duration::from_millis(100);
 
 /// Identity of the node whose departures are recorded.
-#[derive(Debug, Clone)]
+#[derive(Debug)]
 pub struct DepartureSettings {
     /// Name of the node.
     pub node: NodeId,
@@ -54,8 +54,7 @@
     pub started_at: Instant,
 }
 
-/// Access to the departure records; their task ends with the last handle.
-#[derive(Clone)]
+/// Access to the departure records; their task ends with the handle.
 pub struct DepartureHandle {
     held: Rc<RefCell<HeldDepartures>>,
     started_at: Instant,
--- a/src/http1/head.rs
+++ b/src/http1/head.rs
@@ -51,7 +51,7 @@
 }
 
 /// Result of parsing the head of a response.
-#[derive(Debug, Clone, PartialEq)]
+#[derive(Debug, PartialEq)]
 pub enum ParsedResponse {
     /// An interim (1xx) response; another head follows it.
     Interim,
--- a/src/http1/status.rs
+++ b/src/http1/status.rs
@@ -3,11 +3,11 @@
 use derive_more::{Display, Error};
 
 /// Status code of a final response, from 200 to 599 (RFC 9110, section 15).
-#[derive(Debug, Clone, Copy, Display, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Debug, Clone, Copy, Display, PartialEq, Eq)]
 pub struct FinalStatus(u16);
 
 /// A number is no status code of a final response.
-#[derive(Debug, Clone, Copy, Display, Error, PartialEq, Eq)]
+#[derive(Debug, Display, Error)]
 #[display("no status code of a final response: {code}")]
 pub struct InvalidStatus {
     /// The number that was given.
