Log when a refused or failed request was accepted in a planned stop

The log named a request that a stop had ended, but not how long after the signal it was accepted nor its time limit, so a request taken late could not be told from one that the stop was meant to end.

--- a/src/control/state.rs
+++ b/src/control/state.rs
@@ -20,6 +20,7 @@
 use crate::ids::{
     BackendId, BackendKey, NodeId, NodeIncarnation, RegionName, ServiceName, ZoneName,
 };
+use crate::ingress::stop_times::StopTimes;
 use crate::ingress::{IngressState, StopPhase, lock};
 use crate::membership::driver::MembershipHandle;
 use crate::membership::{BackendRecord, MembershipEvent};
@@ -416,8 +417,11 @@
             "planned stop begins"
         );
         self.stop_phase.send_replace(StopPhase::Draining);
-        let calls_end = tokio::time::Instant::now() + call_limit;
-        self.ingress.end_calls_at(calls_end);
+        let signalled_at = tokio::time::Instant::now();
+        self.ingress.begin_stop(StopTimes {
+            signalled_at,
+            calls_end: signalled_at + call_limit,
+        });
         self.send_to_gate(GateCommand::PrepareStop(call_limit));
     }
 
--- a/src/ingress.rs
+++ b/src/ingress.rs
@@ -16,6 +16,7 @@
 pub mod placing;
 pub mod request;
 pub mod returns;
+pub mod stop_times;
 pub mod zones;
 
 use std::cell::RefCell;
@@ -43,6 +44,7 @@
 };
 use crate::ingress::request::{RequestResolver, ResolvedRequest};
 use crate::ingress::returns::CallerRetryTracker;
+use crate::ingress::stop_times::StopTimes;
 use crate::link::call_link::UpstreamEvent;
 use crate::link::messages::KnownBackendStatement;
 use crate::link::pool::LinkPool;
@@ -126,8 +128,8 @@
     started_at: Instant,
     next_call_number: AtomicU64,
     in_flight: InFlightRequests,
-    /// Time at which a planned stop ends all calls; `None` if none is planned.
-    calls_end: watch::Sender<Option<tokio::time::Instant>>,
+    /// Times of the planned stop; `None` if none has begun.
+    stop_times: watch::Sender<Option<StopTimes>>,
     open_connections: AtomicU64,
 }
 
@@ -182,7 +184,7 @@
             started_at: settings.started_at,
             next_call_number: AtomicU64::new(1),
             in_flight: InFlightRequests::default(),
-            calls_end: watch::Sender::new(None),
+            stop_times: watch::Sender::new(None),
             open_connections: AtomicU64::new(0),
         }
     }
@@ -260,25 +262,39 @@
         let _ = phase.wait_for(|phase| *phase == StopPhase::Closed).await;
     }
 
-    /// Ends all calls at `at` at the latest, as the node stops soon after.
-    pub fn end_calls_at(&self, at: tokio::time::Instant) {
-        self.calls_end.send_replace(Some(at));
+    /// Follows the times of a planned stop that begins.
+    pub fn begin_stop(&self, times: StopTimes) {
+        self.stop_times.send_replace(Some(times));
+    }
+
+    /// Times of the planned stop; `None` if none has begun.
+    pub fn stop_times(&self) -> Option<StopTimes> {
+        *self.stop_times.borrow()
+    }
+
+    /// Time from the signal of a planned stop until `moment`; zero if there was none before.
+    pub fn time_since_signal(&self, moment: tokio::time::Instant) -> Duration {
+        self.stop_times().map_or(Duration::ZERO, |times| {
+            moment.saturating_duration_since(times.signalled_at)
+        })
     }
 
     /// Deadline of a call, or the time at which a planned stop ends it if that
     /// is earlier.
     pub fn bound_by_stop(&self, deadline: tokio::time::Instant) -> tokio::time::Instant {
-        let calls_end = *self.calls_end.borrow();
-        calls_end.map_or(deadline, |end| end.min(deadline))
+        self.stop_times()
+            .map_or(deadline, |times| times.calls_end.min(deadline))
     }
 
     /// Whether a planned stop no longer leaves enough time for a request with this
     /// target latency.
     fn is_too_late_for(&self, target_latency: Duration) -> bool {
-        let Some(calls_end) = *self.calls_end.borrow() else {
+        let Some(times) = self.stop_times() else {
             return false;
         };
-        let time_left = calls_end.saturating_duration_since(tokio::time::Instant::now());
+        let time_left = times
+            .calls_end
+            .saturating_duration_since(tokio::time::Instant::now());
         *self.stop_phase.borrow() >= StopPhase::Finishing
             && time_left < target_latency * LATE_REQUEST_TIME_FACTOR
     }
@@ -286,13 +302,13 @@
     /// Waits until `deadline`, or until a planned stop ends the calls; the stop
     /// may begin meanwhile.
     pub async fn wait_for_deadline(&self, deadline: tokio::time::Instant) {
-        let mut calls_end = self.calls_end.subscribe();
+        let mut stop_times = self.stop_times.subscribe();
         loop {
             let bounded = self.bound_by_stop(deadline);
             tokio::select! {
                 () = tokio::time::sleep_until(bounded) => return,
                 // The sender lives as long as `self`.
-                _ = calls_end.changed() => {}
+                _ = stop_times.changed() => {}
             }
         }
     }
@@ -365,9 +381,11 @@
             let outcome = RunOutcome::NotRun.to_string();
             let metrics = &worker.shared.metrics;
             metrics.record_call("", kind.code(), &outcome, Duration::ZERO);
+            let since_signal = worker.shared.time_since_signal(arrived_at);
             log::warn!(
                 target: "ingress",
                 path = target.as_str(),
+                accepted_after_signal_ms = since_signal.as_millis() as u64,
                 kind = kind.code(), outcome:% = RunOutcome::NotRun,
                 status:% = kind.response().status,
                 table = worker.shared.table.borrow().version;
--- a/src/ingress/call/record.rs
+++ b/src/ingress/call/record.rs
@@ -40,6 +40,7 @@
             Ok(_) => ("none", "answered".to_string()),
             Err(failure) => (failure.kind.code(), failure.outcome.to_string()),
         };
+        let since_signal = self.worker.shared.time_since_signal(self.started_at);
         let metrics = &self.worker.shared.metrics;
         metrics.record_call(service.as_str(), kind, &outcome, self.started_at.elapsed());
         match result {
@@ -56,6 +57,8 @@
                 kind = failure.kind.code(), outcome:% = failure.outcome,
                 status:% = failure.kind.response_for(failure.outcome).status,
                 retry_after_ms = failure.retry_after.as_millis() as u64,
+                time_limit_ms = self.request.timeout.as_millis() as u64,
+                accepted_after_signal_ms = since_signal.as_millis() as u64,
                 elapsed_ms, placements, attempts;
                 "call refused or failed"
             ),
