Accept late requests in a planned stop only if their time limit fits

Callers saw: 502 from a stopping node 5.07 s after its SIGTERM, while their upstream was at work, for requests sent later than the 3 s in which callers leave. An order that ended so may have run. Cause: after the time to leave the node asked only for twice the target latency of a request, but a request may run until its time limit. And that time began when the process saw the signal, which a busy VM delays, so requests sent later than 3 s were still taken without any check. Three clocks, the request's limit, the callers' time to leave and the end of calls, knew nothing of each other. Change: `StopTimes` decides on both. What is accepted late can no longer be cut by the stop, however long it works. The phase `Finishing` and the factor of the target latency are gone.

--- a/src/control/state.rs
+++ b/src/control/state.rs
@@ -411,17 +411,15 @@
     /// Begins a graceful shutdown: callers are directed to other nodes, the gate
     /// only admits calls that end in time, and calls end after `call_limit` at the
     /// latest.
-    pub fn begin_stop(&self, call_limit: Duration) {
+    pub fn begin_stop(&self, leave_time: Duration, call_limit: Duration) {
         log::info!(
             target: "placement", limit_ms = call_limit.as_millis() as u64;
             "planned stop begins"
         );
         self.stop_phase.send_replace(StopPhase::Draining);
         let signalled_at = tokio::time::Instant::now();
-        self.ingress.begin_stop(StopTimes {
-            signalled_at,
-            calls_end: signalled_at + call_limit,
-        });
+        let times = StopTimes::new(signalled_at, leave_time, call_limit);
+        self.ingress.begin_stop(times);
         self.send_to_gate(GateCommand::PrepareStop(call_limit));
     }
 
@@ -437,11 +435,6 @@
         *self.stop_phase.borrow() != StopPhase::Serving
     }
 
-    /// Refuses requests from now on that the stop leaves too little time for.
-    pub fn refuse_late_requests(&self) {
-        self.stop_phase.send_replace(StopPhase::Finishing);
-    }
-
     /// Stops accepting callers' connections and requests.
     pub fn close_ingress(&self) {
         self.stop_phase.send_replace(StopPhase::Closed);
--- a/src/ingress.rs
+++ b/src/ingress.rs
@@ -68,11 +68,6 @@
 /// routing table again.
 const TABLE_RECHECK_INTERVAL: Duration = Duration::from_millis(20);
 
-/// Multiple of its target latency that a stop must leave to a request that comes
-/// after the callers' time to leave: one that is cut is worse off than one that is
-/// refused.
-const LATE_REQUEST_TIME_FACTOR: u32 = 2;
-
 /// Phase of a planned stop.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub enum StopPhase {
@@ -81,10 +76,6 @@
     /// Requests are still served, but responses ask callers to use another
     /// connection next.
     Draining,
-    /// The time in which callers leave has passed. Only requests that the rest of
-    /// the stop leaves ample time for are still served, such as nested calls of the
-    /// own backend server.
-    Finishing,
     /// New connections and further requests are no longer accepted.
     Closed,
 }
@@ -286,17 +277,10 @@
             .map_or(deadline, |times| times.calls_end.min(deadline))
     }
 
-    /// Whether a planned stop no longer leaves enough time for a request with this
-    /// target latency.
-    fn is_too_late_for(&self, target_latency: Duration) -> bool {
-        let Some(times) = self.stop_times() else {
-            return false;
-        };
-        let time_left = times
-            .calls_end
-            .saturating_duration_since(tokio::time::Instant::now());
-        *self.stop_phase.borrow() >= StopPhase::Finishing
-            && time_left < target_latency * LATE_REQUEST_TIME_FACTOR
+    /// Whether a planned stop leaves enough time for a request with this time limit.
+    fn accepts_request(&self, arrived_at: tokio::time::Instant, time_limit: Duration) -> bool {
+        self.stop_times()
+            .is_none_or(|times| times.accepts(arrived_at, time_limit))
     }
 
     /// Waits until `deadline`, or until a planned stop ends the calls; the stop
@@ -362,7 +346,7 @@
     let target = head.target.clone();
     worker.shared.wait_for_routes().await;
     let resolved = resolve_request(&worker, head).and_then(|request| {
-        if worker.shared.is_too_late_for(request.target_latency) {
+        if !worker.shared.accepts_request(arrived_at, request.timeout) {
             return Err(ErrorKind::Draining);
         }
         Ok(request)
--- a/src/node/stop.rs
+++ b/src/node/stop.rs
@@ -25,14 +25,13 @@
 pub(super) async fn stop_node(control: &ControlState, options: &NodeOptions) {
     let signalled_at = Instant::now();
     let call_limit = options.drain_limit.saturating_sub(ANSWER_MARGIN);
-    control.begin_stop(call_limit);
     let leave_time = options.leave_time.min(call_limit);
+    control.begin_stop(leave_time, call_limit);
     let gate_open_time = leave_time.mul_f64(GATE_OPEN_FRACTION);
     tokio::time::sleep(gate_open_time).await;
     control.close_gate();
     log_step(control, signalled_at, "gate closed for the stop");
     tokio::time::sleep(leave_time - gate_open_time).await;
-    control.refuse_late_requests();
     // The upstream may call others through this node while it works.
     let calls_end = signalled_at + call_limit;
     while control.is_gate_busy() && Instant::now() < calls_end {
