Take only responses with the request's identifier for its response

Cause: a response without the identifier counted as that of the request, so extra bytes of a faulty upstream, the head of a 503, were taken for the answer to the next order. Evidence: refusal_without_the_identifier_is_not_that_of_the_request failed before the change. Change: if the dialect has an identifier, a response that doesn't repeat it is discarded, within the bounds for late copies. Upstreams repeat it in all their responses, so nothing true is lost. Two tests scripted refusals without it; their servers now repeat it, and the checks are the same.

--- a/src/backend.rs
+++ b/src/backend.rs
@@ -9,8 +9,8 @@
 //!
 //! If the [`HeaderDialect`] names a field for the request's identifier, the
 //! backend server repeats the identifier in its response. A response with
-//! another identifier has arrived late or twice: it is discarded, and the
-//! client goes on waiting for the matching one.
+//! another identifier or none has arrived late or twice, or is no response at
+//! all: it is discarded, and the client goes on waiting for the matching one.
 
 mod answer;
 mod connection;
@@ -553,7 +553,7 @@
             return true;
         };
         let response_id = crate::http1::head::field_text(&head.fields, field_name);
-        open.request_id.is_empty() || response_id.is_none_or(|id| id == open.request_id)
+        open.request_id.is_empty() || response_id == Some(&open.request_id)
     }
 
     /// Checks that a response is from this backend server and that the request
--- a/src/backend/tests.rs
+++ b/src/backend/tests.rs
@@ -145,6 +145,21 @@
     assert!(request.contains("x-expect: b1\r\n"), "{request}");
 }
 
+/// Guards against orders that are told they did not run, as extra bytes of a faulty backend
+/// server were taken for their response.
+#[ntex::test]
+async fn refusal_without_the_identifier_is_not_that_of_the_request() {
+    for fields in ["", "x-not-run: 1\r\n"] {
+        let extra = format!("HTTP/1.1 503 Unavailable\r\n{fields}content-length: 2\r\n\r\nno");
+        let late = format!("{extra}{MATCHING_RESPONSE}");
+        let misdirected = late.replace("503", "421");
+        let fixture = start_backend(vec![script(&[&late]), script(&[&misdirected])]).await;
+        assert_eq!(fixture.send(false).await, expected_response());
+        fixture.client.idle_connections.borrow_mut().clear();
+        assert_eq!(fixture.send(false).await, expected_response());
+    }
+}
+
 #[ntex::test]
 async fn connection_with_unsolicited_bytes_is_not_reused() {
     let response_and_extra = format!("{MATCHING_RESPONSE}{MISMATCHED_RESPONSE}");
@@ -182,8 +197,8 @@
 
 #[ntex::test]
 async fn backend_refusal_reports_that_the_request_did_not_run() {
-    let not_executed = "HTTP/1.1 503 Service Unavailable\r\nx-not-run: 1\r\nretry-after: 0.25\r\ncontent-length: 0\r\n\r\n";
-    let misdirected = "HTTP/1.1 421 Misdirected Request\r\ncontent-length: 0\r\n\r\n";
+    let not_executed = "HTTP/1.1 503 Service Unavailable\r\nx-id: r1\r\nx-not-run: 1\r\nretry-after: 0.25\r\ncontent-length: 0\r\n\r\n";
+    let misdirected = "HTTP/1.1 421 Misdirected Request\r\nx-id: r1\r\ncontent-length: 0\r\n\r\n";
     let fixture = start_backend(vec![script(&[not_executed]), script(&[misdirected])]).await;
     let refused = fixture.send(false).await;
     let expected = BackendError::Refused {
@@ -339,7 +354,7 @@
 #[ntex::test]
 async fn refusal_of_a_resend_is_not_reported_as_not_run() {
     let not_executed =
-        "HTTP/1.1 503 Service Unavailable\r\nx-not-run: 1\r\ncontent-length: 0\r\n\r\n";
+        "HTTP/1.1 503 Service Unavailable\r\nx-id: r1\r\nx-not-run: 1\r\ncontent-length: 0\r\n\r\n";
     let mut first_connection = script(&[MATCHING_RESPONSE]);
     first_connection.push(None);
     let fixture = start_backend(vec![first_connection, script(&[not_executed])]).await;
