Failing test: a running request is given up for gates that refused it

Callers see: during a planned stop a request ends with a 502 of the node, long before its time limit, while its upstream is at work.

Cause, by the logs and the reading: a link whose gate is silent for about 0.1 s is dropped, and the attempt reconnects to the gate. If that fails once (limit 0.1 s), `can_retry_elsewhere` in src/ingress/attempt/resume.rs decides whether to give up. It asks `has_alternative_in` of the router, which counts all other gates of the service, also those that this request has tried and those that are leaving. So the attempt is given up, the retry finds no upstream that is left, and the caller gets 502 although the gate answers again soon and would resume the call.

--- a/tests/late_requests.rs
+++ b/tests/late_requests.rs
@@ -27,8 +27,8 @@
 
 use fleet::ScriptedFleet;
 use raw::RawCaller;
-use script::{CallerEnd, RequestKind, RequestPlan, UpstreamScript};
-use upstream::RunLog;
+use script::{AnswerKind, CallerEnd, RequestKind, RequestPlan, UpstreamScript};
+use upstream::{RunLog, ScriptedUpstream};
 
 const NODE_COUNT: usize = 2;
 /// Time from SIGTERM to SIGKILL.
@@ -41,6 +41,12 @@
 const BUSY_REQUESTS: usize = 4;
 /// Shortly before a stopping node's gate refuses calls.
 const BEFORE_GATE_CLOSE: Duration = Duration::from_millis(1_700);
+/// Shortly after a stopping node's gate has begun to refuse calls.
+const AFTER_GATE_CLOSE: Duration = Duration::from_millis(2_200);
+/// Time for which a busy VM doesn't run a process.
+const STALL: Duration = Duration::from_millis(400);
+/// Requests that are served before a stop.
+const SERVED_REQUESTS: usize = 40;
 /// Pause between requests to the stopping node, in milliseconds.
 const STEP_MS: usize = 80;
 /// Time within which a request that can't be served is refused.
@@ -182,3 +188,44 @@
     );
     assert_eq!(cut.await + log.print_violations(), 0);
 }
+
+/// Guards against giving up a request at work, whose gate is silent for a moment, although all
+/// other gates have refused it.
+#[ntex::test]
+async fn request_at_a_stalled_gate_is_not_given_up_for_gates_that_refused_it() {
+    let log = Rc::new(RunLog::default());
+    let fleet = ScriptedFleet::start_with(NODE_COUNT + 1, GRACE_FLAGS, &log).await;
+    // The retry budget grows with them.
+    for number in 0..SERVED_REQUESTS {
+        let plan = new_plan(
+            &format!("served-{number:03}"),
+            RequestKind::Query,
+            Duration::ZERO,
+        );
+        log.add_request(&plan);
+        assert_eq!(send(fleet.listen_addresses[0], &plan).await.0, 200);
+    }
+    fleet.nodes[0].signal("TERM");
+    sleep(AFTER_GATE_CLOSE).await;
+    let work = Duration::from_millis(1_200);
+    let mut plan = new_plan("stalled", RequestKind::Query, work);
+    Rc::get_mut(&mut plan).unwrap().scripts[0] = UpstreamScript {
+        answer: AnswerKind::Refusal,
+        ..UpstreamScript::SOUND
+    };
+    log.add_request(&plan);
+    let stall = async {
+        sleep(STALL / 4).await;
+        let upstream = log.requests.borrow()["stalled"].arrivals[1]
+            .upstream
+            .clone();
+        let is_at_work = |it: &Rc<ScriptedUpstream>| it.name == upstream;
+        let number = fleet.upstreams.iter().position(is_at_work).unwrap();
+        fleet.nodes[number].signal("STOP");
+        sleep(STALL).await;
+        fleet.nodes[number].signal("CONT");
+    };
+    let (answer, ()) =
+        futures_util::future::join(send(fleet.listen_addresses[0], &plan), stall).await;
+    assert_eq!((answer.0, log.print_violations()), (200, 0), "{answer:?}");
+}
