Give a running call up only for an upstream that it has not tried

Callers saw: 502 from the node long before the time limit, while their upstream was at work and then answered whole. Beside a planned stop that is a request lost. Cause: a link that is silent for 0.1 s is dropped, and if one reconnect of 0.1 s fails as well, an idempotent call is given up if the router knows another upstream. It counted those that the call had been refused by already, so the retry found none and the answer on its way was thrown away. A busy VM of a fraction of a core doesn't run a process for that long now and then. Change: the router leaves out all nodes that the call has been offered to. Without another upstream the attempt goes on reconnecting until its deadline, and resumes when its gate answers.

--- a/src/ingress/attempt.rs
+++ b/src/ingress/attempt.rs
@@ -110,6 +110,8 @@
     pub allowed_regions: Option<BTreeSet<RegionName>>,
     /// Gate that the call is offered to.
     pub target: GateTarget,
+    /// Nodes that the call has been offered to, this one included.
+    pub tried_nodes: BTreeSet<NodeId>,
     /// Number under which routing tracks the attempt.
     pub attempt_number: AttemptNumber,
     /// Call id of this attempt.
--- a/src/ingress/attempt/resume.rs
+++ b/src/ingress/attempt/resume.rs
@@ -97,15 +97,16 @@
         Ok(())
     }
 
-    /// Whether another upstream accepts work and the service has a retry left.
+    /// Whether an upstream that the call has not tried accepts work, and the service has a
+    /// retry left.
     fn can_retry_elsewhere(&self) -> bool {
         let shared = &self.worker.shared;
         let service = &self.plan.service;
         let has_retry = lock(&shared.retry_policy).has_retry_token(service);
         let regions = RegionLimit::from(self.plan.allowed_regions.as_ref());
-        let node = &self.plan.target.node;
+        let tried_nodes = &self.plan.tried_nodes;
         let router = lock(&shared.router);
-        has_retry && router.has_alternative_in(shared.now(), service, node, regions)
+        has_retry && router.has_alternative(shared.now(), service, tried_nodes, regions)
     }
 
     async fn reconnect(&self) -> Result<Rc<CallLink>, AttemptError> {
--- a/src/ingress/call/offer.rs
+++ b/src/ingress/call/offer.rs
@@ -58,7 +58,10 @@
             data: std::mem::take(&mut open.body),
             is_last: std::mem::take(&mut open.is_body_complete),
         });
+        let mut tried_nodes = self.tried_nodes.clone();
+        tried_nodes.insert(choice.node.clone());
         let plan = AttemptPlan {
+            tried_nodes,
             service: self.request.service.clone(),
             allowed_regions: self.request.allowed_regions.clone(),
             target: GateTarget {
--- a/src/routing/router.rs
+++ b/src/routing/router.rs
@@ -212,23 +212,18 @@
         })
     }
 
-    /// Whether an idempotent call could go to an upstream other than `node`.
-    pub fn has_alternative(&self, now: Duration, service: &ServiceName, node: &NodeId) -> bool {
-        self.has_alternative_in(now, service, node, RegionLimit::default())
-    }
-
-    /// Whether an idempotent call could go to an upstream other than `node` in an allowed
-    /// region.
-    pub fn has_alternative_in(
+    /// Whether an idempotent call that has tried some nodes could go to another upstream in an
+    /// allowed region.
+    pub fn has_alternative(
         &self,
         now: Duration,
         service: &ServiceName,
-        node: &NodeId,
+        tried_nodes: &BTreeSet<NodeId>,
         regions: RegionLimit<'_>,
     ) -> bool {
         let accepts_calls = |other: &NodeId| {
             let stats = self.upstream_stats.get(other);
-            other != node
+            !tried_nodes.contains(other)
                 && !stats.is_some_and(|stats| stats.is_excluded(now, true))
                 && self.is_allowed(service, other, regions)
         };
--- a/src/routing/tests.rs
+++ b/src/routing/tests.rs
@@ -479,7 +479,9 @@
         router
             .select_upstream_for_idempotent(now, &mut rng, &service(), &BTreeSet::new())
             .unwrap();
-        let has_alternative = router.has_alternative(now, &service(), &node(0));
+        let tried = BTreeSet::from([node(0)]);
+        let has_alternative =
+            router.has_alternative(now, &service(), &tried, RegionLimit::default());
         assert_eq!(has_alternative, expects_alternative, "{states:?}");
     }
 }
@@ -497,7 +499,29 @@
         .select_upstream_for_idempotent(now, &mut rng, &service(), &BTreeSet::new())
         .unwrap();
     router.mark_draining(now, &node(1));
-    assert!(!router.has_alternative(now, &service(), &node(0)));
+    let tried = BTreeSet::from([node(0)]);
+    assert!(!router.has_alternative(now, &service(), &tried, RegionLimit::default()));
+}
+
+/// Giving up on a lost link is of no use if all other upstreams have refused the call.
+#[test]
+fn upstream_that_refused_the_call_is_no_alternative() {
+    let now = Duration::from_secs(1);
+    let mut router = router(2);
+    router.apply_table(
+        now,
+        &single_service_table(&[UpstreamState::Ready; 2], &[1, 1], 0.0),
+    );
+    let mut rng = StdRng::seed_from_u64(3);
+    router
+        .select_upstream_for_idempotent(now, &mut rng, &service(), &BTreeSet::new())
+        .unwrap();
+    let has_alternative = |tried: &[usize]| {
+        let tried = tried.iter().map(|index| node(*index)).collect();
+        router.has_alternative(now, &service(), &tried, RegionLimit::default())
+    };
+    assert!(has_alternative(&[0]));
+    assert!(!has_alternative(&[0, 1]));
 }
 
 /// The upstream in the own zone has outstanding calls, the others are idle. A
--- a/src/routing/tests/regions.rs
+++ b/src/routing/tests/regions.rs
@@ -122,7 +122,8 @@
         .unwrap();
     let has_alternative = |names: &[&str], index| {
         let allowed = region_set(names);
-        router.has_alternative_in(now, &service(), &node(index), Some(&allowed).into())
+        let tried = BTreeSet::from([node(index)]);
+        router.has_alternative(now, &service(), &tried, Some(&allowed).into())
     };
     assert!(has_alternative(&["oyo-west"], 0));
     assert!(!has_alternative(&["nowhere"], 0));
