Close the gate's links in order before a stopped node exits

What callers saw: a large response that broke off shortly after the node of its upstream had been stopped, although that upstream had answered in time.

Cause: a call no longer counts as work of the stop once the last chunk of its response is queued for the link. The process exited 0.2 s later. What an ingress had not read by then was lost: chunks that were still queued were dropped, and an ingress that went on sent credits to a closed connection, which reset it and destroyed what was left in the sending socket.

Evidence: response_to_a_paused_ingress_outlasts_the_exit_of_the_gate pauses an ingress for 2 s while its gate's node stops.

Change: after the stop has ended, the gate writes what is queued for its links, shuts down the sending side and reads until the ingress closes its end. The node waits for that for 2 s at most, and not beyond the limit of the stop unless for the 0.2 s that it took before. Links that are opened meanwhile still resume calls. An ingress that is not delayed closes at once, so the exit is no later then.

--- a/src/control/state.rs
+++ b/src/control/state.rs
@@ -430,6 +430,14 @@
         self.send_to_gate(GateCommand::Drain);
     }
 
+    /// Closes the gate's links to other nodes in order; completes when they are closed.
+    pub async fn close_gate_links(&self) {
+        let (closed_sender, closed) = tokio::sync::oneshot::channel();
+        self.send_to_gate(GateCommand::CloseLinks(closed_sender));
+        // Fails if the gate has ended, and its links with it.
+        let _ = closed.await;
+    }
+
     /// Whether a graceful shutdown has begun.
     pub fn is_stopping(&self) -> bool {
         *self.stop_phase.borrow() != StopPhase::Serving
--- a/src/gate.rs
+++ b/src/gate.rs
@@ -98,6 +98,9 @@
         /// Bytes already read beyond the peer's hello frame.
         buffered: BytesMut,
     },
+    /// Close the links to other nodes once their ingresses have read everything, and
+    /// reply then.
+    CloseLinks(oneshot::Sender<()>),
     /// Sets the load of the own zone that replies to liveness checks carry.
     SetZoneLoad(Option<ZoneLoad>),
     /// An ingress of this node opened its in-process link.
@@ -189,6 +192,8 @@
     /// Senders of all links, remote and in-process, by link number.
     link_senders: RefCell<BTreeMap<u64, LinkSender>>,
     next_link_number: Cell<u64>,
+    /// Whether links are being closed; each open link to another node has a receiver.
+    link_closing: tokio::sync::watch::Sender<bool>,
     is_draining: Cell<bool>,
     /// Whether the time in which a planned stop lets calls end has passed.
     has_stopped: Cell<bool>,
@@ -227,6 +232,7 @@
         active_links: RefCell::new(BTreeMap::new()),
         link_senders: RefCell::new(BTreeMap::new()),
         next_link_number: Cell::new(0),
+        link_closing: tokio::sync::watch::Sender::new(false),
         is_draining: Cell::new(false),
         has_stopped: Cell::new(false),
         is_evacuated: Cell::new(false),
@@ -276,6 +282,7 @@
             }
             GateCommand::PrepareStop(time_left) => self.prepare_stop(time_left),
             GateCommand::Drain => self.start_drain(),
+            GateCommand::CloseLinks(closed) => self.close_links(closed),
             GateCommand::EndDrain => self.is_draining.set(false),
             GateCommand::SetEvacuated(is_evacuated) => self.set_evacuated(is_evacuated),
             GateCommand::SetZoneLoad(load) => {
--- a/src/gate/links.rs
+++ b/src/gate/links.rs
@@ -3,6 +3,10 @@
 //! A newer link of the same worker thread closes the older one before the gate
 //! sends the welcome message, so that nothing sent on the older link can arrive
 //! after a resume.
+//!
+//! At the end of a planned stop the links are closed in order. If the process just
+//! exited, input that it has not read would reset their connections, and the end of a
+//! response that an ingress is slow to read would be lost.
 
 use std::io;
 use std::net::TcpStream as StdTcpStream;
@@ -12,7 +16,7 @@
 use futures_util::{SinkExt, StreamExt};
 use prost::Message;
 use tokio::net::TcpStream;
-use tokio::sync::Notify;
+use tokio::sync::{Notify, oneshot, watch};
 
 use crate::exchange::{FramedPeerStream, frame_partly_read_stream};
 use crate::gate::Gate;
@@ -57,6 +61,25 @@
         }
     }
 
+    /// Closes the links that are open now, each once what is queued for it is written and
+    /// its ingress has read that. `closed` completes after the last of them.
+    pub(super) fn close_links(self: &Rc<Self>, closed: oneshot::Sender<()>) {
+        self.link_closing.send_replace(true);
+        let gate = Rc::clone(self);
+        ntex::rt::spawn(async move {
+            gate.link_closing.closed().await;
+            // The node may have stopped waiting.
+            let _ = closed.send(());
+        });
+    }
+
+    /// Signal to close a new link, which counts as open until it is dropped; `None` if
+    /// links are being closed already. Such a link resumes calls until the exit.
+    fn closing_signal(&self) -> Option<watch::Receiver<bool>> {
+        let is_closing = *self.link_closing.borrow();
+        (!is_closing).then(|| self.link_closing.subscribe())
+    }
+
     fn register_link_sender(&self, sender: &LinkSender) -> u64 {
         let link_number = self.next_link_number.get();
         self.next_link_number.set(link_number + 1);
@@ -119,18 +142,39 @@
     gate.record_known_statement(hello);
     let link_number = gate.register_link_sender(&sender);
     let _registration = gate.quarantine.register_link(&sender);
+    let mut closing_signal = gate.closing_signal();
+    let closing = wait_until_closing(closing_signal.as_mut());
     let reading = async {
         while let Some(message) = read_frame(&mut stream).await? {
             gate.handle_message(hello.incarnation, message, &sender);
         }
         Ok(())
     };
+    let exchange = async {
+        tokio::pin!(reading);
+        tokio::select! {
+            biased;
+            written = write_frames(sink, outgoing, closing) => {
+                written?;
+                // Until the ingress has read everything and closes its end.
+                reading.await
+            }
+            result = &mut reading => result,
+        }
+    };
     let result = tokio::select! {
         biased;
         () = close_signal.notified() => Ok(()),
-        result = write_frames(sink, outgoing) => result,
-        result = reading => result,
+        result = exchange => result,
     };
     gate.link_senders.borrow_mut().remove(&link_number);
     result
 }
+
+async fn wait_until_closing(signal: Option<&mut watch::Receiver<bool>>) {
+    match signal {
+        // Fails only without a gate, and the link has one.
+        Some(signal) => drop(signal.wait_for(|is_closing| *is_closing).await),
+        None => std::future::pending().await,
+    }
+}
--- a/src/link/endpoint.rs
+++ b/src/link/endpoint.rs
@@ -62,6 +62,12 @@
         }
     }
 
+    /// Drops what is sent from now on; what is queued can still be received.
+    fn close(&mut self) {
+        self.priority.close();
+        self.bulk.close();
+    }
+
     fn try_recv(&mut self) -> Option<LinkMessage> {
         self.priority
             .try_recv()
@@ -85,12 +91,32 @@
     (sender, receiver)
 }
 
-/// Writes messages to the socket until all senders of the link are dropped.
+/// Writes messages to the socket until all senders of the link are dropped or `closing`
+/// completes. What is queued by then is written before the sending side is shut down.
+///
+/// # Errors
+///
+/// Fails if writing to the socket fails.
 pub async fn write_frames(
     mut sink: SplitSink<FramedPeerStream, Bytes>,
     mut outgoing: LinkReceiver,
+    closing: impl Future<Output = ()>,
 ) -> io::Result<()> {
-    while let Some(message) = outgoing.recv().await {
+    tokio::pin!(closing);
+    let mut is_closing = false;
+    loop {
+        let message = tokio::select! {
+            biased;
+            () = &mut closing, if !is_closing => {
+                is_closing = true;
+                outgoing.close();
+                continue;
+            }
+            message = outgoing.recv() => message,
+        };
+        let Some(message) = message else {
+            break;
+        };
         sink.feed(encode_frame(message)).await?;
         for _ in 1..MAX_FRAMES_PER_FLUSH {
             let Some(message) = outgoing.try_recv() else {
--- a/src/link/pool.rs
+++ b/src/link/pool.rs
@@ -259,7 +259,7 @@
         let written_link = Rc::clone(&link);
         ntex::rt::spawn(async move {
             tokio::select! {
-                _ = write_frames(sink, outgoing) => written_link.mark_lost(),
+                _ = write_frames(sink, outgoing, std::future::pending()) => written_link.mark_lost(),
                 () = written_link.wait_until_lost() => {}
             }
         });
--- a/src/node.rs
+++ b/src/node.rs
@@ -51,7 +51,7 @@
 use crate::membership::{MemberIdentity, MembershipState};
 use crate::metrics::{NodeMetrics, publish_statsd_gauges, start_metrics_server};
 use crate::node::listener::{WorkerSettings, start_ingress};
-use crate::node::stop::stop_node;
+use crate::node::stop::{ADMIN_FLUSH_DELAY, stop_node};
 use crate::options::{EXIT_MARGIN, NODE_COMMAND, NodeOptions, options_from_process};
 use crate::platform::{PLATFORM, PlatformStore};
 use crate::quarantine::QuarantineHub;
@@ -76,8 +76,6 @@
 /// Connections that may wait to be accepted. If a burst exceeds it, the kernel
 /// resets connections that callers take for established.
 const CALLER_LISTEN_BACKLOG: i32 = 4_096;
-/// Time to send the last replies of the administration API, which are short.
-const ADMIN_FLUSH_DELAY: Duration = Duration::from_millis(200);
 // The process must be gone before it is killed.
 const _: () = assert!(
     ADMIN_FLUSH_DELAY.as_millis() + LOG_FLUSH_TIMEOUT.as_millis() <= EXIT_MARGIN.as_millis()
@@ -350,7 +348,6 @@
         () = control.stop_requested.notified() => {}
     }
     stop_node(&control, &options).await;
-    tokio::time::sleep(ADMIN_FLUSH_DELAY).await;
     log::info!(target: "node", "node stopped");
     Ok(())
 }
--- a/src/node/stop.rs
+++ b/src/node/stop.rs
@@ -14,6 +14,11 @@
 /// Time before the limit of a stop at which calls end, so that their answers can
 /// be written.
 const ANSWER_MARGIN: Duration = Duration::from_millis(200);
+/// Time to send the last replies of the administration API, which are short.
+pub(super) const ADMIN_FLUSH_DELAY: Duration = Duration::from_millis(200);
+/// Longest wait for other nodes to read the last responses; processes on a busy machine
+/// were seen to stall for 0.9 s.
+const MAX_LINK_CLOSE_TIME: Duration = Duration::from_secs(2);
 /// Requests that are logged one by one at the limit of a stop.
 const MAX_LISTED_REQUESTS: usize = 64;
 
@@ -65,6 +70,21 @@
         running = left.running, queued = left.queued;
         "stop ended"
     );
+    let time_left = options.drain_limit.saturating_sub(signalled_at.elapsed());
+    close_connections(control, time_left.min(MAX_LINK_CLOSE_TIME)).await;
+}
+
+/// Gives other nodes and callers of the administration API time to read what was sent.
+async fn close_connections(control: &ControlState, time_left: Duration) {
+    let close_time = time_left.max(ADMIN_FLUSH_DELAY);
+    let closing = tokio::time::timeout(close_time, control.close_gate_links());
+    let (closed, ()) = tokio::join!(closing, tokio::time::sleep(ADMIN_FLUSH_DELAY));
+    if closed.is_err() {
+        log::warn!(
+            target: "node", waited_ms = millis(close_time);
+            "links of other nodes are still open at the exit"
+        );
+    }
 }
 
 /// Work that a stopping node has not finished.
--- a/tests/stop_limits.rs
+++ b/tests/stop_limits.rs
@@ -426,3 +426,36 @@
     stop_and_wait_for_exit(&mut fleet).await;
     assert_none_ran(fleet, &not_run);
 }
+
+/// Bytes of a response that its ingress has room for, but its socket has not.
+const WINDOW_BODY_BYTES: usize = 250 * 1024;
+/// Longer than the node of a gate took to exit, however slow an ingress is.
+const INGRESS_PAUSE: Duration = Duration::from_secs(2);
+
+/// Guards against responses whose end is lost at the exit of the gate's node, as their
+/// ingress was paused when it was sent.
+#[ntex::test]
+async fn response_to_a_paused_ingress_outlasts_the_exit_of_the_gate() {
+    let mut fleet = Fleet::start_with(FleetConfig {
+        upstream_count: 1,
+        node_flags: LONG_STOP_FLAGS,
+        work_ms: DEFAULT_WORK_MS,
+    })
+    .await;
+    let _backend = fleet.start_ingress_backend();
+    fleet.upstreams[0].backend = None;
+    let mut caller = wait_until_serving(fleet.upstreams[0].listen_address()).await;
+    let order = large_order("large", Duration::from_secs(1), WINDOW_BODY_BYTES);
+    caller.send(&String::from_utf8(order).unwrap()).await;
+    sleep(PLACING_TIME).await;
+    fleet.signal_ingress("TERM");
+    fleet.upstreams[0].signal_node("STOP");
+    sleep(INGRESS_PAUSE).await;
+    fleet.upstreams[0].signal_node("CONT");
+    let response = caller.read_response().await;
+    let response = response.map_err(|received| received.len());
+    let response = response.expect("the response should be complete");
+    assert_eq!(response.status, 200);
+    assert!(contains_body(&response.body, WINDOW_BODY_BYTES));
+    assert_eq!(fleet.wait_for_ingress_exit().await, Some(0));
+}
--- a/tests/support/fleet.rs
+++ b/tests/support/fleet.rs
@@ -320,6 +320,27 @@
         fleet
     }
 
+    /// Starts a backend server at the node that otherwise serves only as ingress. Other
+    /// nodes reach it without a relay.
+    pub fn start_ingress_backend(&self) -> Process {
+        let admin_url = format!("http://{}", self.ingress_admin_address);
+        let mut command = Command::new(env!("CARGO_BIN_EXE_standin-backend"));
+        command
+            .args(["--admin", &admin_url, "--id", "edge-1-backend"])
+            .args(["--service", SERVICE, "--slots", SLOTS_PER_BACKEND]);
+        Process::start("edge-1-backend", &mut command, &self.runs)
+    }
+
+    /// Sends a signal to the ingress.
+    pub fn signal_ingress(&self, name: &str) {
+        self.ingress.signal(name);
+    }
+
+    /// Waits for the ingress to exit; `None` if a signal ended it.
+    pub async fn wait_for_ingress_exit(&mut self) -> Option<i32> {
+        self.ingress.wait_for_exit().await
+    }
+
     /// Submits a ticket; returns whether it was accepted.
     pub async fn submit_ticket(&self, number: u64) -> bool {
         let url = format!("http://{}/v1/tickets/{number}", self.ingress_admin_address);
