Refuse suspects that wait for a trial when their gate drains

Cause: such a call is neither queued nor running. The stop doesn't wait for it, and only queued calls are refused at its end. A gate that drains would refuse the call anyway once its turn came.

Evidence: suspect_that_waits_for_its_trial_is_refused_when_the_gate_drains failed without the change, 2 of 2 runs: the gate sent nothing for the second suspect until the first had been answered.

Change: a drain wakes the waiting suspects, and they are refused as not run, so that their ingress can place them elsewhere at once.

Measured: passes, with the other 48 unit tests of gate, link, quarantine and node.

--- a/src/gate.rs
+++ b/src/gate.rs
@@ -195,6 +195,7 @@
     /// Whether links are being closed; each open link to another node has a receiver.
     link_closing: tokio::sync::watch::Sender<bool>,
     is_draining: Cell<bool>,
+    drain_began: Notify,
     /// Whether the time in which a planned stop lets calls end has passed.
     has_stopped: Cell<bool>,
     is_evacuated: Cell<bool>,
@@ -234,6 +235,7 @@
         next_link_number: Cell::new(0),
         link_closing: tokio::sync::watch::Sender::new(false),
         is_draining: Cell::new(false),
+        drain_began: Notify::new(),
         has_stopped: Cell::new(false),
         is_evacuated: Cell::new(false),
         evacuation_began: Notify::new(),
@@ -354,11 +356,19 @@
 
     fn start_drain(&self) {
         self.is_draining.set(true);
+        self.drain_began.notify_waiters();
         for sender in self.link_senders.borrow().values() {
             sender.send(LinkMessage::Leaving(LinkPing::default()));
         }
     }
 
+    /// Waits until the gate refuses new calls.
+    async fn drained(&self) {
+        while !self.is_draining.get() {
+            self.drain_began.notified().await;
+        }
+    }
+
     fn now(&self) -> Duration {
         self.started_at.elapsed()
     }
--- a/src/gate/tests.rs
+++ b/src/gate/tests.rs
@@ -12,7 +12,9 @@
 use crate::fields::DEFAULT_DIALECT;
 use crate::ids::ConnectionCount;
 use crate::link::endpoint::message_channel;
-use crate::link::messages::{CallReference, CallResume, CancelReply, ResumeState};
+use crate::link::messages::{
+    CallReference, CallResume, CancelReply, QuarantineRecord, QuarantineUpdate, ResumeState,
+};
 use crate::link::window::{INITIAL_WINDOW_BYTES, SendWindow};
 
 /// Gate with a backend server of one slot, and an in-process link to it.
@@ -111,16 +113,8 @@
     }
 
     fn send_open(&self, sequence: u64, path: &str) {
-        self.sender.send(LinkMessage::Open(CallOpen {
-            sequence,
-            service: "slotbook".to_string(),
-            method: "POST".to_string(),
-            path: path.to_string(),
-            time_left_us: 5_000_000,
-            attempts_left: 1,
-            is_body_complete: true,
-            ..CallOpen::default()
-        }));
+        let open = open_message(sequence, path);
+        self.sender.send(LinkMessage::Open(open));
     }
 
     fn runs(&self) -> u32 {
@@ -128,6 +122,19 @@
     }
 }
 
+fn open_message(sequence: u64, path: &str) -> CallOpen {
+    CallOpen {
+        sequence,
+        service: "slotbook".to_string(),
+        method: "POST".to_string(),
+        path: path.to_string(),
+        time_left_us: 5_000_000,
+        attempts_left: 1,
+        is_body_complete: true,
+        ..CallOpen::default()
+    }
+}
+
 fn open_link(commands: &UnboundedSender<GateCommand>) -> (LinkSender, LinkReceiver) {
     let (sender, gate_receiver) = message_channel();
     let (gate_sender, receiver) = message_channel();
@@ -309,6 +316,47 @@
     assert_eq!(fixture.runs(), 1);
 }
 
+/// Guards against suspects of unknown outcome that only waited for a trial when their
+/// gate's node stopped.
+#[ntex::test]
+async fn suspect_that_waits_for_its_trial_is_refused_when_the_gate_drains() {
+    let mut fixture = GateFixture::start().await;
+    let digest = bytes::Bytes::from_static(&[7; 16]);
+    fixture
+        .sender
+        .send(LinkMessage::Quarantine(QuarantineUpdate {
+            records: vec![QuarantineRecord {
+                fingerprint: digest.clone(),
+                head: digest.clone(),
+                shared_crashes: vec![1],
+                service: "slotbook".to_string(),
+                ..QuarantineRecord::default()
+            }],
+        }));
+    for sequence in 1..=2 {
+        let mut open = open_message(sequence, "/slow");
+        open.head_digest = digest.clone();
+        open.fingerprint = digest.clone();
+        fixture.sender.send(LinkMessage::Open(open));
+    }
+    while fixture.runs() == 0 {
+        ntex::time::sleep(ntex::time::Millis(1)).await;
+    }
+    fixture.commands.send(GateCommand::Drain).unwrap();
+    assert_matches!(fixture.receiver.recv().await, Some(LinkMessage::Leaving(_)));
+    let refusal = assert_matches!(
+        fixture.receiver.recv().await,
+        Some(LinkMessage::Refusal(refusal)) => refusal
+    );
+    let expected = (2, ErrorKind::Draining.code());
+    assert_eq!((refusal.sequence, &refusal.kind[..]), expected);
+    assert_matches!(
+        fixture.receiver.recv().await,
+        Some(LinkMessage::ResponseStart(_))
+    );
+    assert_eq!(fixture.runs(), 1);
+}
+
 #[ntex::test]
 async fn cancel_after_refusal_gets_a_not_run_reply() {
     let mut fixture = GateFixture::start().await;
--- a/src/gate/trials.rs
+++ b/src/gate/trials.rs
@@ -111,7 +111,7 @@
         }
     }
 
-    /// Waits while handling inputs; `None` if the call is cancelled or out of time
+    /// Waits while handling inputs; `None` if the call is refused, cancelled or out of time
     /// meanwhile, and told so.
     async fn wait_unless_ended<T>(&mut self, awaited: impl Future<Output = T>) -> Option<T> {
         tokio::pin!(awaited);
@@ -124,6 +124,10 @@
                     self.send_refusal(&ErrorKind::ZoneEvacuated.into());
                     return None;
                 }
+                () = gate.drained() => {
+                    self.send_refusal(&ErrorKind::Draining.into());
+                    return None;
+                }
                 input = self.next_input() => {
                     if input.is_none_or(|input| self.is_cancelled_by(input)) {
                         self.send_cancel_reply(true);
