Count empty lines before a request towards the limits of its head

Callers saw: a connection that sent empty lines and no request was never ended, and at full speed it occupied most of a node's only thread.

Cause: empty lines were dropped before the head was parsed. They counted towards no limit in bytes, and after each the connection was idle again. With input that is always ready the select of a read and its timer doesn't come to the timer.

Change: the lines stay in the input as part of the head behind them, so that they count towards its bytes (431) and start its time (408). A single empty line, which some callers send after a body, still leaves the connection idle.

--- a/src/http1/head.rs
+++ b/src/http1/head.rs
@@ -74,13 +74,13 @@
 
 impl RequestHead {
     /// Parses a request head and removes it from the buffer; `None` while it is
-    /// incomplete.
+    /// incomplete. Empty lines before it are skipped, as RFC 9112 recommends, but
+    /// count towards its limit.
     ///
     /// # Errors
     ///
     /// Fails if the head is malformed or larger than the limit.
     pub fn parse(buffer: &mut BytesMut, limits: HeadLimits) -> Result<Option<Self>, HeadError> {
-        skip_blank_lines(buffer);
         let mut headers = [httparse::EMPTY_HEADER; MAX_FIELDS];
         let mut request = httparse::Request::new(&mut headers);
         let parsed = request.parse(buffer);
@@ -177,14 +177,6 @@
     }
 }
 
-/// Skips empty lines before a request line, as RFC 9112 recommends: some clients
-/// send one after the body of the previous request.
-fn skip_blank_lines(buffer: &mut BytesMut) {
-    while buffer.starts_with(b"\r\n") {
-        buffer.advance(2);
-    }
-}
-
 fn checked_head_length(
     parsed: httparse::Result<usize>,
     buffer: &BytesMut,
--- a/src/http1/tests.rs
+++ b/src/http1/tests.rs
@@ -86,6 +86,24 @@
     assert_eq!(parse_request(&large), Err(HeadError::TooLarge));
 }
 
+/// Guards against callers that occupy a connection with empty lines and never send a request.
+#[test]
+fn blank_lines_count_towards_the_head_behind_them() {
+    let request = "GET / HTTP/1.1\r\nhost: shop\r\n\r\n";
+    let mut buffer = BytesMut::from(&format!("\r\n\r\n{request}rest")[..]);
+    let head = RequestHead::parse(&mut buffer, LIMITS).unwrap();
+    assert_eq!(head.map(|head| head.target).as_deref(), Some("/"));
+    assert_eq!(&buffer[..], b"rest");
+    let lines = "\r\n".repeat(LIMITS.max_bytes / 2);
+    let mut buffer = BytesMut::from(&lines[..]);
+    assert_eq!(RequestHead::parse(&mut buffer, LIMITS), Ok(None));
+    assert_eq!(buffer.len(), LIMITS.max_bytes);
+    for rest in ["\r", request] {
+        let found = parse_request(&format!("{lines}{rest}"));
+        assert_eq!(found, Err(HeadError::TooLarge), "{rest}");
+    }
+}
+
 #[test]
 fn response_framing_depends_on_method_and_status() {
     let framing = |text: &str| parse_response(text).unwrap().unwrap().framing;
--- a/src/ingress/connection.rs
+++ b/src/ingress/connection.rs
@@ -299,7 +299,7 @@
                 Err(HeadError::Malformed) => return Ok(HeadRead::Rejected(ErrorKind::BadRequest)),
                 Err(HeadError::TooLarge) => return Ok(HeadRead::Rejected(ErrorKind::HeadTooLarge)),
             }
-            let has_partial_head = !buffer.is_empty();
+            let has_partial_head = !is_idle_input(buffer);
             let now = tokio::time::Instant::now();
             let deadline = if has_partial_head {
                 let limit = Duration::from_millis(limits.head_timeout_ms);
@@ -565,6 +565,12 @@
     }
 }
 
+/// Whether no part of a request has been received: some callers send an empty line after
+/// the body of the previous one.
+fn is_idle_input(buffer: &[u8]) -> bool {
+    b"\r\n".starts_with(buffer)
+}
+
 enum HeadRead {
     Head(Box<RequestHead>),
     Rejected(ErrorKind),
