See a caller's disconnect while its pipeline is full

Callers saw: 32 requests of a connection went on running after the caller had closed it.

Cause: while 32 requests are in progress the connection wasn't read, so its end wasn't seen.

Change: the connection is read ahead while the pipeline is full, up to the limit that applies while a response is passed on already.

--- a/src/ingress/connection.rs
+++ b/src/ingress/connection.rs
@@ -208,7 +208,10 @@
         buffer: &mut BytesMut,
     ) -> io::Result<ReadEndReason> {
         loop {
-            self.wait_for_pipeline_room().await;
+            let is_full = || self.unanswered_count.get() >= MAX_PIPELINED_REQUESTS;
+            if !self.read_ahead_while(is_full, input, buffer).await? {
+                return Ok(ReadEndReason::CallerClosed);
+            }
             if self.is_closing.get() {
                 return Ok(ReadEndReason::NoMoreRequests);
             }
@@ -225,7 +228,8 @@
                 // caller knows that this request was not run.
                 return Ok(ReadEndReason::NoMoreRequests);
             }
-            if !self.wait_for_end_of_stream(input, buffer).await? {
+            let is_streaming = || self.is_streaming.get();
+            if !self.read_ahead_while(is_streaming, input, buffer).await? {
                 return Ok(ReadEndReason::CallerClosed);
             }
             if self.is_closing.get() {
@@ -250,20 +254,15 @@
         }
     }
 
-    async fn wait_for_pipeline_room(&self) {
-        while self.unanswered_count.get() >= MAX_PIPELINED_REQUESTS {
-            self.response_written.notified().await;
-        }
-    }
-
-    /// Waits while a response is being written whose end has not arrived, and reads ahead;
-    /// returns false if the caller closes the connection.
-    async fn wait_for_end_of_stream(
+    /// Reads ahead while a condition holds that ends with a response; returns false if the
+    /// caller closes the connection.
+    async fn read_ahead_while(
         &self,
+        condition: impl Fn() -> bool,
         input: &mut OwnedReadHalf,
         buffer: &mut BytesMut,
     ) -> io::Result<bool> {
-        while self.is_streaming.get() {
+        while condition() {
             buffer.reserve(READ_BUFFER_BYTES);
             tokio::select! {
                 biased;
--- a/tests/http.rs
+++ b/tests/http.rs
@@ -224,6 +224,24 @@
         .await;
 }
 
+/// Guards against a disconnect that isn't seen while no further request is read.
+#[ntex::test]
+async fn caller_disconnect_with_a_full_pipeline_cancels_the_runs() {
+    const PIPELINED: u64 = 32;
+    let fleet = TwoNodeFleet::start(&["--slots", "40"]).await;
+    let mut caller = RawCaller::connect(fleet.ingress_address).await;
+    let request = "GET / HTTP/1.1\r\nhost: slotbook\r\n\
+                   standin-work-us: 4000000\r\n\r\n";
+    caller.send(&request.repeat(PIPELINED as usize)).await;
+    fleet
+        .wait_for_run_counts(|counts| counts.started == PIPELINED)
+        .await;
+    drop(caller);
+    sleep(Duration::from_millis(500)).await;
+    let counts = fleet.run_counts().await;
+    assert_eq!((counts.cancelled, counts.active), (PIPELINED, 0));
+}
+
 #[ntex::test]
 async fn expired_deadline_cancels_the_run() {
     let fleet = TwoNodeFleet::start(&[]).await;
