--- a/src/node/stop.rs
+++ b/src/node/stop.rs
@@ -16,8 +16,7 @@
 const ANSWER_MARGIN: Duration = Duration::from_millis(200);
 /// Time to send the last replies of the administration API, which are short.
 pub(super) const ADMIN_FLUSH_DELAY: Duration = Duration::from_millis(200);
-/// Longest wait for other nodes to read the last responses; processes on a busy machine
-/// were seen to stall for 0.9 s.
+/// Longest wait for other nodes to read the last responses; a busy VM may stall for a second.
 const MAX_LINK_CLOSE_TIME: Duration = Duration::from_secs(2);
 /// Requests that are logged one by one at the limit of a stop.
 const MAX_LISTED_REQUESTS: usize = 64;
