End a listing of the store that never ends

Seen by callers: none measured on real processes; a node that lists a faulty store's keys would grow until it ended, and with it its callers' requests.

Cause: the client followed `hasMore` page by page and kept all items. Only a single page had limits (4 MiB, 2 s). A store that says on each page that more follows, even with the same key again, was listed for ever.

Change: a listing fails after 64 pages or 16 MiB of responses.

Test: listing_that_never_ends_fails (small and 1 MiB pages).

--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -29,6 +29,10 @@
 const CALL_TIMEOUT: Duration = Duration::from_secs(2);
 /// Time added to a watch's own limit before the HTTP call times out.
 const WATCH_TIMEOUT_MARGIN: Duration = Duration::from_secs(1);
+/// Most bytes in the responses to one listing, several times those of a large fleet.
+const MAX_LISTING_BYTES: usize = 16 * 1024 * 1024;
+/// Most pages of one listing, each of about 500 items or 1 MB.
+const MAX_LISTING_PAGES: usize = 64;
 /// Prefix without keys. A listing of it carries the store's revision and no items.
 const UNUSED_PREFIX: &str = "currantlift/none/";
 /// Query parameter that permits a response a few seconds out of date.
@@ -240,7 +244,8 @@
         let mut changes = Vec::new();
         let mut position = None;
         let mut last_key = String::new();
-        loop {
+        let mut listed_bytes = 0;
+        for _ in 0..MAX_LISTING_PAGES {
             let after = match &*last_key {
                 "" => String::new(),
                 key => format!("&after={}", percent_encode(key)),
@@ -248,6 +253,10 @@
             let prefix = percent_encode(prefix);
             let path = format!("/api/kv-range?prefix={prefix}{after}{option}");
             let response = self.get_path(&path, CALL_TIMEOUT).await?;
+            listed_bytes += response.body.len();
+            if listed_bytes > MAX_LISTING_BYTES {
+                break;
+            }
             let page: RangeResponse = parse_json(&response)?;
             // Changes between two pages come after the position of the first.
             position.get_or_insert(WatchPosition {
@@ -268,6 +277,10 @@
                 });
             }
         }
+        let reason = format!(
+            "listing of {prefix} is longer than {MAX_LISTING_PAGES} pages or {MAX_LISTING_BYTES} bytes"
+        );
+        Err(no_effect(&reason))
     }
 
     async fn wait_for_prefix(
--- a/src/platform/tests.rs
+++ b/src/platform/tests.rs
@@ -424,6 +424,28 @@
     );
 }
 
+async fn respond_endlessly(item_bytes: State<usize>) -> HttpResponse {
+    let value = "YWFh".repeat(*item_bytes / 4);
+    let item = format!(r#"{{"key":"n/a","value":"{value}","revision":1}}"#);
+    HttpResponse::Ok().body(format!(r#"{{"items":[{item}],"hasMore":true,"asOf":9}}"#))
+}
+
+/// Guards against a listing that takes memory until the process ends.
+#[ntex::test]
+async fn listing_that_never_ends_fails() {
+    for item_bytes in [4_usize, 1024 * 1024] {
+        let server = test::server(async move || {
+            let service = web::resource("/api/kv-range").to(respond_endlessly);
+            App::new().state(item_bytes).service(service)
+        })
+        .await;
+        let url = format!("http://{}", server.addr());
+        let store = PlatformStore::connect(&url).await.unwrap();
+        let listed = tokio::time::timeout(Duration::from_secs(10), store.list("n/")).await;
+        assert_matches!(listed, Ok(Err(StoreError::NoEffect { .. })));
+    }
+}
+
 #[ntex::test]
 async fn error_states_whether_the_write_took_effect() {
     let responses = [(503, ""), (429, ""), (500, ""), (200, "garbage"), (412, "")];
