Limit the chunks of a body in flight in number too

Cause: the window of a call limits the bytes in flight to 256 KiB, and each chunk takes a record in the resend buffer, a message in the link's queue and an event at the receiver. With chunks of one byte that is 262,144 of each, a multiple of the window's bytes.

Change: the window is closed also while 256 chunks are in flight; chunks of 1 KiB and more are not affected. It applies to both directions.

Test: small_chunks_in_flight_are_limited_in_number, red without the limit, green with it.

--- a/src/link/tests.rs
+++ b/src/link/tests.rs
@@ -4,7 +4,9 @@
 
 use super::endpoint::message_channel;
 use super::messages::{BodyChunk, CallReference, LinkMessage};
-use super::window::{INITIAL_WINDOW_BYTES, ReceiveWindow, SendWindow, WINDOW_BYTES};
+use super::window::{
+    INITIAL_WINDOW_BYTES, MAX_CHUNKS_IN_FLIGHT, ReceiveWindow, SendWindow, WINDOW_BYTES,
+};
 
 fn response_chunk(sequence: u64) -> LinkMessage {
     LinkMessage::ResponseChunk(BodyChunk {
@@ -40,6 +42,18 @@
     );
 }
 
+#[test]
+fn small_chunks_in_flight_are_limited_in_number() {
+    let mut window = SendWindow::new(WINDOW_BYTES);
+    for _ in 0..MAX_CHUNKS_IN_FLIGHT {
+        assert!(window.available_bytes() > 0);
+        window.record_sent(Bytes::from("a"), false);
+    }
+    assert_eq!(window.available_bytes(), 0);
+    window.apply_credit(1);
+    assert!(window.available_bytes() > 0);
+}
+
 #[test]
 fn chunk_after_a_gap_is_rejected() {
     let mut window = ReceiveWindow::default();
--- a/src/link/window.rs
+++ b/src/link/window.rs
@@ -14,6 +14,10 @@
 /// Largest body chunk in one frame.
 pub const MAX_CHUNK_BYTES: usize = 32 * 1024;
 
+/// Most chunks of one body that may be in flight; small ones take more memory than their
+/// bytes.
+pub const MAX_CHUNKS_IN_FLIGHT: usize = 256;
+
 /// Sender side: buffers bytes that were sent but not yet consumed by the receiver.
 #[derive(Debug)]
 pub struct SendWindow {
@@ -38,6 +42,9 @@
 
     /// Bytes that may be sent now.
     pub fn available_bytes(&self) -> usize {
+        if self.unconsumed.len() >= MAX_CHUNKS_IN_FLIGHT {
+            return 0;
+        }
         let in_flight_bytes = self.sent_bytes - self.consumed_bytes;
         usize::try_from(self.limit_bytes.saturating_sub(in_flight_bytes)).unwrap_or(usize::MAX)
     }
