--- a/tests/uploads/fleet.rs
+++ b/tests/uploads/fleet.rs
@@ -15,6 +15,7 @@
 use crate::process::{Process, RunsByRequest, logs_are_kept};
 
 pub const SERVICE: &str = "tillpost";
+const DEFAULT_SLOTS: u32 = 6;
 const READY_TIMEOUT: Duration = Duration::from_secs(30);
 const POLL_INTERVAL: Duration = Duration::from_millis(20);
 const HEARTBEAT_INTERVAL: Duration = Duration::from_secs(1);
@@ -32,7 +33,7 @@
     pub ingress_address: SocketAddr,
     admin_address: SocketAddr,
     client: Client,
-    _others: Vec<Process>,
+    others: Vec<Process>,
 }
 
 fn start_node(name: &str, store_url: &str, peer: Option<SocketAddr>) -> (Process, NodeAddresses) {
@@ -55,8 +56,14 @@
 }
 
 impl Fleet {
-    /// Starts the nodes and waits until the ingress can route to all backend servers.
+    /// Starts a fleet whose backend servers have the usual number of slots; see
+    /// [`Self::start_with`].
     pub async fn start(backends: &[SocketAddr]) -> Self {
+        Self::start_with(backends, DEFAULT_SLOTS).await
+    }
+
+    /// Starts the nodes and waits until the ingress can route to all backend servers.
+    pub async fn start_with(backends: &[SocketAddr], slots: u32) -> Self {
         let mut command = Command::new(env!("CARGO_BIN_EXE_standin-store"));
         command.args(["--listen", LOOPBACK_ANY_PORT]);
         let store = Process::start("store", &mut command, &RunsByRequest::default());
@@ -67,7 +74,7 @@
         for (index, backend) in backends.iter().enumerate() {
             let name = format!("{SERVICE}-{}", index + 1);
             let (gate, gate_addresses) = start_node(&name, &store_url, Some(addresses.peer_listen));
-            announce(&client, gate_addresses.admin_listen, &name, *backend).await;
+            announce(&client, gate_addresses.admin_listen, &name, *backend, slots).await;
             others.push(gate);
         }
         let fleet = Self {
@@ -75,13 +82,24 @@
             ingress_address: addresses.listen,
             admin_address: addresses.admin_listen,
             client,
-            _others: others,
+            others,
         };
         fleet.submit_ticket().await;
         fleet.wait_until_ready(backends.len()).await;
         fleet
     }
 
+    /// Peak memory of each process: the ingress, the store, the gates.
+    pub fn peak_memory_bytes(&self) -> Vec<u64> {
+        let processes = std::iter::once(&self.ingress).chain(&self.others);
+        processes.map(Process::peak_memory_bytes).collect()
+    }
+
+    pub fn assert_all_run(&mut self) {
+        let processes = std::iter::once(&mut self.ingress).chain(&mut self.others);
+        assert!(processes.fold(true, |run, process| run & !process.has_exited()));
+    }
+
     async fn submit_ticket(&self) {
         let rule = json!({ "method": "POST", "path": "/orders", "idempotent": false });
         let service = json!({ "timeout_ms": 5000, "attempts": 3, "requests": [rule] });
@@ -117,12 +135,12 @@
 }
 
 /// Announces a backend server to its node, now and then periodically.
-async fn announce(client: &Client, node: SocketAddr, id: &str, address: SocketAddr) {
+async fn announce(client: &Client, node: SocketAddr, id: &str, address: SocketAddr, slots: u32) {
     let url = format!("http://{node}/v1/backends/{id}");
     let announcement = BackendAnnouncement {
         service: SERVICE.parse().unwrap(),
         address,
-        slots: "6".parse().unwrap(),
+        slots: slots.to_string().parse().unwrap(),
         connections: "100".parse().unwrap(),
         state: UpstreamState::Ready,
         order: None,
