--- a/tests/uploads/fleet.rs
+++ b/tests/uploads/fleet.rs
@@ -31,6 +31,7 @@
 pub struct Fleet {
     pub ingress: Process,
     pub ingress_address: SocketAddr,
+    pub ingress_peer_address: SocketAddr,
     admin_address: SocketAddr,
     client: Client,
     others: Vec<Process>,
@@ -80,6 +81,7 @@
         let fleet = Self {
             ingress,
             ingress_address: addresses.listen,
+            ingress_peer_address: addresses.peer_listen,
             admin_address: addresses.admin_listen,
             client,
             others,
