Go on with a response whose gate is silent for a moment

Callers saw: a connection closed within a response, while the upstream was sending the rest of it. Cause: as for a request without a response, one failed reconnect of 0.1 s was enough to give the call up if another upstream could run it. But the caller has the head by then, and no other upstream can go on with its body, so the response was cut and the connection closed. Evidence: response_of_a_stalled_gate_is_not_cut_for_another_upstream failed before: no answer after 0.34 s, its gate stalled for 0.4 s within a chunked response. Change: once the head has arrived, the attempt reconnects until its deadline, unless the process of its gate is gone. Scripted upstreams can pause within an answer; without a pause they send as before.

--- a/src/ingress/attempt/resume.rs
+++ b/src/ingress/attempt/resume.rs
@@ -115,9 +115,11 @@
                 Ok(link) => return Ok(link),
                 Err(error) => error,
             };
+            // A response that the caller has the head of can't be replaced by another.
+            let may_retry = self.plan.may_retry && !self.has_response_head;
             let lost_gate = LostGate {
                 is_process_gone: error.kind() == io::ErrorKind::ConnectionRefused,
-                may_run_elsewhere: self.plan.may_retry && self.can_retry_elsewhere(),
+                may_run_elsewhere: may_retry && self.can_retry_elsewhere(),
             };
             if lost_gate.should_give_up() {
                 return Err(self.state.on_gate_unreachable().into());
--- a/tests/byte_faults/script.rs
+++ b/tests/byte_faults/script.rs
@@ -119,6 +119,8 @@
     pub cut: Option<(f64, ConnectionEnd)>,
     /// Pause between the part of an answer before its cut and the end of the connection.
     pub pause_at_cut: Duration,
+    /// Pause between the halves of an answer that is sent whole.
+    pub pause_within: Duration,
     /// Delay after which the answer is sent a second time.
     pub copy_after: Option<Duration>,
     /// How the connection ends after an answer that came before the body.
@@ -138,6 +140,7 @@
         cut: None,
         // A reset discards what has not been sent.
         pause_at_cut: Duration::from_millis(2),
+        pause_within: Duration::ZERO,
         copy_after: None,
         end_after: None,
         says_close: false,
--- a/tests/byte_faults/upstream.rs
+++ b/tests/byte_faults/upstream.rs
@@ -5,6 +5,7 @@
 use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::time::Duration;
 
 use ntex::time::sleep;
 use tokio::io::{AsyncBufReadExt, AsyncReadExt, AsyncWriteExt, BufReader};
@@ -315,7 +316,14 @@
             sleep(script.pause_at_cut).await;
             return Ok(Some(end));
         }
-        write_all(writer, answer).await?;
+        let mut unsent = answer;
+        if script.pause_within > Duration::ZERO {
+            let (first_half, second_half) = answer.split_at(answer.len() / 2);
+            write_all(writer, first_half).await?;
+            sleep(script.pause_within).await;
+            unsent = second_half;
+        }
+        write_all(writer, unsent).await?;
         if let Some(delay) = script.copy_after {
             let (writer, copy) = (Rc::clone(writer), answer.to_vec());
             ntex::rt::spawn(async move {
--- a/tests/late_requests.rs
+++ b/tests/late_requests.rs
@@ -27,7 +27,7 @@
 
 use fleet::ScriptedFleet;
 use raw::RawCaller;
-use script::{AnswerKind, CallerEnd, RequestKind, RequestPlan, UpstreamScript};
+use script::{AnswerFraming, AnswerKind, CallerEnd, RequestKind, RequestPlan, UpstreamScript};
 use upstream::{RunLog, ScriptedUpstream};
 
 const NODE_COUNT: usize = 2;
@@ -189,24 +189,37 @@
     assert_eq!(cut.await + log.print_violations(), 0);
 }
 
-/// Guards against giving up a request at work, whose gate is silent for a moment, although all
-/// other gates have refused it.
-#[ntex::test]
-async fn request_at_a_stalled_gate_is_not_given_up_for_gates_that_refused_it() {
-    let log = Rc::new(RunLog::default());
-    let fleet = ScriptedFleet::start_with(NODE_COUNT + 1, GRACE_FLAGS, &log).await;
-    // The retry budget grows with them.
+/// Fleet whose first node is being stopped and whose retry budget has grown.
+async fn start_stopping_fleet(log: &Rc<RunLog>) -> ScriptedFleet {
+    let fleet = ScriptedFleet::start_with(NODE_COUNT + 1, GRACE_FLAGS, log).await;
     for number in 0..SERVED_REQUESTS {
-        let plan = new_plan(
-            &format!("served-{number:03}"),
-            RequestKind::Query,
-            Duration::ZERO,
-        );
+        let id = format!("served-{number:03}");
+        let plan = new_plan(&id, RequestKind::Query, Duration::ZERO);
         log.add_request(&plan);
         assert_eq!(send(fleet.listen_addresses[0], &plan).await.0, 200);
     }
     fleet.nodes[0].signal("TERM");
     sleep(AFTER_GATE_CLOSE).await;
+    fleet
+}
+
+/// Stalls the node whose upstream got the arrival of a request with this number.
+async fn stall_gate(fleet: &ScriptedFleet, log: &RunLog, id: &str, arrival: usize) {
+    sleep(STALL / 4).await;
+    let name = log.requests.borrow()[id].arrivals[arrival].upstream.clone();
+    let is_at_work = |it: &Rc<ScriptedUpstream>| it.name == name;
+    let number = fleet.upstreams.iter().position(is_at_work).unwrap();
+    fleet.nodes[number].signal("STOP");
+    sleep(STALL).await;
+    fleet.nodes[number].signal("CONT");
+}
+
+/// Guards against giving up a request at work, whose gate is silent for a moment, although all
+/// other gates have refused it.
+#[ntex::test]
+async fn request_at_a_stalled_gate_is_not_given_up_for_gates_that_refused_it() {
+    let log = Rc::new(RunLog::default());
+    let fleet = start_stopping_fleet(&log).await;
     let work = Duration::from_millis(1_200);
     let mut plan = new_plan("stalled", RequestKind::Query, work);
     Rc::get_mut(&mut plan).unwrap().scripts[0] = UpstreamScript {
@@ -214,18 +227,28 @@
         ..UpstreamScript::SOUND
     };
     log.add_request(&plan);
-    let stall = async {
-        sleep(STALL / 4).await;
-        let upstream = log.requests.borrow()["stalled"].arrivals[1]
-            .upstream
-            .clone();
-        let is_at_work = |it: &Rc<ScriptedUpstream>| it.name == upstream;
-        let number = fleet.upstreams.iter().position(is_at_work).unwrap();
-        fleet.nodes[number].signal("STOP");
-        sleep(STALL).await;
-        fleet.nodes[number].signal("CONT");
+    let request = send(fleet.listen_addresses[0], &plan);
+    let stall = stall_gate(&fleet, &log, "stalled", 1);
+    let (answer, ()) = futures_util::future::join(request, stall).await;
+    assert_eq!((answer.0, log.print_violations()), (200, 0), "{answer:?}");
+}
+
+/// Guards against cutting a response whose gate is silent for a moment, as if another upstream
+/// could go on with it.
+#[ntex::test]
+async fn response_of_a_stalled_gate_is_not_cut_for_another_upstream() {
+    let log = Rc::new(RunLog::default());
+    let fleet = start_stopping_fleet(&log).await;
+    let mut plan = new_plan("half-sent", RequestKind::Query, Duration::ZERO);
+    Rc::get_mut(&mut plan).unwrap().scripts[0] = UpstreamScript {
+        framing: AnswerFraming::Chunked,
+        answer_bytes: 60_000,
+        pause_within: 2 * STALL,
+        ..UpstreamScript::SOUND
     };
-    let (answer, ()) =
-        futures_util::future::join(send(fleet.listen_addresses[0], &plan), stall).await;
+    log.add_request(&plan);
+    let request = send(fleet.listen_addresses[0], &plan);
+    let stall = stall_gate(&fleet, &log, "half-sent", 0);
+    let (answer, ()) = futures_util::future::join(request, stall).await;
     assert_eq!((answer.0, log.print_violations()), (200, 0), "{answer:?}");
 }
