Test what callers learn of a call that outlasts the stop of its gate

Nothing had to be mended.

Both tests now wait until that server is gone before they start the other.

--- a/tests/stop_limits.rs
+++ b/tests/stop_limits.rs
@@ -20,6 +20,7 @@
 use tokio::net::{TcpSocket, TcpStream};
 
 use fleet::{DEFAULT_WORK_MS, Fleet, FleetConfig, SERVICE};
+use process::Process;
 use raw::{RawCaller, RawResponse};
 
 /// Flags of the deployed nodes.
@@ -432,18 +433,29 @@
 /// Longer than the node of a gate took to exit, however slow an ingress is.
 const INGRESS_PAUSE: Duration = Duration::from_secs(2);
 
-/// Guards against responses whose end is lost at the exit of the gate's node, as their
-/// ingress was paused when it was sent.
-#[ntex::test]
-async fn response_to_a_paused_ingress_outlasts_the_exit_of_the_gate() {
+/// Fleet whose second node serves as ingress of the first one's backend server, over a
+/// link without a relay.
+async fn start_fleet_with_direct_link(node_flags: &'static [&'static str]) -> (Fleet, Process) {
     let mut fleet = Fleet::start_with(FleetConfig {
         upstream_count: 1,
-        node_flags: LONG_STOP_FLAGS,
+        node_flags,
         work_ms: DEFAULT_WORK_MS,
     })
     .await;
-    let _backend = fleet.start_ingress_backend();
     fleet.upstreams[0].backend = None;
+    while fleet.ready_upstream_count().await > 0 {
+        sleep(PLACING_TIME).await;
+    }
+    let backend = fleet.start_ingress_backend();
+    fleet.wait_until_ready().await;
+    (fleet, backend)
+}
+
+/// Guards against responses whose end is lost at the exit of the gate's node, as their
+/// ingress was paused when it was sent.
+#[ntex::test]
+async fn response_to_a_paused_ingress_outlasts_the_exit_of_the_gate() {
+    let (mut fleet, _backend) = start_fleet_with_direct_link(LONG_STOP_FLAGS).await;
     let mut caller = wait_until_serving(fleet.upstreams[0].listen_address()).await;
     let order = large_order("large", Duration::from_secs(1), WINDOW_BODY_BYTES);
     caller.send(&String::from_utf8(order).unwrap()).await;
@@ -459,3 +471,24 @@
     assert!(contains_body(&response.body, WINDOW_BODY_BYTES));
     assert_eq!(fleet.wait_for_ingress_exit().await, Some(0));
 }
+
+/// Guards against requests at the gate of a stopping node that are told to be not run, or
+/// whose callers wait for longer than that node lives.
+#[ntex::test]
+async fn request_that_outlasts_the_stop_of_its_gate_is_told_that_it_may_have_run() {
+    let (mut fleet, _backend) = start_fleet_with_direct_link(SHORT_STOP_FLAGS).await;
+    let mut caller = wait_until_serving(fleet.upstreams[0].listen_address()).await;
+    caller
+        .send(&small_order("long", LONG_WORK, LONG_TIMEOUT))
+        .await;
+    sleep(PLACING_TIME).await;
+    fleet.signal_ingress("TERM");
+    assert_eq!(fleet.wait_for_ingress_exit().await, Some(0));
+    let exited_at = Instant::now();
+    let response = caller.read_response().await;
+    let response = response.expect("the response should be complete");
+    assert!(exited_at.elapsed() < NOTICE_TIME);
+    assert_eq!(response.status, 502, "{response:?}");
+    assert_honest(&response);
+    assert_eq!(response.headers["currantlift-outcome"], "unknown");
+}
--- a/tests/support/fleet.rs
+++ b/tests/support/fleet.rs
@@ -384,7 +384,7 @@
 
     /// Number of upstreams that the ingress can route to. Counted from its
     /// routing table, as members get there with a delay.
-    async fn ready_upstream_count(&self) -> usize {
+    pub async fn ready_upstream_count(&self) -> usize {
         let url = format!("http://{}/v1/services", self.ingress_admin_address);
         let response = self.client.request(Method::GET, url).send().await;
         let services: BTreeMap<String, ServiceView> = response.unwrap().json().await.unwrap();
