Hold longer responses whole while later requests are in progress

Callers saw: requests sent with one whose response was longer than 256 KiB, or of unknown length and longer than a second, lost their responses when that response broke off.

Cause: beyond these limits a response was begun to be sent, after which a break can only end the connection, with the later requests already run.

Change: beyond 256 KiB a response is buffered from a reserve of the node (16 MiB, at most 4 MiB a response), and one of unknown length until its request's time limit instead of a second. No further request is started while a response uses the reserve. Where a response is still begun before its end, that is logged. Responses up to 256 KiB are handled as before.

--- a/src/ingress.rs
+++ b/src/ingress.rs
@@ -28,7 +28,7 @@
 
 use rand::rngs::StdRng;
 use tokio::sync::mpsc::UnboundedReceiver;
-use tokio::sync::watch;
+use tokio::sync::{Semaphore, watch};
 
 use crate::admission::ShareUsage;
 use crate::error::{ErrorKind, RunOutcome};
@@ -37,7 +37,7 @@
 use crate::ids::{NodeId, NodeIncarnation, ServiceName};
 use crate::ingress::body::BodyReceiver;
 use crate::ingress::call::CallDriver;
-use crate::ingress::connection::CallResult;
+use crate::ingress::connection::{CallResult, RESPONSE_RESERVE_BYTES};
 use crate::ingress::hedge::ResponseLatencies;
 use crate::ingress::in_flight::{
     InFlightGuard, InFlightRequest, InFlightRequests, RequestProgress,
@@ -119,6 +119,8 @@
     started_at: Instant,
     next_call_number: AtomicU64,
     in_flight: InFlightRequests,
+    /// Bytes that responses may buffer beyond their own share.
+    pub response_reserve: Arc<Semaphore>,
     /// Times of the planned stop; `None` if none has begun.
     stop_times: watch::Sender<Option<StopTimes>>,
     open_connections: AtomicU64,
@@ -175,6 +177,7 @@
             started_at: settings.started_at,
             next_call_number: AtomicU64::new(1),
             in_flight: InFlightRequests::default(),
+            response_reserve: Arc::new(Semaphore::new(RESPONSE_RESERVE_BYTES)),
             stop_times: watch::Sender::new(None),
             open_connections: AtomicU64::new(0),
         }
--- a/src/ingress/connection.rs
+++ b/src/ingress/connection.rs
@@ -8,29 +8,31 @@
 //!
 //! A truncated response ends the connection, so that the caller can't take it
 //! for complete. Later requests on the connection would be lost with it. So a
-//! response is buffered while later requests are in progress, and no request is
-//! started while a response is being passed on whose end has not arrived. A
-//! response with `Connection: close` is sent only if no later request has been
-//! read.
+//! response is buffered while later requests are in progress, within limits, and
+//! no request is started while a response is being passed on whose end has not
+//! arrived. A response with `Connection: close` is sent only if no later request
+//! has been read.
 
 use std::cell::{Cell, RefCell};
 use std::collections::VecDeque;
 use std::io;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::BytesMut;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
-use tokio::sync::{Notify, oneshot};
+use tokio::sync::{Notify, OwnedSemaphorePermit, oneshot};
 
 use crate::body_channel::{self, BodySender};
 use crate::error::ErrorKind;
 use crate::http1::write::{CONTINUE_RESPONSE, LAST_CHUNK, put_body};
 use crate::http1::{BodyDecoder, BodyEvent, BodyFraming, HeadError, HeadLimits, RequestHead};
 use crate::ingress::answer::{
-    CallFailure, CallResponse, ResponseOptions, put_failure_response, put_response_head,
+    CallFailure, CallResponse, ResponseOptions, ResponseTruncated, put_failure_response,
+    put_response_head,
 };
 use crate::ingress::body::BodyReceiver;
 use crate::ingress::in_flight::{InFlightGuard, RequestProgress, RequestState};
@@ -56,12 +58,15 @@
 /// response.
 const LINGER_TIMEOUT: Duration = Duration::from_secs(1);
 
-/// Most bytes of a response that are buffered while later requests are in progress; as
+/// Bytes of a response that may always be buffered while later requests are in progress; as
 /// many as may be in transit from the gate.
-const MAX_BUFFERED_RESPONSE_BYTES: usize = WINDOW_BYTES as usize;
-/// Longest time for which a response of unknown length is buffered. It may be a stream whose
-/// caller waits for each part.
-const UNKNOWN_LENGTH_BUFFER_TIME: Duration = Duration::from_secs(1);
+const BUFFERED_RESPONSE_BYTES: usize = WINDOW_BYTES as usize;
+/// Most bytes of a response that are buffered; those beyond [`BUFFERED_RESPONSE_BYTES`] are
+/// claimed from the reserve of the node.
+const MAX_BUFFERED_RESPONSE_BYTES: usize = 16 * BUFFERED_RESPONSE_BYTES;
+/// Bytes that the responses of a node may together buffer beyond
+/// [`BUFFERED_RESPONSE_BYTES`] each.
+pub const RESPONSE_RESERVE_BYTES: usize = 4 * MAX_BUFFERED_RESPONSE_BYTES;
 
 /// Response to one request, or the failure that the caller is told.
 pub type CallResult = Result<CallResponse, CallFailure>;
@@ -116,7 +121,8 @@
     is_reading_request: Cell<bool>,
     /// Whether no further requests are read.
     is_closing: Cell<bool>,
-    /// Whether a response whose end has not arrived is being written.
+    /// Whether a response whose end has not arrived is being written, or is too long for a
+    /// buffer of its own.
     is_streaming: Cell<bool>,
     write_queued: Notify,
     response_written: Notify,
@@ -469,6 +475,7 @@
             let _ = tokio::time::timeout(BODY_DISCARD_TIMEOUT, body_read).await;
         }
         pending.guard.progress().set_state(RequestState::Writing);
+        let expires_at = pending.guard.progress().expires_at();
         let is_closing = pending.is_last_response
             || !pending.body_progress.is_complete.get()
             || (self.is_draining() && self.has_no_later_request());
@@ -480,7 +487,9 @@
             is_http10: pending.is_http10,
             closes_connection: is_closing,
         };
-        let result = self.buffer_response(result, options).await;
+        let mut claim = None;
+        let buffering = self.buffer_response(result, options, expires_at, &mut claim);
+        let result = buffering.await;
         self.write_result(output, result, options).await?;
         self.is_streaming.set(false);
         self.unanswered_count.set(self.unanswered_count.get() - 1);
@@ -501,7 +510,13 @@
     /// Buffers a response while later requests are in progress, up to a limit, and a response
     /// to an HTTP/1.0 caller, who could not tell that it is truncated, completely. One that is
     /// truncated becomes a failure, after which the connection can go on.
-    async fn buffer_response(&self, result: CallResult, options: ResponseOptions) -> CallResult {
+    async fn buffer_response(
+        &self,
+        result: CallResult,
+        options: ResponseOptions,
+        expires_at: tokio::time::Instant,
+        claim: &mut Option<OwnedSemaphorePermit>,
+    ) -> CallResult {
         let mut response = result?;
         let has_later_request = self.unanswered_count.get() > 1;
         if options.is_for_head || !(has_later_request || options.is_http10) {
@@ -511,10 +526,11 @@
         let buffered = if options.is_http10 {
             response.buffer_body(usize::MAX).await
         } else if response.head.body_length.is_some() {
-            response.buffer_body(MAX_BUFFERED_RESPONSE_BYTES).await
+            self.buffer_up_to_limit(&mut response, claim).await
         } else {
-            let buffering = response.buffer_body(MAX_BUFFERED_RESPONSE_BYTES);
-            let buffered = tokio::time::timeout(UNKNOWN_LENGTH_BUFFER_TIME, buffering).await;
+            // The caller of a stream may wait for each part, but no longer than this.
+            let buffering = self.buffer_up_to_limit(&mut response, claim);
+            let buffered = tokio::time::timeout_at(expires_at, buffering).await;
             buffered.unwrap_or(Ok(()))
         };
         buffered.map_err(|truncated| {
@@ -524,9 +540,45 @@
             );
             CallFailure::truncated(call_id, truncated)
         })?;
+        if has_later_request && response.remaining_body.is_some() {
+            log::info!(
+                target: "ingress", call:% = call_id, buffered_bytes = response.head.body.len();
+                "response is sent before its end, with later requests in progress"
+            );
+        }
         Ok(response)
     }
 
+    /// Buffers a body completely, or as much of it as the limits allow.
+    async fn buffer_up_to_limit(
+        &self,
+        response: &mut CallResponse,
+        claim: &mut Option<OwnedSemaphorePermit>,
+    ) -> Result<(), ResponseTruncated> {
+        let mut limit = BUFFERED_RESPONSE_BYTES;
+        loop {
+            response.buffer_body(limit).await?;
+            let stated_length = response.head.body_length;
+            let is_too_long =
+                stated_length.is_some_and(|length| length > MAX_BUFFERED_RESPONSE_BYTES as u64);
+            let is_full = is_too_long || limit == MAX_BUFFERED_RESPONSE_BYTES;
+            if response.remaining_body.is_none() || is_full {
+                return Ok(());
+            }
+            self.is_streaming.set(true);
+            let reserve = Arc::clone(&self.worker.shared.response_reserve);
+            let Ok(addition) = reserve.try_acquire_many_owned(BUFFERED_RESPONSE_BYTES as u32)
+            else {
+                return Ok(());
+            };
+            match claim {
+                Some(claim) => claim.merge(addition),
+                None => *claim = Some(addition),
+            }
+            limit += BUFFERED_RESPONSE_BYTES;
+        }
+    }
+
     async fn write_result(
         &self,
         output: &mut OwnedWriteHalf,
--- a/src/ingress/in_flight.rs
+++ b/src/ingress/in_flight.rs
@@ -95,6 +95,16 @@
         }
     }
 
+    /// End of the request's time limit; now if the limit is not known.
+    pub fn expires_at(&self) -> tokio::time::Instant {
+        let mut expires_at = Instant::now();
+        self.update(|request| {
+            let time_limit = request.time_limit;
+            expires_at = time_limit.map_or(expires_at, |limit| request.accepted_at + limit);
+        });
+        expires_at.into()
+    }
+
     /// Records the progress of the request.
     pub fn set_state(&self, state: RequestState) {
         self.update(|request| request.state = state);
--- a/tests/pipelining.rs
+++ b/tests/pipelining.rs
@@ -151,6 +151,7 @@
 const SHORT_PAUSE: Duration = Duration::from_millis(2);
 /// Longer than a gate buffers the start of an answer.
 const LONG_PAUSE: Duration = Duration::from_millis(120);
+const LONG_ANSWER_TIME: Duration = Duration::from_millis(1_300);
 
 /// Requests that arrive before the first answer begins.
 #[ntex::test]
@@ -171,6 +172,25 @@
     assert_none_lost(&cases).await;
 }
 
+/// An answer that is longer than what may be in transit, or that takes longer than a second.
+#[ntex::test]
+async fn requests_before_a_long_answer_that_breaks_off_are_answered() {
+    let cases = [
+        (AnswerFraming::Length, 400_000, SHORT_PAUSE),
+        (AnswerFraming::Length, 1_000_000, SHORT_PAUSE),
+        (AnswerFraming::Chunked, 400_000, SHORT_PAUSE),
+        (AnswerFraming::Chunked, 1_000_000, SHORT_PAUSE),
+        (AnswerFraming::Chunked, 2_400, LONG_ANSWER_TIME),
+    ];
+    let cases = cases.map(|(framing, answer_bytes, pause_at_cut)| Case {
+        framing,
+        answer_bytes,
+        pause_at_cut,
+        start_delay: Duration::ZERO,
+    });
+    assert_none_lost(&cases).await;
+}
+
 /// Requests that arrive while the first answer is being passed on. Its start can't be taken
 /// back, so they must not run before its end is known.
 #[ntex::test]
