--- a/tests/caller_input.rs
+++ b/tests/caller_input.rs
@@ -24,6 +24,7 @@
 
 use fleet::ScriptedFleet;
 use raw::RawCaller;
+use script::{AnswerFraming, CallerEnd, RequestKind, RequestPlan, UpstreamScript};
 use upstream::RunLog;
 
 /// Limit of the configuration for the arrival of a head.
@@ -150,6 +151,120 @@
     assert_ended(&[trickled, behind_a_request]).await;
 }
 
+/// Upstreams that may get one read.
+const ATTEMPTS: usize = 3;
+/// Nodes whose upstreams have slots for all reads of a row.
+const NODES_FOR_ROW: usize = 4;
+
+/// Starts a node and sends it reads in a row, whose answers have no stated length.
+async fn send_reads(
+    version: &str,
+    count: usize,
+    answer_bytes: usize,
+) -> (ScriptedFleet, RawCaller) {
+    let log = Rc::new(RunLog::default());
+    let fleet = ScriptedFleet::start(NODES_FOR_ROW, &log).await;
+    let mut caller = RawCaller::connect(fleet.listen_addresses[0]).await;
+    for number in 0..count {
+        let plan = RequestPlan {
+            id: format!("{number:016x}"),
+            kind: RequestKind::Query,
+            is_chunked: false,
+            body_bytes: 0,
+            chunk_bytes: Vec::new(),
+            end: CallerEnd::Whole,
+            time_limit: HEAD_LIMIT,
+            piece: (usize::MAX, Duration::ZERO),
+            scripts: vec![
+                UpstreamScript {
+                    framing: AnswerFraming::Chunked,
+                    answer_bytes,
+                    ..UpstreamScript::SOUND
+                };
+                ATTEMPTS
+            ],
+        };
+        let (host, id) = (fleet::HOST, plan.id.clone());
+        log.add_request(&Rc::new(plan));
+        let fields = format!("Host: {host}\r\nAttempt-Id: {id}\r\nDeadline-Ms: 3000");
+        caller
+            .send(&format!("GET /stock/x {version}\r\n{fields}\r\n\r\n"))
+            .await;
+    }
+    (fleet, caller)
+}
+
+/// An HTTP/1.0 caller can't tell that a response of unknown length is truncated, so the
+/// response is buffered.
+#[ntex::test]
+async fn endless_response_to_an_http_1_0_caller_is_given_up() {
+    let (_fleet, mut caller) = send_reads("HTTP/1.0", 1, 40_000_000).await;
+    assert_eq!(caller.read_response().await.unwrap().status, 502);
+}
+
+const UNKNOWN_ROUTE: &str =
+    "POST /nowhere HTTP/1.1\r\nHost: unknown.example\r\nTransfer-Encoding: chunked\r\n\r\n";
+const UNKNOWN_ROUTE_EXTENSION: &str = "POST /nowhere HTTP/1.1\r\nHost: unknown.example\r\n\
+    Transfer-Encoding: chunked\r\n\r\n5;note=";
+const UNKNOWN_ROUTE_TRAILERS: &str = "POST /nowhere HTTP/1.1\r\nHost: unknown.example\r\n\
+    Transfer-Encoding: chunked\r\n\r\n0\r\n";
+
+/// The rest of a body is discarded once its request has failed.
+#[ntex::test]
+async fn discarded_bodies_without_end_end_the_connection() {
+    let chunk = "100\r\n".to_string() + &"x".repeat(256) + "\r\n";
+    let chunk: &'static str = chunk.leak();
+    let body = |piece: &'static str| EndlessInput {
+        start: UNKNOWN_ROUTE,
+        piece,
+        status: 404,
+        ..BLANK_LINES
+    };
+    let trickled = EndlessInput {
+        pieces_at_once: 1,
+        pause: TRICKLE / 10,
+        ..body(chunk)
+    };
+    let extension = EndlessInput {
+        start: UNKNOWN_ROUTE_EXTENSION,
+        ..body("x")
+    };
+    let trailers = EndlessInput {
+        start: UNKNOWN_ROUTE_TRAILERS,
+        ..body("a: b\r\n")
+    };
+    assert_ended(&[body(chunk), trickled, extension, trailers]).await;
+}
+
+const SLOW_UPLOAD: &str = "POST /uploads/x HTTP/1.1\r\nHost: shop.example\r\n\
+    Attempt-Id: 1111111111111111\r\nContent-Length: 1000\r\n\r\n";
+
+/// Bodies for an upstream that waits for their end.
+#[ntex::test]
+async fn forwarded_bodies_without_end_end_the_connection() {
+    let extension = EndlessInput {
+        start: "POST /uploads/x HTTP/1.1\r\nHost: shop.example\r\n\
+            Attempt-Id: 1111111111111111\r\nTransfer-Encoding: chunked\r\n\r\n5;note=",
+        piece: "x",
+        status: 400,
+        ..BLANK_LINES
+    };
+    let trailers = EndlessInput {
+        start: "POST /uploads/x HTTP/1.1\r\nHost: shop.example\r\n\
+            Attempt-Id: 1111111111111111\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n",
+        piece: "a: b\r\n",
+        ..extension
+    };
+    let trickled = EndlessInput {
+        start: SLOW_UPLOAD,
+        piece: "x",
+        pieces_at_once: 1,
+        pause: TRICKLE,
+        status: 504,
+    };
+    assert_ended(&[extension, trailers, trickled]).await;
+}
+
 /// Some callers send an empty line after a body; their connection is idle then.
 #[ntex::test]
 async fn blank_line_behind_a_request_leaves_the_connection_idle() {
