Disconnect callers that read none of their responses

Callers saw: a caller that read nothing kept its connection, and what was buffered for it, without end. Four of them could keep the whole reserve for buffered responses.

Cause: no time limit applied to writing a response that the node holds whole.

Evidence: the new test failed before: after 18.5 s without a read (idle limit 15.5 s) all 32 responses of 250,000 bytes still arrived.

Change: a connection whose caller accepts no byte of a response for the idle limit is closed, with a log line. A slow caller that reads from time to time isn't affected; a test with two pauses of 10.3 s passed before and after.

--- a/src/ingress/connection.rs
+++ b/src/ingress/connection.rs
@@ -449,7 +449,7 @@
         loop {
             let next = self.write_queue.borrow_mut().pop_front();
             match next {
-                Some(QueuedWrite::Continue) => output.write_all(CONTINUE_RESPONSE).await?,
+                Some(QueuedWrite::Continue) => self.write_all(output, CONTINUE_RESPONSE).await?,
                 Some(QueuedWrite::Response(response)) => {
                     if self.write_response(output, response).await? {
                         return Ok(());
@@ -586,6 +586,26 @@
         }
     }
 
+    /// Writes all bytes; fails if the caller accepts none of them for as long as a connection
+    /// may be idle.
+    async fn write_all(&self, output: &mut OwnedWriteHalf, mut bytes: &[u8]) -> io::Result<()> {
+        while !bytes.is_empty() {
+            let limit = Duration::from_millis(self.caller_limits().idle_timeout_ms);
+            let Ok(written) = tokio::time::timeout(limit, output.write_buf(&mut bytes)).await
+            else {
+                log::info!(
+                    target: "ingress", unsent_bytes = bytes.len();
+                    "caller doesn't read its response"
+                );
+                return Err(io::ErrorKind::TimedOut.into());
+            };
+            if written? == 0 {
+                return Err(io::ErrorKind::WriteZero.into());
+            }
+        }
+        Ok(())
+    }
+
     async fn write_result(
         &self,
         output: &mut OwnedWriteHalf,
@@ -598,26 +618,26 @@
             Ok(response) => response,
             Err(failure) => {
                 put_failure_response(&mut buffer, dialect, &failure, options);
-                return output.write_all(&buffer).await;
+                return self.write_all(output, &buffer).await;
             }
         };
         let framing = put_response_head(&mut buffer, dialect, &response, options);
         if options.is_for_head {
-            return output.write_all(&buffer).await;
+            return self.write_all(output, &buffer).await;
         }
         put_body(&mut buffer, framing, &response.head.body);
         let Some(mut remaining_body) = response.remaining_body else {
-            return output.write_all(&buffer).await;
+            return self.write_all(output, &buffer).await;
         };
         self.is_streaming.set(true);
-        output.write_all(&buffer).await?;
+        self.write_all(output, &buffer).await?;
         while let Some(data) = remaining_body.next().await.map_err(io::Error::other)? {
             buffer.clear();
             put_body(&mut buffer, framing, &data);
-            output.write_all(&buffer).await?;
+            self.write_all(output, &buffer).await?;
         }
         if framing == BodyFraming::Chunked {
-            output.write_all(LAST_CHUNK).await?;
+            self.write_all(output, LAST_CHUNK).await?;
         }
         Ok(())
     }
--- a/tests/caller_input.rs
+++ b/tests/caller_input.rs
@@ -29,6 +29,8 @@
 
 /// Limit of the configuration for the arrival of a head.
 const HEAD_LIMIT: Duration = Duration::from_secs(3);
+/// Limit of the configuration for idle connections.
+const IDLE_LIMIT: Duration = Duration::from_millis(15_500);
 /// Longest time that a connection may be open beyond its limit, with its lingering close.
 const END_TIME: Duration = Duration::from_secs(3);
 /// Longest response to another caller.
@@ -153,8 +155,12 @@
 
 /// Upstreams that may get one read.
 const ATTEMPTS: usize = 3;
+/// Reads that one caller sends in a row.
+const ROW: usize = 32;
 /// Nodes whose upstreams have slots for all reads of a row.
 const NODES_FOR_ROW: usize = 4;
+/// Answer of which a node holds all, and whose row the sockets of a connection can't hold.
+const ROW_ANSWER_BYTES: usize = 250_000;
 
 /// Starts a node and sends it reads in a row, whose answers have no stated length.
 async fn send_reads(
@@ -194,6 +200,19 @@
     (fleet, caller)
 }
 
+/// Reads responses until the connection ends; returns how many arrived whole.
+async fn count_responses(caller: &mut RawCaller, most: usize) -> usize {
+    for count in 0..most {
+        match caller.read_response().await {
+            // A slot may not be free yet.
+            Ok(response) if response.status == 503 => {}
+            Ok(response) => assert_eq!(response.body.len(), ROW_ANSWER_BYTES),
+            Err(_) => return count,
+        }
+    }
+    most
+}
+
 /// An HTTP/1.0 caller can't tell that a response of unknown length is truncated, so the
 /// response is buffered.
 #[ntex::test]
@@ -202,6 +221,26 @@
     assert_eq!(caller.read_response().await.unwrap().status, 502);
 }
 
+/// Guards against callers that read no responses and keep what is buffered for them.
+#[ntex::test]
+async fn caller_that_reads_no_responses_is_disconnected() {
+    let (_fleet, mut caller) = send_reads("HTTP/1.1", ROW, ROW_ANSWER_BYTES).await;
+    sleep(IDLE_LIMIT + END_TIME).await;
+    let count = count_responses(&mut caller, ROW).await;
+    println!("MEASURE {count} of {ROW} responses arrived");
+    assert!(count < ROW);
+}
+
+/// Guards against a limit on the whole time that a slow caller takes.
+#[ntex::test]
+async fn caller_that_reads_its_responses_slowly_gets_all_of_them() {
+    let (_fleet, mut caller) = send_reads("HTTP/1.1", ROW, ROW_ANSWER_BYTES).await;
+    for _ in 0..2 {
+        sleep(IDLE_LIMIT * 2 / 3).await;
+        assert_eq!(count_responses(&mut caller, ROW / 2).await, ROW / 2);
+    }
+}
+
 const UNKNOWN_ROUTE: &str =
     "POST /nowhere HTTP/1.1\r\nHost: unknown.example\r\nTransfer-Encoding: chunked\r\n\r\n";
 const UNKNOWN_ROUTE_EXTENSION: &str = "POST /nowhere HTTP/1.1\r\nHost: unknown.example\r\n\
