Revert "Bound the response that is buffered for an HTTP/1.0 caller"

It ended such a response with 502 beyond 4 MiB. The other tests of tests/caller_input.rs, which came later, stay.

--- a/src/ingress/connection.rs
+++ b/src/ingress/connection.rs
@@ -523,7 +523,9 @@
             return Ok(response);
         }
         let call_id = response.call_id;
-        let buffered = if options.is_http10 || response.head.body_length.is_some() {
+        let buffered = if options.is_http10 {
+            response.buffer_body(usize::MAX).await
+        } else if response.head.body_length.is_some() {
             self.buffer_up_to_limit(&mut response, claim).await
         } else {
             // The caller of a stream may wait for each part, but no longer than this.
@@ -538,15 +540,6 @@
             );
             CallFailure::truncated(call_id, truncated)
         })?;
-        let is_ambiguous = options.is_http10 && response.head.body_length.is_none();
-        if is_ambiguous && response.remaining_body.is_some() {
-            let kind = ErrorKind::BackendFailed;
-            log::info!(
-                target: "ingress", call:% = call_id, kind = kind.code();
-                "response is too long to be buffered for an HTTP/1.0 caller"
-            );
-            return Err(CallFailure::truncated(call_id, ResponseTruncated { kind }));
-        }
         if has_later_request && response.remaining_body.is_some() {
             log::info!(
                 target: "ingress", call:% = call_id, buffered_bytes = response.head.body.len();
