Join the small chunks of a response

Seen by callers: an upstream that sends chunks of one byte to callers that don't read takes nearly all time of its node's only thread, and memory of the node: requests to another, sound upstream through that node had no answer in 3 s (full speed) or the slowest after 2.5 s (4 MiB at full speed, then one chunk a millisecond), and memory grew in 1.5 s from 22 MB to 54 MB; in an earlier trial with more such responses one after another it grew to 151 MB.

Cause: each chunk became a body part, a frame and a message of its own, and each part kept the whole read buffer of 8 KiB in memory that it was read into.

Change: parts below 4 KiB are copied and joined as far as they have been read. Nothing waits for more, so that no byte is delivered later than before.

--- a/src/backend/connection.rs
+++ b/src/backend/connection.rs
@@ -16,6 +16,9 @@
 /// Maximum number of bytes that are read to discard the body of a response to another
 /// request, with its chunk sizes and trailers.
 const MAX_DISCARDED_BYTES: u64 = 1024 * 1024;
+/// Body parts below this size are copied and joined as far as they have been read, since
+/// each would otherwise keep its whole read buffer in memory.
+const MIN_BODY_PART_BYTES: usize = READ_RESERVE_BYTES / 2;
 /// Maximum number of interim responses before the final one.
 const MAX_INTERIM_RESPONSES: u32 = 8;
 
@@ -122,11 +125,11 @@
         decoder: &mut BodyDecoder,
     ) -> Result<Option<Bytes>, BackendError> {
         loop {
-            let step = decoder.next_event(&mut self.buffer);
-            match step.map_err(|error| BackendError::failed(&error))? {
-                BodyEvent::Data(data) => return Ok(Some(data)),
-                BodyEvent::End => return Ok(None),
-                BodyEvent::NeedMore => {}
+            if let Some(data) = self.take_body_data(decoder)? {
+                return Ok(Some(data));
+            }
+            if decoder.is_complete() {
+                return Ok(None);
             }
             let read = self.read_more(upload).await;
             if !read.map_err(|error| BackendError::failed(&error))? {
@@ -139,6 +142,26 @@
         }
     }
 
+    /// Next chunk of a response body in the buffer; `None` if there is none.
+    fn take_body_data(&mut self, decoder: &mut BodyDecoder) -> Result<Option<Bytes>, BackendError> {
+        let mut joined = BytesMut::new();
+        while joined.len() < MIN_BODY_PART_BYTES {
+            match decoder.next_event(&mut self.buffer) {
+                Ok(BodyEvent::Data(data))
+                    if joined.is_empty() && data.len() >= MIN_BODY_PART_BYTES =>
+                {
+                    return Ok(Some(data));
+                }
+                Ok(BodyEvent::Data(data)) => joined.extend_from_slice(&data),
+                Ok(BodyEvent::End | BodyEvent::NeedMore) => break,
+                Err(error) if joined.is_empty() => return Err(BackendError::failed(&error)),
+                // The decoder fails again after the data before the error.
+                Err(_) => break,
+            }
+        }
+        Ok((!joined.is_empty()).then(|| joined.freeze()))
+    }
+
     /// Reads and discards the body of a response to another request.
     pub(super) async fn discard_body(
         &mut self,
--- a/src/backend/tests.rs
+++ b/src/backend/tests.rs
@@ -250,6 +250,33 @@
     (new_client(address, Some("/healthz")), closed)
 }
 
+/// Guards against parts of a body that each keep a whole read buffer in memory.
+#[ntex::test]
+async fn small_chunks_of_a_response_are_joined() {
+    let head = "HTTP/1.1 200 OK\r\nx-id: r1\r\nx-signed: s\r\ntransfer-encoding: chunked\r\n\r\n";
+    let response = format!("{head}{}0\r\n\r\n", "1\r\nx\r\n".repeat(1_000));
+    let fixture = start_backend(vec![script(&[&response])]).await;
+    let call = CallId {
+        ingress_incarnation: 1,
+        sequence: 1,
+    };
+    let open = CallOpen {
+        method: "GET".to_string(),
+        path: "/slots".to_string(),
+        is_body_complete: true,
+        ..CallOpen::default()
+    };
+    let source = RequestBodySource::empty();
+    let exchange = fixture.client.send(call, &open, 500, source).await;
+    let mut response = exchange.result.unwrap();
+    let mut lengths = Vec::new();
+    while let Some(data) = response.next_chunk().await.unwrap() {
+        lengths.push(data.len());
+    }
+    assert_eq!(lengths.iter().sum::<usize>(), 1_000);
+    assert!(lengths.len() < 10, "{lengths:?}");
+}
+
 /// A faulty backend server may send bytes without end until the connection is closed.
 #[ntex::test]
 async fn endless_bytes_that_are_no_response_fail_the_exchange_and_close_the_connection() {
--- a/tests/support/process.rs
+++ b/tests/support/process.rs
@@ -88,6 +88,15 @@
         self.child.try_wait().unwrap().is_some()
     }
 
+    /// Peak of the memory that it takes, since its start.
+    pub fn peak_memory_bytes(&self) -> u64 {
+        let status = std::fs::read_to_string(format!("/proc/{}/status", self.child.id()));
+        let status = status.unwrap();
+        let line = status.lines().find(|line| line.starts_with("VmHWM:"));
+        let kilobytes = line.unwrap().split_whitespace().nth(1).unwrap();
+        kilobytes.parse::<u64>().unwrap() * 1024
+    }
+
     /// Waits for the process to exit; `None` if a signal ended it.
     pub async fn wait_for_exit(&mut self) -> Option<i32> {
         let deadline = Instant::now() + EXIT_TIMEOUT;
--- a/tests/uploads/fleet.rs
+++ b/tests/uploads/fleet.rs
@@ -10,11 +10,12 @@
 use currantlift::table::UpstreamState;
 use ntex::client::Client;
 use serde::Deserialize;
-use serde_json::json;
+use serde_json::{Value, json};
 
 use crate::process::{Process, RunsByRequest, logs_are_kept};
 
 pub const SERVICE: &str = "tillpost";
+const DEFAULT_SLOTS: u32 = 6;
 const READY_TIMEOUT: Duration = Duration::from_secs(30);
 const POLL_INTERVAL: Duration = Duration::from_millis(20);
 const HEARTBEAT_INTERVAL: Duration = Duration::from_secs(1);
@@ -30,9 +31,11 @@
 pub struct Fleet {
     pub ingress: Process,
     pub ingress_address: SocketAddr,
+    /// Addresses at which the nodes accept callers' connections, that of the ingress first.
+    pub listen_addresses: Vec<SocketAddr>,
     admin_address: SocketAddr,
     client: Client,
-    _others: Vec<Process>,
+    others: Vec<Process>,
 }
 
 fn start_node(name: &str, store_url: &str, peer: Option<SocketAddr>) -> (Process, NodeAddresses) {
@@ -55,8 +58,16 @@
 }
 
 impl Fleet {
-    /// Starts the nodes and waits until the ingress can route to all backend servers.
+    /// Starts a fleet of one service whose backend servers have the usual number of slots;
+    /// see [`Self::start_with`].
     pub async fn start(backends: &[SocketAddr]) -> Self {
+        let backends: Vec<_> = backends.iter().map(|it| (SERVICE, *it)).collect();
+        Self::start_with(&backends, DEFAULT_SLOTS).await
+    }
+
+    /// Starts the nodes of backend servers, each with its service, and waits until all nodes
+    /// can route to all backend servers.
+    pub async fn start_with(backends: &[(&str, SocketAddr)], slots: u32) -> Self {
         let mut command = Command::new(env!("CARGO_BIN_EXE_standin-store"));
         command.args(["--listen", LOOPBACK_ANY_PORT]);
         let store = Process::start("store", &mut command, &RunsByRequest::default());
@@ -64,46 +75,64 @@
         let (ingress, addresses) = start_node("edge-1", &store_url, None);
         let client = http_client(Duration::from_secs(20)).await.unwrap();
         let mut others = vec![store];
-        for (index, backend) in backends.iter().enumerate() {
-            let name = format!("{SERVICE}-{}", index + 1);
+        let mut nodes = vec![addresses];
+        for (index, (service, backend)) in backends.iter().enumerate() {
+            let name = format!("{service}-{}", index + 1);
             let (gate, gate_addresses) = start_node(&name, &store_url, Some(addresses.peer_listen));
-            announce(&client, gate_addresses.admin_listen, &name, *backend).await;
+            let admin_url = format!("http://{}/v1/backends/{name}", gate_addresses.admin_listen);
+            announce(&client, admin_url, service, *backend, slots).await;
             others.push(gate);
+            nodes.push(gate_addresses);
         }
         let fleet = Self {
             ingress,
             ingress_address: addresses.listen,
+            listen_addresses: nodes.iter().map(|node| node.listen).collect(),
             admin_address: addresses.admin_listen,
             client,
-            _others: others,
+            others,
         };
-        fleet.submit_ticket().await;
-        fleet.wait_until_ready(backends.len()).await;
+        let services: Vec<&str> = backends.iter().map(|(service, _)| *service).collect();
+        fleet.submit_ticket(&services).await;
+        for node in nodes {
+            fleet
+                .wait_until_ready(node.admin_listen, backends.len())
+                .await;
+        }
         fleet
     }
 
-    async fn submit_ticket(&self) {
+    /// Peak memory of each process: the ingress, the store, the gates.
+    pub fn peak_memory_bytes(&self) -> Vec<u64> {
+        let processes = std::iter::once(&self.ingress).chain(&self.others);
+        processes.map(Process::peak_memory_bytes).collect()
+    }
+
+    pub fn assert_all_run(&mut self) {
+        let processes = std::iter::once(&mut self.ingress).chain(&mut self.others);
+        assert!(processes.fold(true, |run, process| run & !process.has_exited()));
+    }
+
+    async fn submit_ticket(&self, services: &[&str]) {
         let rule = json!({ "method": "POST", "path": "/orders", "idempotent": false });
         let service = json!({ "timeout_ms": 5000, "attempts": 3, "requests": [rule] });
-        let ticket = json!({ "services": { SERVICE: service } });
+        let services: BTreeMap<&str, &Value> =
+            services.iter().map(|name| (*name, &service)).collect();
+        let ticket = json!({ "services": services });
         let url = format!("http://{}/v1/tickets/1", self.admin_address);
         let response = self.client.put(url).send_json(&ticket).await.unwrap();
         assert!(response.status().is_success());
     }
 
-    async fn wait_until_ready(&self, count: usize) {
-        let url = format!("http://{}/v1/services", self.admin_address);
+    async fn wait_until_ready(&self, admin: SocketAddr, count: usize) {
+        let url = format!("http://{admin}/v1/services");
         let deadline = Instant::now() + READY_TIMEOUT;
         loop {
             let response = self.client.get(&url).send().await;
             let services: BTreeMap<String, ServiceView> = response.unwrap().json().await.unwrap();
-            let ready = services.get(SERVICE).map_or(0, |service| {
-                let upstreams = service.upstreams.values();
-                let is_ready = |state| state == UpstreamState::Ready;
-                upstreams
-                    .filter(|upstream| is_ready(upstream.state))
-                    .count()
-            });
+            let upstreams = services.values().flat_map(|it| it.upstreams.values());
+            let is_ready = |state| state == UpstreamState::Ready;
+            let ready = upstreams.filter(|it| is_ready(it.state)).count();
             if ready == count {
                 return;
             }
@@ -117,12 +146,11 @@
 }
 
 /// Announces a backend server to its node, now and then periodically.
-async fn announce(client: &Client, node: SocketAddr, id: &str, address: SocketAddr) {
-    let url = format!("http://{node}/v1/backends/{id}");
+async fn announce(client: &Client, url: String, service: &str, address: SocketAddr, slots: u32) {
     let announcement = BackendAnnouncement {
-        service: SERVICE.parse().unwrap(),
+        service: service.parse().unwrap(),
         address,
-        slots: "6".parse().unwrap(),
+        slots: slots.to_string().parse().unwrap(),
         connections: "100".parse().unwrap(),
         state: UpstreamState::Ready,
         order: None,
