Let other calls run between the reads of a fast response

Seen by callers: requests to a sound upstream took up to 1.4 s while another upstream sent small chunks at full speed, with one thread as deployed.

Cause: a call reads and relays up to 128 reads (1 MiB) in one turn of its task, as the runtime's budget counts reads. With small chunks that takes long, and 18 such calls take their turns before anything else has one.

Change: after a read that filled the buffer, the task lets the others run.

--- a/src/backend/connection.rs
+++ b/src/backend/connection.rs
@@ -131,7 +131,12 @@
             if decoder.is_complete() {
                 return Ok(None);
             }
+            let earlier_bytes = self.read_bytes;
             let read = self.read_more(upload).await;
+            if self.read_bytes - earlier_bytes >= READ_RESERVE_BYTES as u64 {
+                // More may be ready; other calls on the thread come first.
+                tokio::task::yield_now().await;
+            }
             if !read.map_err(|error| BackendError::failed(&error))? {
                 let end = decoder.handle_eof();
                 end.map_err(|_| {
