Close a call link whose hello doesn't arrive

Cause: the peer listener ends a connection after 2 s, unless its first frame announces a call link. The gate then waited for the link's own hello without a limit: a connection that sends no more, or trickles a frame of up to 4 MiB, held a descriptor and that memory until the process ended.

Test: call_link_without_a_hello_is_closed on real processes.

--- a/src/gate/links.rs
+++ b/src/gate/links.rs
@@ -7,6 +7,7 @@
 use std::io;
 use std::net::TcpStream as StdTcpStream;
 use std::rc::Rc;
+use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
 use futures_util::{SinkExt, StreamExt};
@@ -19,6 +20,9 @@
 use crate::link::endpoint::{LinkReceiver, LinkSender, message_channel, read_frame, write_frames};
 use crate::link::messages::{LinkHello, LinkMessage, LinkPing, LinkWelcome};
 
+/// Time limit for the hello frame of a link; ingresses give up on a link much earlier.
+const HELLO_TIMEOUT: Duration = Duration::from_secs(2);
+
 /// Link that a worker thread of an ingress has open.
 pub(super) struct ActiveLink {
     generation: u64,
@@ -93,7 +97,8 @@
 ) -> io::Result<()> {
     let stream = TcpStream::from_std(stream)?;
     let mut framed = frame_partly_read_stream(stream, buffered);
-    let frame = framed.next().await.ok_or(io::ErrorKind::UnexpectedEof)??;
+    let frame = tokio::time::timeout(HELLO_TIMEOUT, framed.next()).await?;
+    let frame = frame.ok_or(io::ErrorKind::UnexpectedEof)??;
     let hello = LinkHello::decode(frame).map_err(io::Error::other)?;
     let close_signal = Rc::new(Notify::new());
     if !gate.register_link(&hello, &close_signal) {
--- a/tests/endless_answers.rs
+++ b/tests/endless_answers.rs
@@ -17,7 +17,9 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
+use currantlift::exchange::PeerHello;
 use fleet::{Fleet, SERVICE};
+use prost::Message;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpSocket, TcpStream};
 use upstream::{EndlessResponse, FAULTY_PATH, FaultyUpstream};
@@ -31,6 +33,8 @@
 const FAULT_TIME: Duration = Duration::from_millis(1_500);
 const SOUND_INTERVAL: Duration = Duration::from_millis(20);
 const SOUND_TIMEOUT: Duration = Duration::from_secs(3);
+/// More than the time for which a node waits for the hello frame of a link.
+const HELLO_WAIT: Duration = Duration::from_secs(4);
 /// Receive buffer of callers that read nothing.
 const SMALL_RECEIVE_BYTES: u32 = 4 * 1024;
 /// A node of the size of the test takes 13 MB; each of 18 calls may hold a window of
@@ -192,3 +196,35 @@
 async fn endless_chunks_take_bounded_memory_and_no_request_of_others() {
     check_responses(&CHUNKED_BODIES, HTTP_1_1).await;
 }
+
+/// Frame of a connection between nodes.
+fn encode_frame(message: &impl Message) -> Vec<u8> {
+    let body = message.encode_to_vec();
+    let length = u32::try_from(body.len()).unwrap();
+    [&length.to_be_bytes()[..], &body].concat()
+}
+
+/// Opens a connection to the peer listener that announces a call link.
+async fn open_call_link(peer: SocketAddr) -> TcpStream {
+    let mut stream = TcpStream::connect(peer).await.unwrap();
+    let hello = PeerHello {
+        node: "other-1".to_string(),
+        incarnation: 7,
+        is_call_link: true,
+    };
+    stream.write_all(&encode_frame(&hello)).await.unwrap();
+    stream
+}
+
+/// Guards against connections that take descriptors and memory for ever.
+#[ntex::test]
+async fn call_link_without_a_hello_is_closed() {
+    let upstream = FaultyUpstream::start(&[]);
+    let fleet = Fleet::start(&[upstream.address]).await;
+    let mut stream = open_call_link(fleet.ingress_peer_address).await;
+    // A frame as long as is allowed that never ends.
+    let length = 4_u32 * 1024 * 1024;
+    stream.write_all(&length.to_be_bytes()).await.unwrap();
+    let closed = tokio::time::timeout(HELLO_WAIT, stream.read(&mut [0; 1])).await;
+    assert!(matches!(closed, Ok(Ok(0) | Err(_))), "{closed:?}");
+}
--- a/tests/uploads/fleet.rs
+++ b/tests/uploads/fleet.rs
@@ -31,6 +31,7 @@
 pub struct Fleet {
     pub ingress: Process,
     pub ingress_address: SocketAddr,
+    pub ingress_peer_address: SocketAddr,
     /// Addresses at which the nodes accept callers' connections, that of the ingress first.
     pub listen_addresses: Vec<SocketAddr>,
     admin_address: SocketAddr,
@@ -87,6 +88,7 @@
         let fleet = Self {
             ingress,
             ingress_address: addresses.listen,
+            ingress_peer_address: addresses.peer_listen,
             listen_addresses: nodes.iter().map(|node| node.listen).collect(),
             admin_address: addresses.admin_listen,
             client,
