Bound what is kept of a response for an HTTP/1.0 caller

Seen by callers: an upstream whose body never ends and a caller that speaks HTTP/1.0 make the ingress keep all that arrives, at full speed until the call's limit (its timeout and 10 s), and end at last for lack of memory, and with it all requests on that machine.

Cause: HTTP/1.0 has no chunks, so that the caller can't tell a body of unknown length that broke off from a whole one. The whole body was therefore kept before the first byte was sent, without a limit, also if its length is stated.

Change: 256 KiB are kept, as for a response that waits for its turn. A longer body is passed on as it arrives: with the stated length, by which the caller can tell, or else up to the end of the connection. That connection is set to be reset when it ends early, by whatever cause, also the end of the process, until the whole body is written. A half that isn't ended regularly is no longer shut down first, which would end the body for the caller.

A response of unknown length beyond 256 KiB that breaks off is now a reset connection to an HTTP/1.0 caller rather than a 502.

--- a/src/ingress/answer.rs
+++ b/src/ingress/answer.rs
@@ -250,7 +250,8 @@
     framing
 }
 
-fn response_framing(response: &CallResponse, options: ResponseOptions) -> BodyFraming {
+/// Framing of the body of a backend server's response.
+pub fn response_framing(response: &CallResponse, options: ResponseOptions) -> BodyFraming {
     let head = &response.head;
     if options.is_for_head || head.status.is_bodiless() {
         return BodyFraming::Length(0);
@@ -258,6 +259,7 @@
     match (head.body_length, &response.remaining_body) {
         (Some(length), _) => BodyFraming::Length(length),
         (None, None) => BodyFraming::Length(head.body.len() as u64),
+        (None, Some(_)) if options.is_http10 => BodyFraming::UntilClose,
         (None, Some(_)) => BodyFraming::Chunked,
     }
 }
--- a/src/ingress/connection.rs
+++ b/src/ingress/connection.rs
@@ -31,6 +31,7 @@
 use crate::http1::{BodyDecoder, BodyEvent, BodyFraming, HeadError, HeadLimits, RequestHead};
 use crate::ingress::answer::{
     CallFailure, CallResponse, ResponseOptions, put_failure_response, put_response_head,
+    response_framing,
 };
 use crate::ingress::body::BodyReceiver;
 use crate::ingress::in_flight::{InFlightGuard, RequestProgress, RequestState};
@@ -158,7 +159,11 @@
     drop(connection);
     match result {
         Ok(()) => close_lingering(input, output).await,
-        Err(error) => log::debug!(target: "ingress", "closing a caller's connection: {error}"),
+        Err(error) => {
+            log::debug!(target: "ingress", "closing a caller's connection: {error}");
+            // Without a shutdown, which would end a body that is delimited by the connection.
+            output.forget();
+        }
     }
 }
 
@@ -476,17 +481,23 @@
         if is_closing {
             self.is_closing.set(true);
         }
-        let options = ResponseOptions {
+        let mut options = ResponseOptions {
             is_for_head: pending.is_for_head,
             is_http10: pending.is_http10,
             closes_connection: is_closing,
         };
         let result = self.buffer_response(result, options).await;
+        if let Ok(response) = &result
+            && response_framing(response, options) == BodyFraming::UntilClose
+        {
+            self.is_closing.set(true);
+            options.closes_connection = true;
+        }
         self.write_result(output, result, options).await?;
         self.is_streaming.set(false);
         self.unanswered_count.set(self.unanswered_count.get() - 1);
         self.response_written.notify_one();
-        Ok(is_closing)
+        Ok(options.closes_connection)
     }
 
     fn is_draining(&self) -> bool {
@@ -499,9 +510,9 @@
         self.unanswered_count.get() == 1 && !self.is_reading_request.get()
     }
 
-    /// Buffers a response while later requests are in progress, up to a limit, and a response
-    /// to an HTTP/1.0 caller, who could not tell that it is truncated, completely. One that is
-    /// truncated becomes a failure, after which the connection can go on.
+    /// Buffers a response while later requests are in progress, and a response to an HTTP/1.0
+    /// caller, who may not be able to tell that it is truncated, up to a limit. One that is
+    /// truncated by then becomes a failure, after which the connection can go on.
     async fn buffer_response(&self, result: CallResult, options: ResponseOptions) -> CallResult {
         let mut response = result?;
         let has_later_request = self.unanswered_count.get() > 1;
@@ -509,9 +520,7 @@
             return Ok(response);
         }
         let call_id = response.call_id;
-        let buffered = if options.is_http10 {
-            response.buffer_body(usize::MAX).await
-        } else if response.head.body_length.is_some() {
+        let buffered = if options.is_http10 || response.head.body_length.is_some() {
             response.buffer_body(MAX_BUFFERED_RESPONSE_BYTES).await
         } else {
             let buffering = response.buffer_body(MAX_BUFFERED_RESPONSE_BYTES);
@@ -553,18 +562,30 @@
         };
         self.is_streaming.set(true);
         output.write_all(&buffer).await?;
+        if framing == BodyFraming::UntilClose {
+            // Until the whole body is written, a regular end of the connection would pass
+            // off a part as the whole.
+            output.as_ref().set_zero_linger()?;
+        }
         while let Some(data) = remaining_body.next().await.map_err(io::Error::other)? {
             buffer.clear();
             put_body(&mut buffer, framing, &data);
             output.write_all(&buffer).await?;
         }
-        if framing == BodyFraming::Chunked {
-            output.write_all(LAST_CHUNK).await?;
+        match framing {
+            BodyFraming::Chunked => output.write_all(LAST_CHUNK).await?,
+            BodyFraming::UntilClose => unset_linger(output)?,
+            BodyFraming::Length(_) => {}
         }
         Ok(())
     }
 }
 
+#[allow(deprecated, reason = "without a duration a close never blocks")]
+fn unset_linger(output: &OwnedWriteHalf) -> io::Result<()> {
+    output.as_ref().set_linger(None)
+}
+
 enum HeadRead {
     Head(Box<RequestHead>),
     Rejected(ErrorKind),
--- a/tests/endless_answers.rs
+++ b/tests/endless_answers.rs
@@ -14,6 +14,7 @@
 #[path = "endless_answers/upstream.rs"]
 mod upstream;
 
+use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
@@ -73,6 +74,19 @@
     }
 }
 
+/// Response that ends after [`BURST_BYTES`] of its body.
+const fn finite(name: &'static str, end: &'static str) -> EndlessResponse {
+    EndlessResponse {
+        name,
+        start: CHUNKED_HEAD,
+        repeated: "8\r\nhardwood\r\n",
+        burst_bytes: BURST_BYTES / 8 * 13,
+        pause: None,
+        end: Some(end),
+    }
+}
+
+const HTTP_1_0: &str = "HTTP/1.0";
 const HTTP_1_1: &str = "HTTP/1.1";
 const CHUNKED_HEAD: &str = "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n";
 const LONG_HEAD: &str = "HTTP/1.1 200 OK\r\ncontent-length: 4611686018427387904\r\n\r\n";
@@ -107,6 +121,11 @@
     slowly("slow trailer", TRAILER_HEAD, "a", 0),
 ];
 
+static FINITE_BODIES: [EndlessResponse; 2] = [
+    finite("whole body", "0\r\n\r\n"),
+    finite("body that breaks off", ""),
+];
+
 /// Opens a connection whose receive buffer is small and sends a request.
 async fn send_request(ingress: SocketAddr, service: &str, path: &str, version: &str) -> TcpStream {
     let socket = TcpSocket::new_v4().unwrap();
@@ -197,6 +216,41 @@
     check_responses(&CHUNKED_BODIES, HTTP_1_1).await;
 }
 
+/// Guards against a response that is kept completely for an HTTP/1.0 caller.
+#[ntex::test]
+async fn endless_bodies_for_http_1_0_callers_take_bounded_memory_and_no_request_of_others() {
+    check_responses(&BODIES, HTTP_1_0).await;
+    check_responses(&CHUNKED_BODIES[..1], HTTP_1_0).await;
+}
+
+/// Guards against an HTTP/1.0 caller that takes part of a long response for the whole.
+#[ntex::test]
+async fn long_response_to_an_http_1_0_caller_is_whole_or_its_connection_is_reset() {
+    let upstream = FaultyUpstream::start(&FINITE_BODIES);
+    let fleet = Fleet::start(&[upstream.address]).await;
+    let read = async |index: usize| {
+        let path = format!("{FAULTY_PATH}{index}");
+        let mut stream = send_request(fleet.ingress_address, SERVICE, &path, HTTP_1_0).await;
+        let mut response = Vec::new();
+        let end = stream.read_to_end(&mut response).await;
+        (end.map_err(|error| error.kind()), response)
+    };
+    let (end, response) = read(0).await;
+    let body_start = response
+        .windows(4)
+        .position(|it| it == b"\r\n\r\n")
+        .unwrap()
+        + 4;
+    assert!(end.is_ok() && !response.starts_with(b"HTTP/1.1 502"));
+    assert_eq!(response.len() - body_start, BURST_BYTES);
+    let (end, response) = read(1).await;
+    let is_failure = response.starts_with(b"HTTP/1.1 502");
+    assert!(
+        is_failure || end == Err(ErrorKind::ConnectionReset),
+        "{end:?}"
+    );
+}
+
 /// Frame of a connection between nodes.
 fn encode_frame(message: &impl Message) -> Vec<u8> {
     let body = message.encode_to_vec();
