Close a call link whose peer doesn't read the replies

Cause: the queues of a link have no limit of their own; the windows of calls limit bodies only. Each ping and each cancellation of an unknown call gets a reply, which waits in memory while the peer doesn't read. Measured: one peer that sends pings without reading took a node from 22 MB to 316 MB in 5 s (debug build), without an end.

Change: the priority queue counts its messages. A gate with more than 16,384 of them for a peer closes the link, with a warning; calls resume on a new one.

Test: call_link_whose_peer_reads_no_replies_is_closed on real processes.

--- a/src/gate/links.rs
+++ b/src/gate/links.rs
@@ -127,6 +127,13 @@
     let reading = async {
         while let Some(message) = read_frame(&mut stream).await? {
             gate.handle_message(hello.incarnation, message, &sender);
+            if sender.is_overfull() {
+                log::warn!(
+                    target: "gate", node = hello.node.as_str();
+                    "closing a call link whose peer doesn't read the replies"
+                );
+                return Err(io::ErrorKind::TimedOut.into());
+            }
         }
         Ok(())
     };
--- a/src/link/endpoint.rs
+++ b/src/link/endpoint.rs
@@ -5,6 +5,8 @@
 //! a call, which are delivered first, and one for body chunks.
 
 use std::io;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
 
 use bytes::Bytes;
 use futures_util::stream::{SplitSink, SplitStream};
@@ -16,15 +18,20 @@
 use crate::link::messages::{LinkFrame, LinkMessage};
 
 const MAX_FRAMES_PER_FLUSH: usize = 32;
+/// Most priority messages that wait for a peer, many more than the calls of a link cause.
+const MAX_QUEUED_MESSAGES: usize = 16_384;
 
 /// Sending half of a link endpoint.
 ///
 /// The queues are unbounded because each call's window already limits the bytes
-/// that it may have in flight.
+/// that it may have in flight. Replies to a peer that doesn't read them are limited by
+/// [`is_overfull`](Self::is_overfull).
 #[derive(Debug, Clone)]
 pub struct LinkSender {
     priority: UnboundedSender<LinkMessage>,
     bulk: UnboundedSender<LinkMessage>,
+    /// Messages in the priority queue.
+    queued: Arc<AtomicUsize>,
 }
 
 impl LinkSender {
@@ -34,11 +41,19 @@
             message,
             LinkMessage::RequestChunk(_) | LinkMessage::ResponseChunk(_)
         );
+        if !is_bulk {
+            self.queued.fetch_add(1, Ordering::Relaxed);
+        }
         let channel = if is_bulk { &self.bulk } else { &self.priority };
         // The channel is closed only if the link is lost. Its calls are notified
         // of that separately and resume on a new link.
         let _ = channel.send(message);
     }
+
+    /// Whether so many messages wait for the peer that the link must be given up.
+    pub fn is_overfull(&self) -> bool {
+        self.queued.load(Ordering::Relaxed) > MAX_QUEUED_MESSAGES
+    }
 }
 
 /// Receiving half of a link endpoint.
@@ -46,6 +61,7 @@
 pub struct LinkReceiver {
     priority: UnboundedReceiver<LinkMessage>,
     bulk: UnboundedReceiver<LinkMessage>,
+    queued: Arc<AtomicUsize>,
 }
 
 impl LinkReceiver {
@@ -55,7 +71,10 @@
         tokio::select! {
             biased;
             message = self.priority.recv() => match message {
-                Some(message) => Some(message),
+                Some(message) => {
+                    self.queued.fetch_sub(1, Ordering::Relaxed);
+                    Some(message)
+                }
                 None => self.bulk.recv().await,
             },
             Some(message) = self.bulk.recv() => Some(message),
@@ -63,10 +82,11 @@
     }
 
     fn try_recv(&mut self) -> Option<LinkMessage> {
-        self.priority
-            .try_recv()
-            .or_else(|_| self.bulk.try_recv())
-            .ok()
+        if let Ok(message) = self.priority.try_recv() {
+            self.queued.fetch_sub(1, Ordering::Relaxed);
+            return Some(message);
+        }
+        self.bulk.try_recv().ok()
     }
 }
 
@@ -74,13 +94,16 @@
 pub fn message_channel() -> (LinkSender, LinkReceiver) {
     let (priority_sender, priority_receiver) = unbounded_channel();
     let (bulk_sender, bulk_receiver) = unbounded_channel();
+    let queued = Arc::new(AtomicUsize::new(0));
     let sender = LinkSender {
         priority: priority_sender,
         bulk: bulk_sender,
+        queued: Arc::clone(&queued),
     };
     let receiver = LinkReceiver {
         priority: priority_receiver,
         bulk: bulk_receiver,
+        queued,
     };
     (sender, receiver)
 }
--- a/tests/endless_answers.rs
+++ b/tests/endless_answers.rs
@@ -19,6 +19,7 @@
 use std::time::{Duration, Instant};
 
 use currantlift::exchange::PeerHello;
+use currantlift::link::messages::{LinkFrame, LinkHello, LinkMessage, LinkPing};
 use fleet::{Fleet, SERVICE};
 use prost::Message;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -36,6 +37,9 @@
 const SOUND_TIMEOUT: Duration = Duration::from_secs(3);
 /// More than the time for which a node waits for the hello frame of a link.
 const HELLO_WAIT: Duration = Duration::from_secs(4);
+const PINGS_PER_WRITE: usize = 2_000;
+/// Time in which many more pings are sent than a node keeps replies to.
+const UNREAD_WAIT: Duration = Duration::from_secs(5);
 /// Receive buffer of callers that read nothing.
 const SMALL_RECEIVE_BYTES: u32 = 4 * 1024;
 /// A node of the size of the test takes 13 MB; each of 18 calls may hold a window of
@@ -282,3 +286,28 @@
     let closed = tokio::time::timeout(HELLO_WAIT, stream.read(&mut [0; 1])).await;
     assert!(matches!(closed, Ok(Ok(0) | Err(_))), "{closed:?}");
 }
+
+/// Guards against replies that are kept without a limit for a node that doesn't read them.
+#[ntex::test]
+async fn call_link_whose_peer_reads_no_replies_is_closed() {
+    let upstream = FaultyUpstream::start(&[]);
+    let mut fleet = Fleet::start(&[upstream.address]).await;
+    let mut stream = open_call_link(fleet.ingress_peer_address).await;
+    let hello = LinkHello {
+        node: "other-1".to_string(),
+        incarnation: 7,
+        generation: 1,
+        ..LinkHello::default()
+    };
+    stream.write_all(&encode_frame(&hello)).await.unwrap();
+    let ping = LinkFrame {
+        message: Some(LinkMessage::Ping(LinkPing::default())),
+    };
+    let pings = encode_frame(&ping).repeat(PINGS_PER_WRITE);
+    let sending = async { while stream.write_all(&pings).await.is_ok() {} };
+    let closed = tokio::time::timeout(UNREAD_WAIT, sending).await;
+    let memory = fleet.peak_memory_bytes();
+    fleet.assert_all_run();
+    assert!(closed.is_ok(), "not closed, {memory:?} bytes");
+    assert!(memory[0] <= MAX_MEMORY_BYTES, "{memory:?}");
+}
