--- a/tests/caller_input.rs
+++ b/tests/caller_input.rs
@@ -24,6 +24,7 @@
 
 use fleet::ScriptedFleet;
 use raw::RawCaller;
+use script::{AnswerFraming, CallerEnd, RequestKind, RequestPlan, UpstreamScript};
 use upstream::RunLog;
 
 /// Limit of the configuration for the arrival of a head.
