Keep calls away from stopping gates that could cut them

Callers saw: 502 from a stopping node 4.7 to 4.8 s after its SIGTERM, for requests with a time limit of 8 s whose upstream was at work, as they ran behind the gate of a node stopped 0.8 s earlier. Cause: a stopping gate admitted a call if three times the usual run time of its class fitted before the end of its calls. The call may run until its time limit, and the ingress, stopped later, has promised its caller more than that gate can hold. A call queued there could also start at any time. Change: the ingress says that a call must avoid stops; a stopping gate then refuses it unless its time limit ends first, says when it stops, and another is asked in its place. Queued calls are refused the same way when the stop begins. If no other gate takes the call, a node that isn't stopping offers it to the gate that stops last, which admits it if it usually ends in time, and starts it from its queue only as long as that holds. A node that is stopping itself refuses instead: its own gate, and gates stopped within 0.1 s, can hold what it has promised.

--- a/src/admission.rs
+++ b/src/admission.rs
@@ -128,7 +128,10 @@
     /// Whether the call is evicted once it would miss its target latency, which
     /// ends before the time limit. A short call is not.
     gives_way_past_target: bool,
-    /// Latest start that can still be answered within the time limit.
+    /// End of the time limit.
+    time_limit_at: Duration,
+    /// Latest start that can still be answered within the time limit, and before a planned
+    /// stop.
     expires_at: Duration,
     /// See [`CallOffer::no_wait_slot_share`].
     no_wait_slot_share: Option<f64>,
@@ -228,7 +231,7 @@
             // Shorter than any run of its class: refused before it takes a slot.
             return refusal(ErrorKind::WaitTooLong, run_time, run_time);
         }
-        if self.would_outlast_stop(now, &offer.class) {
+        if self.would_outlast_stop(now, &offer) {
             return refusal(ErrorKind::WaitTooLong, DRAIN_RETRY_AFTER, offer.time_left);
         }
         if offer.is_hedge && self.pacer.rate().is_some() {
@@ -288,6 +291,7 @@
         let shortest_run_time =
             self.at_baseline_speed(now, self.run_times.shortest_run_time_of(&offer.class));
         let max_wait = offer.time_left.saturating_sub(shortest_run_time);
+        let max_wait = max_wait.min(self.max_wait_before_stop(now, &offer));
         let has_target_latency = offer.target_left < offer.time_left;
         let is_nested = self.is_nested_call(&offer.tenant);
         let max_response_time = if is_nested || self.admits_past_target(now, &offer.class) {
@@ -330,6 +334,7 @@
             priority,
             class,
             gives_way_past_target,
+            time_limit_at: now + offer.time_left,
             expires_at: now + max_wait,
             no_wait_slot_share: offer.no_wait_slot_share,
         });
@@ -456,17 +461,43 @@
         self.start_queued(now)
     }
 
-    /// Refuses from now on calls that may still run when the node stops.
+    /// Refuses from now on calls that may still run when the node stops, and evicts those
+    /// that are queued.
     pub fn set_stop_time(&mut self, stop_time: Duration) {
         self.stop_time = Some(stop_time);
+        for index in (0..self.queue.len()).rev() {
+            if self.queue[index].time_limit_at > stop_time {
+                self.evict(index);
+            }
+        }
+    }
+
+    /// Time until the planned stop, if a call with this time limit could still run then.
+    pub fn time_to_stop(&self, now: Duration, time_left: Duration) -> Option<Duration> {
+        let stop_time = self.stop_time?;
+        (now + time_left > stop_time).then(|| stop_time.saturating_sub(now))
     }
 
     /// Whether a call that starts now could still run when the node stops.
-    fn would_outlast_stop(&self, now: Duration, class: &str) -> bool {
+    fn would_outlast_stop(&self, now: Duration, offer: &CallOffer) -> bool {
+        let Some(time_to_stop) = self.time_to_stop(now, offer.time_left) else {
+            return false;
+        };
+        offer.avoids_stop || self.longest_run_time(now, &offer.class) > time_to_stop
+    }
+
+    /// Longest wait after which a call is expected to end before the node stops.
+    fn max_wait_before_stop(&self, now: Duration, offer: &CallOffer) -> Duration {
+        self.time_to_stop(now, offer.time_left)
+            .map_or(offer.time_left, |time_to_stop| {
+                time_to_stop.saturating_sub(self.longest_run_time(now, &offer.class))
+            })
+    }
+
+    /// Time within which nearly every run of the class ends; zero before the first run.
+    fn longest_run_time(&self, now: Duration, class: &str) -> Duration {
         let run_time = self.run_times.known_run_time_of(class).unwrap_or_default();
-        let max_run_time = self.at_baseline_speed(now, run_time) * MAX_RUN_TIME_FACTOR;
-        self.stop_time
-            .is_some_and(|stop_time| now + max_run_time > stop_time)
+        self.at_baseline_speed(now, run_time) * MAX_RUN_TIME_FACTOR
     }
 
     /// Refuses all new calls; queued and running calls end normally.
--- a/src/admission/offer.rs
+++ b/src/admission/offer.rs
@@ -32,6 +32,9 @@
     /// Whether the call already runs elsewhere. Such a call takes nothing of a rate
     /// that the backend server named.
     pub is_hedge: bool,
+    /// Whether the call must not be cut by a planned stop. Without it, the call is
+    /// admitted if it is expected to end before the stop.
+    pub avoids_stop: bool,
 }
 
 impl CallOffer {
@@ -48,6 +51,7 @@
             tenant: String::new(),
             no_wait_slot_share: None,
             is_hedge: false,
+            avoids_stop: false,
         }
     }
 }
--- a/src/admission/tests.rs
+++ b/src/admission/tests.rs
@@ -353,6 +353,62 @@
     );
 }
 
+/// A call that other gates may take must not run where a stop could cut it, however short
+/// its class usually is; not from the queue either.
+#[test]
+fn call_that_a_stop_could_cut_is_refused_and_leaves_the_queue() {
+    let now = Duration::from_secs(1);
+    let stop_time = now + Duration::from_secs(5);
+    let careful_offer = |sequence, left_ms| CallOffer {
+        avoids_stop: true,
+        ..offer(sequence, Duration::from_millis(left_ms))
+    };
+    let mut queue = queue_of(1);
+    queue.offer(now, careful_offer(1, 6_000));
+    let latency = Duration::from_millis(60);
+    queue.finish(now, call(1), WorkResult::Completed { latency });
+    queue.offer(now, careful_offer(2, 6_000));
+    for (sequence, left_ms) in [(3, 6_000), (4, 5_000)] {
+        assert_matches!(
+            queue.offer(now, careful_offer(sequence, left_ms)),
+            AdmissionDecision::Queued { .. }
+        );
+    }
+    queue.set_stop_time(stop_time);
+    assert_eq!(queue.take_evicted(), [call(3)]);
+    assert_matches!(
+        queue.offer(now, careful_offer(5, 5_001)),
+        AdmissionDecision::Refused {
+            kind: ErrorKind::WaitTooLong,
+            ..
+        }
+    );
+    assert_matches!(
+        queue.offer(now, careful_offer(6, 5_000)),
+        AdmissionDecision::Queued { .. }
+    );
+}
+
+/// A call that only a stopping gate takes must not start from its queue once it would
+/// usually end after the stop.
+#[test]
+fn queued_call_does_not_start_too_late_in_a_stop() {
+    let now = Duration::from_secs(1);
+    let mut queue = queue_of(1);
+    queue.offer(now, offer(1, Duration::from_secs(8)));
+    let latency = Duration::from_secs(1);
+    queue.finish(now, call(1), WorkResult::Completed { latency });
+    queue.set_stop_time(now + Duration::from_millis(4_500));
+    queue.offer(now, offer(2, Duration::from_secs(8)));
+    assert_matches!(
+        queue.offer(now, offer(3, Duration::from_secs(8))),
+        AdmissionDecision::Queued { .. }
+    );
+    let late = now + Duration::from_millis(1_600);
+    assert_eq!(queue.expire(late), [call(3)]);
+    assert_eq!(queue.finish(late, call(2), WorkResult::Failed), []);
+}
+
 /// A backend server joins while the others are slow, and calls are told by each gate
 /// when it would answer. The gate without runs must not promise an instant response.
 #[test]
--- a/src/gate.rs
+++ b/src/gate.rs
@@ -157,6 +157,9 @@
     /// Whether the gate would queue the call although it would miss its target
     /// latency.
     pub admits_past_target: bool,
+    /// Time until a planned stop of the gate that could cut the call; `None` if there is
+    /// none.
+    pub stops_in: Option<Duration>,
 }
 
 impl From<ErrorKind> for GateRefusal {
@@ -167,6 +170,7 @@
             retry_after: NON_LOAD_RETRY_AFTER,
             estimated_response_time: None,
             admits_past_target: false,
+            stops_in: None,
         }
     }
 }
@@ -468,13 +472,17 @@
                 kind,
                 retry_after,
                 estimated_response_time,
-            } => Err(GateRefusal {
-                kind,
-                retry_after,
-                estimated_response_time: Some(estimated_response_time)
-                    .filter(|time| !time.is_zero()),
-                admits_past_target: self.admits_past_target(open),
-            }),
+            } => {
+                let refusal = GateRefusal {
+                    kind,
+                    retry_after,
+                    estimated_response_time: Some(estimated_response_time)
+                        .filter(|time| !time.is_zero()),
+                    admits_past_target: self.admits_past_target(open),
+                    stops_in: None,
+                };
+                Err(self.name_stop(refusal, time_left))
+            }
         }
     }
 
@@ -516,6 +524,7 @@
             no_wait_slot_share: (open.max_occupancy_percent > 0)
                 .then(|| f64::from(open.max_occupancy_percent) / 100.0),
             is_hedge: open.is_hedge,
+            avoids_stop: open.avoids_stop,
         };
         let mut admission = self.admission.borrow_mut();
         match admission.as_mut() {
@@ -589,6 +598,7 @@
             retry_after,
             estimated_response_time: Some(response_time),
             admits_past_target: self.admits_past_target(open),
+            stops_in: None,
         }
     }
 
--- a/src/gate/answer.rs
+++ b/src/gate/answer.rs
@@ -112,6 +112,11 @@
             expected_response_us: u64::try_from(estimated_response_time.as_micros())
                 .unwrap_or(u64::MAX),
             admits_past_target,
+            stops_in_us: refusal.stops_in.map_or(0, |stops_in| {
+                u64::try_from(stops_in.as_micros())
+                    .unwrap_or(u64::MAX)
+                    .max(1)
+            }),
         };
         self.link.send(LinkMessage::Refusal(refusal));
     }
--- a/src/gate/call.rs
+++ b/src/gate/call.rs
@@ -220,7 +220,8 @@
                 granted = &mut slot_grant => match granted {
                     Ok(()) => return self.run_on_backend(body).await,
                     Err(_) => {
-                        self.send_refusal(&self.gate.wait_too_long_refusal(self.id, &self.open));
+                        let refusal = self.gate.wait_too_long_refusal(self.id, &self.open);
+                        self.send_refusal(&self.gate.name_stop(refusal, self.time_left()));
                         return false;
                     }
                 },
--- a/src/gate/dispatch.rs
+++ b/src/gate/dispatch.rs
@@ -161,6 +161,7 @@
             load: None,
             expected_response_us: 0,
             admits_past_target: false,
+            stops_in_us: 0,
         }),
         OpenOutcome::Forgotten => LinkMessage::Abort(CallAbort {
             sequence,
--- a/src/ingress/attempt.rs
+++ b/src/ingress/attempt.rs
@@ -48,6 +48,8 @@
     pub estimated_response_time: Option<Duration>,
     /// Whether the gate would queue the call past its target latency.
     pub admits_past_target: bool,
+    /// Time until a planned stop of the gate, which refused the call because of it.
+    pub stops_in: Option<Duration>,
     /// What the attempt has sent of the request body.
     pub sent_body: SentBody,
 }
@@ -69,6 +71,9 @@
 
     /// The gate's estimate, if it refused because of its load.
     pub fn estimate(&self) -> Option<GateEstimate> {
+        if self.stops_in.is_some() {
+            return None;
+        }
         let is_load = matches!(
             self.failure,
             AttemptFailure::NotRun(ErrorKind::Overloaded | ErrorKind::WaitTooLong)
@@ -97,6 +102,7 @@
             retry_after: None,
             estimated_response_time: None,
             admits_past_target: false,
+            stops_in: None,
             sent_body: SentBody::default(),
         }
     }
@@ -418,6 +424,8 @@
                     || refusal.load.is_some_and(|load| {
                         load.start_rate.is_none() && load.in_flight + load.queued < load.limit
                     }),
+                stops_in: Some(Duration::from_micros(refusal.stops_in_us))
+                    .filter(|stops_in| !stops_in.is_zero()),
                 sent_body: SentBody::default(),
             }),
             LinkMessage::Abort(abort) => Err(self
--- a/src/ingress/call.rs
+++ b/src/ingress/call.rs
@@ -49,6 +49,8 @@
     max_occupancy_percent: u32,
     /// Whether the call already runs elsewhere.
     is_hedge: bool,
+    /// Whether no gate takes the call whose planned stop can't cut it.
+    is_last_resort: bool,
 }
 
 /// Time left until the target latency of the refused request that this one
@@ -320,6 +322,9 @@
         metrics.count_attempt(self.request.service.as_str(), result_name);
         let start = result.inspect_err(|error| {
             self.search.on_refused(node, error.estimate());
+            if let Some(stops_in) = error.stops_in {
+                self.search.on_stopping(node, stops_in);
+            }
             if error.failure == AttemptFailure::NotRun(ErrorKind::ZoneEvacuated) {
                 self.leave_zone_of(node);
             }
--- a/src/ingress/call/choice.rs
+++ b/src/ingress/call/choice.rs
@@ -37,6 +37,7 @@
         }
         loop {
             let time_budget = self.time_budget();
+            let mut is_last_resort = false;
             let (choice, max_occupancy_percent) = match self.search.next_step(time_budget) {
                 SearchStep::OfferImmediate => {
                     if let Some(choice) = self.choose_other_zone() {
@@ -68,7 +69,9 @@
                     Err(kind) => return Err(AttemptError::not_run(kind)),
                 },
                 SearchStep::Refuse { retry_after } => {
-                    return Err(self.overload_refusal(retry_after));
+                    let choice = self.choose_stopping_gate();
+                    is_last_resort = true;
+                    (choice.ok_or(self.overload_refusal(retry_after))?, 0)
                 }
             };
             self.offer_count += 1;
@@ -77,10 +80,21 @@
                 choice,
                 max_occupancy_percent,
                 is_hedge: false,
+                is_last_resort,
             });
         }
     }
 
+    /// Chooses a gate that refused the call because of its planned stop. A node that stops
+    /// itself has promised its caller more than the gate of another can hold.
+    fn choose_stopping_gate(&mut self) -> Option<RouteChoice> {
+        if self.worker.shared.stop_times().is_some() {
+            return None;
+        }
+        let node = self.search.take_stopping_gate()?;
+        self.choose_node(&node).ok()
+    }
+
     /// Occupancy up to which the gate may start the call; 0 if the gate may
     /// queue it, as a large body may wait in its own zone.
     fn max_occupancy_percent(&self, choice: &RouteChoice) -> u32 {
--- a/src/ingress/call/offer.rs
+++ b/src/ingress/call/offer.rs
@@ -50,6 +50,7 @@
         let mut open = CallOpen {
             max_occupancy_percent: offer.max_occupancy_percent,
             is_hedge: offer.is_hedge,
+            avoids_stop: self.worker.shared.max_immediate_offers > 0 && !offer.is_last_resort,
             ..self.open_message(id, opening)
         };
         let is_body_deferred =
@@ -110,6 +111,7 @@
             class: self.request.class(),
             tenant: self.request.tenant_text().to_string(),
             is_hedge: false,
+            avoids_stop: false,
             head_digest: Bytes::copy_from_slice(self.head_digest.as_bytes()),
             fingerprint: self
                 .fingerprint
--- a/src/ingress/call/quarantine.rs
+++ b/src/ingress/call/quarantine.rs
@@ -105,6 +105,7 @@
             choice,
             max_occupancy_percent: 0,
             is_hedge: false,
+            is_last_resort: true,
         })
     }
 }
--- a/src/ingress/call/second_copy.rs
+++ b/src/ingress/call/second_copy.rs
@@ -38,7 +38,7 @@
 /// for another.
 fn was_not_started(error: &AttemptError) -> bool {
     let is_evacuated = error.failure == AttemptFailure::NotRun(ErrorKind::ZoneEvacuated);
-    is_evacuated || error.estimate().is_some()
+    is_evacuated || error.estimate().is_some() || error.stops_in.is_some()
 }
 
 impl CallDriver {
@@ -167,6 +167,7 @@
                 choice,
                 max_occupancy_percent: HEDGE_OCCUPANCY_PERCENT,
                 is_hedge: true,
+                is_last_resort: false,
             };
             let result = self.run_attempt(offer, body).await;
             match &result {
--- a/src/ingress/placing.rs
+++ b/src/ingress/placing.rs
@@ -17,6 +17,8 @@
 
 /// Queues that a call tries to join, at most.
 const MAX_QUEUE_JOINS: u32 = 2;
+/// Stopping gates in whose place another is asked, at most.
+const MAX_REPLACED_GATES: usize = 4;
 
 /// Estimate that a gate sent with its refusal.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -62,6 +64,9 @@
     uses_immediate_offers: bool,
     join_count: u32,
     estimates: BTreeMap<NodeId, GateEstimate>,
+    /// Gates that refused because of their planned stop, and the time until it; `None` once
+    /// they were asked to admit the call nevertheless.
+    stopping: BTreeMap<NodeId, Option<Duration>>,
 }
 
 impl GateSearch {
@@ -73,6 +78,7 @@
             uses_immediate_offers: max_immediate_offers > 0,
             join_count: 0,
             estimates: BTreeMap::new(),
+            stopping: BTreeMap::new(),
         }
     }
 
@@ -101,6 +107,31 @@
         }
     }
 
+    /// Records that a gate refused because its planned stop could cut the call. Another is
+    /// asked in its place.
+    pub fn on_stopping(&mut self, node: &NodeId, stops_in: Duration) {
+        self.estimates.remove(node);
+        if self.stopping.contains_key(node) {
+            return;
+        }
+        self.stopping.insert(node.clone(), Some(stops_in));
+        if self.uses_immediate_offers && self.stopping.len() <= MAX_REPLACED_GATES {
+            self.immediate_offers_left += 1;
+        }
+    }
+
+    /// Takes the stopping gate that stops last, for a call that no other gate takes.
+    pub fn take_stopping_gate(&mut self) -> Option<NodeId> {
+        let taken = self.stopping.values().filter(|stop| stop.is_none()).count();
+        let candidates = self
+            .stopping
+            .iter_mut()
+            .filter(|(_, stops_in)| stops_in.is_some() && taken < MAX_QUEUE_JOINS as usize);
+        let (node, stops_in) = candidates.max_by_key(|(_, stops_in)| **stops_in)?;
+        *stops_in = None;
+        Some(node.clone())
+    }
+
     /// Records the estimate for a gate that wasn't asked: its backend server's rate is
     /// known to be used up, so that it would refuse an immediate start.
     pub fn on_rate_used_up(&mut self, node: NodeId, estimate: GateEstimate) {
--- a/src/ingress/placing/tests.rs
+++ b/src/ingress/placing/tests.rs
@@ -128,3 +128,24 @@
         SearchStep::JoinQueue(node("c"))
     );
 }
+
+#[test]
+fn stopping_gates_are_asked_again_only_if_no_other_takes_the_call() {
+    let mut search = GateSearch::new(1);
+    assert_eq!(search.next_step(TIME_BUDGET), SearchStep::OfferImmediate);
+    search.on_stopping(&node("a"), Duration::from_secs(1));
+    assert_eq!(search.next_step(TIME_BUDGET), SearchStep::OfferImmediate);
+    search.on_stopping(&node("b"), Duration::from_secs(2));
+    assert_eq!(search.next_step(TIME_BUDGET), SearchStep::OfferImmediate);
+    search.on_refused(&node("c"), estimate(20, 100));
+    let step = search.next_step(TIME_BUDGET);
+    assert_eq!(step, SearchStep::JoinQueue(node("c")));
+    search.on_refused(&node("c"), None);
+    let retry_after = Duration::ZERO;
+    let step = search.next_step(TIME_BUDGET);
+    assert_eq!(step, SearchStep::Refuse { retry_after });
+    assert_eq!(search.take_stopping_gate(), Some(node("b")));
+    search.on_stopping(&node("b"), Duration::from_secs(2));
+    assert_eq!(search.take_stopping_gate(), Some(node("a")));
+    assert_eq!(search.take_stopping_gate(), None);
+}
--- a/src/link/messages.rs
+++ b/src/link/messages.rs
@@ -198,6 +198,10 @@
     /// Tenant of the caller; empty if there is none.
     #[prost(string, tag = "20")]
     pub tenant: String,
+    /// Whether the gate must refuse the call if its planned stop could cut it. Older builds
+    /// leave it out.
+    #[prost(bool, tag = "21")]
+    pub avoids_stop: bool,
 }
 
 /// Part of a request or response body.
@@ -257,6 +261,10 @@
     /// latency. Gates of older builds leave it out.
     #[prost(bool, tag = "6")]
     pub admits_past_target: bool,
+    /// Time until the planned stop of the gate, in microseconds, if that could have cut
+    /// the call; 0 otherwise.
+    #[prost(uint64, tag = "7")]
+    pub stops_in_us: u64,
 }
 
 /// Head of a response, with the start of its body.
--- a/tests/byte_faults/fleet.rs
+++ b/tests/byte_faults/fleet.rs
@@ -25,6 +25,8 @@
 /// Flags as in `deploy/system.toml`.
 const DEPLOYED_FLAGS: &str = "--threads 1 --drain-seconds 5 --leave-seconds 3 \
     --backend-ttl-seconds 8 --asks 3 --slot-limit fixed --readings 30 --retry-burst 3";
+/// Time limit of all routes if a test sets no other.
+pub const ROUTE_TIMEOUT: Duration = Duration::from_secs(3);
 const HEARTBEAT_INTERVAL: Duration = Duration::from_secs(1);
 const CLIENT_TIMEOUT: Duration = Duration::from_secs(5);
 const READY_TIMEOUT: Duration = Duration::from_secs(30);
@@ -45,10 +47,11 @@
     _store: Process,
 }
 
-fn config_value() -> String {
+fn config_value(route_timeout: Duration) -> String {
+    let timeout_s = route_timeout.as_secs_f64();
     let route = |name: &str, kind: &str| {
         let prefix = format!("/{name}/");
-        json!([name, HOST, prefix, kind, 3.0, 0.5, 1, 3, SERVICE])
+        json!([name, HOST, prefix, kind, timeout_s, 0.5, 1, 3, SERVICE])
     };
     let config = json!({
         "version": "00000001",
@@ -108,19 +111,25 @@
 impl ScriptedFleet {
     /// Starts a fleet with the flags of the deployment; see [`Self::start_with`].
     pub async fn start(node_count: usize, log: &Rc<RunLog>) -> Self {
-        Self::start_with(node_count, &[], log).await
+        Self::start_with(node_count, &[], ROUTE_TIMEOUT, log).await
     }
 
-    /// Starts a fleet whose nodes have further flags, and waits until every node can route to
-    /// every upstream.
-    pub async fn start_with(node_count: usize, flags: &[&str], log: &Rc<RunLog>) -> Self {
+    /// Starts a fleet whose nodes have further flags and whose routes have this time limit, and
+    /// waits until every node can route to every upstream.
+    pub async fn start_with(
+        node_count: usize,
+        flags: &[&str],
+        route_timeout: Duration,
+        log: &Rc<RunLog>,
+    ) -> Self {
         let mut command = Command::new(env!("CARGO_BIN_EXE_standin-store"));
         command.args(["--listen", LOOPBACK_ANY_PORT]);
         let store = Process::start("store", &mut command, &RunsByRequest::default());
         let store_address = store.next_line();
         let client = http_client(CLIENT_TIMEOUT).await.unwrap();
         let url = format!("http://{store_address}/api/kv-txn");
-        let config = json!({ "puts": [{ "key": "op/config", "value": config_value() }] });
+        let config =
+            json!({ "puts": [{ "key": "op/config", "value": config_value(route_timeout) }] });
         let response = client.post(url).send_json(&config).await.unwrap();
         assert!(response.status().is_success());
         let (mut nodes, mut addresses, mut upstreams) = (Vec::new(), Vec::new(), Vec::new());
--- a/tests/late_requests.rs
+++ b/tests/late_requests.rs
@@ -2,7 +2,8 @@
 //! takes about as long as the stop.
 //!
 //! A request sent after the callers' time to leave must be answered whole, or refused at once
-//! and not run: it must not be cut at the end of the stop while its upstream works.
+//! and not run: it must not be cut at the end of the stop while its upstream works. Nor may it be
+//! cut by the earlier stop of another node whose gate it runs at.
 
 #![allow(clippy::unwrap_used, reason = "helpers of tests fail as the tests do")]
 #![allow(dead_code, reason = "helpers are shared with other tests")]
@@ -25,7 +26,7 @@
 use futures_util::future::join_all;
 use ntex::time::sleep;
 
-use fleet::ScriptedFleet;
+use fleet::{ROUTE_TIMEOUT, ScriptedFleet};
 use raw::RawCaller;
 use script::{CallerEnd, RequestKind, RequestPlan, UpstreamScript};
 use upstream::RunLog;
@@ -47,6 +48,15 @@
 const REFUSAL_LIMIT: Duration = Duration::from_millis(500);
 
 fn new_plan(id: &str, kind: RequestKind, work: Duration) -> Rc<RequestPlan> {
+    plan_with_limit(id, kind, work, TIME_LIMIT)
+}
+
+fn plan_with_limit(
+    id: &str,
+    kind: RequestKind,
+    work: Duration,
+    time_limit: Duration,
+) -> Rc<RequestPlan> {
     Rc::new(RequestPlan {
         id: id.to_string(),
         kind,
@@ -54,7 +64,7 @@
         body_bytes: 0,
         chunk_bytes: Vec::new(),
         end: CallerEnd::Whole,
-        time_limit: TIME_LIMIT,
+        time_limit,
         piece: (usize::MAX, Duration::ZERO),
         scripts: vec![
             UpstreamScript {
@@ -147,7 +157,7 @@
 #[ntex::test]
 async fn request_taken_after_the_time_to_leave_is_not_cut_by_the_stop() {
     let log = Rc::new(RunLog::default());
-    let fleet = ScriptedFleet::start_with(NODE_COUNT, GRACE_FLAGS, &log).await;
+    let fleet = ScriptedFleet::start_with(NODE_COUNT, GRACE_FLAGS, ROUTE_TIMEOUT, &log).await;
     fleet.nodes[0].signal("TERM");
     let signalled_at = Instant::now();
     let late = count_cut(
@@ -167,7 +177,7 @@
 #[ntex::test]
 async fn request_is_not_cut_by_a_stop_whose_signal_was_seen_late() {
     let log = Rc::new(RunLog::default());
-    let fleet = ScriptedFleet::start_with(NODE_COUNT, GRACE_FLAGS, &log).await;
+    let fleet = ScriptedFleet::start_with(NODE_COUNT, GRACE_FLAGS, ROUTE_TIMEOUT, &log).await;
     fleet.nodes[0].signal("STOP");
     fleet.nodes[0].signal("TERM");
     let signalled_at = Instant::now();
@@ -182,3 +192,203 @@
     );
     assert_eq!(cut.await + log.print_violations(), 0);
 }
+
+/// Time between the stops of two nodes.
+const STOP_GAP: Duration = Duration::from_millis(800);
+/// Time limit of the longest routes; a stop that begins meanwhile ends before it.
+const LONG_TIME_LIMIT: Duration = Duration::from_secs(8);
+/// Time after SIGTERM until which a node serves what callers send.
+const LEAVE_TIME: Duration = Duration::from_secs(3);
+/// Begin of the last sixth of the time from SIGTERM to SIGKILL.
+const LAST_SIXTH: Duration = Duration::from_secs(5);
+/// Delay of an answer behind its cause.
+const ANSWER_DELAY: Duration = Duration::from_millis(100);
+/// Short requests through each node, from which the gates know the usual time of work.
+const WARM_UP_REQUESTS: usize = 6;
+const SHORT_WORK: Duration = Duration::from_millis(100);
+
+/// Stops of the first nodes of a fleet, one [`STOP_GAP`] after the other, under requests.
+struct MeetingStops {
+    node_count: usize,
+    stopped_count: usize,
+    time_limit: Duration,
+    /// Works of the requests, in turn.
+    works: &'static [Duration],
+    /// Moments after the first SIGTERM at which a request is sent through each node.
+    send_times: Vec<Duration>,
+}
+
+/// Answers to the requests of [`MeetingStops`].
+#[derive(Debug, Default, PartialEq)]
+struct AnswerCounts {
+    whole: usize,
+    /// Refused at once and not run.
+    refused: usize,
+    /// Refused and not run, after a wait in a queue.
+    refused_late: usize,
+    timed_out: usize,
+    /// Ended by the stop of the node that took them, as they were at work too late.
+    excused: usize,
+    /// Ended by a stop otherwise, at a node that was stopped itself.
+    cut: usize,
+    /// Ended by the stop of another node, at a node that was not stopped.
+    cut_elsewhere: usize,
+}
+
+impl MeetingStops {
+    async fn run(&self) -> AnswerCounts {
+        let log = Rc::new(RunLog::default());
+        let limit = self.time_limit.max(ROUTE_TIMEOUT);
+        let fleet = ScriptedFleet::start_with(self.node_count, GRACE_FLAGS, limit, &log).await;
+        warm_up(&fleet, &log).await;
+        let begun_at = Instant::now();
+        let stops = async {
+            for (number, node) in fleet.nodes[..self.stopped_count].iter().enumerate() {
+                sleep((STOP_GAP * number as u32).saturating_sub(begun_at.elapsed())).await;
+                node.signal("TERM");
+            }
+        };
+        let slots = (0..self.node_count).flat_map(|node| {
+            let send_times = self.send_times.iter();
+            send_times.map(move |send_time| (node, *send_time))
+        });
+        let requests = slots.enumerate().map(|(number, (node, send_time))| {
+            let kind = [RequestKind::Query, RequestKind::Order][number % 2];
+            let work = self.works[number % self.works.len()];
+            let plan = plan_with_limit(&format!("met-{number:03}"), kind, work, self.time_limit);
+            log.add_request(&plan);
+            let (fleet, log) = (&fleet, &log);
+            async move {
+                sleep(send_time.saturating_sub(begun_at.elapsed())).await;
+                let sent_at = begun_at.elapsed();
+                let (status, taken) = send(fleet.listen_addresses[node], &plan).await;
+                let requests = log.requests.borrow();
+                let last_arrival = requests[&plan.id].arrivals.last();
+                let work_end = last_arrival.map(|it| it.arrived_at + work - begun_at);
+                let stopped_at = (node < self.stopped_count).then(|| STOP_GAP * node as u32);
+                let answer = Answer {
+                    sent_at,
+                    status,
+                    taken,
+                    work_end,
+                };
+                (plan, node, answer, stopped_at)
+            }
+        });
+        let (answers, ()) = futures_util::future::join(join_all(requests), stops).await;
+        let mut counts = AnswerCounts::default();
+        for (plan, node, answer, stopped_at) in answers {
+            if counts.add(&answer, self.time_limit, stopped_at) {
+                println!("{} through node {node}: {answer:?}", plan.id);
+            }
+        }
+        println!("{counts:?}");
+        assert_eq!(log.print_violations(), 0);
+        counts
+    }
+}
+
+#[derive(Debug)]
+struct Answer {
+    /// Time after the first SIGTERM.
+    sent_at: Duration,
+    status: u16,
+    taken: Duration,
+    /// Time after the first SIGTERM at which the last upstream that got it is done; `None` if
+    /// none got it.
+    work_end: Option<Duration>,
+}
+
+impl AnswerCounts {
+    /// Counts an answer of a node that was stopped at `stopped_at`, if it was; returns whether it
+    /// was cut by a stop.
+    fn add(&mut self, answer: &Answer, time_limit: Duration, stopped_at: Option<Duration>) -> bool {
+        let ended_at = answer.sent_at + answer.taken;
+        let is_excused = stopped_at.is_some_and(|stopped_at| {
+            let late = stopped_at + LAST_SIXTH;
+            answer.sent_at <= stopped_at + LEAVE_TIME
+                && ended_at >= late
+                && answer.work_end >= Some(late)
+        });
+        let (count, is_cut) = match answer.status {
+            200 => (&mut self.whole, false),
+            503 if answer.work_end.is_none() && answer.taken < REFUSAL_LIMIT => {
+                (&mut self.refused, false)
+            }
+            503 if answer.work_end.is_none() => (&mut self.refused_late, false),
+            504 if answer.taken + ANSWER_DELAY >= time_limit => (&mut self.timed_out, false),
+            502 if is_excused => (&mut self.excused, false),
+            _ if stopped_at.is_some() => (&mut self.cut, true),
+            _ => (&mut self.cut_elsewhere, true),
+        };
+        *count += 1;
+        is_cut
+    }
+}
+
+async fn warm_up(fleet: &ScriptedFleet, log: &RunLog) {
+    for number in 0..WARM_UP_REQUESTS * fleet.nodes.len() {
+        let kind = [RequestKind::Query, RequestKind::Order][number % 2];
+        let plan = new_plan(&format!("warm-{number:03}"), kind, SHORT_WORK);
+        log.add_request(&plan);
+        let address = fleet.listen_addresses[number % fleet.nodes.len()];
+        assert_eq!(send(address, &plan).await.0, 200);
+    }
+}
+
+/// Works of [`STOP_GAP`] to three times that, and of about [`TIME_LIMIT`].
+const USUAL_WORKS: &[Duration] = &[
+    Duration::from_millis(800),
+    Duration::from_millis(1_600),
+    Duration::from_millis(2_400),
+    Duration::from_millis(2_800),
+];
+/// Works that outlast a stop which begins shortly before.
+const LONG_WORKS: &[Duration] = &[
+    Duration::from_millis(3_900),
+    Duration::from_millis(3_600),
+    Duration::from_millis(4_100),
+];
+
+/// Guards against requests that are cut by a stop although their time limit ends before it.
+#[ntex::test]
+async fn requests_with_usual_time_limits_are_not_cut_by_stops_that_meet() {
+    let stops = MeetingStops {
+        node_count: 3,
+        stopped_count: 2,
+        time_limit: TIME_LIMIT,
+        works: USUAL_WORKS,
+        send_times: (0..19).map(|it| Duration::from_millis(200 * it)).collect(),
+    };
+    let counts = stops.run().await;
+    assert_eq!((counts.cut, counts.cut_elsewhere), (0, 0));
+}
+
+/// Guards against requests of a stopping node that are cut by the earlier stop of the node whose
+/// upstream they run at.
+#[ntex::test]
+async fn long_requests_are_not_cut_by_the_earlier_stop_of_a_second_node() {
+    let stops = MeetingStops {
+        node_count: 2,
+        stopped_count: 2,
+        time_limit: LONG_TIME_LIMIT,
+        works: LONG_WORKS,
+        send_times: (9..20).map(|it| Duration::from_millis(100 * it)).collect(),
+    };
+    let counts = stops.run().await;
+    assert_eq!((counts.cut, counts.cut_elsewhere), (0, 0));
+}
+
+/// Guards against long requests that run at a stopping node although a third could take them.
+#[ntex::test]
+async fn long_requests_go_to_the_node_that_is_not_stopped() {
+    let stops = MeetingStops {
+        node_count: 3,
+        stopped_count: 2,
+        time_limit: LONG_TIME_LIMIT,
+        works: LONG_WORKS,
+        send_times: (3..8).map(|it| Duration::from_millis(250 * it)).collect(),
+    };
+    let counts = stops.run().await;
+    assert_eq!((counts.cut, counts.cut_elsewhere), (0, 0));
+}
--- a/tests/stop_limits.rs
+++ b/tests/stop_limits.rs
@@ -426,3 +426,46 @@
     stop_and_wait_for_exit(&mut fleet).await;
     assert_none_ran(fleet, &not_run);
 }
+
+/// Flags of the deployed nodes where the time to the kill is 6 s.
+const DEPLOYED_FLAGS: &[&str] = &[
+    "--asks",
+    "3",
+    "--slot-limit",
+    "fixed",
+    "--leave-seconds",
+    "3",
+    "--stop-grace-seconds",
+    "6",
+];
+/// Pauses between requests to the only upstream, until shortly before its gate closes.
+const STEP: Duration = Duration::from_millis(100);
+const STEP_COUNT: usize = 18;
+
+/// Guards against a stopping node that turns requests away because of their long time limits,
+/// although its upstream is the only one and works for a short time.
+#[ntex::test]
+async fn only_upstream_serves_long_time_limits_while_its_node_stops() {
+    let fleet = Fleet::start_with(FleetConfig {
+        upstream_count: 1,
+        node_flags: DEPLOYED_FLAGS,
+        work_ms: DEFAULT_WORK_MS,
+    })
+    .await;
+    let address = fleet.ingress_url.strip_prefix("http://").unwrap();
+    let address: SocketAddr = address.parse().unwrap();
+    wait_until_serving(address).await;
+    fleet.upstreams[0].signal_node("TERM");
+    let mut callers = Vec::new();
+    for number in 0..STEP_COUNT {
+        let mut caller = RawCaller::connect(address).await;
+        let id = format!("order-{number}");
+        caller.send(&small_order(&id, STEP, LONG_TIMEOUT)).await;
+        callers.push(caller);
+        sleep(STEP).await;
+    }
+    for caller in &mut callers {
+        let response = caller.read_response().await;
+        assert_eq!(response.map(|it| it.status), Ok(200));
+    }
+}
