Soak: orders of stopping nodes draw work and limits from the range of the stop

Every third order of the callers of nodes that stop works for up to 6 s with a limit of 0.5 to 8 s, with the deployed times of a stop; the others stay as they were (1 s of 1.5 s). New check: an answer that names the stop without "not run" is a violation if the order was sent 3.1 s after the SIGTERM or later, or if it came before 5 s after it. The wait for an answer is 11 s instead of 5 s, as time limits are longer now. The draws of these callers differ for a given seed, the schedule doesn't.

--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -8,7 +8,8 @@
 //! - The ticket in force never reverts to a lower one, and the last accepted
 //!   ticket is in force at the end.
 //! - A planned stop ends with exit code 0, and each request that the node has read is
-//!   answered.
+//!   answered. It cuts no request that was sent after the time in which callers leave, and
+//!   none before the last sixth of the time until the node would be killed.
 //! - An upload that its caller didn't finish doesn't run.
 //! - A draining backend server gets no new order after the users' bound.
 //! - A backend server that names a limit gets no more requests than the users allow.
@@ -44,6 +45,7 @@
 use ntex::time::sleep;
 use serde_json::json;
 
+use callers::StopMoment;
 use fleet::{Fleet, FleetConfig};
 use load::{LONG_ORDER_TIMEOUT, ORDER_TIMEOUT, OrderLoad};
 use plan::{STOPPED_UPSTREAMS, SoakEvent, make_schedule};
@@ -63,8 +65,8 @@
         "fixed",
         "--leave-seconds",
         "3",
-        "--drain-seconds",
-        "5",
+        "--stop-grace-seconds",
+        "6",
     ],
     work_ms: "60",
 };
@@ -164,6 +166,8 @@
     limited_since: BTreeMap<usize, Instant>,
     /// Groups of callers of nodes that stop.
     started_callers: u64,
+    /// Moments of the stops that callers wait for, by index of the upstream.
+    stop_moments: BTreeMap<usize, StopMoment>,
 }
 
 async fn name_limit(fleet: &Fleet, index: usize, monitor: &mut SoakMonitor) {
@@ -227,9 +231,16 @@
             monitor.started_callers += 1;
             let caller_seed = seed.wrapping_mul(1_000) + monitor.started_callers;
             let address = fleet.upstreams[index].listen_address();
-            callers::use_node_until_it_is_gone(load, address, caller_seed);
+            let stop_moment = StopMoment::default();
+            callers::use_node_until_it_is_gone(load, address, caller_seed, &stop_moment);
+            monitor.stop_moments.insert(index, stop_moment);
+        }
+        SoakEvent::BeginStop(index) => {
+            if let Some(stop_moment) = monitor.stop_moments.remove(&index) {
+                stop_moment.set_now();
+            }
+            fleet.upstreams[index].signal_node("TERM");
         }
-        SoakEvent::BeginStop(index) => fleet.upstreams[index].signal_node("TERM"),
         SoakEvent::EndStop(index) => {
             let mut node = fleet.upstreams[index].node.take().unwrap();
             assert_eq!(
@@ -284,6 +295,7 @@
         runs_at_drain_bound: RunsAtDrainBound::new(),
         limited_since: BTreeMap::new(),
         started_callers: 0,
+        stop_moments: BTreeMap::new(),
     };
     let schedule = make_schedule(seed, upstream_count, configured_fault_time());
     let started_at = Instant::now();
--- a/tests/soak/callers.rs
+++ b/tests/soak/callers.rs
@@ -1,7 +1,9 @@
 //! Callers that break uploads off, and callers that keep connections to a node that
 //! stops, until its process is gone.
 
+use std::cell::Cell;
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 use ntex::time::sleep;
@@ -10,7 +12,7 @@
 use tokio::time::timeout;
 
 use crate::fleet::SERVICE;
-use crate::load::{FinishedOrder, OrderLoad, OrderOutcome, OrderRecorder};
+use crate::load::{FinishedOrder, OrderLoad, OrderOutcome};
 use crate::raw::{RawCaller, RawResponse};
 
 const BREAKING_CALLERS: u64 = 3;
@@ -21,26 +23,60 @@
 /// One in this many orders at a node that stops is an upload.
 const LARGE_ORDER_EVERY: u64 = 4;
 const UPLOAD_CHUNK_BYTES: usize = 10_000;
-/// Longest service time of an order at a node that stops; an order that is accepted last
-/// ends before the node must.
-const MAX_WORK_MS: u64 = 1_000;
+/// Longest service time of a short order at a node that stops, and of a long one: the time
+/// from SIGTERM until the node would be killed.
+const MAX_SHORT_WORK_MS: u64 = 1_000;
+const MAX_LONG_WORK_MS: u64 = 6_000;
+/// One in this many orders at a node that stops is long.
+const LONG_ORDER_EVERY: u64 = 3;
 const TIME_LIMIT: Duration = Duration::from_millis(1_500);
+/// Time limits of long orders; work may take longer.
+const LONG_TIME_LIMIT_MS: (u64, u64) = (500, 8_000);
 /// Longest wait for an answer, which counts as hung.
-const ANSWER_TIMEOUT: Duration = Duration::from_secs(5);
+const ANSWER_TIMEOUT: Duration = Duration::from_secs(11);
+/// Time after SIGTERM in which callers leave, and a node sees the signal.
+const TIME_TO_LEAVE: Duration = Duration::from_millis(3_100);
+/// Time after SIGTERM from which a node may end what was sent before.
+const LAST_SIXTH: Duration = Duration::from_secs(5);
 /// Time after which a node has read what was sent to it.
 const READ_BOUND: Duration = Duration::from_secs(1);
 const MAX_PAUSE_MS: u64 = 100;
+/// Part of the answer to an order that a planned stop has ended.
+const STOP_ERROR: &str = "\"draining\"";
+
+/// When a node was told to stop, shared by its callers.
+#[derive(Clone, Default)]
+pub struct StopMoment(Rc<Cell<Option<Instant>>>);
+
+impl StopMoment {
+    pub fn set_now(&self) {
+        self.0.set(Some(Instant::now()));
+    }
+
+    /// Whether a stop may end an order that was sent at `started_at` by now.
+    fn may_cut(&self, started_at: Instant) -> bool {
+        self.0.get().is_some_and(|stopped_at| {
+            started_at < stopped_at + TIME_TO_LEAVE && stopped_at.elapsed() >= LAST_SIXTH
+        })
+    }
+}
 
 /// Order with its encoded head and body.
 struct RawOrder {
     id: String,
+    time_limit: Duration,
     body: Vec<u8>,
     head: Vec<u8>,
     encoded_body: Vec<u8>,
 }
 
 impl RawOrder {
-    fn draw(rng: &mut StdRng, id: String, max_bytes: usize, work_ms: u64) -> Self {
+    fn draw(
+        rng: &mut StdRng,
+        id: String,
+        max_bytes: usize,
+        (work_ms, time_limit): (u64, Duration),
+    ) -> Self {
         let mut body = format!("order {id}").into_bytes();
         body.resize(rng.random_range(body.len()..=max_bytes), b'.');
         let is_chunked = rng.random_bool(0.5);
@@ -59,11 +95,12 @@
         let head = format!(
             "POST /orders HTTP/1.1\r\nhost: {SERVICE}\r\nrequest-id: {id}\r\n\
              currantlift-timeout-ms: {}\r\nstandin-work-us: {}\r\n{framing}\r\n\r\n",
-            TIME_LIMIT.as_millis(),
+            time_limit.as_millis(),
             work_ms * 1_000
         );
         Self {
             id,
+            time_limit,
             body,
             head: head.into_bytes(),
             encoded_body,
@@ -86,8 +123,9 @@
             outcome,
             is_sent,
             is_steady: false,
-            time_limit: TIME_LIMIT,
+            time_limit: self.time_limit,
             latency: started_at.elapsed(),
+            is_cut_by_stop: false,
         }
     }
 }
@@ -95,6 +133,8 @@
 /// What a caller got, and when it had sent all.
 struct Exchange {
     outcome: OrderOutcome,
+    /// Whether the answer names a planned stop as the cause of an unknown outcome.
+    is_ended_by_stop: bool,
     sent_at: Option<Instant>,
     is_connection_kept: bool,
 }
@@ -107,7 +147,7 @@
     order: &RawOrder,
 ) -> Exchange {
     let RawCaller { sender, reader } = caller;
-    let mut sent_at = None;
+    let (mut sent_at, mut is_ended_by_stop) = (None, false);
     let sending = async {
         sender.send_bytes(bytes).await;
         sent_at = Some(Instant::now());
@@ -124,6 +164,9 @@
         };
         match reader.read_body_of(head).await {
             Ok(response) => {
+                let is_unknown = order.outcome_of(&response) == OrderOutcome::Unknown;
+                let body = String::from_utf8_lossy(&response.body);
+                is_ended_by_stop = is_unknown && body.contains(STOP_ERROR);
                 let connection = response.headers.get("connection").map(String::as_str);
                 (order.outcome_of(&response), connection != Some("close"))
             }
@@ -138,6 +181,7 @@
     };
     Exchange {
         outcome,
+        is_ended_by_stop,
         sent_at,
         is_connection_kept,
     }
@@ -161,7 +205,7 @@
 }
 
 async fn break_off_upload(rng: &mut StdRng, address: SocketAddr, id: String) -> FinishedOrder {
-    let order = RawOrder::draw(rng, id, MAX_UPLOAD_BYTES, 0);
+    let order = RawOrder::draw(rng, id, MAX_UPLOAD_BYTES, (0, TIME_LIMIT));
     let offset = rng.random_range(0..order.encoded_body.len());
     let bytes = [&order.head[..], &order.encoded_body[..offset]].concat();
     let started_at = Instant::now();
@@ -186,10 +230,16 @@
 }
 
 /// Has callers use a node on kept connections until it accepts none any more.
-pub fn use_node_until_it_is_gone(load: &OrderLoad, address: SocketAddr, seed: u64) {
+pub fn use_node_until_it_is_gone(
+    load: &OrderLoad,
+    address: SocketAddr,
+    seed: u64,
+    stop_moment: &StopMoment,
+) {
     for number in 0..STOP_CALLERS {
         let mut rng = StdRng::seed_from_u64(seed.wrapping_mul(STOP_CALLERS) + number);
         let name = format!("stop-{seed}-{number}");
+        let stop_moment = stop_moment.clone();
         load.add_caller(async move |recorder| {
             let mut connection = None;
             for number in 0.. {
@@ -209,23 +259,32 @@
                     0 => MAX_UPLOAD_BYTES,
                     _ => SMALL_ORDER_BYTES,
                 };
-                let work_ms = rng.random_range(0..MAX_WORK_MS);
+                let times = if number % LONG_ORDER_EVERY == 0 {
+                    let (min_ms, max_ms) = LONG_TIME_LIMIT_MS;
+                    let limit_ms = rng.random_range(min_ms..=max_ms);
+                    let work_ms = rng.random_range(0..=MAX_LONG_WORK_MS);
+                    (work_ms, Duration::from_millis(limit_ms))
+                } else {
+                    (rng.random_range(0..MAX_SHORT_WORK_MS), TIME_LIMIT)
+                };
                 let id = format!("{name}-{number}");
-                let order = RawOrder::draw(&mut rng, id, max_bytes, work_ms);
-                connection = place_order(caller, is_accepted, &order, &recorder).await;
+                let order = RawOrder::draw(&mut rng, id, max_bytes, times);
+                let placed = place_order(caller, is_accepted, &order, &stop_moment).await;
+                recorder.record(placed.0);
+                connection = placed.1;
             }
         });
     }
 }
 
-/// Places an order; returns the connection if it is kept. A connection that the node has
+/// Places an order; returns it, and the connection if it is kept. A connection that the node has
 /// not answered on may not have been accepted.
 async fn place_order(
     mut caller: RawCaller,
     is_accepted: bool,
     order: &RawOrder,
-    recorder: &OrderRecorder,
-) -> Option<RawCaller> {
+    stop_moment: &StopMoment,
+) -> (FinishedOrder, Option<RawCaller>) {
     let started_at = Instant::now();
     let bytes = [&order.head[..], &order.encoded_body].concat();
     let exchange = exchange(&mut caller, &bytes, false, order).await;
@@ -235,6 +294,10 @@
         OrderOutcome::Unread if is_read => OrderOutcome::NoAnswer,
         outcome => outcome,
     };
-    recorder.record(order.finish(outcome, true, started_at));
-    (exchange.is_connection_kept && exchange.sent_at.is_some()).then_some(caller)
+    let order = FinishedOrder {
+        is_cut_by_stop: exchange.is_ended_by_stop && !stop_moment.may_cut(started_at),
+        ..order.finish(outcome, true, started_at)
+    };
+    let is_kept = exchange.is_connection_kept && exchange.sent_at.is_some();
+    (order, is_kept.then_some(caller))
 }
--- a/tests/support/load.rs
+++ b/tests/support/load.rs
@@ -62,6 +62,8 @@
     pub is_steady: bool,
     pub time_limit: Duration,
     pub latency: Duration,
+    /// Whether a planned stop ended it although it had to be served or refused.
+    pub is_cut_by_stop: bool,
 }
 
 /// Where a caller records its orders, until the load stops.
@@ -184,6 +186,7 @@
         is_steady: true,
         time_limit,
         latency: started_at.elapsed(),
+        is_cut_by_stop: false,
     }
 }
 
@@ -232,6 +235,10 @@
                 report.run_in_part += u32::from(is_served);
                 continue;
             }
+            if order.is_cut_by_stop {
+                println!("cut by a planned stop, runs {run_count}: {order:?}");
+                report.cut_by_stop += 1;
+            }
             if order.outcome == OrderOutcome::NoAnswer {
                 println!("no answer, runs {run_count}: {order:?}");
             }
@@ -265,6 +272,8 @@
     pub hung: u32,
     /// Run, and then not answered as a node stopped.
     pub unanswered: u32,
+    /// Ended by a planned stop although they had to be served or refused.
+    pub cut_by_stop: u32,
     /// Orders that their callers didn't send completely.
     pub broken_uploads: u32,
     /// Those of them that ran, or were answered as if they had.
@@ -292,11 +301,12 @@
             self.false_not_run,
             self.hung,
             self.unanswered,
+            self.cut_by_stop,
             self.run_in_part,
         ];
         assert_eq!(
-            violations, [0; 6],
-            "lost, doubled, false not-run, hung, unanswered, run in part: {self}"
+            violations, [0; 7],
+            "lost, doubled, false not-run, hung, unanswered, cut by a stop, run in part: {self}"
         );
         assert_eq!(self.count(OrderOutcome::Foreign), 0, "{self}");
         assert_eq!(self.count(OrderOutcome::NoAnswer), 0, "{self}");
@@ -310,13 +320,14 @@
         write!(
             formatter,
             "orders {total} {:?} lost {} doubled {} false not-run {} hung {} unanswered {} \
-             broken uploads {} run in part {} slowest {:?}",
+             cut by a stop {} broken uploads {} run in part {} slowest {:?}",
             self.outcomes,
             self.lost,
             self.doubled,
             self.false_not_run,
             self.hung,
             self.unanswered,
+            self.cut_by_stop,
             self.broken_uploads,
             self.run_in_part,
             self.slowest
