--- a/src/ingress/call.rs
+++ b/src/ingress/call.rs
@@ -49,7 +49,8 @@
     max_occupancy_percent: u32,
     /// Whether the call already runs elsewhere.
     is_hedge: bool,
-    /// Whether no gate takes the call whose planned stop can't cut it.
+    /// Whether the gate may run the call although its planned stop could cut it, as no
+    /// other takes it.
     is_last_resort: bool,
 }
 
--- a/src/ingress/call/choice.rs
+++ b/src/ingress/call/choice.rs
@@ -71,7 +71,7 @@
                 SearchStep::Refuse { retry_after } => {
                     let choice = self.choose_stopping_gate();
                     is_last_resort = true;
-                    (choice.ok_or(self.overload_refusal(retry_after))?, 0)
+                    (choice.ok_or_else(|| self.overload_refusal(retry_after))?, 0)
                 }
             };
             self.offer_count += 1;
--- a/src/ingress/placing.rs
+++ b/src/ingress/placing.rs
@@ -19,6 +19,8 @@
 const MAX_QUEUE_JOINS: u32 = 2;
 /// Stopping gates in whose place another is asked, at most.
 const MAX_REPLACED_GATES: usize = 4;
+/// Retry delay of a call that only stopping gates could have taken.
+const STOP_RETRY_AFTER: Duration = Duration::from_secs(1);
 
 /// Estimate that a gate sent with its refusal.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -172,7 +174,11 @@
             .values()
             .map(|estimate| estimate.time_to_slot);
         SearchStep::Refuse {
-            retry_after: slot_times.min().unwrap_or_default(),
+            retry_after: slot_times.min().unwrap_or(if self.stopping.is_empty() {
+                Duration::ZERO
+            } else {
+                STOP_RETRY_AFTER
+            }),
         }
     }
 }
--- a/src/ingress/placing/tests.rs
+++ b/src/ingress/placing/tests.rs
@@ -141,7 +141,7 @@
     let step = search.next_step(TIME_BUDGET);
     assert_eq!(step, SearchStep::JoinQueue(node("c")));
     search.on_refused(&node("c"), None);
-    let retry_after = Duration::ZERO;
+    let retry_after = STOP_RETRY_AFTER;
     let step = search.next_step(TIME_BUDGET);
     assert_eq!(step, SearchStep::Refuse { retry_after });
     assert_eq!(search.take_stopping_gate(), Some(node("b")));
