--- a/src/ingress/connection.rs
+++ b/src/ingress/connection.rs
@@ -534,7 +534,7 @@
         }
         let call_id = response.call_id;
         let buffered = if options.is_http10 {
-            response.buffer_body(MAX_BUFFERED_RESPONSE_BYTES).await
+            response.buffer_body(BUFFERED_RESPONSE_BYTES).await
         } else if response.head.body_length.is_some() {
             self.buffer_up_to_limit(&mut response, claim).await
         } else {
