--- a/tests/late_requests.rs
+++ b/tests/late_requests.rs
@@ -42,6 +42,8 @@
 const BUSY_REQUESTS: usize = 4;
 /// Shortly before a stopping node's gate refuses calls.
 const BEFORE_GATE_CLOSE: Duration = Duration::from_millis(1_700);
+/// Shortly after the callers' time to leave a stopping node.
+const AFTER_LEAVE: Duration = Duration::from_millis(3_300);
 /// Shortly after a stopping node's gate has begun to refuse calls.
 const AFTER_GATE_CLOSE: Duration = Duration::from_millis(2_200);
 /// Time for which a busy VM doesn't run a process.
@@ -179,8 +181,21 @@
         Duration::from_millis(2_300),
     );
     let busy = keep_upstreams_busy(&fleet, &log, signalled_at, BEFORE_GATE_CLOSE);
-    let (cut, ()) = futures_util::future::join(late, busy).await;
-    assert_eq!(cut + log.print_violations(), 0);
+    let fitting = new_plan_with_short_limit(&log);
+    let served = async {
+        sleep(AFTER_LEAVE.saturating_sub(signalled_at.elapsed())).await;
+        send(fleet.listen_addresses[0], &fitting).await.0
+    };
+    let (cut, (), served) = futures_util::future::join3(late, busy, served).await;
+    assert_eq!((cut + log.print_violations(), served), (0, 200));
+}
+
+/// Request that the rest of the stop leaves ample time for.
+fn new_plan_with_short_limit(log: &RunLog) -> Rc<RequestPlan> {
+    let limit = Duration::from_secs(1);
+    let plan = plan_with_limit("fitting", RequestKind::Query, Duration::ZERO, limit);
+    log.add_request(&plan);
+    plan
 }
 
 /// Guards against a time to leave that begins when the process sees the signal, which a busy
