Limits that follow from the size of the machine, and their gauges

Each bound on what is held from outside holds for one connection, request, call or link; none holds for their sum, and no setting says how large the machine is.

ResourceLimits divides it: shares for callers, links, kept responses, and connections to the peer listener and the administration; more than half of the memory and a quarter of the descriptors remain. Gauges and a counter show what is held.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -39,6 +39,7 @@
 pub mod quota;
 pub mod rate_limit;
 pub mod replay;
+pub mod resources;
 pub mod retry;
 pub mod routes;
 pub mod routing;
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -83,6 +83,15 @@
     cross_zone_body_bytes: CounterFamily,
     stops: CounterFamily,
     stop_leftovers: CounterFamily,
+    caller_bytes: Gauge,
+    caller_connections: Gauge,
+    closed_callers: CounterFamily,
+    link_bytes: Gauge,
+    retained_bytes: Gauge,
+}
+
+fn clamp_gauge(value: impl TryInto<i64>) -> i64 {
+    value.try_into().unwrap_or(i64::MAX)
 }
 
 fn new_latency_histogram() -> Histogram {
@@ -126,6 +135,11 @@
             cross_zone_body_bytes: Family::default(),
             stops: Family::default(),
             stop_leftovers: Family::default(),
+            caller_bytes: Gauge::default(),
+            caller_connections: Gauge::default(),
+            closed_callers: Family::default(),
+            link_bytes: Gauge::default(),
+            retained_bytes: Gauge::default(),
             registry: Registry::default(),
         };
         registry.register(
@@ -257,6 +271,31 @@
             "What was left when a planned stop ended, by kind",
             metrics.stop_leftovers.clone(),
         );
+        registry.register(
+            "caller_held_bytes",
+            "Bytes held for callers: heads, bodies, and responses that they have not taken",
+            metrics.caller_bytes.clone(),
+        );
+        registry.register(
+            "caller_connections",
+            "Open connections of callers",
+            metrics.caller_connections.clone(),
+        );
+        registry.register(
+            "closed_callers",
+            "Connections of callers that were closed or turned away as a limit was met, by limit",
+            metrics.closed_callers.clone(),
+        );
+        registry.register(
+            "link_queue_bytes",
+            "Bytes of bodies and fields in the queues of all links",
+            metrics.link_bytes.clone(),
+        );
+        registry.register(
+            "retained_response_bytes",
+            "Bytes of complete responses that the gate keeps until they are acknowledged",
+            metrics.retained_bytes.clone(),
+        );
         metrics.set_rate_limit(None);
         registry.register(
             "rate_limit",
@@ -522,6 +561,32 @@
         }
     }
 
+    /// Sets the bytes held for callers.
+    pub fn set_caller_bytes(&self, bytes: u64) {
+        self.caller_bytes.set(clamp_gauge(bytes));
+    }
+
+    /// Sets the number of callers' connections.
+    pub fn set_caller_connections(&self, count: usize) {
+        self.caller_connections.set(clamp_gauge(count));
+    }
+
+    /// Counts a caller's connection that was closed as a limit was met.
+    pub fn count_closed_caller(&self, limit: &str) {
+        let labels = vec![("limit", limit.to_string())];
+        self.closed_callers.get_or_create(&labels).inc();
+    }
+
+    /// Sets the bytes in the queues of all links.
+    pub fn set_link_bytes(&self, bytes: usize) {
+        self.link_bytes.set(clamp_gauge(bytes));
+    }
+
+    /// Sets the bytes of responses that wait for their acknowledgement.
+    pub fn set_retained_bytes(&self, bytes: usize) {
+        self.retained_bytes.set(clamp_gauge(bytes));
+    }
+
     /// Encodes all metrics in the OpenMetrics text format.
     pub fn encode_text(&self) -> String {
         self.update_evacuation();
--- a/src/options.rs
+++ b/src/options.rs
@@ -17,8 +17,8 @@
 pub use reader::{EXIT_USAGE, ParsedCommand, RawOptions, options_from_process, parse_command};
 pub use spec::{CommandSpec, FlagArity, FlagSpec};
 pub use values::{
-    BaseUrl, BoundedNumber, DecimalNumber, DurationSeconds, ReachableAddress, SecretToken,
-    ThreadCount,
+    BaseUrl, BoundedNumber, DecimalNumber, DescriptorCount, DurationSeconds, MemoryMegabytes,
+    ReachableAddress, SecretToken, ThreadCount,
 };
 
 #[cfg(test)]
--- a/src/options/node.rs
+++ b/src/options/node.rs
@@ -14,6 +14,7 @@
 };
 use crate::admission::AdmissionOptions;
 use crate::ids::{NodeId, RegionName, ServiceName, ZoneName};
+use crate::resources::{ResourceLimits, process_descriptors};
 use crate::retry::RetryOptions;
 
 const NAME_FORMAT: &str = "1 to 64 letters, digits, '-', '_' or '.'";
@@ -100,6 +101,20 @@
         "number of threads that handle traffic",
     )
     .with_default("2"),
+    FlagSpec::single(
+        "memory-mb",
+        "N",
+        "64 to 1048576",
+        "memory of the VM in megabytes, from which the limits on what is held for callers follow",
+    )
+    .with_default("256"),
+    FlagSpec::single(
+        "max-descriptors",
+        "N",
+        "128 to 1048576",
+        "file descriptors that the process may open, from which the limits on connections \
+         follow; by default its resource limit",
+    ),
     FlagSpec::single(
         "admin-token",
         "TOKEN",
@@ -265,6 +280,8 @@
     pub peers: Vec<SocketAddr>,
     /// Number of threads that handle traffic.
     pub thread_count: ThreadCount,
+    /// Limits on what is held for others, from the size of the VM.
+    pub resource_limits: ResourceLimits,
     /// Bearer token required for write requests to the administration API.
     pub admin_token: Option<SecretToken>,
     /// Lowest severity of logged lines.
@@ -352,6 +369,7 @@
         let quota_window: DurationSeconds = raw.required("quota-window-seconds")?;
         let quota_overage: DecimalNumber<0, 100> = raw.required("quota-overage")?;
         let quota_slack: DecimalNumber<0, 1_000_000> = raw.required("quota-slack")?;
+        let descriptors = raw.optional("max-descriptors")?;
         let peers = raw.list("peer")?;
         let options = Self {
             node_id: raw.required("node-id")?,
@@ -364,6 +382,10 @@
             store_url: raw.optional("store")?,
             peers: peers.into_iter().map(ReachableAddress::get).collect(),
             thread_count: raw.required("threads")?,
+            resource_limits: ResourceLimits::new(
+                raw.required("memory-mb")?,
+                descriptors.unwrap_or_else(process_descriptors),
+            ),
             admin_token: raw.optional("admin-token")?,
             log_level: raw.required("log-level")?,
             statsd_address: raw.optional("statsd")?.map(ReachableAddress::get),
--- a/src/options/values.rs
+++ b/src/options/values.rs
@@ -43,6 +43,10 @@
     }
 }
 
+/// Memory of a machine in megabytes.
+pub type MemoryMegabytes = BoundedNumber<64, 1_048_576>;
+/// Number of file descriptors.
+pub type DescriptorCount = BoundedNumber<128, 1_048_576>;
 /// Number of threads.
 pub type ThreadCount = BoundedNumber<1, 64>;
 /// Duration from one second to ten minutes.
@@ -97,6 +101,11 @@
     pub fn get(self) -> u64 {
         self.0
     }
+
+    /// Returns the allowed number that is nearest to `number`.
+    pub fn clamped(number: u64) -> Self {
+        Self(number.clamp(MIN, MAX))
+    }
 }
 
 impl<const MIN: u64, const MAX: u64> TryFrom<u64> for BoundedNumber<MIN, MAX> {
