Bound the connections to the administration

Callers saw nothing: connections to the administration API, the readiness and the metrics listener could take all descriptors of a node.

Evidence: 900 connections to the administration of a node with 600 descriptors took all 600 on (connections_to_the_administration_leave_descriptors_for_others).

The server notices a burst late, so it may be exceeded by the queue of 128.

--- a/src/admin/routes.rs
+++ b/src/admin/routes.rs
@@ -42,34 +42,45 @@
     pub announcement_decoder: AnnouncementDecoder,
 }
 
-/// Starts a server for the administration API with one worker thread.
+/// Starts a server for the administration API with one worker thread, which serves at most
+/// `max_connections` at once.
 ///
 /// Must be called within an ntex system. The server installs no signal handlers.
 ///
 /// # Errors
 ///
 /// Fails if the listener can't be registered with the server.
-pub fn start_admin_server(listener: TcpListener, api_state: AdminApiState) -> io::Result<Server> {
+pub fn start_admin_server(
+    listener: TcpListener,
+    api_state: AdminApiState,
+    max_connections: usize,
+) -> io::Result<Server> {
     let server = HttpServer::new(async move || {
         let api_state = api_state.clone();
         App::new().state(api_state).configure(configure)
     });
-    Ok(server.workers(1).disable_signals().listen(listener)?.run())
+    let server = server.workers(1).maxconn(max_connections);
+    Ok(server.disable_signals().listen(listener)?.run())
 }
 
-/// Starts a server that serves only `/v1/health`.
+/// Starts a server that serves only `/v1/health`, on at most `max_connections` at once.
 ///
 /// # Errors
 ///
 /// Fails if the listener can't be registered with the server.
-pub fn start_health_server(listener: TcpListener, api_state: AdminApiState) -> io::Result<Server> {
+pub fn start_health_server(
+    listener: TcpListener,
+    api_state: AdminApiState,
+    max_connections: usize,
+) -> io::Result<Server> {
     let server = HttpServer::new(async move || {
         App::new()
             .state(api_state.clone())
             .service(web::resource("/v1/health").route(web::get().to(get_health)))
             .service(web::resource("/{path}*").to(unknown_path))
     });
-    Ok(server.workers(1).disable_signals().listen(listener)?.run())
+    let server = server.workers(1).maxconn(max_connections);
+    Ok(server.disable_signals().listen(listener)?.run())
 }
 
 /// Adds the routes to an app whose state includes an [`AdminApiState`].
--- a/src/admin/tests.rs
+++ b/src/admin/tests.rs
@@ -53,7 +53,7 @@
         control,
         token: Some(TOKEN.parse::<SecretToken>().unwrap()),
     };
-    start_admin_server(listener, access).unwrap();
+    start_admin_server(listener, access, 16).unwrap();
     let token = token.map(|token| token.parse().unwrap());
     let client = AdminClient::connect(base_url.parse().unwrap(), token)
         .await
--- a/src/metrics/tests.rs
+++ b/src/metrics/tests.rs
@@ -42,7 +42,7 @@
 async fn server_responds_with_encoded_metrics() {
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
     let url = format!("http://{}/metrics", listener.local_addr().unwrap());
-    let _server = start_metrics_server(listener, Arc::new(recorded_metrics())).unwrap();
+    let _server = start_metrics_server(listener, Arc::new(recorded_metrics()), 16).unwrap();
     let client = Client::new().await;
     let response = client.get(url).send().await.unwrap();
     assert_eq!(response.status().as_u16(), 200);
--- a/src/node.rs
+++ b/src/node.rs
@@ -215,6 +215,7 @@
     });
     let metrics = Arc::new(NodeMetrics::default());
     let quarantine = Arc::new(QuarantineHub::new(Arc::clone(&metrics)));
+    let resource_limits = options.resource_limits;
     let gate_settings = GateSettings {
         metrics: Arc::clone(&metrics),
         quarantine: Arc::clone(&quarantine),
@@ -323,13 +324,14 @@
                 platform_adapter.announcements
             }),
     };
+    let admin_connections = resource_limits.admin_connections;
     if let Some(listener) = sockets.ready_listener {
-        start_health_server(listener, admin_state.clone())?;
+        start_health_server(listener, admin_state.clone(), admin_connections)?;
     }
     if let Some(listener) = sockets.metrics_listener {
-        start_metrics_server(listener, metrics)?;
+        start_metrics_server(listener, metrics, admin_connections)?;
     }
-    start_admin_server(sockets.admin_listener, admin_state)?;
+    start_admin_server(sockets.admin_listener, admin_state, admin_connections)?;
     let worker_settings = WorkerSettings {
         node_id: identity.node.clone(),
         incarnation: identity.incarnation,
