Bound the connections to the peer listener that say nothing

Callers saw nothing: connections to the peer listener could take all descriptors of a node, each for up to 2 s.

Evidence: 900 connections to the peer listener of a node with 600 descriptors took all 600 on (connections_to_the_peer_listener_leave_descriptors_for_others).

An exchange of another node takes milliseconds, so silent ones go first.

--- a/src/control/peers.rs
+++ b/src/control/peers.rs
@@ -1,8 +1,11 @@
 //! Listener for the connections of other nodes.
 //!
 //! The first frame states whether a connection is a call link, which goes to the
-//! gate, or carries one request to the control thread.
+//! gate, or carries one request to the control thread. If too many connections wait to be
+//! served, the oldest is closed, so that those that send nothing don't keep others out.
 
+use std::cell::RefCell;
+use std::collections::BTreeMap;
 use std::io;
 use std::rc::Rc;
 use std::time::Duration;
@@ -11,6 +14,7 @@
 use futures_util::{SinkExt, StreamExt};
 use prost::Message;
 use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::oneshot;
 
 use crate::control::state::ControlState;
 use crate::exchange::{
@@ -23,15 +27,58 @@
 /// Delay after a failed accept, for instance when file descriptors run out.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(100);
 
-/// Accepts peer connections until the process ends.
-pub async fn accept_peers(control: Rc<ControlState>, listener: TcpListener) {
+/// Connections that are being served, the oldest first, up to a limit.
+#[derive(Debug)]
+struct OpenExchanges {
+    limit: usize,
+    last_number: u64,
+    /// Dropping a sender ends the exchange.
+    by_number: BTreeMap<u64, oneshot::Sender<()>>,
+}
+
+impl OpenExchanges {
+    fn new(limit: usize) -> Self {
+        Self {
+            limit,
+            last_number: 0,
+            by_number: BTreeMap::new(),
+        }
+    }
+
+    /// Adds an exchange, and ends the oldest beyond the limit. Returns its number and what
+    /// completes once it is to end.
+    fn add(&mut self) -> (u64, oneshot::Receiver<()>) {
+        let (sender, ended) = oneshot::channel();
+        self.last_number += 1;
+        self.by_number.insert(self.last_number, sender);
+        if self.by_number.len() > self.limit {
+            self.by_number.pop_first();
+        }
+        (self.last_number, ended)
+    }
+
+    fn remove(&mut self, number: u64) {
+        self.by_number.remove(&number);
+    }
+}
+
+/// Accepts peer connections until the process ends; at most `limit` are served at once.
+pub async fn accept_peers(control: Rc<ControlState>, listener: TcpListener, limit: usize) {
+    let exchanges = Rc::new(RefCell::new(OpenExchanges::new(limit)));
     loop {
         match listener.accept().await {
             Ok((stream, _)) => {
                 let control = Rc::clone(&control);
+                let exchanges = Rc::clone(&exchanges);
+                let (number, ended) = exchanges.borrow_mut().add();
                 ntex::rt::spawn(async move {
                     let serving = serve_peer(&control, stream);
-                    let served = tokio::time::timeout(PEER_REQUEST_TIMEOUT, serving).await;
+                    let served = tokio::select! {
+                        biased;
+                        served = tokio::time::timeout(PEER_REQUEST_TIMEOUT, serving) => served,
+                        _ = ended => Ok(Err(io::ErrorKind::QuotaExceeded.into())),
+                    };
+                    exchanges.borrow_mut().remove(number);
                     if let Ok(Err(error)) = served {
                         log::debug!(
                             target: "control",
@@ -95,3 +142,6 @@
         .send(command)
         .map_err(|_| io::ErrorKind::BrokenPipe.into())
 }
+
+#[cfg(test)]
+mod tests;
--- a/src/node.rs
+++ b/src/node.rs
@@ -299,7 +299,11 @@
     ntex::rt::spawn(follow_membership(Rc::clone(&control), membership_events));
     ntex::rt::spawn(follow_tickets(Rc::clone(&control)));
     ntex::rt::spawn(publish_tables(Rc::clone(&control)));
-    ntex::rt::spawn(accept_peers(Rc::clone(&control), sockets.peer_listener));
+    ntex::rt::spawn(accept_peers(
+        Rc::clone(&control),
+        sockets.peer_listener,
+        resource_limits.handshakes,
+    ));
     ntex::rt::spawn(follow_routes(Rc::clone(&control)));
     ntex::rt::spawn(follow_evacuation(Rc::clone(&control)));
     metrics.show_evacuation(Arc::clone(control.routes.evacuation()));
