Bound the bytes in the queues of links

Callers saw: a gate beside their upstream ran out of memory behind callers of another node that came and went.

Cause: a link's queues were unbounded in bytes, on the ground that each call's window bounds them. A window holds for one call: the chunks of a cancelled call stay queued, and the next call has a window of its own.

A call sends more of a body, and opens, only while its link has room: less than 1 MiB queued, and less than 1/16 of the memory in all queues, or an empty queue. The gate reads no more from its upstream meanwhile, and the deadline still ends the wait; a link is always read by its ingress, whatever callers do.

--- a/src/gate.rs
+++ b/src/gate.rs
@@ -53,12 +53,13 @@
 use crate::gate::warm_up::WarmUpControl;
 use crate::ids::{BackendKey, CallId, NodeIncarnation, ServiceName, SlotCount};
 use crate::ledger::{CachedResponse, CallLedger, LedgerLimits, RunPermit};
-use crate::link::endpoint::{LinkReceiver, LinkSender};
+use crate::link::endpoint::{LinkReceiver, LinkSender, QueueBudget};
 use crate::link::messages::{CallOpen, LinkHello, LinkMessage, LinkPing, LoadSnapshot};
 use crate::metrics::NodeMetrics;
 use crate::options::WarmUpTolerance;
 use crate::quarantine::QuarantineHub;
 use crate::rate_limit::StartRate;
+use crate::resources::ResourceLimits;
 use crate::retry::resend::{LostExchange, ResendDecision, ResendPolicy};
 use crate::routes::WarmUpSettings;
 use crate::zone_balancing::ZoneLoad;
@@ -148,6 +149,10 @@
     pub metrics: Arc<NodeMetrics>,
     /// Evidence against requests that crash backend servers.
     pub quarantine: Arc<QuarantineHub>,
+    /// Limits on what is held for others.
+    pub resource_limits: ResourceLimits,
+    /// Budget of the queues of all links.
+    pub queue_budget: Arc<QueueBudget>,
     /// How far requests to a cold backend server may exceed its warm-up rate.
     pub warm_up_tolerance: WarmUpTolerance,
 }
@@ -219,6 +224,7 @@
     trials: TrialQueue,
     turn_timer: TurnTimer,
     warm_up: WarmUpControl,
+    queue_budget: Arc<QueueBudget>,
     /// Load of the own zone and the time at which it was set.
     zone_load: Cell<Option<(Duration, ZoneLoad)>>,
     status: tokio::sync::watch::Sender<GateStatus>,
@@ -260,6 +266,7 @@
         trials: TrialQueue::default(),
         turn_timer: TurnTimer::default(),
         warm_up: WarmUpControl::new(settings.warm_up_tolerance),
+        queue_budget: settings.queue_budget,
         zone_load: Cell::new(None),
         status,
     });
--- a/src/gate/call/relay.rs
+++ b/src/gate/call/relay.rs
@@ -30,6 +30,7 @@
         } else {
             body_length
         };
+        self.wait_for_link_room().await?;
         self.response_sender.send_head(ResponseStart {
             sequence: self.open.sequence,
             status: response.status().into(),
@@ -88,6 +89,7 @@
         while self.response_sender.available_window() == 0 {
             self.handle_next_input().await?;
         }
+        self.wait_for_link_room().await?;
         match self.next_chunk(response).await? {
             Some(mut data) => {
                 while !data.is_empty() {
@@ -104,6 +106,21 @@
         }
     }
 
+    /// Waits until the link takes more of a body; the call may move to another link meanwhile.
+    async fn wait_for_link_room(&mut self) -> Result<(), RunError> {
+        loop {
+            let link = self.response_sender.link().clone();
+            if link.has_room() {
+                return Ok(());
+            }
+            tokio::select! {
+                biased;
+                handled = self.handle_next_input() => handled?,
+                () = link.wait_for_room() => {}
+            }
+        }
+    }
+
     async fn next_chunk(
         &mut self,
         response: &mut BackendResponse,
--- a/src/gate/links.rs
+++ b/src/gate/links.rs
@@ -143,7 +143,7 @@
     close_signal: &Notify,
 ) -> io::Result<()> {
     let (sink, mut stream) = framed.split();
-    let (sender, outgoing) = message_channel();
+    let (sender, outgoing) = message_channel(&gate.queue_budget);
     gate.record_known_statement(hello);
     let link_number = gate.register_link_sender(&sender);
     let _registration = gate.quarantine.register_link(&sender);
--- a/src/gate/tests.rs
+++ b/src/gate/tests.rs
@@ -73,6 +73,8 @@
         let incarnation = NodeIncarnation::try_from(7).unwrap();
         let settings = GateSettings {
             quarantine: Arc::default(),
+            resource_limits: ResourceLimits::default(),
+            queue_budget: Arc::default(),
             dialect: &DEFAULT_DIALECT,
             admission: AdmissionOptions::default(),
             load_polls_per_second,
@@ -137,8 +139,8 @@
 }
 
 fn open_link(commands: &UnboundedSender<GateCommand>) -> (LinkSender, LinkReceiver) {
-    let (sender, gate_receiver) = message_channel();
-    let (gate_sender, receiver) = message_channel();
+    let (sender, gate_receiver) = message_channel(&Arc::default());
+    let (gate_sender, receiver) = message_channel(&Arc::default());
     let hello = LinkHello {
         incarnation: 1,
         ..LinkHello::default()
--- a/src/gate/warm_up/tests.rs
+++ b/src/gate/warm_up/tests.rs
@@ -15,6 +15,7 @@
 use crate::link::messages::{CallOpen, LinkHello, LinkMessage};
 use crate::metrics::NodeMetrics;
 use crate::options::WarmUpTolerance;
+use crate::resources::ResourceLimits;
 use crate::routes::WarmUpSettings;
 
 const RATE: f64 = 20.0;
@@ -118,6 +119,8 @@
         let (status, _) = tokio::sync::watch::channel(GateStatus::default());
         let settings = GateSettings {
             quarantine: Arc::default(),
+            resource_limits: ResourceLimits::default(),
+            queue_budget: Arc::default(),
             dialect: &DEFAULT_DIALECT,
             admission: AdmissionOptions {
                 is_adaptive: false,
@@ -132,8 +135,8 @@
         };
         let incarnation = NodeIncarnation::try_from(7).unwrap();
         ntex::rt::spawn(run_gate(incarnation, settings, receiver, status));
-        let (sender, gate_receiver) = message_channel();
-        let (gate_sender, receiver) = message_channel();
+        let (sender, gate_receiver) = message_channel(&Arc::default());
+        let (gate_sender, receiver) = message_channel(&Arc::default());
         let gate = RunningGate {
             commands,
             sender,
--- a/src/ingress/attempt.rs
+++ b/src/ingress/attempt.rs
@@ -191,6 +191,15 @@
                 return Err(AttemptError::not_run(kind));
             }
         };
+        tokio::select! {
+            biased;
+            () = link.wait_for_room() => {}
+            () = worker.shared.wait_for_deadline(plan.deadline) => {
+                let kind = ErrorKind::TimedOut;
+                report_to_router(&worker, &plan, AttemptResult::Failed(kind));
+                return Err(AttemptError::not_run(kind));
+            }
+        }
         let events = link.register_call(open.sequence);
         let first_window = if deferred_body.is_some() {
             0
@@ -298,8 +307,10 @@
         loop {
             self.send_deferred_body();
             let window_room = self.request_window.available_bytes();
-            let has_body =
+            let may_send =
                 !self.request_window.is_ended() && window_room > 0 && !self.state.is_cancelled();
+            let link = Rc::clone(&self.link);
+            let has_room = link.has_room();
             let is_cancelled = self.state.is_cancelled();
             let (cancel_at, deadline) = (self.cancel_at, self.plan.deadline);
             let shared = Arc::clone(&self.worker.shared);
@@ -313,10 +324,11 @@
             let progress = tokio::select! {
                 biased;
                 event = self.events.recv() => self.handle_event(event).await?,
-                chunk = body.next_chunk(window_room), if has_body => {
+                chunk = body.next_chunk(window_room), if may_send && has_room => {
                     self.forward_body_chunk(chunk)?;
                     Progress::Continue
                 }
+                () = link.wait_for_room(), if may_send && !has_room => Progress::Continue,
                 () = timer => {
                     self.on_deadline_timer()?;
                     Progress::Continue
--- a/src/link/call_link.rs
+++ b/src/link/call_link.rs
@@ -113,6 +113,16 @@
         self.sender.send(message);
     }
 
+    /// Whether the link takes more of a body.
+    pub fn has_room(&self) -> bool {
+        self.sender.has_room()
+    }
+
+    /// Waits until the link takes more of a body.
+    pub async fn wait_for_room(&self) {
+        self.sender.wait_for_room().await;
+    }
+
     /// Asks for the load of the gate, and measures the round trip.
     pub fn send_ping(&self) {
         if self.pinged_at.get().is_none() {
--- a/src/link/pool.rs
+++ b/src/link/pool.rs
@@ -22,7 +22,7 @@
 use crate::exchange::{FramedPeerStream, PeerHello, frame_stream};
 use crate::ids::{NodeId, NodeIncarnation};
 use crate::link::call_link::{CallLink, UpstreamEvent, receive_local, receive_remote};
-use crate::link::endpoint::{LinkReceiver, LinkSender, message_channel, write_frames};
+use crate::link::endpoint::{LinkReceiver, LinkSender, QueueBudget, message_channel, write_frames};
 use crate::link::messages::{KnownBackendStatement, LinkHello, LinkWelcome};
 use crate::quarantine::QuarantineHub;
 
@@ -80,6 +80,7 @@
     local_connector: LocalConnector,
     statement_lookup: StatementLookup,
     quarantine: Arc<QuarantineHub>,
+    queue_budget: Arc<QueueBudget>,
     entries: RefCell<BTreeMap<NodeId, Rc<PoolEntry>>>,
     generation: Cell<u64>,
     upstream_events: UnboundedSender<(NodeId, UpstreamEvent)>,
@@ -93,6 +94,7 @@
         local: LocalConnector,
         statement_lookup: StatementLookup,
         quarantine: Arc<QuarantineHub>,
+        queue_budget: Arc<QueueBudget>,
     ) -> (Rc<Self>, UnboundedReceiver<(NodeId, UpstreamEvent)>) {
         let (upstream_events, receiver) = unbounded_channel();
         let pool = Rc::new(Self {
@@ -100,6 +102,7 @@
             local_connector: local,
             statement_lookup,
             quarantine,
+            queue_budget,
             entries: RefCell::new(BTreeMap::new()),
             generation: Cell::new(0),
             upstream_events,
@@ -199,8 +202,8 @@
     }
 
     fn open_local(&self, hello: LinkHello) -> Rc<CallLink> {
-        let (to_gate, gate_receiver) = message_channel();
-        let (to_ingress, receiver) = message_channel();
+        let (to_gate, gate_receiver) = message_channel(&self.queue_budget);
+        let (to_ingress, receiver) = message_channel(&self.queue_budget);
         (self.local_connector)(to_ingress, gate_receiver, hello);
         let gate = self.identity.node.clone();
         let link = Rc::new(CallLink::new(
@@ -242,7 +245,7 @@
         framed: FramedPeerStream,
     ) -> Rc<CallLink> {
         let (sink, stream) = framed.split();
-        let (sender, outgoing) = message_channel();
+        let (sender, outgoing) = message_channel(&self.queue_budget);
         let registration = self.quarantine.register_link(&sender);
         let link = Rc::new(CallLink::new(
             gate,
--- a/src/link/tests.rs
+++ b/src/link/tests.rs
@@ -1,9 +1,14 @@
+use std::sync::Arc;
+
 use assert_matches::assert_matches;
 use bytes::Bytes;
+use futures_util::FutureExt;
 use proptest::prelude::*;
 
-use super::endpoint::message_channel;
+use super::endpoint::{QueueBudget, message_channel};
 use super::messages::{BodyChunk, CallReference, LinkMessage};
+use crate::resources::ResourceLimits;
+
 use super::window::{
     INITIAL_WINDOW_BYTES, MAX_CHUNKS_IN_FLIGHT, ReceiveWindow, SendWindow, WINDOW_BYTES,
 };
@@ -17,7 +22,7 @@
 
 #[ntex::test]
 async fn priority_message_overtakes_bulk_chunks_of_another_call() {
-    let (sender, mut receiver) = message_channel();
+    let (sender, mut receiver) = message_channel(&Arc::default());
     sender.send(response_chunk(1));
     sender.send(response_chunk(1));
     sender.send(LinkMessage::Cancel(CallReference { sequence: 2 }));
@@ -28,6 +33,59 @@
     assert_matches!(receiver.recv().await, None);
 }
 
+fn chunk_of(bytes: usize) -> LinkMessage {
+    LinkMessage::ResponseChunk(BodyChunk {
+        data: Bytes::from(vec![0; bytes]),
+        ..BodyChunk::default()
+    })
+}
+
+fn budget_of(link_bytes: usize) -> Arc<QueueBudget> {
+    let limits = ResourceLimits {
+        link_bytes,
+        ..ResourceLimits::default()
+    };
+    Arc::new(QueueBudget::new(&limits, Arc::default()))
+}
+
+/// Replays calls that end and begin anew while their link is slow to write.
+#[ntex::test]
+async fn link_has_room_until_its_queue_is_long() {
+    let (sender, mut receiver) = message_channel(&budget_of(16 << 20));
+    let mut sent = 0;
+    while sender.has_room() {
+        sender.send(chunk_of(64 << 10));
+        sent += 1;
+    }
+    assert_eq!(sent, 16);
+    assert_matches!(sender.wait_for_room().now_or_never(), None);
+    receiver.recv().await.unwrap();
+    assert_matches!(sender.wait_for_room().now_or_never(), Some(()));
+}
+
+/// A link whose queue is empty takes a chunk even if the others have used the budget.
+#[test]
+fn budget_of_all_links_leaves_room_on_an_empty_one() {
+    let budget = budget_of(100);
+    let (busy, _busy_receiver) = message_channel(&budget);
+    let (idle, _idle_receiver) = message_channel(&budget);
+    busy.send(chunk_of(100));
+    assert!(!busy.has_room() && idle.has_room());
+    idle.send(chunk_of(1));
+    assert!(!idle.has_room());
+}
+
+#[test]
+fn lost_link_returns_what_is_queued() {
+    let budget = budget_of(1 << 20);
+    let (sender, receiver) = message_channel(&budget);
+    sender.send(chunk_of(1_000));
+    assert_eq!(budget.queued_bytes(), 1_000);
+    drop(receiver);
+    sender.send(chunk_of(1_000));
+    assert_eq!(budget.queued_bytes(), 0);
+}
+
 #[test]
 fn first_credit_opens_the_full_window() {
     let mut window = SendWindow::new(INITIAL_WINDOW_BYTES);
--- a/src/node.rs
+++ b/src/node.rs
@@ -46,6 +46,7 @@
 use crate::ids::NodeIncarnation;
 use crate::ingress::zones::publish_zone_loads;
 use crate::ingress::{IngressSettings, IngressState, StopPhase, lock};
+use crate::link::endpoint::QueueBudget;
 use crate::logs::start_logging;
 use crate::membership::driver::{MembershipHandle, spawn_membership};
 use crate::membership::{MemberIdentity, MembershipState};
@@ -216,9 +217,12 @@
     let metrics = Arc::new(NodeMetrics::default());
     let quarantine = Arc::new(QuarantineHub::new(Arc::clone(&metrics)));
     let resource_limits = options.resource_limits;
+    let queue_budget = Arc::new(QueueBudget::new(&resource_limits, Arc::clone(&metrics)));
     let gate_settings = GateSettings {
         metrics: Arc::clone(&metrics),
         quarantine: Arc::clone(&quarantine),
+        resource_limits,
+        queue_budget: Arc::clone(&queue_budget),
         dialect,
         admission: options.admission,
         load_polls_per_second: options.load_polls_per_second,
@@ -342,6 +346,7 @@
         caller_listener: sockets.caller_listener,
         shared: Arc::clone(&shared),
         gate_commands: gate_sender.clone(),
+        queue_budget,
     };
     start_ingress(worker_settings, &worker_threads)?;
 
--- a/src/node/listener.rs
+++ b/src/node/listener.rs
@@ -23,6 +23,7 @@
     IngressState, IngressWorker, apply_upstream_notices, close_unused_links,
     known_backend_statement,
 };
+use crate::link::endpoint::QueueBudget;
 use crate::link::pool::{LinkIdentity, LinkPool};
 
 /// Keeps a lasting failure, such as a lack of file descriptors, from causing a
@@ -37,6 +38,8 @@
     /// State of the ingress that the threads share.
     pub(super) shared: Arc<IngressState>,
     pub(super) gate_commands: UnboundedSender<GateCommand>,
+    /// Budget of the queues of all links.
+    pub(super) queue_budget: Arc<QueueBudget>,
 }
 
 /// Starts an ingress worker on each of the threads, with the listener of each.
@@ -54,6 +57,7 @@
         caller_listener,
         shared,
         gate_commands,
+        queue_budget,
     } = settings;
     caller_listener.set_nonblocking(true)?;
     for (worker_index, thread) in (0..).zip(threads) {
@@ -64,8 +68,9 @@
             worker: worker_index,
         };
         let (shared, gate_commands) = (Arc::clone(&shared), gate_commands.clone());
+        let queue_budget = Arc::clone(&queue_budget);
         thread.handle().spawn(async move {
-            let worker = new_worker(&shared, &gate_commands, identity);
+            let worker = new_worker(&shared, &gate_commands, identity, queue_budget);
             ntex::rt::spawn(async move {
                 if let Err(error) = accept_connections(worker, listener).await {
                     log::error!(target: "ingress", "listener for callers failed; this thread accepts no connections: {error}");
@@ -104,6 +109,7 @@
     shared: &Arc<IngressState>,
     gate_commands: &UnboundedSender<GateCommand>,
     identity: LinkIdentity,
+    queue_budget: Arc<QueueBudget>,
 ) -> Rc<IngressWorker> {
     let gate_commands = gate_commands.clone();
     let connect_local = Rc::new(move |sender, receiver, hello| {
@@ -122,6 +128,7 @@
         connect_local,
         statement_lookup,
         Arc::clone(&shared.quarantine),
+        queue_budget,
     );
     ntex::rt::spawn(apply_upstream_notices(Arc::clone(shared), notices));
     ntex::rt::spawn(close_unused_links(Arc::clone(shared), Rc::clone(&pool)));
