Bound the responses that a gate keeps until they are acknowledged

Callers saw: a gate beside their upstream ran out of memory behind callers that read no answers.

Cause: a response of several frames is kept with its window, up to 256 KiB, until its ingress acknowledges it or for 10 s. The number of such calls had no bound, as their slots at the upstream are free again.

They have been sent, and are needed only if the link is lost; the call is then told as one whose outcome is unknown.

--- a/src/gate.rs
+++ b/src/gate.rs
@@ -17,6 +17,7 @@
 mod links;
 mod meter;
 mod record;
+mod retained;
 mod statements;
 mod stop;
 mod succession;
@@ -46,6 +47,7 @@
 use crate::gate::links::{ActiveLink, serve_local_link, serve_remote_link};
 use crate::gate::meter::LoadPoller;
 use crate::gate::record::{log_admission, log_queued_refusal};
+use crate::gate::retained::RetainedResponses;
 use crate::gate::statements::BackendStatements;
 use crate::gate::succession::{BackendSlot, CallAdmission, QueueEnd};
 use crate::gate::trials::TrialQueue;
@@ -225,6 +227,8 @@
     turn_timer: TurnTimer,
     warm_up: WarmUpControl,
     queue_budget: Arc<QueueBudget>,
+    /// Complete responses whose calls wait for an acknowledgement.
+    retained: RefCell<RetainedResponses>,
     /// Load of the own zone and the time at which it was set.
     zone_load: Cell<Option<(Duration, ZoneLoad)>>,
     status: tokio::sync::watch::Sender<GateStatus>,
@@ -267,6 +271,9 @@
         turn_timer: TurnTimer::default(),
         warm_up: WarmUpControl::new(settings.warm_up_tolerance),
         queue_budget: settings.queue_budget,
+        retained: RefCell::new(RetainedResponses::new(
+            settings.resource_limits.retained_bytes,
+        )),
         zone_load: Cell::new(None),
         status,
     });
@@ -670,6 +677,27 @@
         self.ledger.borrow_mut().cancel(self.now(), id);
     }
 
+    /// Keeps the response of a call until it is acknowledged; the oldest responses are
+    /// discarded if all of them together are too long.
+    pub fn retain_response(&self, id: CallId, bytes: usize) {
+        let mut retained = self.retained.borrow_mut();
+        let discarded = retained.add(id, bytes);
+        self.metrics.set_retained_bytes(retained.held_bytes());
+        for call in discarded {
+            if let Some(inputs) = self.call_inputs.borrow().get(&call) {
+                // A call that has ended in the meantime keeps nothing.
+                let _ = inputs.send(CallInput::DiscardResponse);
+            }
+        }
+    }
+
+    /// Ends the retention of a response.
+    pub fn release_response(&self, id: CallId) {
+        let mut retained = self.retained.borrow_mut();
+        retained.remove(id);
+        self.metrics.set_retained_bytes(retained.held_bytes());
+    }
+
     /// Stops the delivery of link messages to a call.
     pub fn unregister_call(&self, id: CallId) {
         self.call_inputs.borrow_mut().remove(&id);
--- a/src/gate/answer.rs
+++ b/src/gate/answer.rs
@@ -48,6 +48,11 @@
         self.window.available_bytes()
     }
 
+    /// Body bytes that are kept until the ingress has consumed them.
+    pub fn unconsumed_bytes(&self) -> usize {
+        self.window.unconsumed_bytes()
+    }
+
     /// Sends the response head with the first bytes of the body.
     pub fn send_head(&mut self, head: ResponseStart) {
         self.window
--- a/src/gate/call.rs
+++ b/src/gate/call.rs
@@ -48,6 +48,8 @@
     Resume(CallResume, LinkSender),
     /// The ingress has received the whole response.
     Acknowledge,
+    /// The response is no longer kept, as newer ones need the memory.
+    DiscardResponse,
 }
 
 /// Completed step of the exchange with the backend server.
@@ -206,6 +208,7 @@
                 CallInput::Cancel => self.gate.cancel_call(self.id, self.response_sender.link()),
                 CallInput::Acknowledge
                 | CallInput::RequestChunk(_)
+                | CallInput::DiscardResponse
                 | CallInput::RequestConsumed(_)
                 | CallInput::ResponseCredit(_) => {}
             }
@@ -305,7 +308,7 @@
                 self.send_request_credit();
             }
             CallInput::Cancel => return InputEffect::Cancelled,
-            CallInput::Acknowledge => {}
+            CallInput::Acknowledge | CallInput::DiscardResponse => {}
         }
         InputEffect::Continue
     }
@@ -533,20 +536,23 @@
     /// that ends.
     async fn await_acknowledgement(&mut self) {
         let give_up_at = Instant::now() + RESPONSE_RETENTION;
+        let kept_bytes = self.response_sender.unconsumed_bytes();
+        self.gate.retain_response(self.id, kept_bytes);
         loop {
             tokio::select! {
                 input = self.inputs.recv() => match input {
-                    None | Some(CallInput::Acknowledge) => return,
+                    None | Some(CallInput::Acknowledge | CallInput::DiscardResponse) => break,
                     Some(input) => {
                         if matches!(self.handle_input(input), InputEffect::Cancelled) {
                             self.send_cancel_reply(false);
-                            return;
+                            break;
                         }
                     }
                 },
-                () = tokio::time::sleep_until(give_up_at) => return,
+                () = tokio::time::sleep_until(give_up_at) => break,
             }
         }
+        self.gate.release_response(self.id);
     }
 }
 
--- a/src/link/window.rs
+++ b/src/link/window.rs
@@ -49,6 +49,11 @@
         usize::try_from(self.limit_bytes.saturating_sub(in_flight_bytes)).unwrap_or(usize::MAX)
     }
 
+    /// Bytes that are kept until the receiver has consumed them.
+    pub fn unconsumed_bytes(&self) -> usize {
+        self.unconsumed.iter().map(Bytes::len).sum()
+    }
+
     /// Bytes sent since the start of the body.
     pub fn sent_bytes(&self) -> u64 {
         self.sent_bytes
