One account of the bytes that are held for callers

Callers saw, in the users' trial: a process ended, as it ran out of memory behind callers that had sent requests ahead and left the answers unread.

Cause: up to 32 requests of a connection are served at once, and each may hold 256 KiB of its response behind an unread one. That is 8 MiB a connection, and nothing bounded the sum over connections.

Bytes are counted from the head of a request until its response is written and its call has ended: read-ahead, heads, bodies, responses. Half of the limit (1/4 of the memory) stops the reading of connections that have unanswered requests. Beyond the limit the connection with the largest product of bytes and time without progress is closed, so callers who read, or hold a few kilobytes, stay. A closed connection promises nothing.

The soak holds a crowd at its ingress and checks its memory.

--- a/src/ingress.rs
+++ b/src/ingress.rs
@@ -9,7 +9,9 @@
 pub mod attempt;
 pub mod body;
 pub mod call;
+pub mod callers;
 pub mod connection;
+pub mod eviction;
 pub mod hedge;
 pub mod identity;
 pub mod in_flight;
@@ -37,6 +39,7 @@
 use crate::ids::{NodeId, NodeIncarnation, ServiceName};
 use crate::ingress::body::BodyReceiver;
 use crate::ingress::call::CallDriver;
+use crate::ingress::callers::{CallerAccount, RequestUsage};
 use crate::ingress::connection::{CallResult, RESPONSE_RESERVE_BYTES};
 use crate::ingress::hedge::ResponseLatencies;
 use crate::ingress::in_flight::{
@@ -52,6 +55,7 @@
 use crate::quarantine::QuarantineHub;
 use crate::quota::QuotaHub;
 use crate::rate_limit::{KnownStatement, StartRate};
+use crate::resources::ResourceLimits;
 use crate::retry::{RetryOptions, RetryPolicy};
 use crate::routes::SplitSelector;
 use crate::routing::{LoadReport, RouterState};
@@ -121,6 +125,8 @@
     in_flight: InFlightRequests,
     /// Bytes that responses may buffer beyond their own share.
     pub response_reserve: Arc<Semaphore>,
+    /// Callers' connections and what is held for them.
+    pub callers: Arc<CallerAccount>,
     /// Times of the planned stop; `None` if none has begun.
     stop_times: watch::Sender<Option<StopTimes>>,
     open_connections: AtomicU64,
@@ -144,6 +150,8 @@
     pub metrics: Arc<NodeMetrics>,
     /// Evidence against requests that crash backend servers.
     pub quarantine: Arc<QuarantineHub>,
+    /// Limits on what is held for others.
+    pub resource_limits: ResourceLimits,
     /// Start of the node, from which its clock counts.
     pub started_at: Instant,
 }
@@ -157,7 +165,13 @@
         stop_phase: watch::Receiver<StopPhase>,
         settings: IngressSettings,
     ) -> Self {
+        let callers = CallerAccount::new(
+            &settings.resource_limits,
+            settings.started_at,
+            Arc::clone(&settings.metrics),
+        );
         Self {
+            callers: Arc::new(callers),
             incarnation,
             router: Mutex::new(router),
             retry_policy: Mutex::new(RetryPolicy::new(settings.retry_options)),
@@ -301,8 +315,8 @@
     }
 
     /// Counts a request as in flight while the guard lives.
-    pub fn track_request(self: &Arc<Self>) -> InFlightGuard {
-        InFlightGuard::new(Arc::clone(self))
+    pub fn track_request(self: &Arc<Self>, usage: Arc<RequestUsage>) -> InFlightGuard {
+        InFlightGuard::new(Arc::clone(self), usage)
     }
 }
 
--- a/src/ingress/attempt.rs
+++ b/src/ingress/attempt.rs
@@ -21,6 +21,7 @@
 use crate::ids::{CallId, NodeId, RegionName, ServiceName};
 use crate::ingress::answer::CallHead;
 use crate::ingress::body::BodyRest;
+use crate::ingress::callers::RequestUsage;
 use crate::ingress::placing::GateEstimate;
 use crate::ingress::{IngressWorker, lock};
 use crate::ledger::attempt::{AttemptState, DeadlineAction};
@@ -118,6 +119,8 @@
     pub target: GateTarget,
     /// Nodes that the call has been offered to, this one included.
     pub tried_nodes: BTreeSet<NodeId>,
+    /// What is held for the request.
+    pub usage: Arc<RequestUsage>,
     /// Number under which routing tracks the attempt.
     pub attempt_number: AttemptNumber,
     /// Call id of this attempt.
@@ -200,7 +203,7 @@
                 return Err(AttemptError::not_run(kind));
             }
         }
-        let events = link.register_call(open.sequence);
+        let events = link.register_call(open.sequence, Arc::clone(&plan.usage));
         let first_window = if deferred_body.is_some() {
             0
         } else {
--- a/src/ingress/attempt/resume.rs
+++ b/src/ingress/attempt/resume.rs
@@ -2,6 +2,7 @@
 
 use std::io;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
@@ -90,7 +91,7 @@
         };
         self.state.on_new_link(link.incarnation())?;
         log::info!(target: "link", call:% = self.plan.id; "resumed on a new link");
-        self.events = link.register_call(self.sequence());
+        self.events = link.register_call(self.sequence(), Arc::clone(&self.plan.usage));
         self.link = link;
         self.link.send(LinkMessage::Resume(CallResume {
             sequence: self.sequence(),
--- a/src/ingress/call/offer.rs
+++ b/src/ingress/call/offer.rs
@@ -1,6 +1,7 @@
 //! Offers a call to a gate and waits for the head of its response.
 
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -69,6 +70,7 @@
                 node: choice.node,
                 address: choice.peer_address,
             },
+            usage: Arc::clone(self.progress.usage()),
             attempt_number: choice.attempt,
             id,
             may_retry: self.request.is_idempotent
--- a/src/ingress/connection.rs
+++ b/src/ingress/connection.rs
@@ -35,6 +35,7 @@
     put_response_head, response_framing,
 };
 use crate::ingress::body::BodyReceiver;
+use crate::ingress::callers::{ConnectionEntry, ConnectionUsage, RequestUsage};
 use crate::ingress::in_flight::{InFlightGuard, RequestProgress, RequestState};
 use crate::ingress::{ConnectionGuard, IngressWorker, StopPhase, serve_call};
 use crate::link::window::WINDOW_BYTES;
@@ -114,6 +115,7 @@
 
 struct CallerConnection {
     worker: Rc<IngressWorker>,
+    usage: Arc<ConnectionUsage>,
     write_queue: RefCell<VecDeque<QueuedWrite>>,
     /// Responses that are queued or being written.
     unanswered_count: Cell<usize>,
@@ -134,6 +136,7 @@
 pub async fn serve_connection(
     worker: Rc<IngressWorker>,
     stream: TcpStream,
+    entry: ConnectionEntry,
     _guard: ConnectionGuard,
 ) {
     if let Err(error) = stream.set_nodelay(true) {
@@ -146,6 +149,7 @@
     let (mut input, mut output) = stream.into_split();
     let connection = CallerConnection {
         worker,
+        usage: Arc::clone(entry.usage()),
         write_queue: RefCell::default(),
         unanswered_count: Cell::new(0),
         is_reading_request: Cell::new(false),
@@ -157,13 +161,21 @@
     let mut buffer = BytesMut::new();
     let result = tokio::select! {
         biased;
+        () = connection.usage.evicted() => Err(io::ErrorKind::OutOfMemory.into()),
         result = connection.write_responses(&mut output) => result,
         end = connection.read_until_closed(&mut input, &mut buffer) => end,
     };
     // Calls whose response can no longer be written are cancelled.
     drop(connection);
+    drop(buffer);
     match result {
-        Ok(()) => close_lingering(input, output).await,
+        Ok(()) => {
+            entry.usage().begin_close();
+            tokio::select! {
+                () = close_lingering(input, output) => {}
+                () = entry.usage().evicted() => {}
+            }
+        }
         Err(error) => {
             log::debug!(target: "ingress", "closing a caller's connection: {error}");
             // Without a shutdown, which would end a body that is delimited by the connection.
@@ -218,15 +230,19 @@
         buffer: &mut BytesMut,
     ) -> io::Result<ReadEndReason> {
         loop {
-            let is_full = || self.unanswered_count.get() >= MAX_PIPELINED_REQUESTS;
+            let account = self.usage.account();
+            let is_full = || match self.unanswered_count.get() {
+                0 => false,
+                count => count >= MAX_PIPELINED_REQUESTS || account.is_under_pressure(),
+            };
             if !self.read_ahead_while(is_full, input, buffer).await? {
                 return Ok(ReadEndReason::CallerClosed);
             }
             if self.is_closing.get() {
                 return Ok(ReadEndReason::NoMoreRequests);
             }
-            let head = match self.read_head(input, buffer).await? {
-                HeadRead::Head(head) => head,
+            let (head, head_bytes) = match self.read_head(input, buffer).await? {
+                HeadRead::Head(head, length) => (head, length),
                 HeadRead::Ended(end) => return Ok(end),
                 HeadRead::Rejected(kind) => {
                     self.queue_rejection(kind);
@@ -248,10 +264,12 @@
             let is_kept = head.is_keep_alive;
             let framing = head.framing;
             let body_progress = Rc::new(BodyProgress::default());
-            let body_sender = self.start_call(head, Rc::clone(&body_progress));
+            let request_usage = self.usage.begin_request(head_bytes);
+            let body_sender =
+                self.start_call(head, Rc::clone(&body_progress), Arc::clone(&request_usage));
             if let Some(body_sender) = body_sender
                 && !self
-                    .forward_body(input, buffer, framing, body_sender)
+                    .forward_body(input, buffer, framing, body_sender, &request_usage)
                     .await?
             {
                 return Ok(ReadEndReason::NoMoreRequests);
@@ -281,6 +299,7 @@
                     if read? == 0 {
                         return Ok(false);
                     }
+                    self.usage.set_buffer(buffer.len());
                 }
             }
         }
@@ -299,16 +318,22 @@
             let head_limits = HeadLimits {
                 max_bytes: usize::try_from(limits.max_head_bytes).unwrap_or(usize::MAX),
             };
+            let received_bytes = buffer.len();
             match RequestHead::parse(buffer, head_limits) {
                 Ok(Some(head)) => {
                     self.is_reading_request.set(true);
-                    return Ok(HeadRead::Head(Box::new(head)));
+                    self.usage.set_partial_head(false);
+                    self.usage.set_buffer(buffer.len());
+                    let head_bytes = received_bytes - buffer.len();
+                    return Ok(HeadRead::Head(Box::new(head), head_bytes));
                 }
                 Ok(None) => {}
                 Err(HeadError::Malformed) => return Ok(HeadRead::Rejected(ErrorKind::BadRequest)),
                 Err(HeadError::TooLarge) => return Ok(HeadRead::Rejected(ErrorKind::HeadTooLarge)),
             }
             let has_partial_head = !is_idle_input(buffer);
+            self.usage.set_partial_head(has_partial_head);
+            self.usage.set_buffer(buffer.len());
             let now = tokio::time::Instant::now();
             let deadline = if has_partial_head {
                 let limit = Duration::from_millis(limits.head_timeout_ms);
@@ -345,6 +370,7 @@
         &self,
         head: Box<RequestHead>,
         body_progress: Rc<BodyProgress>,
+        usage: Arc<RequestUsage>,
     ) -> Option<BodySender<ErrorKind>> {
         let (body_sender, body_receiver) = request_body_channel(head.framing);
         if head.expects_continue() && body_sender.is_some() {
@@ -353,7 +379,7 @@
                 .push_back(QueuedWrite::Continue);
         }
         let (result_sender, receiver) = oneshot::channel();
-        let guard = self.worker.shared.track_request();
+        let guard = self.worker.shared.track_request(usage);
         let progress = guard.progress().clone();
         self.queue_response(PendingResponse {
             receiver,
@@ -399,7 +425,10 @@
             is_http10: false,
             is_last_response: true,
             body_progress,
-            guard: self.worker.shared.track_request(),
+            guard: self
+                .worker
+                .shared
+                .track_request(self.usage.begin_request(0)),
         });
     }
 
@@ -411,12 +440,14 @@
         buffer: &mut BytesMut,
         framing: BodyFraming,
         body_sender: BodySender<ErrorKind>,
+        usage: &RequestUsage,
     ) -> io::Result<bool> {
         let mut decoder = BodyDecoder::new(framing);
         let mut open_sender = Some(body_sender);
         loop {
             match decoder.next_event(buffer) {
                 Ok(BodyEvent::Data(data)) => {
+                    usage.add_body(data.len());
                     // The call has ended; the rest of the body is still read to
                     // reach the next request.
                     if let Some(sender) = &open_sender
@@ -500,7 +531,9 @@
             self.is_closing.set(true);
             options.closes_connection = true;
         }
-        self.write_result(output, result, options).await?;
+        let usage = pending.guard.progress().usage();
+        self.write_result(output, result, options, usage).await?;
+        self.usage.end_request();
         self.is_streaming.set(false);
         self.unanswered_count.set(self.unanswered_count.get() - 1);
         self.response_written.notify_one();
@@ -592,6 +625,7 @@
     /// Writes all bytes; fails if the caller accepts none of them for as long as a connection
     /// may be idle.
     async fn write_all(&self, output: &mut OwnedWriteHalf, mut bytes: &[u8]) -> io::Result<()> {
+        self.usage.set_writing(true);
         while !bytes.is_empty() {
             let limit = Duration::from_millis(self.caller_limits().idle_timeout_ms);
             let Ok(written) = tokio::time::timeout(limit, output.write_buf(&mut bytes)).await
@@ -605,7 +639,9 @@
             if written? == 0 {
                 return Err(io::ErrorKind::WriteZero.into());
             }
+            self.usage.record_progress();
         }
+        self.usage.set_writing(false);
         Ok(())
     }
 
@@ -614,6 +650,7 @@
         output: &mut OwnedWriteHalf,
         result: CallResult,
         options: ResponseOptions,
+        usage: &RequestUsage,
     ) -> io::Result<()> {
         let dialect = self.worker.shared.dialect;
         let mut buffer = BytesMut::new();
@@ -634,6 +671,7 @@
         };
         self.is_streaming.set(true);
         self.write_all(output, &buffer).await?;
+        usage.release(buffer.len());
         if framing == BodyFraming::UntilClose {
             // Until the whole body is written, a regular end of the connection would pass
             // off a part as the whole.
@@ -643,6 +681,7 @@
             buffer.clear();
             put_body(&mut buffer, framing, &data);
             self.write_all(output, &buffer).await?;
+            usage.release(data.len());
         }
         match framing {
             BodyFraming::Chunked => self.write_all(output, LAST_CHUNK).await?,
@@ -665,7 +704,8 @@
 }
 
 enum HeadRead {
-    Head(Box<RequestHead>),
+    /// Head, and its length in bytes.
+    Head(Box<RequestHead>, usize),
     Rejected(ErrorKind),
     Ended(ReadEndReason),
 }
--- a/src/ingress/in_flight.rs
+++ b/src/ingress/in_flight.rs
@@ -8,6 +8,7 @@
 use derive_more::Display;
 
 use crate::ids::CallId;
+use crate::ingress::callers::RequestUsage;
 use crate::ingress::{IngressState, lock};
 
 /// Progress of a caller's request.
@@ -84,6 +85,7 @@
 pub struct RequestProgress {
     shared: Arc<IngressState>,
     number: u64,
+    usage: Arc<RequestUsage>,
 }
 
 impl RequestProgress {
@@ -105,6 +107,11 @@
         expires_at.into()
     }
 
+    /// What is held for the request.
+    pub fn usage(&self) -> &Arc<RequestUsage> {
+        &self.usage
+    }
+
     /// Records the progress of the request.
     pub fn set_state(&self, state: RequestState) {
         self.update(|request| request.state = state);
@@ -118,10 +125,14 @@
 
 impl InFlightGuard {
     /// Counts a request from now on.
-    pub fn new(shared: Arc<IngressState>) -> Self {
+    pub fn new(shared: Arc<IngressState>, usage: Arc<RequestUsage>) -> Self {
         let number = shared.in_flight.insert();
         Self {
-            progress: RequestProgress { shared, number },
+            progress: RequestProgress {
+                shared,
+                number,
+                usage,
+            },
         }
     }
 
--- a/src/ingress/tests.rs
+++ b/src/ingress/tests.rs
@@ -26,6 +26,7 @@
         max_immediate_offers: 3,
         retry_options: RetryOptions::default(),
         metrics: Arc::default(),
+        resource_limits: ResourceLimits::default(),
         started_at: started,
     };
     let incarnation = NodeIncarnation::try_from(1).unwrap();
--- a/src/link/call_link.rs
+++ b/src/link/call_link.rs
@@ -6,6 +6,7 @@
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use futures_util::stream::SplitStream;
@@ -14,7 +15,8 @@
 
 use crate::exchange::FramedPeerStream;
 use crate::ids::{NodeId, NodeIncarnation};
-use crate::link::endpoint::{LinkReceiver, LinkSender, read_frame};
+use crate::ingress::callers::RequestUsage;
+use crate::link::endpoint::{LinkReceiver, LinkSender, payload_bytes, read_frame};
 use crate::link::messages::{LinkMessage, LinkPing, LoadSnapshot, ZoneLoadReport};
 use crate::quarantine::LinkRegistration;
 
@@ -47,13 +49,20 @@
     LinkLost,
 }
 
+/// Call that receives events, and the account of what it holds for its caller.
+#[derive(Debug)]
+struct RegisteredCall {
+    events: UnboundedSender<CallEvent>,
+    usage: Arc<RequestUsage>,
+}
+
 /// Link of one worker thread to one gate.
 #[derive(Debug)]
 pub struct CallLink {
     gate: NodeId,
     incarnation: NodeIncarnation,
     sender: LinkSender,
-    calls: RefCell<BTreeMap<u64, UnboundedSender<CallEvent>>>,
+    calls: RefCell<BTreeMap<u64, RegisteredCall>>,
     has_received: Cell<bool>,
     silent_for: Cell<Duration>,
     is_ping_sent: Cell<bool>,
@@ -131,14 +140,23 @@
         self.send(LinkMessage::Ping(LinkPing::default()));
     }
 
-    /// Registers a call; its events are sent to the returned channel.
-    pub fn register_call(&self, sequence: u64) -> UnboundedReceiver<CallEvent> {
+    /// Registers a call; its events are sent to the returned channel, and the bytes of its
+    /// response are added to its usage.
+    pub fn register_call(
+        &self,
+        sequence: u64,
+        usage: Arc<RequestUsage>,
+    ) -> UnboundedReceiver<CallEvent> {
         let (sender, receiver) = unbounded_channel();
         if self.is_lost.get() {
             // The receiver still exists, so this can't fail.
             let _ = sender.send(CallEvent::LinkLost);
         }
-        self.calls.borrow_mut().insert(sequence, sender);
+        let call = RegisteredCall {
+            events: sender,
+            usage,
+        };
+        self.calls.borrow_mut().insert(sequence, call);
         self.call_registered.notify_one();
         receiver
     }
@@ -155,8 +173,9 @@
 
     fn deliver(&self, sequence: u64, message: LinkMessage) {
         if let Some(call) = self.calls.borrow().get(&sequence) {
+            call.usage.add(payload_bytes(&message) as u64);
             // A call that has ended in the meantime doesn't need the message.
-            let _ = call.send(CallEvent::Message(Box::new(message)));
+            let _ = call.events.send(CallEvent::Message(Box::new(message)));
         }
     }
 
@@ -166,7 +185,7 @@
             return;
         }
         for call in self.calls.borrow().values() {
-            let _ = call.send(CallEvent::LinkLost);
+            let _ = call.events.send(CallEvent::LinkLost);
         }
         self.lost.notify_one();
     }
--- a/src/node.rs
+++ b/src/node.rs
@@ -254,6 +254,7 @@
                 are_gate_refusals_free: options.max_immediate_offers > 0,
                 ..options.retry
             },
+            resource_limits,
             started_at: identity.started_at,
         },
     );
--- a/src/node/listener.rs
+++ b/src/node/listener.rs
@@ -93,9 +93,13 @@
         };
         match accepted {
             Ok((stream, _)) => {
+                // Dropped without an answer, so that the caller knows that nothing was read.
+                let Some(entry) = worker.shared.callers.enter().await else {
+                    continue;
+                };
                 // Counted from here on, so that a stop waits for it before its task runs.
                 let guard = worker.shared.track_connection();
-                ntex::rt::spawn(serve_connection(Rc::clone(&worker), stream, guard));
+                ntex::rt::spawn(serve_connection(Rc::clone(&worker), stream, entry, guard));
             }
             Err(error) => {
                 log::warn!(target: "ingress", "failed to accept a connection of a caller; retrying: {error}");
--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -14,6 +14,8 @@
 //! - A draining backend server gets no new order after the users' bound.
 //! - A backend server that names a limit gets no more requests than the users allow.
 //! - Orders are answered again after the last fault.
+//! - The ingress stays within the memory of its machine, although a crowd of callers that
+//!   don't behave holds connections to it.
 //!
 //! `SOAK_SEEDS` lists seeds, separated by commas. Without it, `SOAK_FRESH` sets
 //! the number of random seeds. With neither, the regression seeds and the CI
@@ -25,6 +27,8 @@
 
 #[path = "soak/callers.rs"]
 mod callers;
+#[path = "unruly_callers/crowd.rs"]
+mod crowd;
 #[path = "support/fleet.rs"]
 mod fleet;
 #[path = "support/load.rs"]
@@ -40,12 +44,14 @@
 
 use std::collections::BTreeMap;
 use std::env;
+use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
 use ntex::time::sleep;
 use serde_json::json;
 
 use callers::StopMoment;
+use crowd::Crowd;
 use fleet::{Fleet, FleetConfig};
 use load::{LONG_ORDER_TIMEOUT, ORDER_TIMEOUT, OrderLoad};
 use plan::{STOPPED_UPSTREAMS, SoakEvent, make_schedule};
@@ -87,6 +93,10 @@
 const LIMIT_GRACE: Duration = Duration::from_secs(3);
 /// Users' bound from the last fault until an order is answered.
 const RECOVERY_BOUND: Duration = Duration::from_secs(15);
+/// Connections of the crowd at the ingress.
+const CROWD: usize = 60;
+/// Memory of a machine in the users' deployments.
+const MACHINE_MEMORY_BYTES: u64 = 260 * 1024 * 1024;
 /// Users' bound from acceptance until a ticket is in force everywhere.
 const IN_FORCE_BOUND: Duration = Duration::from_secs(5);
 /// Wait after the load in which a delayed request may still arrive and run.
@@ -277,6 +287,18 @@
     }
 }
 
+/// Starts a crowd that reads nothing: it sends requests ahead, ends within a head, or stays
+/// idle. None of its requests reaches an upstream.
+fn start_crowd(seed: u64, address: SocketAddr) -> Crowd {
+    let field = "x".repeat(12_000);
+    let ahead = format!("GET / HTTP/1.1\r\nhost: none.example\r\nx-field: {field}\r\n\r\n");
+    match seed % 3 {
+        0 => Crowd::start(address, CROWD, &ahead.repeat(64)),
+        1 => Crowd::start(address, CROWD, &ahead[..ahead.len() / 2]),
+        _ => Crowd::start(address, CROWD, ""),
+    }
+}
+
 async fn run_soak(seed: u64) {
     let upstream_count = configured_upstream_count();
     let config = FleetConfig {
@@ -286,6 +308,7 @@
     let mut fleet = Fleet::start_with(config).await;
     let load = OrderLoad::start(&fleet, &[ORDER_TIMEOUT, LONG_ORDER_TIMEOUT]);
     callers::break_off_uploads(&load, fleet.ingress_address, seed);
+    let crowd = start_crowd(seed, fleet.ingress_address);
     let mut monitor = SoakMonitor {
         tickets: TicketMonitor {
             submitted: 1,
@@ -313,6 +336,12 @@
         fleet.ticket_in_force().await >= accepted
     })
     .await;
+    drop(crowd);
+    let peak_bytes = fleet.ingress_peak_memory_bytes();
+    assert!(
+        peak_bytes <= MACHINE_MEMORY_BYTES,
+        "seed {seed}: {peak_bytes} bytes at the ingress"
+    );
     let results = load.stop().await;
     sleep(LATE_RUN_WAIT).await;
     let runs = fleet.shut_down();
--- a/tests/support/fleet.rs
+++ b/tests/support/fleet.rs
@@ -331,6 +331,11 @@
         Process::start("edge-1-backend", &mut command, &self.runs)
     }
 
+    /// Peak memory of the ingress.
+    pub fn ingress_peak_memory_bytes(&self) -> u64 {
+        self.ingress.peak_memory_bytes()
+    }
+
     /// Sends a signal to the ingress.
     pub fn signal_ingress(&self, name: &str) {
         self.ingress.signal(name);
