Bound the number of callers' connections

Callers saw: an ordinary request at a node got no answer within 60 s while a crowd held idle connections to it.

Cause: callers' connections were bounded by descriptors only, so that neither a new caller nor a link, an upstream or the store got one.

Evidence: 900 connections to a node with 600 descriptors took all 600 on, idle or with half a head.

A new connection then takes the place of the one that is idle longest, or else has taken longest for a head, or else has left its response unread for longest, 1 s or more. It is accepted once that one is closed, so the bound is strict. If all are in use, the new one is closed unread, which the caller may take as not run.

--- a/src/ingress/callers.rs
+++ b/src/ingress/callers.rs
@@ -115,7 +115,7 @@
     pub fn new(limits: &ResourceLimits, started_at: Instant, metrics: Arc<NodeMetrics>) -> Self {
         Self {
             max_bytes: limits.caller_bytes,
-            max_connections: usize::MAX,
+            max_connections: limits.caller_connections,
             started_at,
             held_bytes: AtomicU64::new(0),
             connections: Mutex::default(),
--- a/src/ingress/callers/tests.rs
+++ b/src/ingress/callers/tests.rs
@@ -62,6 +62,21 @@
     assert!(!is_evicted(&small));
 }
 
+#[test]
+fn new_connection_takes_the_place_of_an_idle_one_once_that_is_closed() {
+    let account = new_account(MEGABYTE, 2);
+    let (idle, busy) = (enter(&account), enter(&account));
+    let _request = busy.usage().begin_request(0);
+    let mut entering = Box::pin(account.enter());
+    assert!(entering.as_mut().now_or_never().is_none());
+    assert!(is_evicted(&idle) && !is_evicted(&busy));
+    drop(idle);
+    let newest = entering.now_or_never().flatten().unwrap();
+    let _newest_request = newest.usage().begin_request(0);
+    let refused = account.enter().now_or_never();
+    assert!(matches!(refused, Some(None)), "all others are in use");
+}
+
 #[test]
 fn body_is_counted_up_to_its_windows() {
     let account = new_account(16 * MEGABYTE, 2);
