Bound the read-ahead of a caller's connection

Callers saw: nothing by itself; a crowd that sends long heads ahead took more memory than the account of callers counted.

Cause: the bound is 64 KiB and one read, but a read took all the free space of the buffer, which doubles when it grows and never shrinks.

A read takes at most 16 KiB, the buffer grows to what is needed, and a large one is replaced once it is empty. The account counts a head three times instead of six, which had stood for these buffers.

--- a/src/ingress/callers.rs
+++ b/src/ingress/callers.rs
@@ -23,9 +23,8 @@
 const PRESSURE_DIVISOR: u64 = 2;
 /// Memory that a request takes beside its head and bodies: the tasks and records of its call.
 const REQUEST_BYTES: u64 = 24 * 1024;
-/// Memory of a request head as a multiple of its length: the buffer that it was read into, the
-/// parsed fields, and the messages of its attempts.
-const HEAD_FACTOR: u64 = 6;
+/// Copies of a request head: as parsed, in the message of its call, and as its frame.
+const HEAD_COPIES: u64 = 3;
 /// Copies of the start of a request body: kept for another attempt, and on its way.
 const BODY_COPIES: u64 = 2;
 /// Most bytes that are counted for a request body, as its windows limit the rest.
@@ -291,7 +290,7 @@
             held_bytes: AtomicU64::new(0),
             body_bytes: AtomicU64::new(0),
         });
-        request.add(REQUEST_BYTES + HEAD_FACTOR * head_bytes as u64);
+        request.add(REQUEST_BYTES + HEAD_COPIES * head_bytes as u64);
         request
     }
 
--- a/src/ingress/connection.rs
+++ b/src/ingress/connection.rs
@@ -20,7 +20,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use bytes::BytesMut;
+use bytes::{BufMut, BytesMut};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
@@ -121,6 +121,8 @@
     unanswered_count: Cell<usize>,
     /// Whether the head of a request has been read but not yet its whole body.
     is_reading_request: Cell<bool>,
+    /// Whether the buffer has room for more than one read.
+    has_large_buffer: Cell<bool>,
     /// Whether no further requests are read.
     is_closing: Cell<bool>,
     /// Whether a response whose end has not arrived is being written, or is too long for a
@@ -153,6 +155,7 @@
         write_queue: RefCell::default(),
         unanswered_count: Cell::new(0),
         is_reading_request: Cell::new(false),
+        has_large_buffer: Cell::new(false),
         is_closing: Cell::new(false),
         is_streaming: Cell::new(false),
         write_queued: Notify::new(),
@@ -282,6 +285,18 @@
         }
     }
 
+    /// Makes room for one read. A buffer that grows by itself doubles its size, and keeps it.
+    fn make_room(&self, buffer: &mut BytesMut) {
+        if buffer.is_empty() && !self.has_large_buffer.get() {
+            buffer.reserve(READ_BUFFER_BYTES);
+        } else if buffer.is_empty() || buffer.capacity() - buffer.len() < READ_BUFFER_BYTES {
+            let mut exact = BytesMut::with_capacity(buffer.len() + READ_BUFFER_BYTES);
+            exact.extend_from_slice(buffer);
+            *buffer = exact;
+            self.has_large_buffer.set(!buffer.is_empty());
+        }
+    }
+
     /// Reads ahead while a condition holds that ends with a response; returns false if the
     /// caller closes the connection.
     async fn read_ahead_while(
@@ -291,11 +306,13 @@
         buffer: &mut BytesMut,
     ) -> io::Result<bool> {
         while condition() {
-            buffer.reserve(READ_BUFFER_BYTES);
+            self.make_room(buffer);
+            let has_room = buffer.len() < MAX_READ_AHEAD_BYTES;
+            let mut space = (&mut *buffer).limit(READ_BUFFER_BYTES);
             tokio::select! {
                 biased;
                 () = self.response_written.notified() => {}
-                read = input.read_buf(buffer), if buffer.len() < MAX_READ_AHEAD_BYTES => {
+                read = input.read_buf(&mut space), if has_room => {
                     if read? == 0 {
                         return Ok(false);
                     }
@@ -341,12 +358,13 @@
             } else {
                 now + Duration::from_millis(limits.idle_timeout_ms)
             };
-            buffer.reserve(READ_BUFFER_BYTES);
+            self.make_room(buffer);
+            let mut space = (&mut *buffer).limit(READ_BUFFER_BYTES);
             tokio::select! {
                 // Bytes that have arrived take precedence over the end of a
                 // planned stop.
                 biased;
-                read = input.read_buf(buffer) => if read? == 0 {
+                read = input.read_buf(&mut space) => if read? == 0 {
                     return Ok(HeadRead::Ended(ReadEndReason::CallerClosed));
                 },
                 () = tokio::time::sleep_until(deadline) => {
