Name the limit on peer exchanges by what it counts

It covers exchanges until their reply, not only until their hello. A connection that is closed for a limit is logged as such, not as out of memory.

--- a/src/ingress/connection.rs
+++ b/src/ingress/connection.rs
@@ -164,7 +164,7 @@
     let mut buffer = BytesMut::new();
     let result = tokio::select! {
         biased;
-        () = connection.usage.evicted() => Err(io::ErrorKind::OutOfMemory.into()),
+        () = connection.usage.evicted() => Err(io::ErrorKind::QuotaExceeded.into()),
         result = connection.write_responses(&mut output) => result,
         end = connection.read_until_closed(&mut input, &mut buffer) => end,
     };
--- a/src/node.rs
+++ b/src/node.rs
@@ -307,7 +307,7 @@
     ntex::rt::spawn(accept_peers(
         Rc::clone(&control),
         sockets.peer_listener,
-        resource_limits.handshakes,
+        resource_limits.peer_exchanges,
     ));
     ntex::rt::spawn(follow_routes(Rc::clone(&control)));
     ntex::rt::spawn(follow_evacuation(Rc::clone(&control)));
--- a/src/resources.rs
+++ b/src/resources.rs
@@ -20,8 +20,8 @@
 const RETAINED_MEMORY_DIVISOR: u64 = 16;
 /// Share of the descriptors for callers' connections, as a divisor.
 const CALLER_DESCRIPTOR_DIVISOR: usize = 2;
-/// Share of the descriptors for other nodes whose first message has not arrived, as a divisor.
-const HANDSHAKE_DIVISOR: usize = 16;
+/// Share of the descriptors for exchanges that other nodes open, as a divisor.
+const PEER_EXCHANGE_DIVISOR: usize = 16;
 /// Share of the descriptors for connections to each server of the administration, as a divisor.
 const ADMIN_DESCRIPTOR_DIVISOR: usize = 32;
 /// Limits of the process, as the kernel states them.
@@ -47,8 +47,8 @@
     pub retained_bytes: usize,
     /// Callers' connections.
     pub caller_connections: usize,
-    /// Connections of other nodes whose first message has not arrived.
-    pub handshakes: usize,
+    /// Connections of other nodes that carry one exchange, or whose hello has not arrived.
+    pub peer_exchanges: usize,
     /// Connections to each server of the administration.
     pub admin_connections: usize,
 }
@@ -64,7 +64,7 @@
             link_bytes: to_size(memory_bytes / LINK_MEMORY_DIVISOR),
             retained_bytes: to_size(memory_bytes / RETAINED_MEMORY_DIVISOR),
             caller_connections: descriptors / CALLER_DESCRIPTOR_DIVISOR,
-            handshakes: descriptors / HANDSHAKE_DIVISOR,
+            peer_exchanges: descriptors / PEER_EXCHANGE_DIVISOR,
             admin_connections: descriptors / ADMIN_DESCRIPTOR_DIVISOR,
         }
     }
--- a/src/resources/tests.rs
+++ b/src/resources/tests.rs
@@ -15,7 +15,7 @@
         let bytes = limits.caller_bytes + (limits.link_bytes + limits.retained_bytes) as u64;
         assert!(bytes * 2 < memory_mb * BYTES_PER_MEGABYTE);
         let connections =
-            limits.caller_connections + limits.handshakes + 2 * limits.admin_connections;
+            limits.caller_connections + limits.peer_exchanges + 2 * limits.admin_connections;
         assert!(connections * 4 <= 3 * usize::try_from(descriptors).unwrap());
     }
 }
