--- a/tests/unruly_callers.rs
+++ b/tests/unruly_callers.rs
@@ -200,3 +200,20 @@
 async fn connections_to_the_administration_leave_descriptors_for_others() {
     check_connections(|fleet| fleet.admin_address, "").await;
 }
+
+/// Load pattern: callers that read nothing, stall within heads or are idle at a planned stop.
+#[ntex::test]
+async fn planned_stop_ends_beside_a_crowd() {
+    let mut fleet = start_fleet(MACHINE).await;
+    let address = fleet.ingress_address;
+    let half = format!("GET /sound HTTP/1.1\r\nhost: {SERVICE}\r\n");
+    let crowds = [
+        Crowd::start(address, 20, &reads_ahead(64)),
+        Crowd::start(address, 100, &half),
+        Crowd::start(address, 100, ""),
+    ];
+    sleep(Duration::from_secs(1)).await;
+    fleet.ingress.signal("TERM");
+    assert_eq!(fleet.ingress.wait_for_exit().await, Some(0));
+    drop(crowds);
+}
