--- a/review/shared-3/fleet.py
+++ b/review/shared-3/fleet.py
@@ -135,7 +135,8 @@
     async def stop(self):
         for task in self.tasks:
             task.cancel()
-        self.listener.close()
+        if self.listener:
+            self.listener.close()
 
     def load(self):
         return f"{self.running},0,{self.slots}"
