--- a/review/14/case.py
+++ b/review/14/case.py
@@ -1,60 +1,80 @@
-"""A check-in of another writer, whose service no config names, takes the place of a server."""
+"""A node stands still while clients send and leave; it wakes and has their requests run."""
 
 import asyncio
-import json
 import os
+import random
+import signal
 import sys
-import time
 
 sys.path.insert(0, os.path.join(os.path.dirname(__file__), "..", "shared-3"))
-from fleet import http, run_case  # noqa: E402
+from fleet import CannotRun, run_case  # noqa: E402
 
-HOST = "shop.example"
-LAYOUT = [
-    ("ogbomoso-a", 1, "slotbook"), ("ogbomoso-a", 2, "slotbook"), ("ogbomoso-a", 3, "tillpost"),
-    ("ogbomoso-a", 4, "yardlog"), ("ogbomoso-a", 5, "yardlog"),
-    ("oyo-town-b", 1, "slotbook"), ("oyo-town-b", 2, "tillpost"), ("oyo-town-b", 3, "yardlog"),
-    ("iseyin-c", 1, "slotbook"), ("iseyin-c", 2, "tillpost"), ("iseyin-c", 3, "yardlog"),
-]
-SERVICES = ["slotbook", "tillpost", "yardlog"]
+HOST = "crew.example"
+ZONES = ["qc-est-a", "qc-est-b", "qc-est-c", "qc-est-d"]
+SERVICES = ["trajet", "chantier", "plans"]
+SLOTS, WORK_S = 18, 0.16
+BUDGET_MS = 1200
+LEAVE_S = 0.25
+FROZEN_S = 3.0
+GRACE_S = 0.5
+FEW = 5
 
 
-def route(name, prefix, service, kind):
-    return {"name": name, "hostname": HOST, "prefix": prefix, "kind": kind, "timeoutS": 0.6,
-            "targetLatencyS": 0.25, "priority": 1, "maxAttempts": 2, "service": service}
+def route():
+    return {"name": "closure-filing", "hostname": HOST, "prefix": "/file/", "kind": "non_idempotent", "timeoutS": 1.2,
+            "targetLatencyS": 0.5, "priority": 1, "maxAttempts": 2, "service": "chantier"}
+
+
+async def file_and_leave(fleet, machine, attempt):
+    reader, writer = await asyncio.open_connection(*machine.entry)
+    sent_at = fleet.now()
+    writer.write((f"POST /file/1 HTTP/1.1\r\nHost: {HOST}\r\nAttempt-Id: {attempt}\r\nDeadline-Ms: {BUDGET_MS}\r\n"
+                  "Content-Length: 2\r\n\r\nok").encode())
+    answer = b""
+    try:
+        answer = await asyncio.wait_for(reader.read(4096), LEAVE_S)
+    except asyncio.TimeoutError:
+        pass
+    writer.close()
+    closed_at = fleet.now()
+    fleet.log(f"client on {machine.name} sent filing {attempt} at {sent_at:.3f} s and closed its connection at "
+              f"{closed_at:.3f} s, answer so far: {answer[:40]!r}")
+    return None if answer else closed_at
 
 
 async def scenario(fleet, trouble):
-    for zone, number, service in LAYOUT:
-        fleet.add(f"sidecar-{zone}-{number}", zone, service)
-    routes = [route("pay", "/pay/", "tillpost", "non_idempotent"), route("look", "/look/", "slotbook", "idempotent"),
-              route("stock", "/stock/", "yardlog", "idempotent")]
-    await fleet.start(lambda: fleet.write_config(3, routes, SERVICES))
-    await asyncio.sleep(13.0)
+    for zone in ZONES:
+        for number, service in enumerate(SERVICES, 1):
+            fleet.add(f"sidecar-{zone}-{number}", zone, service)
+    for machine in fleet.machines:
+        machine.server.work_s, machine.server.slots = WORK_S, SLOTS
+    await fleet.start(lambda: fleet.write_config(3, [route()], SERVICES))
+    await asyncio.sleep(8.0)
+    clients = [machine for machine in fleet.machines if machine.service != "chantier"]
+    frozen = next(machine for machine in fleet.machines if machine.name == "sidecar-qc-est-b-2")
+    for _ in range(10):
+        answers = await asyncio.gather(*(fleet.request(machine, "POST", HOST, "/file/0", BUDGET_MS) for machine in clients))
+        await asyncio.sleep(0.1)
+    if any(answer["status"] != 200 for answer in answers):
+        raise CannotRun("filings aren't served")
+    attempts = [f"{random.getrandbits(48):012x}{number:04x}" for number in range(len(clients) * 10)]
+    if trouble:
+        await frozen.signal(signal.SIGSTOP)
+    closed = await asyncio.gather(*(file_and_leave(fleet, clients[number % len(clients)], attempt)
+                                    for number, attempt in enumerate(attempts)))
     if trouble:
-        for machine in fleet.machines:
-            if machine.service == "tillpost":
-                body = {"address": f"{machine.ip}:9999",
-                        "info": {"service": "elsewhere", "version": "v1", "zone": machine.zone, "slots": 6},
-                        "status": {"state": "ready", "sequence": 1, "warmupLeftS": 0}, "born": int(time.time() * 1000)}
-                status, _, _ = await http(machine.control, "PUT", "/v1/backends/i-foreign", json.dumps(body).encode(),
-                                          [("Content-Type", "application/json")])
-                fleet.log(f"foreign check-in at {machine.name}: {status}")
-    counts = {}
-    end = fleet.now() + 20.0
-    while fleet.now() < end:
-        answers = await asyncio.gather(*(fleet.request(machine, "POST" if path == "/pay/1" else "GET", HOST, path, 600)
-                                         for machine in fleet.machines for path in ("/pay/1", "/look/1", "/stock/1")))
-        for answer in answers:
-            key = answer["path"], answer["status"]
-            counts[key] = counts.get(key, 0) + 1
-        await asyncio.sleep(1.0)
-    fleet.log(f"answers by path and status: {counts}")
-    served = {path: counts.get((path, 200), 0) for path in ("/pay/1", "/look/1", "/stock/1")}
-    sent = {path: sum(n for (of, _), n in counts.items() if of == path) for path in served}
-    share_of_all = sum(served.values()) / sum(sent.values())
-    return [f"Starved: {path} is served {served[path]} times of {sent[path]}, all requests {share_of_all:.2f} of the times"
-            for path in served if served[path] / sent[path] < share_of_all / 4]
-
-
-run_case(os.path.dirname(os.path.abspath(__file__)), scenario)
+        await asyncio.sleep(FROZEN_S)
+        await frozen.signal(signal.SIGCONT)
+    await asyncio.sleep(1.5)
+    closed_at = {attempt: at for attempt, at in zip(attempts, closed) if at is not None}
+    late = []
+    for machine in fleet.machines:
+        for arrival in machine.server.arrivals:
+            at = closed_at.get(arrival["attempt"])
+            if at is not None and arrival["at"] > at + GRACE_S:
+                late.append(f"GONE: {arrival['attempt']} reached a server {arrival['at'] - at:.2f} s after its client had left")
+    fleet.log(f"{len(closed_at)} clients left without an answer, {len(late)} of their filings reached a server later")
+    return late if len(late) > FEW else []
+
+
+run_case(os.path.dirname(os.path.abspath(__file__)), scenario, region="qc-est")
--- a/review/shared-3/fleet.py
+++ b/review/shared-3/fleet.py
@@ -25,11 +25,6 @@
     "configApplyS": 2,
     "stableWindowS": 3,
     "recoveryS": 15,
-    "quotaWindowS": 5,
-    "quotaOverage": 0.1,
-    "quotaSlack": 20,
-    "warmupOverage": 1.5,
-    "warmupSlack": 8,
 }
 LIMITS = {
     "maxHeaderBytes": 16384,
