--- a/review/shared-3/fleet.py
+++ b/review/shared-3/fleet.py
@@ -238,7 +238,7 @@
         role = self.fleet.role
         settings = self.settings()
         words = [fill(word, settings) for word in role["run"].split()]
-        environment = {"PATH": os.environ.get("PATH", ""), "HOME": "/tmp"}
+        environment = {"PATH": os.environ.get("PATH", ""), "HOME": self.fleet.folder}
         for name, text in role["env"].items():
             environment[name] = fill(text, settings)
         log = open(os.path.join(self.fleet.folder, f"{self.name}.log"), "ab")
